--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,9 @@
+// Tests run as TypeScript: Node strips the types.
+export default {
+  extensions: { ts: "module" },
+  files: ["tests/**/*Tests.ts"],
+  timeout: "120s",
+  concurrency: 4,
+  workerThreads: false,
+  environmentVariables: { FIREFLYLB_TEST: "1" },
+};
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,4 @@
+/**
+ * Entry point of the one binary.
+ */
+console.log("fireflylb");
--- /dev/null
+++ b/src/protocol/Refusal.ts
@@ -0,0 +1,74 @@
+/**
+ * Stable codes of refusals and failures as callers, operators and other processes see them, each
+ * with its HTTP status.
+ */
+import type { Verdict } from "./Verdict.ts";
+
+/** Stable code of a refusal. */
+export type RefusalCode =
+  | "unknown-service"
+  | "bad-request"
+  | "body-too-large"
+  | "header-too-large"
+  | "no-configuration"
+  | "no-server"
+  | "overloaded"
+  | "deadline-exceeded"
+  | "draining"
+  | "wrong-incarnation"
+  | "duplicate-request"
+  | "agent-not-ready"
+  | "upstream-failed"
+  | "upstream-truncated"
+  | "store-unavailable"
+  | "conflict"
+  | "outcome-unknown"
+  | "not-found"
+  | "bad-document";
+
+const STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
+  "unknown-service": 404,
+  "bad-request": 400,
+  "body-too-large": 413,
+  "header-too-large": 431,
+  "no-configuration": 503,
+  "no-server": 503,
+  overloaded: 503,
+  "deadline-exceeded": 504,
+  draining: 503,
+  "wrong-incarnation": 503,
+  "duplicate-request": 409,
+  "agent-not-ready": 503,
+  "upstream-failed": 502,
+  "upstream-truncated": 502,
+  "store-unavailable": 503,
+  conflict: 409,
+  "outcome-unknown": 504,
+  "not-found": 404,
+  "bad-document": 422,
+};
+
+/** A refusal or failure with everything that the caller is told. */
+export interface Refusal {
+  readonly code: RefusalCode;
+  readonly verdict: Verdict;
+  readonly detail: string;
+  /** When to come back, in seconds; absent where coming back does not help. */
+  readonly retryAfterSeconds?: number;
+}
+
+/**
+ * Gives the HTTP status of a refusal.
+ * @param code - Code of the refusal.
+ */
+export function getStatus(code: RefusalCode): number {
+  return STATUS_BY_CODE[code];
+}
+
+/**
+ * Reads a refusal code from a header.
+ * @param text - Text as received; an unknown text gives undefined.
+ */
+export function getRefusalCode(text: string | undefined): RefusalCode | undefined {
+  return text !== undefined && text in STATUS_BY_CODE ? (text as RefusalCode) : undefined;
+}
