--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,16 @@
 }
 
 export default tseslint.config(
-  { ignores: ["dist", "build", "node_modules", "src/protocol/generated", "eslint.config.js", "ava.config.js"] },
+  {
+    ignores: [
+      "dist",
+      "build",
+      "node_modules",
+      "src/protocol/generated",
+      "eslint.config.js",
+      "ava.config.js",
+    ],
+  },
   js.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
