--- a/ava.config.js
+++ b/ava.config.js
@@ -1,6 +1,6 @@
 // Tests run as TypeScript: Node strips the types.
 export default {
-  extensions: { ts: "module" },
+  extensions: ["ts"],
   files: ["tests/**/*Tests.ts"],
   timeout: "120s",
   concurrency: 4,
