--- /dev/null
+++ b/standins/store/MemoryStore.ts
@@ -0,0 +1,219 @@
+/**
+ * The store stand-in within a process, for tests and benches: a StoreModel behind the abstract
+ * Store, with faults that can be switched at any time and counters of the calls.
+ */
+import { err, errAsync, ok, okAsync, ResultAsync } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import { Store } from "../../src/protocol/platform/Store.ts";
+import type {
+  StoreChanges,
+  StoreEntry,
+  StoreFailure,
+  StoreListing,
+  StoreWrite,
+  WriteResult,
+} from "../../src/protocol/platform/Store.ts";
+import { MAX_VALUE_BYTES, StoreModel } from "./StoreModel.ts";
+import type { ModelWatchResult } from "./StoreModel.ts";
+
+/** Time after which a watch without changes is answered. */
+const WATCH_WAIT_MS = 10_000;
+
+/** Faults of a memory store; each may be changed at any time. */
+export interface MemoryStoreFaults {
+  /** Every call fails at once and has no effect. */
+  outage: boolean;
+  /** Delay of every call before it takes effect, in milliseconds. */
+  delayMs: number;
+  /** Number of next writes, removals and lease calls that take effect while the caller gets a time-out. */
+  lostAnswers: number;
+  /** Number of next writes, removals and lease calls that have no effect while the caller gets a time-out. */
+  lostRequests: number;
+  /** Number of next calls that are refused because of their rate. */
+  rateLimited: number;
+}
+
+/** Counters of a memory store. */
+export interface MemoryStoreCounts {
+  /** Reads, listings and watches. */
+  readonly reads: number;
+  /** Writes, removals and lease calls. */
+  readonly writes: number;
+  /** Watches that wait now. */
+  readonly waitingWatches: number;
+}
+
+/** Store within the process, with faults. */
+export class MemoryStore extends Store {
+  /** Faults in force. */
+  readonly faults: MemoryStoreFaults = {
+    outage: false,
+    delayMs: 0,
+    lostAnswers: 0,
+    lostRequests: 0,
+    rateLimited: 0,
+  };
+  /** State behind the store. */
+  readonly model: StoreModel;
+  private readonly _clock: Clock;
+  private readonly _openWatches = new Set<() => void>();
+  private _reads = 0;
+  private _writes = 0;
+
+  /**
+   * Creates a store.
+   * @param clock - Clock of leases, delays and waiting watches.
+   * @param model - State; several memory stores with faults of their own may share one.
+   */
+  constructor(clock: Clock, model: StoreModel = new StoreModel(clock)) {
+    super();
+    this._clock = clock;
+    this.model = model;
+  }
+
+  /** Calls so far and watches that wait now. */
+  get counts(): MemoryStoreCounts {
+    return {
+      reads: this._reads,
+      writes: this._writes,
+      waitingWatches: this._openWatches.size,
+    };
+  }
+
+  /** Begins an outage: calls fail at once, waiting watches too. */
+  startOutage(): void {
+    this.faults.outage = true;
+    [...this._openWatches].forEach((fail) => {
+      fail();
+    });
+  }
+
+  /** Ends an outage. */
+  endOutage(): void {
+    this.faults.outage = false;
+  }
+
+  override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
+    return this._read(() => ok(this.model.read(key)));
+  }
+
+  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
+    return this._read(() => ok(this.model.list(prefix)));
+  }
+
+  override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
+    return this._write(() => {
+      if (Buffer.byteLength(write.value) > MAX_VALUE_BYTES) {
+        return err(failure("unavailable", false, "value larger than 1 MB"));
+      }
+      const result = this.model.write(write);
+      return result.kind === "lease-lost" ? err(leaseLost(write.lease)) : ok(result);
+    });
+  }
+
+  override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
+    return this._write(() => ok(this.model.remove(key, expected)));
+  }
+
+  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+    return this._read(() => ok(undefined)).andThen(() => this._wait(prefix, after));
+  }
+
+  override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
+    return this._write(() => ok(this.model.grantLease(ttlMs)));
+  }
+
+  override renewLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._write(() => (this.model.renewLease(lease) ? ok() : err(leaseLost(lease))));
+  }
+
+  override revokeLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._write(() => (this.model.revokeLease(lease) ? ok() : err(leaseLost(lease))));
+  }
+
+  private _read<T>(call: () => Result<T, StoreFailure>): ResultAsync<T, StoreFailure> {
+    this._reads += 1;
+    return this._arrive().andThen(call);
+  }
+
+  private _write<T>(call: () => Result<T, StoreFailure>): ResultAsync<T, StoreFailure> {
+    this._writes += 1;
+    const timeout = failure("timeout", true, "no answer in time");
+    if (this.faults.lostRequests > 0 && !this.faults.outage) {
+      this.faults.lostRequests -= 1;
+      return errAsync(timeout);
+    }
+    return this._arrive().andThen(() => {
+      const result = call();
+      if (this.faults.lostAnswers === 0) {
+        return result;
+      }
+      this.faults.lostAnswers -= 1;
+      return err(timeout);
+    });
+  }
+
+  private _arrive(): ResultAsync<void, StoreFailure> {
+    if (this.faults.rateLimited > 0) {
+      this.faults.rateLimited -= 1;
+      return errAsync(failure("rate-limited", false, "too many calls"));
+    }
+    if (this.faults.outage || this.faults.delayMs === 0) {
+      return this._checkOutage();
+    }
+    return ResultAsync.fromSafePromise(this._clock.sleep(this.faults.delayMs)).andThen(() =>
+      this._checkOutage(),
+    );
+  }
+
+  private _checkOutage(): ResultAsync<void, StoreFailure> {
+    return this.faults.outage ? errAsync(unreachable()) : okAsync(undefined);
+  }
+
+  private _wait(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+    return new ResultAsync(
+      new Promise<Result<StoreChanges, StoreFailure>>((resolve) => {
+        const timer = this._clock.after(WATCH_WAIT_MS, () => {
+          pending.finish();
+        });
+        const fail = (): void => {
+          settle(err(unreachable()));
+          pending.finish();
+        };
+        const settle = (result: Result<StoreChanges, StoreFailure>): void => {
+          timer.cancel();
+          this._openWatches.delete(fail);
+          resolve(result);
+        };
+        this._openWatches.add(fail);
+        const pending = this.model.watch(prefix, after, (result) => {
+          settle(watchResult(result));
+        });
+      }),
+    );
+  }
+}
+
+function watchResult(result: ModelWatchResult): Result<StoreChanges, StoreFailure> {
+  if (result.kind === "compacted") {
+    return err(failure("compacted", false, "the log of changes begins later"));
+  }
+  return ok({ changes: result.changes, revision: result.revision });
+}
+
+function leaseLost(lease: string | undefined): StoreFailure {
+  return failure("lease-lost", false, `lease ${lease ?? ""} has ended`);
+}
+
+function unreachable(): StoreFailure {
+  return failure("unavailable", false, "the store cannot be reached");
+}
+
+function failure(
+  kind: StoreFailure["kind"],
+  mayHaveWritten: boolean,
+  detail: string,
+): StoreFailure {
+  return { kind, mayHaveWritten, detail };
+}
--- /dev/null
+++ b/tests/support/MemoryLog.ts
@@ -0,0 +1,59 @@
+/**
+ * Log for tests: keeps its lines.
+ */
+import { Log } from "../../src/protocol/platform/Log.ts";
+import type { LogFields } from "../../src/protocol/platform/Log.ts";
+
+/** A line of the log. */
+export interface MemoryLogLine {
+  readonly part: string;
+  readonly level: "debug" | "info" | "warn" | "error";
+  readonly sentence: string;
+  readonly fields: LogFields;
+}
+
+/** Log that keeps its lines; the logs of its parts share them. */
+export class MemoryLog extends Log {
+  private readonly _part: string;
+  private readonly _lines: MemoryLogLine[];
+
+  /**
+   * Creates a log.
+   * @param part - Name of the part.
+   * @param lines - Where to keep the lines.
+   */
+  constructor(part = "", lines: MemoryLogLine[] = []) {
+    super();
+    this._part = part;
+    this._lines = lines;
+  }
+
+  /** Lines written so far, of all parts. */
+  get lines(): readonly MemoryLogLine[] {
+    return this._lines;
+  }
+
+  override part(name: string): Log {
+    return new MemoryLog(name, this._lines);
+  }
+
+  override debug(sentence: string, fields: LogFields = {}): void {
+    this._add("debug", sentence, fields);
+  }
+
+  override info(sentence: string, fields: LogFields = {}): void {
+    this._add("info", sentence, fields);
+  }
+
+  override warn(sentence: string, fields: LogFields = {}): void {
+    this._add("warn", sentence, fields);
+  }
+
+  override error(sentence: string, fields: LogFields = {}): void {
+    this._add("error", sentence, fields);
+  }
+
+  private _add(level: MemoryLogLine["level"], sentence: string, fields: LogFields): void {
+    this._lines.push({ part: this._part, level, sentence, fields });
+  }
+}
