--- /dev/null
+++ b/src/transport/store/HttpStore.ts
@@ -0,0 +1,218 @@
+/**
+ * Adapter to a store that is called by HTTP with JSON bodies; watches are long polls.
+ */
+import { err, ok, ResultAsync } from "neverthrow";
+import type { Result } from "neverthrow";
+import { Pool } from "undici";
+import { z } from "zod";
+import { Store } from "../../protocol/platform/Store.ts";
+import type {
+  StoreChanges,
+  StoreEntry,
+  StoreFailure,
+  StoreListing,
+  StoreWrite,
+  WriteResult,
+} from "../../protocol/platform/Store.ts";
+
+/** Time without changes after which the store answers a watch. */
+const WATCH_WAIT_MS = 2_000;
+
+/** Errors of a connection that was never made: no byte of the call has left. */
+const NOT_CONNECTED_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENETDOWN",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+const EntryReply = z.object({ key: z.string(), value: z.string(), revision: z.number() });
+const ReadReply = z.object({ entry: EntryReply.nullable() });
+const ListReply = z.object({ entries: z.array(EntryReply), revision: z.number() });
+const WriteReply = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("written"), revision: z.number() }),
+  z.object({ kind: z.literal("conflict"), current: EntryReply.optional() }),
+]);
+const ChangesReply = z.object({
+  changes: z.array(
+    z.object({ key: z.string(), value: z.string().optional(), revision: z.number() }),
+  ),
+  revision: z.number(),
+});
+const GrantReply = z.object({ lease: z.string() });
+const EmptyReply = z.object({});
+
+interface Call<T> {
+  readonly path: string;
+  readonly body: unknown;
+  readonly reply: z.ZodType<T>;
+  readonly writes: boolean;
+  readonly timeoutMs: number;
+}
+
+/** Where the store is and how long a call may take. */
+export interface HttpStoreOptions {
+  /** Address as "host:port". */
+  readonly address: string;
+  /** Time after which a call is given up, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Store that is called by HTTP. */
+export class HttpStore extends Store {
+  private readonly _pool: Pool;
+  private readonly _timeoutMs: number;
+
+  /**
+   * Creates the adapter; it connects with the first call.
+   * @param options - Where the store is and how long a call may take.
+   */
+  constructor(options: HttpStoreOptions) {
+    super();
+    this._timeoutMs = options.timeoutMs;
+    this._pool = new Pool(`http://${options.address}`, {
+      connect: { timeout: options.timeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /** Drops all connections; calls that wait fail. */
+  async close(): Promise<void> {
+    await this._pool.destroy();
+  }
+
+  override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
+    return this._read("/v1/read", { key }, ReadReply).map((reply) => reply.entry ?? undefined);
+  }
+
+  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
+    return this._read("/v1/list", { prefix }, ListReply);
+  }
+
+  override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
+    return this._write("/v1/write", write, WriteReply).map(toWriteResult);
+  }
+
+  override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
+    return this._write("/v1/remove", { key, expected }, WriteReply).map(toWriteResult);
+  }
+
+  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+    const call = {
+      path: "/v1/watch",
+      body: { prefix, after, waitMs: WATCH_WAIT_MS },
+      reply: ChangesReply,
+      writes: false,
+      timeoutMs: WATCH_WAIT_MS + this._timeoutMs,
+    };
+    return this._call(call).map((reply) => ({
+      revision: reply.revision,
+      changes: reply.changes.map(({ key, value, revision }) => ({ key, value, revision })),
+    }));
+  }
+
+  override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
+    return this._write("/v1/lease/grant", { ttlMs }, GrantReply).map((reply) => reply.lease);
+  }
+
+  override renewLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._write("/v1/lease/renew", { lease }, EmptyReply).map(() => undefined);
+  }
+
+  override revokeLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._write("/v1/lease/revoke", { lease }, EmptyReply).map(() => undefined);
+  }
+
+  private _read<T>(path: string, body: unknown, reply: z.ZodType<T>): ResultAsync<T, StoreFailure> {
+    return this._call({ path, body, reply, writes: false, timeoutMs: this._timeoutMs });
+  }
+
+  private _write<T>(
+    path: string,
+    body: unknown,
+    reply: z.ZodType<T>,
+  ): ResultAsync<T, StoreFailure> {
+    return this._call({ path, body, reply, writes: true, timeoutMs: this._timeoutMs });
+  }
+
+  private _call<T>(call: Call<T>): ResultAsync<T, StoreFailure> {
+    return ResultAsync.fromPromise(this._post(call), (cause) =>
+      toFailure(cause, call.writes),
+    ).andThen((answer) => readAnswer(answer, call));
+  }
+
+  private async _post(call: Call<unknown>): Promise<Answer> {
+    const { statusCode, body } = await this._pool.request({
+      method: "POST",
+      path: call.path,
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(call.body),
+      signal: AbortSignal.timeout(call.timeoutMs),
+    });
+    return { status: statusCode, text: await body.text() };
+  }
+}
+
+interface Answer {
+  readonly status: number;
+  readonly text: string;
+}
+
+function readAnswer<T>(answer: Answer, call: Call<T>): Result<T, StoreFailure> {
+  if (answer.status !== 200) {
+    return err(toRefusal(answer, call.writes));
+  }
+  const reply = call.reply.safeParse(parseJson(answer.text));
+  if (!reply.success) {
+    return err(failure("unavailable", call.writes, "the answer of the store cannot be read"));
+  }
+  return ok(reply.data);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function toRefusal(answer: Answer, writes: boolean): StoreFailure {
+  switch (answer.status) {
+    case 409:
+      return failure("lease-lost", false, "the lease has ended");
+    case 410:
+      return failure("compacted", false, "the store no longer has the changes asked for");
+    case 413:
+      return failure("unavailable", false, "the value is larger than the store takes");
+    case 429:
+      return failure("rate-limited", false, "the store refuses more calls");
+    default:
+      return failure("unavailable", writes, `the store answered with status ${answer.status}`);
+  }
+}
+
+function toFailure(cause: unknown, writes: boolean): StoreFailure {
+  const error = cause instanceof Error ? cause : new Error(String(cause));
+  if (error.name === "TimeoutError") {
+    return failure("timeout", writes, "no answer in time");
+  }
+  const code = "code" in error ? String(error.code) : "";
+  const detail = `${code} ${error.message}`.trim();
+  return failure("unavailable", writes && !NOT_CONNECTED_CODES.includes(code), detail);
+}
+
+function toWriteResult(reply: z.infer<typeof WriteReply>): WriteResult {
+  return reply.kind === "written" ? reply : { kind: "conflict", current: reply.current };
+}
+
+function failure(
+  kind: StoreFailure["kind"],
+  mayHaveWritten: boolean,
+  detail: string,
+): StoreFailure {
+  return { kind, mayHaveWritten, detail };
+}
--- /dev/null
+++ b/standins/support/JsonServer.ts
@@ -0,0 +1,111 @@
+/**
+ * HTTP server of a stand-in: JSON in, JSON out, with answers that can be withheld or cut.
+ */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { once } from "node:events";
+import { parseAddress } from "./address.ts";
+
+/** A request with its parsed body; undefined where there is none. */
+export interface JsonRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly body: unknown;
+  /** Aborts when the caller is gone. */
+  readonly gone: AbortSignal;
+}
+
+/** What to do about a request: answer it, cut its connection, or never answer. */
+export type JsonReply =
+  | { readonly kind: "answer"; readonly status: number; readonly body: unknown }
+  | { readonly kind: "cut" }
+  | { readonly kind: "hang" };
+
+/** Handler of all requests of a server. */
+export type JsonHandler = (req: JsonRequest) => Promise<JsonReply> | JsonReply;
+
+/**
+ * Makes an answer.
+ * @param body - Body, sent as JSON.
+ * @param status - HTTP status.
+ */
+export function answer(body: unknown, status = 200): JsonReply {
+  return { kind: "answer", status, body };
+}
+
+/** HTTP server of a stand-in. */
+export class JsonServer {
+  private readonly _address: string;
+  private readonly _handler: JsonHandler;
+  private _server: Server | undefined;
+
+  /**
+   * Creates a server that does not listen yet.
+   * @param address - Address to listen on, as "host:port".
+   * @param handler - Handler of all requests.
+   */
+  constructor(address: string, handler: JsonHandler) {
+    this._address = address;
+    this._handler = handler;
+  }
+
+  /** Listens; a server that listens already is left alone. */
+  async start(): Promise<void> {
+    if (this._server !== undefined) {
+      return;
+    }
+    const server = createServer((req, res) => {
+      void this._serve(req, res);
+    });
+    this._server = server;
+    server.listen(parseAddress(this._address));
+    await once(server, "listening");
+  }
+
+  /** Stops to listen and cuts all connections, so that new ones are refused. */
+  async stop(): Promise<void> {
+    const server = this._server;
+    if (server === undefined) {
+      return;
+    }
+    this._server = undefined;
+    server.close();
+    server.closeAllConnections();
+    await once(server, "close");
+  }
+
+  /** Cuts all connections, also those of requests that are never answered. */
+  cutConnections(): void {
+    this._server?.closeAllConnections();
+  }
+
+  private async _serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const gone = new AbortController();
+    res.on("close", () => {
+      gone.abort();
+    });
+    const reply = await this._reply(req, gone.signal).catch((err: unknown) =>
+      answer({ error: String(err) }, 400),
+    );
+    if (reply.kind === "cut") {
+      req.socket.destroy();
+    } else if (reply.kind === "answer") {
+      res.writeHead(reply.status, { "content-type": "application/json" });
+      res.end(JSON.stringify(reply.body));
+    }
+  }
+
+  private async _reply(req: IncomingMessage, gone: AbortSignal): Promise<JsonReply> {
+    const chunks = (await req.toArray()) as readonly Buffer[];
+    const text = Buffer.concat(chunks).toString();
+    const url = new URL(req.url ?? "/", "http://standin");
+    return this._handler({
+      method: req.method ?? "GET",
+      path: url.pathname,
+      query: url.searchParams,
+      body: text === "" ? undefined : (JSON.parse(text) as unknown),
+      gone,
+    });
+  }
+}
