Add the worker stand-in and the adapter to it

Cause: agents need a worker over loopback that enforces leases itself and keeps a history to check. HttpWorker and HttpStore share JsonClient (src/transport/http), which tells calls that never left from those that may have arrived.

--- /dev/null
+++ b/src/transport/http/JsonClient.ts
@@ -0,0 +1,99 @@
+/**
+ * Client for services of the platform that take and give JSON by HTTP. It tells calls that never
+ * left this process from those that may have arrived.
+ */
+import { ResultAsync } from "neverthrow";
+import { Pool } from "undici";
+
+/** Errors of a connection that was never made: no byte of the call has left. */
+const NOT_CONNECTED_CODES: readonly string[] = [
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENETDOWN",
+  "EADDRNOTAVAIL",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/** A call. */
+export interface JsonCall {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  /** Body, sent as JSON; undefined for none. */
+  readonly body: unknown;
+  /** Time after which the call is given up, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** An answer; its body is undefined where it is not JSON. */
+export interface JsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Why a call got no answer; `mayHaveArrived` is false only where no byte of it left. */
+export interface JsonFailure {
+  readonly kind: "unavailable" | "timeout";
+  readonly mayHaveArrived: boolean;
+  readonly detail: string;
+}
+
+/** Client of one service. */
+export class JsonClient {
+  private readonly _pool: Pool;
+
+  /**
+   * Creates a client; it connects with the first call.
+   * @param address - Address of the service as "host:port".
+   * @param connectTimeoutMs - Time after which a connection is given up, in milliseconds.
+   */
+  constructor(address: string, connectTimeoutMs: number) {
+    this._pool = new Pool(`http://${address}`, {
+      connect: { timeout: connectTimeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /** Drops all connections; calls that wait fail. */
+  async close(): Promise<void> {
+    await this._pool.destroy();
+  }
+
+  /**
+   * Makes a call.
+   * @param call - The call.
+   */
+  call(call: JsonCall): ResultAsync<JsonAnswer, JsonFailure> {
+    return ResultAsync.fromPromise(this._send(call), toFailure);
+  }
+
+  private async _send(call: JsonCall): Promise<JsonAnswer> {
+    const { statusCode, body } = await this._pool.request({
+      method: call.method,
+      path: call.path,
+      headers: { "content-type": "application/json" },
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+      signal: AbortSignal.timeout(call.timeoutMs),
+    });
+    return { status: statusCode, body: parseJson(await body.text()) };
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function toFailure(cause: unknown): JsonFailure {
+  const error = cause instanceof Error ? cause : new Error(String(cause));
+  if (error.name === "TimeoutError") {
+    return { kind: "timeout", mayHaveArrived: true, detail: "no answer in time" };
+  }
+  const code = "code" in error ? String(error.code) : "";
+  const mayHaveArrived = !NOT_CONNECTED_CODES.includes(code);
+  return { kind: "unavailable", mayHaveArrived, detail: `${code} ${error.message}`.trim() };
+}
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -1,9 +1,8 @@
 /**
  * Adapter to a store that is called by HTTP with JSON bodies; watches are long polls.
  */
-import { err, ok, ResultAsync } from "neverthrow";
-import type { Result } from "neverthrow";
-import { Pool } from "undici";
+import { err, ok } from "neverthrow";
+import type { Result, ResultAsync } from "neverthrow";
 import { z } from "zod";
 import { Store } from "../../protocol/platform/Store.ts";
 import type {
@@ -14,20 +13,12 @@
   StoreWrite,
   WriteResult,
 } from "../../protocol/platform/Store.ts";
+import { JsonClient } from "../http/JsonClient.ts";
+import type { JsonAnswer, JsonFailure } from "../http/JsonClient.ts";
 
 /** Time without changes after which the store answers a watch. */
 const WATCH_WAIT_MS = 2_000;
 
-/** Errors of a connection that was never made: no byte of the call has left. */
-const NOT_CONNECTED_CODES: readonly string[] = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENETDOWN",
-  "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
-
 const EntryReply = z.object({ key: z.string(), value: z.string(), revision: z.number() });
 const ReadReply = z.object({ entry: EntryReply.nullable() });
 const ListReply = z.object({ entries: z.array(EntryReply), revision: z.number() });
@@ -62,7 +53,7 @@
 
 /** Store that is called by HTTP. */
 export class HttpStore extends Store {
-  private readonly _pool: Pool;
+  private readonly _client: JsonClient;
   private readonly _timeoutMs: number;
 
   /**
@@ -72,16 +63,12 @@
   constructor(options: HttpStoreOptions) {
     super();
     this._timeoutMs = options.timeoutMs;
-    this._pool = new Pool(`http://${options.address}`, {
-      connect: { timeout: options.timeoutMs },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    this._client = new JsonClient(options.address, options.timeoutMs);
   }
 
   /** Drops all connections; calls that wait fail. */
   async close(): Promise<void> {
-    await this._pool.destroy();
+    await this._client.close();
   }
 
   override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
@@ -139,48 +126,26 @@
   }
 
   private _call<T>(call: Call<T>): ResultAsync<T, StoreFailure> {
-    return ResultAsync.fromPromise(this._post(call), (cause) =>
-      toFailure(cause, call.writes),
-    ).andThen((answer) => readAnswer(answer, call));
-  }
-
-  private async _post(call: Call<unknown>): Promise<Answer> {
-    const { statusCode, body } = await this._pool.request({
-      method: "POST",
-      path: call.path,
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(call.body),
-      signal: AbortSignal.timeout(call.timeoutMs),
-    });
-    return { status: statusCode, text: await body.text() };
+    const { path, body, timeoutMs } = call;
+    return this._client
+      .call({ method: "POST", path, body, timeoutMs })
+      .mapErr((cause) => toFailure(cause, call.writes))
+      .andThen((answer) => readAnswer(answer, call));
   }
 }
 
-interface Answer {
-  readonly status: number;
-  readonly text: string;
-}
-
-function readAnswer<T>(answer: Answer, call: Call<T>): Result<T, StoreFailure> {
+function readAnswer<T>(answer: JsonAnswer, call: Call<T>): Result<T, StoreFailure> {
   if (answer.status !== 200) {
     return err(toRefusal(answer, call.writes));
   }
-  const reply = call.reply.safeParse(parseJson(answer.text));
+  const reply = call.reply.safeParse(answer.body);
   if (!reply.success) {
     return err(failure("unavailable", call.writes, "the answer of the store cannot be read"));
   }
   return ok(reply.data);
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
-function toRefusal(answer: Answer, writes: boolean): StoreFailure {
+function toRefusal(answer: JsonAnswer, writes: boolean): StoreFailure {
   switch (answer.status) {
     case 409:
       return failure("lease-lost", false, "the lease has ended");
@@ -195,14 +160,8 @@
   }
 }
 
-function toFailure(cause: unknown, writes: boolean): StoreFailure {
-  const error = cause instanceof Error ? cause : new Error(String(cause));
-  if (error.name === "TimeoutError") {
-    return failure("timeout", writes, "no answer in time");
-  }
-  const code = "code" in error ? String(error.code) : "";
-  const detail = `${code} ${error.message}`.trim();
-  return failure("unavailable", writes && !NOT_CONNECTED_CODES.includes(code), detail);
+function toFailure(cause: JsonFailure, writes: boolean): StoreFailure {
+  return failure(cause.kind, writes && cause.mayHaveArrived, cause.detail);
 }
 
 function toWriteResult(reply: z.infer<typeof WriteReply>): WriteResult {
--- /dev/null
+++ b/standins/worker/RunningTask.ts
@@ -0,0 +1,188 @@
+/**
+ * One task of the worker stand-in: work that advances by steps, each under a lease.
+ */
+import type { Resources } from "../../src/protocol/Resources.ts";
+import { NO_RESOURCES } from "../../src/protocol/Resources.ts";
+import type {
+  WorkerStart,
+  WorkerTask,
+  WorkerTaskPhase,
+} from "../../src/protocol/platform/Worker.ts";
+import { getUsage, parseCommand } from "./TaskCommand.ts";
+import type { TaskCommand } from "./TaskCommand.ts";
+import type { StepOfTask } from "./WorkerJournal.ts";
+
+/** A task with its progress. */
+export class RunningTask {
+  /** Order that started the task. */
+  readonly order: WorkerStart;
+  private readonly _command: TaskCommand;
+  private _workMs: number;
+  private _leaseEnd: number;
+  private _lastStepAt: number;
+  private _phase: WorkerTaskPhase = "running";
+  private _reason = "";
+  private _checkpoint: string;
+  private _throttlePercent = 100;
+
+  /**
+   * Creates a running task.
+   * @param order - Order that started it.
+   * @param now - Time of the start.
+   * @param workMs - Work done by earlier attempts, in milliseconds at full speed.
+   */
+  constructor(order: WorkerStart, now: number, workMs: number) {
+    this.order = order;
+    this._command = parseCommand(order.command);
+    this._workMs = workMs;
+    this._leaseEnd = now + order.leaseMs;
+    this._lastStepAt = now;
+    this._checkpoint = order.checkpoint;
+  }
+
+  /** Phase of the task. */
+  get phase(): WorkerTaskPhase {
+    return this._phase;
+  }
+
+  /** Why the task ended. */
+  get reason(): string {
+    return this._reason;
+  }
+
+  /** Work done, in milliseconds at full speed. */
+  get workMs(): number {
+    return this._workMs;
+  }
+
+  /** Whether the command brings the worker down. */
+  get crashesWorker(): boolean {
+    return this._command.end === "crash-worker";
+  }
+
+  /** What the task uses now. */
+  get usage(): Resources {
+    return this._phase === "running"
+      ? getUsage(this._command, this.order.resources, this._throttlePercent)
+      : NO_RESOURCES;
+  }
+
+  /**
+   * Tells whether the lease has ended.
+   * @param now - Time now.
+   */
+  hasLapsed(now: number): boolean {
+    return now >= this._leaseEnd;
+  }
+
+  /**
+   * Does the work of one step.
+   * @param now - Time now.
+   * @param longestMs - Most time that a step may count.
+   */
+  step(now: number, longestMs: number): StepOfTask {
+    const elapsedMs = Math.min(now - this._lastStepAt, longestMs);
+    const workFromMs = this._workMs;
+    const doneMs = (elapsedMs * this._throttlePercent) / 100;
+    this._lastStepAt = now;
+    this._workMs = Math.min(this._command.workMs, workFromMs + doneMs);
+    const { task, attempt } = this.order;
+    return { task, attempt, workFromMs, workToMs: this._workMs };
+  }
+
+  /** Tells whether all work is done. */
+  isDone(): boolean {
+    return this._workMs >= this._command.workMs;
+  }
+
+  /** Ends the task as its command says. */
+  finish(): void {
+    if (this._command.end === "complete") {
+      this.end("completed", "");
+    } else {
+      this.end("failed", `command "${this.order.command}" failed`);
+    }
+  }
+
+  /**
+   * Ends the task.
+   * @param phase - How.
+   * @param reason - Why.
+   */
+  end(phase: "stopped" | "completed" | "failed", reason: string): void {
+    this._phase = phase;
+    this._reason = reason;
+  }
+
+  /**
+   * Extends the lease.
+   * @param leaseEnd - New end.
+   */
+  renew(leaseEnd: number): void {
+    this._leaseEnd = leaseEnd;
+  }
+
+  /**
+   * Limits the processors.
+   * @param percent - Share that the task may use.
+   */
+  throttle(percent: number): void {
+    this._throttlePercent = percent;
+  }
+
+  /** Takes a checkpoint and gives its reference. */
+  checkpoint(): string {
+    this._checkpoint = formatCheckpoint(this.order.task, this._workMs);
+    return this._checkpoint;
+  }
+
+  /**
+   * Describes the task.
+   * @param now - Time now.
+   * @param used - Usage as the worker reports it.
+   */
+  describe(now: number, used: Resources): WorkerTask {
+    const { task, attempt, partition, epoch, ownerAddress, resources, kind, tenant } = this.order;
+    return {
+      task,
+      attempt,
+      partition,
+      epoch,
+      ownerAddress,
+      resources,
+      kind,
+      tenant,
+      phase: this._phase,
+      used,
+      checkpoint: this._checkpoint,
+      progress: this._command.workMs === 0 ? 1 : this._workMs / this._command.workMs,
+      throttlePercent: this._throttlePercent,
+      reason: this._reason,
+      leaseLeftMs: Math.max(0, this._leaseEnd - now),
+    };
+  }
+}
+
+/**
+ * Writes the reference of a checkpoint.
+ * @param task - Id of the task.
+ * @param workMs - Work done, in milliseconds at full speed.
+ */
+export function formatCheckpoint(task: string, workMs: number): string {
+  return `${task}@${workMs}`;
+}
+
+/**
+ * Reads the work done from the reference of a checkpoint.
+ * @param reference - The reference; empty where there is none.
+ * @param task - Task that resumes from it.
+ * @returns The work in milliseconds; undefined for a reference of another task.
+ */
+export function parseCheckpoint(reference: string, task: string): number | undefined {
+  if (reference === "") {
+    return 0;
+  }
+  const split = reference.lastIndexOf("@");
+  const workMs = Number(reference.slice(split + 1));
+  return reference.slice(0, split) === task && Number.isFinite(workMs) ? workMs : undefined;
+}
--- /dev/null
+++ b/standins/worker/WorkerModel.ts
@@ -0,0 +1,330 @@
+/**
+ * State of the worker stand-in: tasks that advance by a timer, leases that are checked before each
+ * step, attempts and epochs that are never accepted twice or backwards. It does not police the
+ * capacity of its VM: it records what is committed, so that a check can find a fault.
+ */
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Clock, Timer } from "../../src/protocol/platform/Clock.ts";
+import type { WorkerReport, WorkerStart, WorkerTask } from "../../src/protocol/platform/Worker.ts";
+import { addResources, NO_RESOURCES } from "../../src/protocol/Resources.ts";
+import type { Resources } from "../../src/protocol/Resources.ts";
+import type { Journal } from "../support/Journal.ts";
+import { parseCheckpoint, RunningTask } from "./RunningTask.ts";
+import { UsageSamples } from "./UsageSamples.ts";
+import type { WorkerEvent } from "./WorkerJournal.ts";
+
+const STEP_MS = 25;
+const LONGEST_STEP_MS = 2 * STEP_MS;
+const SAMPLE_MS = 100;
+
+/** Why the worker did not do what it was asked. */
+export interface ModelRefusal {
+  readonly kind: "refused" | "unknown-task";
+  readonly detail: string;
+}
+
+/** What the worker is. */
+export interface WorkerModelOptions {
+  readonly vm: string;
+  readonly capacity: Resources;
+  /** Age of the usage that is reported, in milliseconds. */
+  readonly usageLagMs: number;
+  /** Called where a task brings the worker down. */
+  readonly onCrash: () => void;
+}
+
+/** Conditions that a test can switch. */
+export interface WorkerConditions {
+  /** Heat level that is reported. */
+  heatLevel: number | undefined;
+  /** Every task fails with its first step. */
+  failEverything: boolean;
+  /** Every start is refused. */
+  refuseStarts: boolean;
+  /** Processors used by what is not a task, in thousandths of a core. */
+  otherProcessorsMilli: number;
+}
+
+/** Tasks of one VM. */
+export class WorkerModel {
+  /** Conditions in force. */
+  readonly conditions: WorkerConditions = {
+    heatLevel: undefined,
+    failEverything: false,
+    refuseStarts: false,
+    otherProcessorsMilli: 0,
+  };
+  private readonly _clock: Clock;
+  private readonly _options: WorkerModelOptions;
+  private readonly _journal: Journal<WorkerEvent>;
+  private readonly _tasks = new Map<string, RunningTask>();
+  private readonly _attempts = new Map<string, number>();
+  private readonly _epochs = new Map<number, number>();
+  private readonly _usage: UsageSamples;
+  private _stepTimer: Timer | undefined;
+  private _sampleTimer: Timer | undefined;
+
+  /**
+   * Creates a worker without tasks.
+   * @param clock - Clock of steps and leases.
+   * @param options - What the worker is.
+   * @param journal - Where everything that happens is recorded.
+   */
+  constructor(clock: Clock, options: WorkerModelOptions, journal: Journal<WorkerEvent>) {
+    this._clock = clock;
+    this._options = options;
+    this._journal = journal;
+    this._usage = new UsageSamples(options.usageLagMs);
+    const { vm, capacity } = options;
+    journal.add({ event: "worker-start", at: clock.now(), vm, capacity });
+    this._sample();
+  }
+
+  /** Ends all timers: nothing runs any more. */
+  close(): void {
+    this._stepTimer?.cancel();
+    this._sampleTimer?.cancel();
+  }
+
+  /** Reads what the VM has and what runs there. */
+  report(): WorkerReport {
+    const sample = this._usage.get(this._clock.now());
+    return {
+      vm: this._options.vm,
+      capacity: this._options.capacity,
+      used: sample.total,
+      heatLevel: this.conditions.heatLevel,
+      tasks: [...this._tasks.values()].map((task) => this._describe(task)),
+    };
+  }
+
+  /**
+   * Starts a task.
+   * @param order - The order.
+   */
+  start(order: WorkerStart): Result<void, ModelRefusal> {
+    const workMs = parseCheckpoint(order.checkpoint, order.task);
+    const reason = this._getRefusal(order, workMs);
+    const { task, attempt, partition, epoch } = order;
+    const at = this._clock.now();
+    const vm = this._options.vm;
+    if (reason !== undefined || workMs === undefined) {
+      const detail = reason ?? "checkpoint of another task";
+      this._journal.add({ event: "refuse-start", at, vm, task, attempt, reason: detail });
+      return err({ kind: "refused", detail });
+    }
+    this._attempts.set(task, attempt);
+    this._epochs.set(partition, epoch);
+    this._tasks.set(keyOf(task, attempt), new RunningTask(order, at, workMs));
+    const identity = { task, attempt, partition, epoch };
+    const committed = this._committed();
+    this._journal.add({ event: "start", at, vm, ...identity, workFromMs: workMs, committed });
+    this._tickLater();
+    return ok();
+  }
+
+  /**
+   * Extends the lease of a running task.
+   * @param task - Id of the task.
+   * @param attempt - Attempt that holds the lease.
+   * @param leaseMs - Lease from now, in milliseconds.
+   */
+  renew(task: string, attempt: number, leaseMs: number): Result<void, ModelRefusal> {
+    return this._getRunning(task, attempt).map((running) => {
+      running.renew(this._clock.now() + leaseMs);
+    });
+  }
+
+  /**
+   * Takes a checkpoint of a running task and returns its reference.
+   * @param task - Id of the task.
+   * @param attempt - Attempt to checkpoint.
+   */
+  checkpoint(task: string, attempt: number): Result<string, ModelRefusal> {
+    return this._getRunning(task, attempt).map((running) => {
+      const at = this._clock.now();
+      const { vm } = this._options;
+      const { workMs } = running;
+      this._journal.add({ event: "checkpoint", at, vm, task, attempt, workMs });
+      return running.checkpoint();
+    });
+  }
+
+  /**
+   * Limits the processors of a task.
+   * @param task - Id of the task.
+   * @param attempt - Attempt to limit.
+   * @param percent - Share of its processors that the task may use.
+   */
+  throttle(task: string, attempt: number, percent: number): Result<void, ModelRefusal> {
+    return this._getRunning(task, attempt).map((running) => {
+      running.throttle(percent);
+    });
+  }
+
+  /**
+   * Stops a task and refuses later starts of this attempt and earlier ones.
+   * @param task - Id of the task.
+   * @param attempt - Attempt to stop.
+   * @returns The task as it ended; undefined where the worker does not have it.
+   */
+  stop(task: string, attempt: number): WorkerTask | undefined {
+    this._attempts.set(task, Math.max(attempt, this._attempts.get(task) ?? 0));
+    const known = this._tasks.get(keyOf(task, attempt));
+    if (known?.phase === "running") {
+      this._end(known, () => {
+        known.end("stopped", "stopped by order");
+      });
+    }
+    return known === undefined ? undefined : this._describe(known);
+  }
+
+  /**
+   * Drops a finished task from the report.
+   * @param task - Id of the task.
+   * @param attempt - Attempt to drop.
+   */
+  forget(task: string, attempt: number): Result<void, ModelRefusal> {
+    const known = this._tasks.get(keyOf(task, attempt));
+    if (known?.phase === "running") {
+      return err({ kind: "refused", detail: "the task is running" });
+    }
+    this._tasks.delete(keyOf(task, attempt));
+    return ok();
+  }
+
+  private _getRefusal(order: WorkerStart, workMs: number | undefined): string | undefined {
+    if (this.conditions.refuseStarts) {
+      return "the worker refuses all starts";
+    }
+    if (order.epoch < (this._epochs.get(order.partition) ?? 0)) {
+      return "the epoch is older than one seen";
+    }
+    if (order.attempt <= (this._attempts.get(order.task) ?? 0)) {
+      return "the attempt or a later one is known";
+    }
+    if (this._running().some((running) => running.order.task === order.task)) {
+      return "an earlier attempt is running";
+    }
+    return workMs === undefined ? "checkpoint of another task" : undefined;
+  }
+
+  private _getRunning(task: string, attempt: number): Result<RunningTask, ModelRefusal> {
+    const known = this._tasks.get(keyOf(task, attempt));
+    if (known === undefined) {
+      return err({ kind: "unknown-task", detail: `no attempt ${attempt} of ${task}` });
+    }
+    this._stopIfLapsed(known, this._clock.now());
+    if (known.phase !== "running") {
+      return err({ kind: "refused", detail: `the task is ${known.phase}` });
+    }
+    return ok(known);
+  }
+
+  private _running(): readonly RunningTask[] {
+    return [...this._tasks.values()].filter((task) => task.phase === "running");
+  }
+
+  private _tickLater(): void {
+    if (this._stepTimer !== undefined) {
+      return;
+    }
+    this._stepTimer = this._clock.after(STEP_MS, () => {
+      this._stepTimer = undefined;
+      this._tick();
+    });
+  }
+
+  private _tick(): void {
+    // The time is read once: the lease is checked against the very time that the journal gives.
+    const at = this._clock.now();
+    this._running().forEach((task) => {
+      this._stopIfLapsed(task, at);
+    });
+    const running = this._running();
+    if (running.length === 0) {
+      return;
+    }
+    const steps = running.map((task) => task.step(at, LONGEST_STEP_MS));
+    this._journal.add({ event: "step", at, vm: this._options.vm, steps });
+    running.forEach((task) => {
+      this._finishStep(task);
+    });
+    this._tickLater();
+  }
+
+  private _finishStep(task: RunningTask): void {
+    if (task.crashesWorker) {
+      this._options.onCrash();
+    }
+    if (this.conditions.failEverything) {
+      this._end(task, () => {
+        task.end("failed", "the worker fails everything");
+      });
+    } else if (task.isDone()) {
+      this._end(task, () => {
+        task.finish();
+      });
+    }
+  }
+
+  private _stopIfLapsed(task: RunningTask, now: number): void {
+    if (task.phase === "running" && task.hasLapsed(now)) {
+      this._end(task, () => {
+        task.end("stopped", "the lease ended");
+      });
+    }
+  }
+
+  private _end(task: RunningTask, end: () => void): void {
+    end();
+    const { phase, reason, workMs } = task;
+    if (phase === "running") {
+      return;
+    }
+    this._journal.add({
+      event: "end",
+      at: this._clock.now(),
+      vm: this._options.vm,
+      task: task.order.task,
+      attempt: task.order.attempt,
+      phase,
+      reason,
+      workMs,
+      committed: this._committed(),
+    });
+  }
+
+  private _committed(): Resources {
+    return this._running()
+      .map((task) => task.order.resources)
+      .reduce(addResources, NO_RESOURCES);
+  }
+
+  private _sample(): void {
+    const running = this._running();
+    const { otherProcessorsMilli } = this.conditions;
+    const other = { ...NO_RESOURCES, processorsMilli: otherProcessorsMilli };
+    this._usage.add({
+      at: this._clock.now(),
+      total: running.map((task) => task.usage).reduce(addResources, other),
+      tasks: new Map(
+        running.map((task) => [keyOf(task.order.task, task.order.attempt), task.usage]),
+      ),
+    });
+    this._sampleTimer = this._clock.after(SAMPLE_MS, () => {
+      this._sample();
+    });
+  }
+
+  private _describe(task: RunningTask): WorkerTask {
+    const now = this._clock.now();
+    const key = keyOf(task.order.task, task.order.attempt);
+    return task.describe(now, this._usage.get(now).tasks.get(key) ?? NO_RESOURCES);
+  }
+}
+
+function keyOf(task: string, attempt: number): string {
+  return `${task}#${attempt}`;
+}
--- /dev/null
+++ b/tests/transport/worker/httpWorkerTests.ts
@@ -0,0 +1,112 @@
+/**
+ * Tests of the worker adapter against the worker stand-in over loopback.
+ */
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { request } from "undici";
+import { findFreeAddress } from "../../../standins/support/freePorts.ts";
+import { MachineClock } from "../../../standins/support/MachineClock.ts";
+import { WorkerProcess } from "../../../standins/worker/WorkerProcess.ts";
+import type { WorkerFailure, WorkerStart } from "../../../src/protocol/platform/Worker.ts";
+import { HttpWorker } from "../../../src/transport/worker/HttpWorker.ts";
+
+const TIMEOUT_MS = 1_000;
+
+const ORDER: WorkerStart = {
+  task: "t",
+  attempt: 1,
+  partition: 3,
+  epoch: 7,
+  ownerAddress: "127.0.0.1:1",
+  resources: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
+  command: "run 60000",
+  checkpoint: "",
+  leaseMs: 60_000,
+  kind: "transcode",
+  tenant: "academy",
+};
+
+interface Bench {
+  readonly worker: HttpWorker;
+  readonly process: WorkerProcess;
+  readonly setSwitches: (switches: Readonly<Record<string, unknown>>) => Promise<void>;
+}
+
+async function createBench(t: ExecutionContext): Promise<Bench> {
+  const listen = await findFreeAddress();
+  const process = new WorkerProcess(new MachineClock(), {
+    listen,
+    vm: "vm1",
+    capacity: { processorsMilli: 4_000, memoryBytes: 4_000, accelerators: 2 },
+    usageLagMs: 0,
+    journal: undefined,
+    onCrash: () => undefined,
+  });
+  await process.start();
+  const worker = new HttpWorker({ address: listen, timeoutMs: TIMEOUT_MS });
+  t.teardown(async () => {
+    await worker.close();
+    await process.stop();
+  });
+  return {
+    worker,
+    process,
+    setSwitches: async (switches) => {
+      const { statusCode, body } = await request(`http://${listen}/control/switches`, {
+        method: "PUT",
+        body: JSON.stringify(switches),
+      });
+      t.is(statusCode, 200, await body.text());
+    },
+  };
+}
+
+function summary(failure: WorkerFailure): readonly [string, boolean] {
+  return [failure.kind, failure.mayHaveActed];
+}
+
+test("HttpWorker starts, renews, throttles, checkpoints, stops and forgets a task", async (t) => {
+  const { worker } = await createBench(t);
+  t.true((await worker.start(ORDER)).isOk());
+  t.true((await worker.renew("t", 1, 60_000)).isOk());
+  t.true((await worker.throttle("t", 1, 50)).isOk());
+  const checkpoint = (await worker.checkpoint("t", 1))._unsafeUnwrap();
+  t.true(checkpoint.startsWith("t@"));
+  const report = (await worker.report())._unsafeUnwrap();
+  t.like(report, { vm: "vm1", heatLevel: undefined });
+  t.like(report.tasks[0], { task: "t", phase: "running", throttlePercent: 50, checkpoint });
+  const stopped = (await worker.stop("t", 1))._unsafeUnwrap();
+  t.like(stopped, { phase: "stopped", checkpoint });
+  t.true((await worker.forget("t", 1)).isOk());
+  t.is((await worker.stop("t", 1))._unsafeUnwrap(), undefined);
+});
+
+test("HttpWorker reports the heat level where the worker has one", async (t) => {
+  const { worker, setSwitches } = await createBench(t);
+  await setSwitches({ heatLevel: 2 });
+  t.is((await worker.report())._unsafeUnwrap().heatLevel, 2);
+  await setSwitches({ heatLevel: null });
+  t.is((await worker.report())._unsafeUnwrap().heatLevel, undefined);
+});
+
+test("HttpWorker tells refusals and unknown tasks apart, and neither acted", async (t) => {
+  const { worker } = await createBench(t);
+  await worker.start(ORDER);
+  t.deepEqual(summary((await worker.start(ORDER))._unsafeUnwrapErr()), ["refused", false]);
+  t.deepEqual(summary((await worker.renew("u", 1, 1))._unsafeUnwrapErr()), ["unknown-task", false]);
+});
+
+test("HttpWorker says that a call without an answer may have acted", async (t) => {
+  const { worker, setSwitches } = await createBench(t);
+  await setSwitches({ lostAnswers: 1 });
+  t.deepEqual(summary((await worker.start(ORDER))._unsafeUnwrapErr()), ["unavailable", true]);
+  t.is((await worker.report())._unsafeUnwrap().tasks.length, 1);
+  await setSwitches({ outage: "hang" });
+  t.deepEqual(summary((await worker.renew("t", 1, 1))._unsafeUnwrapErr()), ["unavailable", true]);
+});
+
+test("HttpWorker says that a refused connection did nothing", async (t) => {
+  const { worker, process } = await createBench(t);
+  await process.stop();
+  t.deepEqual(summary((await worker.start(ORDER))._unsafeUnwrapErr()), ["unavailable", false]);
+});
