--- /dev/null
+++ b/src/coordination/requests/AdmissionQueue.ts
@@ -0,0 +1,236 @@
+/**
+ * Admission to one backend server: never more requests at the server than it has slots, a bounded
+ * queue in order of class priority, and a refusal at once for a request that cannot be served within
+ * its budget. A queued request gets its refusal the moment its budget ends.
+ */
+import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
+import type { Refusal } from "../../protocol/Refusal.ts";
+
+/** A request that asks for a slot. */
+export interface Waiter {
+  readonly key: string;
+  /** Lower goes first. */
+  readonly priority: number;
+  /** Longest queue that this request may join. */
+  readonly queueLimit: number;
+  /** When the budget ends, in monotonic milliseconds. */
+  readonly deadline: number;
+  /** Called once when the request gets its slot. */
+  readonly admit: () => void;
+  /** Called once when the request leaves the queue without a slot. */
+  readonly refuse: (refusal: Refusal) => void;
+}
+
+interface Place {
+  readonly waiter: Waiter;
+  readonly timer: Timer;
+}
+
+/** Weight of the newest service time in the moving average. */
+const SERVICE_TIME_WEIGHT = 0.05;
+const FIRST_SERVICE_TIME_MS = 5;
+const MIN_RETRY_AFTER_SECONDS = 1;
+const MS_PER_SECOND = 1_000;
+
+/** Slots and queue of one backend server. */
+export class AdmissionQueue {
+  private readonly _clock: Clock;
+  private readonly _places: Place[] = [];
+  private _slots: number;
+  private _inUse = 0;
+  private _foreign = 0;
+  private _draining = false;
+  private _serviceTimeMs = FIRST_SERVICE_TIME_MS;
+
+  /**
+   * Creates an empty queue.
+   * @param clock - Monotonic clock.
+   * @param slots - Slots of the backend server.
+   */
+  constructor(clock: Clock, slots: number) {
+    this._clock = clock;
+    this._slots = slots;
+  }
+
+  /** Slots held by requests of this agent. */
+  get inUse(): number {
+    return this._inUse;
+  }
+
+  /** Slots held by requests that this agent did not admit. */
+  get foreign(): number {
+    return this._foreign;
+  }
+
+  /** Requests that wait. */
+  get queued(): number {
+    return this._places.length;
+  }
+
+  /** Moving average of the time that a request holds a slot, in milliseconds. */
+  get serviceTimeMs(): number {
+    return this._serviceTimeMs;
+  }
+
+  /**
+   * Sets the number of slots.
+   * @param slots - Slots of the backend server.
+   */
+  setSlots(slots: number): void {
+    this._slots = slots;
+    this._admitNext();
+  }
+
+  /**
+   * Sets how many slots are held by requests that this agent did not admit, for example those that
+   * an earlier incarnation left behind.
+   * @param foreign - Number of slots.
+   */
+  setForeign(foreign: number): void {
+    this._foreign = foreign;
+    this._admitNext();
+  }
+
+  /** Refuses all that wait and all that come. */
+  drain(): void {
+    this._draining = true;
+    this._places.splice(0).forEach((place) => {
+      place.timer.cancel();
+      place.waiter.refuse(AdmissionQueue._drainingRefusal());
+    });
+  }
+
+  /** Admits again after a drain that was taken back. */
+  resume(): void {
+    this._draining = false;
+  }
+
+  /**
+   * Offers a request. It is admitted at once, queued, or refused.
+   * @param waiter - The request.
+   */
+  offer(waiter: Waiter): void {
+    const refusal = this._getRefusal(waiter);
+    if (refusal !== undefined) {
+      waiter.refuse(refusal);
+      return;
+    }
+    if (this._hasFreeSlot() && this._places.length === 0) {
+      this._inUse += 1;
+      waiter.admit();
+      return;
+    }
+    this._enqueue(waiter);
+  }
+
+  /**
+   * Takes a waiting request out of the queue without calling it back.
+   * @param key - Key of the request.
+   * @returns Whether the request was waiting.
+   */
+  withdraw(key: string): boolean {
+    const index = this._places.findIndex((place) => place.waiter.key === key);
+    if (index < 0) {
+      return false;
+    }
+    this._places.splice(index, 1).forEach((place) => {
+      place.timer.cancel();
+    });
+    return true;
+  }
+
+  /**
+   * Frees a slot.
+   * @param heldMs - How long the slot was held, in milliseconds.
+   */
+  release(heldMs: number): void {
+    this._inUse -= 1;
+    this._serviceTimeMs += (heldMs - this._serviceTimeMs) * SERVICE_TIME_WEIGHT;
+    this._admitNext();
+  }
+
+  private _hasFreeSlot(): boolean {
+    return this._inUse + this._foreign < this._slots;
+  }
+
+  private _getRefusal(waiter: Waiter): Refusal | undefined {
+    if (this._draining) {
+      return AdmissionQueue._drainingRefusal();
+    }
+    const left = waiter.deadline - this._clock.now();
+    if (left <= 0) {
+      return AdmissionQueue._deadlineRefusal();
+    }
+    if (this._hasFreeSlot() && this._places.length === 0) {
+      return undefined;
+    }
+    const waitMs = this._getExpectedWaitMs(waiter.priority);
+    if (this._places.length >= waiter.queueLimit || waitMs >= left) {
+      return this._overloadedRefusal(waitMs);
+    }
+    return undefined;
+  }
+
+  private _getExpectedWaitMs(priority: number): number {
+    const ahead = this._places.filter((place) => place.waiter.priority <= priority).length;
+    return ((ahead + 1) * this._serviceTimeMs) / Math.max(1, this._slots);
+  }
+
+  private _enqueue(waiter: Waiter): void {
+    const timer = this._clock.after(waiter.deadline - this._clock.now(), () => {
+      if (this.withdraw(waiter.key)) {
+        waiter.refuse(AdmissionQueue._deadlineRefusal());
+      }
+    });
+    const index = this._places.findIndex((place) => place.waiter.priority > waiter.priority);
+    this._places.splice(index < 0 ? this._places.length : index, 0, { waiter, timer });
+  }
+
+  private _admitNext(): void {
+    while (this._hasFreeSlot()) {
+      const place = this._places.shift();
+      if (place === undefined) {
+        return;
+      }
+      place.timer.cancel();
+      this._admitOrRefuse(place.waiter);
+    }
+  }
+
+  private _admitOrRefuse(waiter: Waiter): void {
+    if (waiter.deadline <= this._clock.now()) {
+      waiter.refuse(AdmissionQueue._deadlineRefusal());
+      return;
+    }
+    this._inUse += 1;
+    waiter.admit();
+  }
+
+  private _overloadedRefusal(waitMs: number): Refusal {
+    const seconds = Math.ceil(waitMs / MS_PER_SECOND);
+    return {
+      code: "overloaded",
+      verdict: "not-run",
+      detail: `${this._places.length} requests wait for ${this._slots} slots`,
+      retryAfterSeconds: Math.max(MIN_RETRY_AFTER_SECONDS, seconds),
+    };
+  }
+
+  private static _drainingRefusal(): Refusal {
+    return {
+      code: "draining",
+      verdict: "not-run",
+      detail: "the backend server is shutting down",
+      retryAfterSeconds: MIN_RETRY_AFTER_SECONDS,
+    };
+  }
+
+  private static _deadlineRefusal(): Refusal {
+    return {
+      code: "deadline-exceeded",
+      verdict: "not-run",
+      detail: "the budget ended before a slot was free",
+      retryAfterSeconds: MIN_RETRY_AFTER_SECONDS,
+    };
+  }
+}
--- /dev/null
+++ b/src/coordination/requests/RequestRouter.ts
@@ -0,0 +1,187 @@
+/**
+ * The entry's decisions on requests: which backend server to try, whether to try again, and what to
+ * tell the caller. It keeps to these rules: a request is repeated only where it has not run or is
+ * idempotent, within its deadline and the retry budget; a service whose servers are all saturated is
+ * not tried again; the last servers of a service are never ejected.
+ */
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Refusal, RefusalCode } from "../../protocol/Refusal.ts";
+import type { Verdict } from "../../protocol/Verdict.ts";
+import { RetryBudget } from "./RetryBudget.ts";
+import type { ServerPicker } from "./pickers/ServerPicker.ts";
+import type { ServerState } from "./ServerState.ts";
+import type { ServerTable } from "./ServerTable.ts";
+
+/** Most attempts of one request. */
+const MAX_ATTEMPTS = 4;
+/** Most refusals for want of a slot before the service counts as saturated. */
+const MAX_OVERLOAD_REFUSALS = 2;
+const RETRY_AFTER_SECONDS = 1;
+/** Share of a service's servers that may be ejected at once. */
+const MAX_EJECTED_SHARE = 0.5;
+/** Load in units of slots above which a server of the own zone is left for another zone. */
+const ZONE_SPILL_LOAD = 1;
+
+/** A request as the router sees it. */
+export interface RoutedRequest {
+  readonly service: string;
+  readonly idempotent: boolean;
+  /** When the caller's budget ends, in monotonic milliseconds. */
+  readonly deadline: number;
+}
+
+/** How one attempt ended. */
+export interface AttemptOutcome {
+  readonly verdict: Verdict;
+  readonly code: RefusalCode;
+  readonly detail: string;
+  readonly retryAfterSeconds?: number;
+}
+
+/** Progress of one request over its attempts. */
+export interface RequestProgress {
+  attempts: number;
+  overloads: number;
+  readonly tried: Set<ServerState>;
+  /** Verdict over all attempts so far. */
+  verdict: Verdict;
+}
+
+/** What to do next with a request. */
+export type RouteStep =
+  | { readonly kind: "send"; readonly server: ServerState }
+  | { readonly kind: "answer"; readonly refusal: Refusal };
+
+/** Decides on the requests of one entry. */
+export class RequestRouter {
+  private readonly _clock: Clock;
+  private readonly _table: ServerTable;
+  private readonly _picker: ServerPicker;
+  private readonly _zone: string;
+  private readonly _retryPercent: number;
+  private readonly _budgets = new Map<string, RetryBudget>();
+
+  /**
+   * Creates the router.
+   * @param parts - What it decides with.
+   */
+  constructor(parts: {
+    readonly clock: Clock;
+    readonly table: ServerTable;
+    readonly picker: ServerPicker;
+    readonly zone: string;
+    readonly retryPercent: number;
+  }) {
+    this._clock = parts.clock;
+    this._table = parts.table;
+    this._picker = parts.picker;
+    this._zone = parts.zone;
+    this._retryPercent = parts.retryPercent;
+  }
+
+  /** Gives the progress of a request before its first attempt. */
+  static begin(): RequestProgress {
+    return { attempts: 0, overloads: 0, tried: new Set(), verdict: "not-run" };
+  }
+
+  /**
+   * Decides on the first attempt.
+   * @param req - The request.
+   * @param progress - Its progress; updated.
+   */
+  first(req: RoutedRequest, progress: RequestProgress): RouteStep {
+    this._getBudget(req.service).noteRequest();
+    return this._send(req, progress);
+  }
+
+  /**
+   * Decides what follows an attempt that gave no answer to pass on.
+   * @param req - The request.
+   * @param progress - Its progress; updated.
+   * @param outcome - How the attempt ended.
+   */
+  next(req: RoutedRequest, progress: RequestProgress, outcome: AttemptOutcome): RouteStep {
+    progress.verdict = RequestRouter._join(progress.verdict, outcome.verdict);
+    progress.overloads += outcome.code === "overloaded" ? 1 : 0;
+    if (!this._mayRetry(req, progress, outcome)) {
+      return { kind: "answer", refusal: { ...outcome, verdict: progress.verdict } };
+    }
+    const step = this._send(req, progress);
+    return step.kind === "send"
+      ? step
+      : { kind: "answer", refusal: { ...outcome, verdict: progress.verdict } };
+  }
+
+  private _mayRetry(
+    req: RoutedRequest,
+    progress: RequestProgress,
+    outcome: AttemptOutcome,
+  ): boolean {
+    const safe = outcome.verdict === "not-run" || req.idempotent;
+    return (
+      safe &&
+      outcome.code !== "deadline-exceeded" &&
+      progress.attempts < MAX_ATTEMPTS &&
+      progress.overloads < MAX_OVERLOAD_REFUSALS &&
+      this._clock.now() < req.deadline &&
+      this._getBudget(req.service).take()
+    );
+  }
+
+  private _send(req: RoutedRequest, progress: RequestProgress): RouteStep {
+    const servers = this._table.getServers(req.service);
+    const candidates = this._getCandidates(servers, progress.tried);
+    const server = candidates.length === 0 ? undefined : this._picker.pick(candidates);
+    if (server === undefined) {
+      return { kind: "answer", refusal: this._noServer(req.service, progress.verdict) };
+    }
+    progress.attempts += 1;
+    progress.tried.add(server);
+    return { kind: "send", server };
+  }
+
+  private _getCandidates(
+    servers: readonly ServerState[],
+    tried: ReadonlySet<ServerState>,
+  ): readonly ServerState[] {
+    const now = this._clock.now();
+    const open = servers.filter((server) => !server.draining);
+    const available = open.filter((server) => server.ejector.isAvailable(now));
+    const enough = available.length >= open.length * (1 - MAX_EJECTED_SHARE);
+    const allowed = (enough ? available : open).filter((server) => !tried.has(server));
+    return this._preferZone(allowed);
+  }
+
+  private _preferZone(servers: readonly ServerState[]): readonly ServerState[] {
+    const near = servers.filter(
+      (server) => server.zone === this._zone && server.load < server.slots * ZONE_SPILL_LOAD,
+    );
+    return near.length >= 2 ? near : servers;
+  }
+
+  private _noServer(service: string, verdict: Verdict): Refusal {
+    return {
+      code: "no-server",
+      verdict,
+      detail: `no backend server of ${service} takes requests`,
+      retryAfterSeconds: RETRY_AFTER_SECONDS,
+    };
+  }
+
+  private _getBudget(service: string): RetryBudget {
+    const known = this._budgets.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const added = new RetryBudget(this._retryPercent);
+    this._budgets.set(service, added);
+    return added;
+  }
+
+  private static _join(a: Verdict, b: Verdict): Verdict {
+    if (a === "ran" || b === "ran") {
+      return "ran";
+    }
+    return a === "may-have-run" || b === "may-have-run" ? "may-have-run" : "not-run";
+  }
+}
--- /dev/null
+++ b/src/coordination/requests/pickers/RoundRobinPicker.ts
@@ -0,0 +1,15 @@
+/**
+ * Choice in turn: a baseline.
+ */
+import type { ServerState } from "../ServerState.ts";
+import { ServerPicker } from "./ServerPicker.ts";
+
+/** Chooses in turn. */
+export class RoundRobinPicker extends ServerPicker {
+  private _next = 0;
+
+  override pick(candidates: readonly ServerState[]): ServerState | undefined {
+    this._next += 1;
+    return candidates[this._next % candidates.length];
+  }
+}
