--- /dev/null
+++ b/src/protocol/RequestHead.ts
@@ -0,0 +1,71 @@
+/**
+ * What an agent reads from the headers of a request that an entry sends.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import { RequestHeaders } from "./RequestHeaders.ts";
+
+/** Class of a request that names none. */
+export const DEFAULT_CLASS = "normal";
+/** Tenant of a request that names none. */
+export const DEFAULT_TENANT = "default";
+
+/** A request as an entry announces it to an agent. */
+export interface RequestHead {
+  readonly request: string;
+  readonly attempt: number;
+  readonly service: string;
+  readonly tenant: string;
+  readonly requestClass: string;
+  /** Budget left when the entry sent the request, in milliseconds. */
+  readonly budgetMs: number;
+  /** Incarnation of the agent that the entry means. */
+  readonly incarnation: string;
+  /** Identity of the sending process. */
+  readonly sender: string;
+  /** Sender's monotonic time at sending, in milliseconds. */
+  readonly sentAt: number;
+}
+
+/**
+ * Reads the head of a request; undefined where a header is missing or malformed.
+ * @param headers - Headers as received.
+ */
+export function getRequestHead(headers: IncomingHttpHeaders): RequestHead | undefined {
+  const request = getText(headers, RequestHeaders.requestId);
+  const service = getText(headers, RequestHeaders.service);
+  const incarnation = getText(headers, RequestHeaders.incarnation);
+  const sender = getText(headers, RequestHeaders.sender);
+  const attempt = Number(getText(headers, RequestHeaders.attempt));
+  const budgetMs = Number(getText(headers, RequestHeaders.budgetMs));
+  const sentAt = Number(getText(headers, RequestHeaders.sentAt));
+  if (
+    request === undefined ||
+    service === undefined ||
+    incarnation === undefined ||
+    sender === undefined ||
+    ![attempt, budgetMs, sentAt].every(Number.isFinite)
+  ) {
+    return undefined;
+  }
+  return {
+    request,
+    attempt,
+    service,
+    tenant: getText(headers, RequestHeaders.tenant) ?? DEFAULT_TENANT,
+    requestClass: getText(headers, RequestHeaders.requestClass) ?? DEFAULT_CLASS,
+    budgetMs,
+    incarnation,
+    sender,
+    sentAt,
+  };
+}
+
+/**
+ * Gives a header that occurs once.
+ * @param headers - Headers as received.
+ * @param name - Lower-case name.
+ */
+export function getText(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name];
+  return typeof value === "string" ? value : undefined;
+}
--- a/src/protocol/RequestHeaders.ts
+++ b/src/protocol/RequestHeaders.ts
@@ -23,6 +23,10 @@
   budgetMs: "fireflylb-budget-ms",
   /** Incarnation of the agent that the entry means. */
   incarnation: "fireflylb-incarnation",
+  /** Identity of the process that sent the request on. */
+  sender: "fireflylb-sender",
+  /** Sender's monotonic time at sending, in milliseconds. */
+  sentAt: "fireflylb-sent-at",
   /** Verdict of the outcome: not-run, may-have-run or ran. */
   verdict: "fireflylb-verdict",
   /** Code of a refusal. */
--- /dev/null
+++ b/src/transport/http/RelayHandler.ts
@@ -0,0 +1,113 @@
+/**
+ * One HTTP exchange with the next hop whose answer is streamed to a waiting answer of this hop, with
+ * back-pressure. Subclasses decide what becomes of the head, the end and a failure.
+ */
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import type { Dispatcher } from "undici";
+
+const FIRST_FINAL_STATUS = 200;
+
+/** How far an exchange came before it failed. */
+export interface RelayFailure {
+  readonly reason: Error;
+  /** Whether any byte of the request may have left this process. */
+  readonly sent: boolean;
+  /** Whether the head of the answer had arrived. */
+  readonly headSeen: boolean;
+}
+
+/** Handler of one exchange. */
+export abstract class RelayHandler implements Dispatcher.DispatchHandler {
+  private _controller: Dispatcher.DispatchController | undefined;
+  private _abortReason: Error | undefined;
+  private _target: ServerResponse | undefined;
+  private _headSeen = false;
+
+  /** Whether any byte of the request may have left this process. */
+  get sent(): boolean {
+    return this._controller !== undefined;
+  }
+
+  /** Whether the head of the answer has arrived. */
+  get headSeen(): boolean {
+    return this._headSeen;
+  }
+
+  /**
+   * Breaks the exchange off; the failure is reported as usual.
+   * @param reason - Why.
+   */
+  abort(reason: Error): void {
+    this._abortReason = reason;
+    this._controller?.abort(reason);
+  }
+
+  /** Reads the rest of the answer without passing it on. */
+  discard(): void {
+    this._target = undefined;
+    this._controller?.resume();
+  }
+
+  /** @internal */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this._abortReason !== undefined) {
+      controller.abort(this._abortReason);
+      return;
+    }
+    this._controller = controller;
+  }
+
+  /** @internal */
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < FIRST_FINAL_STATUS) {
+      return;
+    }
+    this._headSeen = true;
+    this._target = this.onHead(status, headers);
+    this._target?.on("drain", () => {
+      controller.resume();
+    });
+  }
+
+  /** @internal */
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this._target?.write(chunk) === false) {
+      controller.pause();
+    }
+  }
+
+  /** @internal */
+  onResponseEnd(): void {
+    this._target?.end();
+    this.onEnd();
+  }
+
+  /** @internal */
+  onResponseError(_controller: Dispatcher.DispatchController, reason: Error): void {
+    this.onFailure({ reason, sent: this.sent, headSeen: this._headSeen });
+  }
+
+  /**
+   * Takes the head of the answer.
+   * @param status - HTTP status.
+   * @param headers - Headers as received.
+   * @returns Where the body goes; undefined to read and drop it.
+   */
+  protected abstract onHead(
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): ServerResponse | undefined;
+
+  /** Called once when the whole answer has arrived. */
+  protected abstract onEnd(): void;
+
+  /**
+   * Called once when the exchange has failed.
+   * @param failure - How far it came.
+   */
+  protected abstract onFailure(failure: RelayFailure): void;
+}
--- /dev/null
+++ b/src/transport/http/forwardHeaders.ts
@@ -0,0 +1,57 @@
+/**
+ * Headers that pass through a hop: everything but the hop-by-hop headers and those that a hop drops.
+ */
+import type { IncomingHttpHeaders } from "node:http";
+
+/** Headers that belong to one connection and never pass a hop. */
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "expect",
+]);
+
+/**
+ * Gives the headers of a request that pass on, as a flat list of names and values.
+ * @param rawHeaders - Headers as received, as a flat list.
+ * @param dropped - Lower-case names that this hop drops.
+ */
+export function getForwardHeaders(
+  rawHeaders: readonly string[],
+  dropped: ReadonlySet<string>,
+): string[] {
+  return rawHeaders.flatMap((name, index) => {
+    if (index % 2 === 1 || !passes(name.toLowerCase(), dropped)) {
+      return [];
+    }
+    return [name, rawHeaders[index + 1] ?? ""];
+  });
+}
+
+/**
+ * Gives the headers of an answer that pass on.
+ * @param headers - Headers as received.
+ * @param dropped - Lower-case names that this hop drops.
+ */
+export function getAnswerHeaders(
+  headers: IncomingHttpHeaders,
+  dropped: ReadonlySet<string>,
+): Record<string, string | readonly string[]> {
+  const passed: Record<string, string | readonly string[]> = {};
+  Object.entries(headers).forEach(([name, value]) => {
+    if (value !== undefined && passes(name, dropped)) {
+      passed[name] = value;
+    }
+  });
+  return passed;
+}
+
+function passes(name: string, dropped: ReadonlySet<string>): boolean {
+  return !HOP_BY_HOP.has(name) && !dropped.has(name);
+}
