--- /dev/null
+++ b/src/protocol/settings/IntegerSetting.ts
@@ -0,0 +1,41 @@
+/**
+ * A setting whose value is a whole number with a unit and bounds.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Setting, type SettingInfo } from "./Setting.ts";
+
+/** Unit and bounds of a number. */
+export interface IntegerRange {
+  readonly unit: string;
+  readonly min: number;
+  readonly max: number;
+}
+
+/** A whole number within bounds. */
+export class IntegerSetting extends Setting<number> {
+  private readonly _range: IntegerRange;
+
+  /**
+   * Creates the setting.
+   * @param range - Unit and bounds.
+   * @param info - Default and meaning.
+   */
+  constructor(range: IntegerRange, info: SettingInfo) {
+    super(info);
+    this._range = range;
+  }
+
+  override getType(): string {
+    return this._range.unit;
+  }
+
+  override getAllowed(): string {
+    const { unit, min, max } = this._range;
+    return `a whole number of ${unit} from ${min} to ${max}`;
+  }
+
+  override parse(text: string): Result<number, undefined> {
+    const value = /^\d{1,15}$/.test(text) ? Number(text) : NaN;
+    return value >= this._range.min && value <= this._range.max ? ok(value) : err(undefined);
+  }
+}
--- /dev/null
+++ b/src/protocol/settings/settingKinds.ts
@@ -0,0 +1,77 @@
+/**
+ * Short forms for the kinds of settings, so that a schema has one line for each key.
+ */
+import { AddressListSetting } from "./AddressListSetting.ts";
+import { AddressSetting } from "./AddressSetting.ts";
+import { ChoiceSetting } from "./ChoiceSetting.ts";
+import { IntegerSetting } from "./IntegerSetting.ts";
+import { TextSetting } from "./TextSetting.ts";
+
+const MAX_DURATION_MS = 86_400_000;
+const MAX_SIZE_BYTES = 1_099_511_627_776;
+const MAX_COUNT = 1_000_000;
+
+const NAME_FORM = {
+  type: "name",
+  pattern: /^[a-z0-9][a-z0-9._-]{0,62}$/,
+  allowed: "1 to 63 of a-z, 0-9, '.', '_' and '-'",
+};
+
+/** A name without a default. */
+export function name(doc: string): TextSetting {
+  return new TextSetting(NAME_FORM, { doc });
+}
+
+/** An address without a default. */
+export function address(doc: string): AddressSetting {
+  return new AddressSetting({ doc });
+}
+
+/** An address with a default. */
+export function addressOr(defaultText: string, doc: string): AddressSetting {
+  return new AddressSetting({ defaultText, doc });
+}
+
+/** A list of addresses without a default. */
+export function addresses(doc: string): AddressListSetting {
+  return new AddressListSetting({ doc });
+}
+
+/** A duration of at least one millisecond. */
+export function milliseconds(defaultValue: number, doc: string): IntegerSetting {
+  const range = { unit: "milliseconds", min: 1, max: MAX_DURATION_MS };
+  return new IntegerSetting(range, { defaultText: String(defaultValue), doc });
+}
+
+/** A duration that may be zero. */
+export function millisecondsOrZero(defaultValue: number, doc: string): IntegerSetting {
+  const range = { unit: "milliseconds", min: 0, max: MAX_DURATION_MS };
+  return new IntegerSetting(range, { defaultText: String(defaultValue), doc });
+}
+
+/** A size of at least one byte. */
+export function bytes(defaultValue: number, doc: string): IntegerSetting {
+  const range = { unit: "bytes", min: 1, max: MAX_SIZE_BYTES };
+  return new IntegerSetting(range, { defaultText: String(defaultValue), doc });
+}
+
+/** A number of things, at least one. */
+export function count(unit: string, defaultValue: number, doc: string): IntegerSetting {
+  const range = { unit, min: 1, max: MAX_COUNT };
+  return new IntegerSetting(range, { defaultText: String(defaultValue), doc });
+}
+
+/** A share from 0 to 100. */
+export function percent(defaultValue: number, doc: string): IntegerSetting {
+  const range = { unit: "percent", min: 0, max: 100 };
+  return new IntegerSetting(range, { defaultText: String(defaultValue), doc });
+}
+
+/** One of a few words. */
+export function choice<T extends string>(
+  choices: readonly T[],
+  defaultValue: T,
+  doc: string,
+): ChoiceSetting<T> {
+  return new ChoiceSetting(choices, { defaultText: defaultValue, doc });
+}
--- /dev/null
+++ b/tests/protocol/settings/entrySettingsTests.ts
@@ -0,0 +1,94 @@
+/**
+ * Tests of reading settings files.
+ */
+import test from "ava";
+import { readAgentSettings } from "../../../src/protocol/settings/AgentSettings.ts";
+import { readEntrySettings } from "../../../src/protocol/settings/EntrySettings.ts";
+
+const ENTRY = `
+[entry]
+name = entry-1
+region = guj
+zone = ahm-1
+listen = 127.0.0.1:8080
+control = 127.0.0.1:8081
+api = [::1]:8082
+[store]
+address = 127.0.0.1:2379
+`;
+
+test("readEntrySettings fills in defaults and names members in camel case", (t) => {
+  const settings = readEntrySettings("entry.ini", ENTRY)._unsafeUnwrap();
+  t.is(settings.entry.api, "[::1]:8082");
+  t.is(settings.requests.maxBodyBytes, 67_108_864);
+  t.is(settings.fleet.heartbeatMs, 500);
+  t.is(settings.log.level, "info");
+});
+
+test("readEntrySettings reports every problem with its place", (t) => {
+  const text = `${ENTRY}
+stray = 1
+[requests]
+max_in_flight = 0
+max_in_fligth = 7
+[log]
+level = loud
+[logs]
+level = info
+`;
+  const problems = readEntrySettings("e.ini", text)._unsafeUnwrapErr();
+  const found = problems.map(({ file, section, key, value }) => [file, section, key, value]);
+  t.deepEqual(found, [
+    ["e.ini", "store", "stray", "1"],
+    ["e.ini", "requests", "max_in_fligth", "7"],
+    ["e.ini", "logs", "", ""],
+    ["e.ini", "requests", "max_in_flight", "0"],
+    ["e.ini", "log", "level", "loud"],
+  ]);
+  t.true(problems.every((problem) => problem.allowed !== ""));
+  t.regex(problems[4]?.message ?? "", /one of debug, info, warn, error/);
+});
+
+test("readEntrySettings refuses a missing section, a repeated key and a key without a section", (t) => {
+  const text = `name = x\n${ENTRY.replace("zone = ahm-1", "zone = a\nzone = b")}`.replace(
+    /\[store\][^]*/,
+    "",
+  );
+  const problems = readEntrySettings("e.ini", text)._unsafeUnwrapErr();
+  t.deepEqual(
+    problems.map(({ section, key, value }) => [section, key, value]),
+    [
+      ["", "name", "x"],
+      ["entry", "zone", '["a","b"]'],
+      ["store", "address", "(missing)"],
+    ],
+  );
+});
+
+test("readEntrySettings refuses numbers of other forms", (t) => {
+  const refused = ["-1", "1.5", "1e3", "0x10", "1s", "", "99999999999999999999"];
+  refused.forEach((value) => {
+    const result = readEntrySettings("e.ini", `${ENTRY}[requests]\nmax_timeout_ms = ${value}\n`);
+    t.true(result.isErr(), value);
+  });
+});
+
+test("readAgentSettings reads the list of entries", (t) => {
+  const text = `[agent]
+name = vm-1
+region = guj
+zone = ahm-1
+rack = r1
+listen = 127.0.0.1:1
+control = 127.0.0.1:2
+local = 127.0.0.1:3
+admin = 127.0.0.1:4
+entries = 127.0.0.1:5, 127.0.0.1:6
+[worker]
+address = 127.0.0.1:7
+`;
+  const settings = readAgentSettings("a.ini", text)._unsafeUnwrap();
+  t.deepEqual(settings.agent.entries, ["127.0.0.1:5", "127.0.0.1:6"]);
+  const bad = readAgentSettings("a.ini", text.replace("0.1:6", "0.1:66666"))._unsafeUnwrapErr();
+  t.is(bad[0]?.key, "entries");
+});
