--- /dev/null
+++ b/src/coordination/requests/AgentAdmission.ts
@@ -0,0 +1,267 @@
+/**
+ * The agent's decisions on requests: it refuses what is meant for another incarnation, was seen
+ * before, comes too late, or cannot be served in time, and settles for entries whether an attempt
+ * has run.
+ */
+import type { ClassLimit, ConfigDocument } from "../../protocol/config/ConfigDocument.ts";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Refusal, RefusalCode } from "../../protocol/Refusal.ts";
+import type { RequestHead } from "../../protocol/RequestHead.ts";
+import type { ServerAnnouncement } from "../../protocol/ServerAnnouncement.ts";
+import type { Verdict } from "../../protocol/Verdict.ts";
+import { LocalServer } from "./LocalServer.ts";
+import { RequestLedger } from "./RequestLedger.ts";
+import { TransitEstimator } from "./TransitEstimator.ts";
+
+const RETRY_AFTER_SECONDS = 1;
+/** Priority of a class that the configuration does not name; lower goes first. */
+const DEFAULT_PRIORITY = 50;
+
+/** What an attempt gets when it arrives. */
+export type ArrivalDecision =
+  | { readonly kind: "open"; readonly key: string; readonly deadline: number }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
+
+/** Calls back with what becomes of an attempt. */
+export interface AdmissionCallbacks {
+  readonly admit: (server: LocalServer) => void;
+  readonly refuse: (refusal: Refusal) => void;
+}
+
+/** Admission of requests at one agent. */
+export class AgentAdmission {
+  private readonly _clock: Clock;
+  private readonly _incarnation: string;
+  private readonly _maxQueue: number;
+  private readonly _getConfig: () => ConfigDocument | undefined;
+  private readonly _ledger = new RequestLedger();
+  private readonly _transit = new TransitEstimator();
+  private readonly _servers = new Map<string, LocalServer>();
+  private _draining = false;
+
+  /**
+   * Creates the admission.
+   * @param parts - What it decides with.
+   */
+  constructor(parts: {
+    readonly clock: Clock;
+    readonly incarnation: string;
+    /** Most requests that wait at one server, over all classes. */
+    readonly maxQueue: number;
+    readonly getConfig: () => ConfigDocument | undefined;
+  }) {
+    this._clock = parts.clock;
+    this._incarnation = parts.incarnation;
+    this._maxQueue = parts.maxQueue;
+    this._getConfig = parts.getConfig;
+  }
+
+  /** Whether the agent takes no new work. */
+  get draining(): boolean {
+    return this._draining;
+  }
+
+  /** Gives the backend servers of this VM. */
+  getServers(): readonly LocalServer[] {
+    return [...this._servers.values()];
+  }
+
+  /** Number of requests that wait or run. */
+  getOpenRequests(): number {
+    return this.getServers().reduce(
+      (sum, server) => sum + server.queue.inUse + server.queue.queued,
+      0,
+    );
+  }
+
+  /** Stops taking new work; what waits is refused, what runs goes on. */
+  drain(): void {
+    this._draining = true;
+    this.getServers().forEach((server) => {
+      server.queue.drain();
+    });
+  }
+
+  /**
+   * Takes in the announcement of a backend server.
+   * @param announcement - The announcement.
+   * @returns Whether something changed that entries should hear of at once.
+   */
+  announce(announcement: ServerAnnouncement): boolean {
+    const known = this._servers.get(announcement.id);
+    if (known?.announcement.address !== announcement.address) {
+      this._servers.set(announcement.id, new LocalServer(this._clock, announcement));
+      return true;
+    }
+    const before = known.draining;
+    known.announce(announcement);
+    if (this._draining) {
+      known.queue.drain();
+    }
+    return before !== known.draining;
+  }
+
+  /**
+   * Ends the servers that have been silent for too long; one without open requests is dropped.
+   * @param expiryMs - Silence allowed, in milliseconds.
+   * @returns Ids of the servers that were dropped.
+   */
+  expireServers(expiryMs: number): readonly string[] {
+    const silent = this.getServers().filter(
+      (server) => server.announcedAt < this._clock.now() - expiryMs,
+    );
+    silent.forEach((server) => {
+      server.markGone();
+    });
+    const dropped = silent.filter((server) => server.queue.inUse === 0);
+    dropped.forEach((server) => this._servers.delete(server.announcement.id));
+    return dropped.map((server) => server.announcement.id);
+  }
+
+  /**
+   * Decides on an attempt that arrives; an open one is to be offered once its body is there.
+   * @param head - Head of the request.
+   */
+  arrive(head: RequestHead): ArrivalDecision {
+    const now = this._clock.now();
+    const delayMs = this._transit.note(head.sender, head.sentAt, now);
+    const key = RequestLedger.getKey(head.request, head.attempt);
+    if (head.incarnation !== this._incarnation) {
+      return AgentAdmission._refuse("wrong-incarnation", "the agent has been restarted");
+    }
+    if (this._draining) {
+      return AgentAdmission._refuse("draining", "the agent is shutting down");
+    }
+    if (delayMs >= head.budgetMs) {
+      return AgentAdmission._refuse("deadline-exceeded", "the budget ended on the way");
+    }
+    if (!this._ledger.open(key, now)) {
+      return this._refuseRepeated(key);
+    }
+    return { kind: "open", key, deadline: now + head.budgetMs - delayMs };
+  }
+
+  /**
+   * Offers an open attempt to a backend server of its service.
+   * @param head - Head of the request.
+   * @param open - Decision that opened the attempt.
+   * @param callbacks - Called once with what becomes of it.
+   */
+  offer(
+    head: RequestHead,
+    open: { readonly key: string; readonly deadline: number },
+    callbacks: AdmissionCallbacks,
+  ): void {
+    const refuse = (refusal: Refusal): void => {
+      this._ledger.markRefused(open.key, this._clock.now());
+      callbacks.refuse(refusal);
+    };
+    if (this._ledger.getPhase(open.key) !== "queued") {
+      refuse(AgentAdmission._refusal("duplicate-request", "the entry has given the attempt up"));
+      return;
+    }
+    const server = this._pickServer(head.service);
+    if (server === undefined) {
+      refuse(AgentAdmission._refusal("no-server", `no backend server of ${head.service} here`));
+      return;
+    }
+    const limit = this._getClassLimit(head.requestClass);
+    server.queue.offer({
+      key: open.key,
+      deadline: open.deadline,
+      priority: limit?.priority ?? DEFAULT_PRIORITY,
+      queueLimit: Math.min(this._maxQueue, limit?.queueLimit ?? this._maxQueue),
+      admit: () => {
+        this._ledger.markRunning(open.key);
+        server.noteStarted(open.key);
+        callbacks.admit(server);
+      },
+      refuse,
+    });
+  }
+
+  /**
+   * Gives up an attempt whose entry has gone away; one that runs goes on.
+   * @param key - Identity of the attempt.
+   */
+  giveUp(key: string): void {
+    if (this._ledger.getPhase(key) !== "queued") {
+      return;
+    }
+    this._withdraw(key);
+    this._ledger.markRefused(key, this._clock.now());
+  }
+
+  /**
+   * Notes that an attempt has ended at its server.
+   * @param server - The server.
+   * @param key - Identity of the attempt.
+   * @param end - How it ended: never sent, finished, or broken off while the server may go on.
+   */
+  noteEnded(server: LocalServer, key: string, end: "unsent" | "finished" | "detached"): void {
+    const now = this._clock.now();
+    if (end === "unsent") {
+      this._ledger.markRefused(key, now);
+    } else {
+      this._ledger.markFinished(key, now);
+    }
+    server.noteEnded(key, end === "detached");
+  }
+
+  /**
+   * Settles whether an attempt has run; after "not-run" it never will.
+   * @param request - Id of the request.
+   * @param attempt - Number of the attempt.
+   * @param incarnation - Incarnation to which the attempt was sent.
+   */
+  settle(request: string, attempt: number, incarnation: string): Verdict {
+    if (incarnation !== this._incarnation) {
+      return "may-have-run";
+    }
+    const now = this._clock.now();
+    const key = RequestLedger.getKey(request, attempt);
+    if (this._ledger.getPhase(key) === "queued") {
+      this._withdraw(key);
+      this._ledger.block(key, now);
+    }
+    return this._ledger.settle(key, now);
+  }
+
+  private _withdraw(key: string): boolean {
+    return this.getServers().some((server) => server.queue.withdraw(key));
+  }
+
+  private _pickServer(service: string): LocalServer | undefined {
+    const servers = this.getServers().filter(
+      (server) => server.announcement.service === service && !server.draining,
+    );
+    return servers.toSorted(
+      (a, b) => a.queue.inUse + a.queue.queued - b.queue.inUse - b.queue.queued,
+    )[0];
+  }
+
+  private _getClassLimit(requestClass: string): ClassLimit | undefined {
+    return this._getConfig()?.classes[requestClass];
+  }
+
+  private _refuseRepeated(key: string): ArrivalDecision {
+    const phase = this._ledger.getPhase(key);
+    const notRun = phase === "blocked" || phase === "refused";
+    return {
+      kind: "refused",
+      refusal: {
+        code: "duplicate-request",
+        verdict: notRun ? "not-run" : "may-have-run",
+        detail: "the attempt was seen before",
+      },
+    };
+  }
+
+  private static _refuse(code: RefusalCode, detail: string): ArrivalDecision {
+    return { kind: "refused", refusal: AgentAdmission._refusal(code, detail) };
+  }
+
+  private static _refusal(code: RefusalCode, detail: string): Refusal {
+    return { code, verdict: "not-run", detail, retryAfterSeconds: RETRY_AFTER_SECONDS };
+  }
+}
--- a/src/coordination/requests/RequestLedger.ts
+++ b/src/coordination/requests/RequestLedger.ts
@@ -88,6 +88,15 @@
     this._end(key, "refused", now);
   }
 
+  /**
+   * Notes that an attempt that does not run yet must never run.
+   * @param key - Identity of the attempt.
+   * @param now - Monotonic time in milliseconds.
+   */
+  block(key: string, now: number): void {
+    this._end(key, "blocked", now);
+  }
+
   /**
    * Gives the phase of an attempt.
    * @param key - Identity of the attempt.
--- a/src/protocol/RequestHeaders.ts
+++ b/src/protocol/RequestHeaders.ts
@@ -31,6 +31,8 @@
   verdict: "fireflylb-verdict",
   /** Code of a refusal. */
   refusal: "fireflylb-refusal",
+  /** Id of the backend server that answered. */
+  server: "fireflylb-server",
   /** Load of the backend server after the answer: slots in use and queue length. */
   load: "fireflylb-load",
 } as const;
--- /dev/null
+++ b/src/transport/agent/requests/AgentRequestServer.ts
@@ -0,0 +1,192 @@
+/**
+ * Takes requests from entries over HTTP and passes the admitted ones to the backend server.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Pool } from "undici";
+import type { AgentAdmission } from "../../../coordination/requests/AgentAdmission.ts";
+import type { LocalServer } from "../../../coordination/requests/LocalServer.ts";
+import type { Clock } from "../../../protocol/platform/Clock.ts";
+import type { Refusal } from "../../../protocol/Refusal.ts";
+import { getRequestHead, type RequestHead } from "../../../protocol/RequestHead.ts";
+import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
+import { getForwardHeaders } from "../../http/forwardHeaders.ts";
+import { listen } from "../../http/listen.ts";
+import { answerRefusal } from "../../http/refusalAnswer.ts";
+import { getDispatchBody, takeBody, type RequestBody } from "../../http/requestBody.ts";
+import { BackendExchange } from "./BackendExchange.ts";
+
+/** Headers between entry and agent that the backend server does not get. */
+const DROPPED: ReadonlySet<string> = new Set<string>([
+  RequestHeaders.attempt,
+  RequestHeaders.budgetMs,
+  RequestHeaders.incarnation,
+  RequestHeaders.sender,
+  RequestHeaders.sentAt,
+]);
+/** Time that a backend server gets beyond the budget before its connection is given up. */
+const ANSWER_GRACE_MS = 5_000;
+/** Longest pause within the body of an answer. */
+const BODY_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_MS = 65_000;
+
+/** Requests of one agent. */
+export class AgentRequestServer {
+  private readonly _admission: AgentAdmission;
+  private readonly _clock: Clock;
+  private readonly _maxBodyBytes: number;
+  private readonly _isReady: () => boolean;
+  private readonly _pools = new Map<string, Pool>();
+  private readonly _server: Server;
+
+  /**
+   * Creates the server; it does not listen yet.
+   * @param parts - What it works with.
+   */
+  constructor(parts: {
+    readonly admission: AgentAdmission;
+    readonly clock: Clock;
+    readonly maxBodyBytes: number;
+    readonly isReady: () => boolean;
+  }) {
+    this._admission = parts.admission;
+    this._clock = parts.clock;
+    this._maxBodyBytes = parts.maxBodyBytes;
+    this._isReady = parts.isReady;
+    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (req, res) => {
+      void this._handle(req, res);
+    });
+  }
+
+  /**
+   * Starts to listen.
+   * @param address - Address as host:port.
+   */
+  async listen(address: string): Promise<void> {
+    await listen(this._server, address, "[agent] listen");
+  }
+
+  /** Stops listening once the requests in flight have ended. */
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this._server.close(() => {
+        resolve();
+      });
+      this._server.closeIdleConnections();
+    });
+  }
+
+  private async _handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const arrivedAt = this._clock.now();
+    const head = getRequestHead(req.headers);
+    if (head === undefined) {
+      this._refuse(req, res, "", {
+        code: "bad-request",
+        verdict: "not-run",
+        detail: "the request does not come from an entry",
+      });
+      return;
+    }
+    if (!this._isReady()) {
+      this._refuse(req, res, head.request, {
+        code: "agent-not-ready",
+        verdict: "not-run",
+        detail: "the agent has not read its VM yet",
+        retryAfterSeconds: 1,
+      });
+      return;
+    }
+    const decision = this._admission.arrive(head);
+    if (decision.kind === "refused") {
+      this._refuse(req, res, head.request, decision.refusal);
+      return;
+    }
+    await this._takeAndOffer({ req, res, head, arrivedAt }, decision);
+  }
+
+  private async _takeAndOffer(
+    arrival: Arrival,
+    open: { readonly key: string; readonly deadline: number },
+  ): Promise<void> {
+    const { req, res, head } = arrival;
+    res.on("close", () => {
+      this._admission.giveUp(open.key);
+    });
+    const body = await takeBody(req, this._maxBodyBytes);
+    if (typeof body === "string") {
+      this._admission.giveUp(open.key);
+      this._refuse(req, res, head.request, { code: body, verdict: "not-run", detail: "bad body" });
+      return;
+    }
+    if (res.destroyed) {
+      return;
+    }
+    this._admission.offer(head, open, {
+      admit: (server) => {
+        this._send(arrival, open, server, body);
+      },
+      refuse: (refusal) => {
+        this._refuse(req, res, head.request, refusal);
+      },
+    });
+  }
+
+  private _send(
+    arrival: Arrival,
+    open: { readonly key: string; readonly deadline: number },
+    server: LocalServer,
+    body: RequestBody,
+  ): void {
+    const { req, res, head, arrivedAt } = arrival;
+    const method = req.method ?? "GET";
+    const exchange = new BackendExchange({
+      res,
+      request: head.request,
+      method,
+      server,
+      arrivedAt,
+      now: () => this._clock.now(),
+      onDone: (end) => {
+        this._admission.noteEnded(server, open.key, end);
+      },
+    });
+    this._getPool(server).dispatch(
+      {
+        path: req.url ?? "/",
+        method,
+        headers: getForwardHeaders(req.rawHeaders, DROPPED),
+        body: getDispatchBody(body),
+        headersTimeout: Math.ceil(open.deadline - this._clock.now() + ANSWER_GRACE_MS),
+        bodyTimeout: BODY_TIMEOUT_MS,
+      },
+      exchange,
+    );
+  }
+
+  private _getPool(server: LocalServer): Pool {
+    const { address, connections } = server.announcement;
+    const known = this._pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new Pool(`http://${address}`, { connections, pipelining: 1 });
+    this._pools.set(address, pool);
+    return pool;
+  }
+
+  private _refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    request: string,
+    refusal: Refusal,
+  ): void {
+    req.resume();
+    answerRefusal(res, refusal, { [RequestHeaders.requestId]: request });
+  }
+}
+
+interface Arrival {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly head: RequestHead;
+  readonly arrivedAt: number;
+}
--- /dev/null
+++ b/src/transport/entry/requests/AgentConnections.ts
@@ -0,0 +1,72 @@
+/**
+ * Connections of one entry to the agents: HTTP pools for requests and Connect clients for control.
+ */
+import { createClient, type Client } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { Pool } from "undici";
+import { AgentControl } from "../../../protocol/generated/fireflylb/v1/control_pb.ts";
+
+/** Most connections to one agent. */
+const MAX_CONNECTIONS = 128;
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 60_000;
+
+/** Client of an agent's control interface. */
+export type AgentControlClient = Client<typeof AgentControl>;
+
+/** Connections to agents, by address. */
+export class AgentConnections {
+  private readonly _pools = new Map<string, Pool>();
+  private readonly _clients = new Map<string, AgentControlClient>();
+
+  /**
+   * Gives the pool for requests to an agent.
+   * @param address - Request address of the agent.
+   */
+  getPool(address: string): Pool {
+    const known = this._pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new Pool(`http://${address}`, {
+      connections: MAX_CONNECTIONS,
+      pipelining: 1,
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    });
+    this._pools.set(address, pool);
+    return pool;
+  }
+
+  /**
+   * Gives the client of an agent's control interface.
+   * @param address - Control address of the agent.
+   */
+  getControl(address: string): AgentControlClient {
+    const known = this._clients.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const transport = createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "2" });
+    const client = createClient(AgentControl, transport);
+    this._clients.set(address, client);
+    return client;
+  }
+
+  /**
+   * Forgets an agent that is gone.
+   * @param requestAddress - Its request address.
+   * @param controlAddress - Its control address.
+   */
+  drop(requestAddress: string, controlAddress: string): void {
+    const pool = this._pools.get(requestAddress);
+    this._pools.delete(requestAddress);
+    this._clients.delete(controlAddress);
+    void pool?.close();
+  }
+
+  /** Closes all pools once their requests have ended. */
+  async close(): Promise<void> {
+    await Promise.all([...this._pools.values()].map((pool) => pool.close()));
+  }
+}
--- /dev/null
+++ b/src/transport/entry/requests/CallerRequest.ts
@@ -0,0 +1,71 @@
+/**
+ * What an entry reads from a caller's request.
+ */
+import type { IncomingMessage } from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import type { Refusal } from "../../../protocol/Refusal.ts";
+import { DEFAULT_CLASS, DEFAULT_TENANT, getText } from "../../../protocol/RequestHead.ts";
+import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
+
+/** Methods that may be repeated by their definition. */
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  "GET",
+  "HEAD",
+  "PUT",
+  "DELETE",
+  "OPTIONS",
+]);
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+/** A caller's request, as far as routing needs it. */
+export interface CallerRequest {
+  readonly service: string;
+  readonly tenant: string;
+  readonly requestClass: string;
+  readonly idempotent: boolean;
+  readonly timeoutMs: number;
+  readonly method: string;
+}
+
+/** Bounds on a caller's timeout, in milliseconds. */
+export interface TimeoutBounds {
+  readonly defaultMs: number;
+  readonly maxMs: number;
+}
+
+/**
+ * Reads a caller's request.
+ * @param req - The request.
+ * @param timeouts - Bounds on its timeout.
+ */
+export function readCallerRequest(
+  req: IncomingMessage,
+  timeouts: TimeoutBounds,
+): Result<CallerRequest, Refusal> {
+  const { headers } = req;
+  const method = req.method ?? "GET";
+  const service = getText(headers, RequestHeaders.service) ?? getHostLabel(headers.host);
+  const tenant = getText(headers, RequestHeaders.tenant) ?? DEFAULT_TENANT;
+  const requestClass = getText(headers, RequestHeaders.requestClass) ?? DEFAULT_CLASS;
+  const timeoutMs = Number(getText(headers, RequestHeaders.timeoutMs) ?? timeouts.defaultMs);
+  const badName = Object.entries({ service, tenant, class: requestClass }).find(
+    ([, value]) => !NAME_PATTERN.test(value),
+  );
+  if (badName !== undefined) {
+    return err(badRequest(`fireflylb-${badName[0]}: not a name of 1 to 63 of a-z, 0-9, . _ -`));
+  }
+  if (!(timeoutMs >= 1 && timeoutMs <= timeouts.maxMs)) {
+    return err(badRequest(`${RequestHeaders.timeoutMs}: expected 1 to ${timeouts.maxMs}`));
+  }
+  const declared = getText(headers, RequestHeaders.idempotent) === "true";
+  const idempotent = declared || IDEMPOTENT_METHODS.has(method);
+  return ok({ service, tenant, requestClass, idempotent, timeoutMs, method });
+}
+
+function getHostLabel(host: string | undefined): string {
+  return (host ?? "").split(/[.:]/)[0]?.toLowerCase() ?? "";
+}
+
+function badRequest(detail: string): Refusal {
+  return { code: "bad-request", verdict: "not-run", detail };
+}
--- /dev/null
+++ b/src/transport/entry/requests/RequestSettler.ts
@@ -0,0 +1,61 @@
+/**
+ * Asks an agent whether an attempt has run after the exchange with it broke off. The asking itself
+ * blocks a late arrival of the attempt, so "not-run" stays true.
+ */
+import { LEDGER_RETENTION_MS } from "../../../coordination/requests/RequestLedger.ts";
+import type { Clock } from "../../../protocol/platform/Clock.ts";
+import { getVerdict, type Verdict } from "../../../protocol/Verdict.ts";
+import type { AgentConnections } from "./AgentConnections.ts";
+
+/** Longest wait for the agent's word, in milliseconds. */
+const SETTLE_TIMEOUT_MS = 1_000;
+
+/** An attempt whose outcome is open. */
+export interface OpenAttempt {
+  readonly controlAddress: string;
+  /** Incarnation of the agent to which the attempt was sent, not the one known now. */
+  readonly incarnation: string;
+  readonly request: string;
+  readonly attempt: number;
+  readonly sentAt: number;
+  readonly deadline: number;
+}
+
+/** Settles attempts of one entry. */
+export class RequestSettler {
+  private readonly _clock: Clock;
+  private readonly _connections: AgentConnections;
+
+  /**
+   * Creates the settler.
+   * @param clock - Monotonic clock.
+   * @param connections - Connections to the agents.
+   */
+  constructor(clock: Clock, connections: AgentConnections) {
+    this._clock = clock;
+    this._connections = connections;
+  }
+
+  /**
+   * Settles an attempt; without the agent's word it may have run.
+   * @param attempt - The attempt.
+   */
+  async settle(attempt: OpenAttempt): Promise<Verdict> {
+    const leftMs = attempt.deadline - this._clock.now();
+    if (leftMs <= 0) {
+      return "may-have-run";
+    }
+    try {
+      const reply = await this._connections
+        .getControl(attempt.controlAddress)
+        .settleRequest(
+          { request: attempt.request, attempt: attempt.attempt, incarnation: attempt.incarnation },
+          { timeoutMs: Math.min(leftMs, SETTLE_TIMEOUT_MS) },
+        );
+      const stale = this._clock.now() - attempt.sentAt >= LEDGER_RETENTION_MS;
+      return stale ? "may-have-run" : (getVerdict(reply.verdict) ?? "may-have-run");
+    } catch {
+      return "may-have-run";
+    }
+  }
+}
--- a/src/transport/http/forwardHeaders.ts
+++ b/src/transport/http/forwardHeaders.ts
@@ -1,7 +1,7 @@
 /**
  * Headers that pass through a hop: everything but the hop-by-hop headers and those that a hop drops.
  */
-import type { IncomingHttpHeaders } from "node:http";
+import type { IncomingHttpHeaders, OutgoingHttpHeaders } from "node:http";
 
 /** Headers that belong to one connection and never pass a hop. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
@@ -42,8 +42,8 @@
 export function getAnswerHeaders(
   headers: IncomingHttpHeaders,
   dropped: ReadonlySet<string>,
-): Record<string, string | readonly string[]> {
-  const passed: Record<string, string | readonly string[]> = {};
+): OutgoingHttpHeaders {
+  const passed: OutgoingHttpHeaders = {};
   Object.entries(headers).forEach(([name, value]) => {
     if (value !== undefined && passes(name, dropped)) {
       passed[name] = value;
