--- /dev/null
+++ b/src/transport/entry/FleetService.ts
@@ -0,0 +1,188 @@
+/**
+ * What an entry learns of the fleet: heartbeats of agents and digests of other entries, kept in the
+ * fleet view and in the table of backend servers.
+ */
+import { create } from "@bufbuild/protobuf";
+import type { ServerTable } from "../../coordination/requests/ServerTable.ts";
+import {
+  DigestSchema,
+  HeartbeatReplySchema,
+  type Digest,
+  type HeartbeatReply,
+  type HeartbeatRequest,
+  type PartitionOwner,
+} from "../../protocol/generated/fireflylb/v1/control_pb.ts";
+import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { FleetView, VmRecord } from "../../state/FleetView.ts";
+import { readVm, writeVm } from "../control/fleetMessages.ts";
+import type { EntryClients } from "../control/EntryClients.ts";
+
+/** Another entry, as the platform's store lists it. */
+export interface EntryPeer {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly control: string;
+  readonly api: string;
+}
+
+const MIN_TIMEOUT_MS = 1_000;
+
+/** What the service works with. */
+export interface FleetServiceParts {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly entry: EntryPeer;
+  readonly fleet: FleetView;
+  readonly table: ServerTable;
+  readonly clients: EntryClients;
+  readonly intervalMs: number;
+  readonly expiryMs: number;
+  readonly getConfigRevision: () => number;
+  /** The live entries, this one included. */
+  readonly getEntries: () => readonly EntryPeer[];
+  readonly getOwners: () => readonly PartitionOwner[];
+  readonly isDraining: () => boolean;
+  /** Called with a revision that another process holds. */
+  readonly onRevision: (revision: number, entry: string) => void;
+  readonly onGone: (vm: VmRecord) => void;
+}
+
+/** The fleet as one entry learns it. */
+export class FleetService {
+  private readonly _parts: FleetServiceParts;
+  /** VMs that reported to this entry itself since the last digest, by agent. */
+  private readonly _heard = new Set<string>();
+  private readonly _peerRevisions = new Map<string, number>();
+  private _timer: Timer | undefined;
+  private _stopped = false;
+
+  /**
+   * Creates the service; it sends nothing yet.
+   * @param parts - What it works with.
+   */
+  constructor(parts: FleetServiceParts) {
+    this._parts = parts;
+  }
+
+  /** Exchanges digests and expires silent VMs until stopped. */
+  start(): void {
+    this._timer = this._parts.clock.after(this._parts.intervalMs, () => {
+      if (this._stopped) {
+        return;
+      }
+      this.start();
+      this._expire();
+      void this._sendDigests();
+    });
+  }
+
+  /** Sends no more digests. */
+  stop(): void {
+    this._stopped = true;
+    this._timer?.cancel();
+  }
+
+  /** Gives the configuration revision that each other entry last reported. */
+  getPeerRevisions(): ReadonlyMap<string, number> {
+    return this._peerRevisions;
+  }
+
+  /**
+   * Takes in a heartbeat.
+   * @param req - The heartbeat.
+   */
+  heartbeat(req: HeartbeatRequest): HeartbeatReply {
+    this._apply(readVm(req, this._parts.clock.now()));
+    this._heard.add(req.agent);
+    return create(HeartbeatReplySchema, {
+      configRevision: BigInt(this._parts.getConfigRevision()),
+      entryAddresses: this._getEntryAddresses(req.zone),
+      owners: [...this._parts.getOwners()],
+      draining: this._parts.isDraining(),
+    });
+  }
+
+  /**
+   * Takes in the digest of another entry and answers with the own revision.
+   * @param digest - The digest.
+   */
+  exchangeDigest(digest: Digest): Digest {
+    const now = this._parts.clock.now();
+    digest.vms.forEach((vm) => {
+      this._apply(readVm(vm, now - vm.ageMs));
+    });
+    this._notePeer(digest);
+    return this._createDigest([]);
+  }
+
+  private _apply(vm: VmRecord): void {
+    if (this._parts.fleet.apply(vm)) {
+      this._parts.table.apply(vm);
+    }
+  }
+
+  private _notePeer(digest: Digest): void {
+    const revision = Number(digest.configRevision);
+    this._peerRevisions.set(digest.entry, revision);
+    this._parts.onRevision(revision, digest.controlAddress);
+  }
+
+  /** Live entries, those of the agent's zone first, then those of its region. */
+  private _getEntryAddresses(zone: string): string[] {
+    const entries = this._parts.getEntries();
+    const near = entries.filter((entry) => entry.zone === zone);
+    const far = entries.filter((entry) => entry.zone !== zone);
+    return [...near, ...far].map((entry) => entry.control);
+  }
+
+  private _expire(): void {
+    const { clock, expiryMs, fleet, table, log, onGone } = this._parts;
+    fleet.expire(clock.now() - expiryMs).forEach((vm) => {
+      table.remove(vm.agent);
+      log.info("A VM has gone silent.", { vm: vm.agent, zone: vm.zone });
+      onGone(vm);
+    });
+  }
+
+  private async _sendDigests(): Promise<void> {
+    const { entry, getEntries } = this._parts;
+    const heard = [...this._heard];
+    this._heard.clear();
+    const peers = getEntries().filter((peer) => peer.name !== entry.name);
+    if (peers.length === 0) {
+      return;
+    }
+    const digest = this._createDigest(heard);
+    await Promise.all(peers.map((peer) => this._sendDigest(peer, digest)));
+  }
+
+  private async _sendDigest(peer: EntryPeer, digest: Digest): Promise<void> {
+    const { clients, intervalMs, log } = this._parts;
+    try {
+      const timeoutMs = Math.max(MIN_TIMEOUT_MS, intervalMs);
+      const reply = await clients.getClient(peer.control).exchangeDigest(digest, { timeoutMs });
+      this._notePeer(reply);
+    } catch (err) {
+      log.debug("An entry did not take a digest.", { entry: peer.name, reason: String(err) });
+    }
+  }
+
+  private _createDigest(agents: readonly string[]): Digest {
+    const { clock, entry, fleet, getConfigRevision, isDraining } = this._parts;
+    const now = clock.now();
+    return create(DigestSchema, {
+      entry: entry.name,
+      controlAddress: entry.control,
+      apiAddress: entry.api,
+      zone: entry.zone,
+      configRevision: BigInt(getConfigRevision()),
+      draining: isDraining(),
+      vms: agents
+        .map((agent) => fleet.getVm(agent))
+        .filter((vm) => vm !== undefined)
+        .map((vm) => writeVm(vm, now)),
+    });
+  }
+}
