Serve the operators' routes, health, metrics and log level over HTTP

One server for both roles: routes come from the parts, failures are JSON with a stable code (oversized body or header, broken HTTP, unknown path, wrong method, a fault inside), and a port in use names its setting. Closing waits for requests in flight. The codes method-not-allowed, request-timeout and internal-error are new.

--- a/src/protocol/Refusal.ts
+++ b/src/protocol/Refusal.ts
@@ -24,7 +24,10 @@
   | "conflict"
   | "outcome-unknown"
   | "not-found"
-  | "bad-document";
+  | "bad-document"
+  | "method-not-allowed"
+  | "request-timeout"
+  | "internal-error";
 
 const STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
   "unknown-service": 404,
@@ -46,6 +49,9 @@
   "outcome-unknown": 504,
   "not-found": 404,
   "bad-document": 422,
+  "method-not-allowed": 405,
+  "request-timeout": 408,
+  "internal-error": 500,
 };
 
 /** A refusal or failure with everything that the caller is told. */
--- /dev/null
+++ b/src/transport/http/ApiServer.ts
@@ -0,0 +1,175 @@
+/**
+ * The operators' HTTP interface of a process: serves the routes that the parts offer, and health,
+ * metrics and the level of the log. Every failure is a JSON object with a stable code.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { ResultAsync } from "neverthrow";
+import type { ListenError } from "../../protocol/errors/errors.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import { getStatus, type RefusalCode } from "../../protocol/Refusal.ts";
+import { RequestHeaders } from "../../protocol/RequestHeaders.ts";
+import type { ApiReply, ApiRoute } from "./ApiRoute.ts";
+import { answerClientErrors } from "./clientErrors.ts";
+import { createProcessRoutes, type LeveledLog } from "./processRoutes.ts";
+import { listen } from "./listen.ts";
+import { readJson } from "./readJson.ts";
+import { RouteTable, type RouteMatch } from "./RouteTable.ts";
+
+const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+const DEFAULT_MAX_HEADER_BYTES = 16_384;
+const REQUEST_TIMEOUT_MS = 30_000;
+const METRICS_PATH = "/metrics";
+const METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+/** What the server needs. */
+export interface ApiServerOptions {
+  /** Setting that holds the address, as "[section] key". */
+  readonly setting: string;
+  readonly routes: readonly ApiRoute[];
+  /** Gives the metrics in the Prometheus text form. */
+  readonly renderMetrics: () => Promise<string>;
+  /** Gives the reasons for which the process is not ready; none where it is. */
+  readonly findUnready: () => readonly string[];
+  readonly log: Log & LeveledLog;
+  readonly maxBodyBytes?: number;
+  readonly maxHeaderBytes?: number;
+}
+
+/** Serves routes over HTTP. */
+export class ApiServer {
+  private readonly _options: ApiServerOptions;
+  private readonly _routes: RouteTable;
+  private readonly _server: Server;
+  private _closing = false;
+
+  /**
+   * Creates the server; it does not listen yet.
+   * @param options - What the server needs.
+   */
+  constructor(options: ApiServerOptions) {
+    this._options = options;
+    this._routes = new RouteTable([
+      ...createProcessRoutes(options.findUnready, options.log),
+      ...options.routes,
+    ]);
+    const maxHeaderSize = options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES;
+    const limits = { maxHeaderSize, requestTimeout: REQUEST_TIMEOUT_MS };
+    this._server = createServer(limits, (req, res) => void this._serve(req, res));
+    answerClientErrors(this._server, (code) => {
+      options.log.debug("Refused broken HTTP.", { code });
+    });
+  }
+
+  /**
+   * Starts to listen.
+   * @param address - The address; port 0 takes any free port.
+   * @returns The address that the server listens on.
+   */
+  listen(address: string): ResultAsync<string, ListenError> {
+    return listen(this._server, this._options.setting, address);
+  }
+
+  /**
+   * Stops listening and resolves once the requests in flight are answered.
+   * @param timeoutMs - Longest wait for them; they are cut off then.
+   */
+  async close(timeoutMs: number): Promise<void> {
+    this._closing = true;
+    const timer = setTimeout(() => {
+      this._server.closeAllConnections();
+    }, timeoutMs);
+    await new Promise<void>((resolve) => {
+      this._server.close(() => {
+        resolve();
+      });
+    });
+    clearTimeout(timer);
+  }
+
+  private async _serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const [path = "", query = ""] = (req.url ?? "/").split("?", 2);
+    if (req.method === "GET" && path === METRICS_PATH) {
+      await this._serveMetrics(res);
+      return;
+    }
+    const found = this._routes.find(req.method ?? "", path);
+    if (found.isErr()) {
+      const { code, detail, methods } = found.error;
+      if (methods.length > 0) {
+        res.setHeader("allow", methods.join(", "));
+      }
+      this._refuse(res, code, detail);
+      return;
+    }
+    await this._serveRoute(found.value, { req, res, query });
+  }
+
+  private async _serveRoute(
+    match: RouteMatch,
+    exchange: {
+      readonly req: IncomingMessage;
+      readonly res: ServerResponse;
+      readonly query: string;
+    },
+  ): Promise<void> {
+    const { req, res } = exchange;
+    const body = await readJson(req, this._options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+    if (body.isErr()) {
+      res.setHeader("connection", "close");
+      this._refuse(res, body.error.code, body.error.detail);
+      return;
+    }
+    const query = Object.fromEntries(new URLSearchParams(exchange.query));
+    const handled = match.route.handle({ params: match.params, query, body: body.value });
+    const reply = await ResultAsync.fromPromise(handled, toError);
+    reply.match(
+      (answer) => {
+        this._reply(res, answer);
+      },
+      (err) => {
+        this._fail(res, match.route.path, err);
+      },
+    );
+  }
+
+  private async _serveMetrics(res: ServerResponse): Promise<void> {
+    const rendered = await ResultAsync.fromPromise(this._options.renderMetrics(), toError);
+    rendered.match(
+      (text) => {
+        this._send(res, 200, text, METRICS_TYPE);
+      },
+      (err) => {
+        this._fail(res, METRICS_PATH, err);
+      },
+    );
+  }
+
+  private _fail(res: ServerResponse, path: string, err: Error): void {
+    this._options.log.error("A route failed.", { path, reason: err.stack ?? err.message });
+    this._refuse(res, "internal-error", "the request failed inside; the log says why");
+  }
+
+  private _reply(res: ServerResponse, reply: ApiReply): void {
+    if (reply.retryAfterSeconds !== undefined) {
+      res.setHeader("retry-after", String(Math.ceil(reply.retryAfterSeconds)));
+    }
+    this._send(res, reply.status, `${JSON.stringify(reply.body)}\n`, "application/json");
+  }
+
+  private _refuse(res: ServerResponse, code: RefusalCode, detail: string): void {
+    res.setHeader(RequestHeaders.refusal, code);
+    this._reply(res, { status: getStatus(code), body: { code, detail } });
+  }
+
+  private _send(res: ServerResponse, status: number, body: string, type: string): void {
+    if (this._closing) {
+      res.setHeader("connection", "close");
+    }
+    res.writeHead(status, { "content-type": type, "content-length": Buffer.byteLength(body) });
+    res.end(body);
+  }
+}
+
+function toError(err: unknown): Error {
+  return err instanceof Error ? err : new Error(String(err));
+}
--- /dev/null
+++ b/src/transport/http/RouteTable.ts
@@ -0,0 +1,81 @@
+/**
+ * Finds the route of a request by method and path.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { RefusalCode } from "../../protocol/Refusal.ts";
+import type { ApiRoute } from "./ApiRoute.ts";
+
+/** A route with the values of the path's named parts. */
+export interface RouteMatch {
+  readonly route: ApiRoute;
+  readonly params: Readonly<Record<string, string>>;
+}
+
+/** Why no route serves a request. */
+export interface RouteMiss {
+  readonly code: RefusalCode;
+  readonly detail: string;
+  /** Methods that the path has; empty where the path is unknown. */
+  readonly methods: readonly string[];
+}
+
+/** Routes of one server. */
+export class RouteTable {
+  private readonly _routes: readonly ApiRoute[];
+
+  /**
+   * Creates the table.
+   * @param routes - All routes.
+   */
+  constructor(routes: readonly ApiRoute[]) {
+    this._routes = routes;
+  }
+
+  /**
+   * Finds the route of a request.
+   * @param method - Method of the request.
+   * @param path - Path of the request, without the query.
+   */
+  find(method: string, path: string): Result<RouteMatch, RouteMiss> {
+    const matches = this._routes.flatMap((route) => {
+      const params = matchPath(route.path, path);
+      return params === undefined ? [] : [{ route, params }];
+    });
+    const found = matches.find((match) => match.route.method === method);
+    if (found !== undefined) {
+      return ok(found);
+    }
+    const methods = matches.map((match) => match.route.method);
+    return methods.length === 0
+      ? err({ code: "not-found", detail: `no such path: ${path}`, methods })
+      : err({ code: "method-not-allowed", detail: `${path} takes ${methods.join(", ")}`, methods });
+  }
+}
+
+function matchPath(pattern: string, path: string): Readonly<Record<string, string>> | undefined {
+  const wanted = pattern.split("/");
+  const given = path.split("/");
+  if (wanted.length !== given.length) {
+    return undefined;
+  }
+  const pairs = wanted.map((part, i): readonly [string, string | undefined] => [
+    part,
+    decodePart(given[i] ?? ""),
+  ]);
+  const fits = pairs.every(([part, value]) =>
+    part.startsWith(":") ? value !== undefined && value !== "" : value === part,
+  );
+  if (!fits) {
+    return undefined;
+  }
+  const named = pairs.filter(([part]) => part.startsWith(":"));
+  return Object.fromEntries(named.map(([part, value]) => [part.slice(1), value ?? ""]));
+}
+
+function decodePart(part: string): string | undefined {
+  try {
+    return decodeURIComponent(part);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/transport/http/clientErrors.ts
@@ -0,0 +1,55 @@
+/**
+ * Answers connections whose HTTP could not be parsed, with the same JSON as other refusals.
+ */
+import { STATUS_CODES, type Server, type ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
+import { getStatus, type RefusalCode } from "../../protocol/Refusal.ts";
+import { RequestHeaders } from "../../protocol/RequestHeaders.ts";
+
+const CODE_BY_PARSER_ERROR: Readonly<Record<string, RefusalCode>> = {
+  HPE_HEADER_OVERFLOW: "header-too-large",
+  ERR_HTTP_REQUEST_TIMEOUT: "request-timeout",
+};
+
+/**
+ * Makes a server answer broken HTTP with a code, unless an answer is under way already.
+ * @param server - The server.
+ * @param onRefusal - Told of each answer that was sent.
+ */
+export function answerClientErrors(
+  server: Server,
+  onRefusal: (code: RefusalCode) => void = () => undefined,
+): void {
+  const answers = new WeakMap<Duplex, ServerResponse>();
+  server.on("request", (req, res) => {
+    answers.set(req.socket, res);
+    res.once("close", () => {
+      answers.delete(req.socket);
+    });
+  });
+  server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
+    const underWay = answers.get(socket)?.headersSent ?? false;
+    if (!socket.writable || underWay || err.code === "ECONNRESET") {
+      socket.destroy();
+      return;
+    }
+    const code = CODE_BY_PARSER_ERROR[err.code ?? ""] ?? "bad-request";
+    onRefusal(code);
+    socket.end(formatAnswer(code, `broken HTTP request: ${err.message}`));
+  });
+}
+
+function formatAnswer(code: RefusalCode, detail: string): string {
+  const status = getStatus(code);
+  const body = JSON.stringify({ code, detail });
+  return [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`,
+    "content-type: application/json",
+    `content-length: ${Buffer.byteLength(body)}`,
+    `${RequestHeaders.verdict}: not-run`,
+    `${RequestHeaders.refusal}: ${code}`,
+    "connection: close",
+    "",
+    body,
+  ].join("\r\n");
+}
--- /dev/null
+++ b/src/transport/http/readJson.ts
@@ -0,0 +1,60 @@
+/**
+ * Reads the JSON body of a request within a limit.
+ */
+import type { IncomingMessage } from "node:http";
+import { err, errAsync, ok, ResultAsync, type Result } from "neverthrow";
+import type { RefusalCode } from "../../protocol/Refusal.ts";
+
+/** Why a body was not taken. */
+export interface BodyProblem {
+  readonly code: RefusalCode;
+  readonly detail: string;
+}
+
+/**
+ * Reads a body; one without bytes gives undefined.
+ * @param req - The request.
+ * @param maxBytes - Largest body.
+ */
+export function readJson(
+  req: IncomingMessage,
+  maxBytes: number,
+): ResultAsync<unknown, BodyProblem> {
+  if (Number(req.headers["content-length"] ?? 0) > maxBytes) {
+    return errAsync(tooLarge(maxBytes));
+  }
+  const bytes = ResultAsync.fromPromise(readBytes(req, maxBytes), () => ({
+    code: "bad-request" as const,
+    detail: "the body ended early",
+  }));
+  return bytes.andThen((read) => (read === undefined ? err(tooLarge(maxBytes)) : parseJson(read)));
+}
+
+async function readBytes(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > maxBytes) {
+      return undefined;
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+function parseJson(bytes: Buffer): Result<unknown, BodyProblem> {
+  if (bytes.length === 0) {
+    return ok(undefined);
+  }
+  try {
+    return ok(JSON.parse(bytes.toString("utf8")) as unknown);
+  } catch (err_) {
+    const reason = err_ instanceof Error ? err_.message : "unreadable";
+    return err({ code: "bad-request", detail: `the body is not JSON: ${reason}` });
+  }
+}
+
+function tooLarge(maxBytes: number): BodyProblem {
+  return { code: "body-too-large", detail: `the body exceeds ${maxBytes} bytes` };
+}
