--- /dev/null
+++ b/src/protocol/config/ConfigFileSection.ts
@@ -0,0 +1,149 @@
+/**
+ * One section of a configuration file: typed reading of its settings, with errors that name the
+ * file, section, key, value and what is allowed.
+ */
+import { SettingError } from "../errors/errors.ts";
+
+/** Settings of one section. */
+export class ConfigFileSection {
+  private readonly _file: string;
+  private readonly _name: string;
+  private readonly _settings: ReadonlyMap<string, unknown>;
+  private readonly _read = new Set<string>();
+
+  /**
+   * Creates a section.
+   * @param file - Name of the file.
+   * @param name - Name of the section.
+   * @param settings - Settings as the INI library gives them.
+   */
+  constructor(file: string, name: string, settings: Readonly<Record<string, unknown>>) {
+    this._file = file;
+    this._name = name;
+    this._settings = new Map(Object.entries(settings));
+  }
+
+  /**
+   * Creates an error about a setting of this section.
+   * @param key - The setting; empty for the section itself.
+   * @param value - Value as it stands in the file.
+   * @param allowed - What is allowed.
+   */
+  createError(key: string, value: string, allowed: string): SettingError {
+    return new SettingError({ file: this._file, section: this._name, key, value, allowed });
+  }
+
+  /**
+   * Reads a number.
+   * @param key - The setting.
+   * @param min - Least allowed value.
+   * @param max - Greatest allowed value.
+   */
+  getNumber(key: string, min: number, max: number): number {
+    const text = this._getText(key, `a number from ${min} to ${max}`);
+    const value = /^\d+(\.\d+)?(e[+-]?\d+)?$/i.test(text) ? Number(text) : Number.NaN;
+    if (!(value >= min && value <= max)) {
+      throw this.createError(key, text, `a number from ${min} to ${max}`);
+    }
+    return value;
+  }
+
+  /**
+   * Reads a whole number.
+   * @param key - The setting.
+   * @param min - Least allowed value.
+   * @param max - Greatest allowed value.
+   */
+  getWholeNumber(key: string, min: number, max: number): number {
+    const text = this._getText(key, `a whole number from ${min} to ${max}`);
+    return this.parseWholeNumber(key, text, min, max);
+  }
+
+  /**
+   * Parses a whole number.
+   * @param key - What the number is, for errors.
+   * @param text - The text.
+   * @param min - Least allowed value.
+   * @param max - Greatest allowed value.
+   */
+  parseWholeNumber(key: string, text: string, min: number, max: number): number {
+    const value = /^\d{1,15}$/.test(text) ? Number(text) : Number.NaN;
+    if (!(value >= min && value <= max)) {
+      throw this.createError(key, text, `a whole number from ${min} to ${max}`);
+    }
+    return value;
+  }
+
+  /**
+   * Reads yes or no.
+   * @param key - The setting.
+   */
+  getFlag(key: string): boolean {
+    const text = this._getText(key, "yes or no");
+    if (text !== "yes" && text !== "no") {
+      throw this.createError(key, text, "yes or no");
+    }
+    return text === "yes";
+  }
+
+  /**
+   * Reads a list of words separated by commas.
+   * @param key - The setting.
+   * @param choices - Words that are allowed, each once.
+   */
+  getChoices<T extends string>(key: string, choices: readonly T[]): readonly T[] {
+    const allowed = `a list of ${choices.join(", ")}, each at most once`;
+    const text = this._getText(key, allowed);
+    const words = text
+      .split(",")
+      .map((word) => word.trim())
+      .filter((word) => word !== "");
+    const known = words.flatMap((word) => choices.filter((choice) => choice === word));
+    if (known.length !== words.length || new Set(words).size !== words.length) {
+      throw this.createError(key, text, allowed);
+    }
+    return known;
+  }
+
+  /** Reads all settings as texts. */
+  getTexts(): Readonly<Record<string, string>> {
+    return Object.fromEntries(
+      [...this._settings.keys()].map((key) => [key, this._getText(key, "a name")]),
+    );
+  }
+
+  /**
+   * Reads all settings as whole numbers.
+   * @param min - Least allowed value.
+   * @param max - Greatest allowed value.
+   */
+  getWholeNumbers(min: number, max: number): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+      [...this._settings.keys()].map((key) => [key, this.getWholeNumber(key, min, max)]),
+    );
+  }
+
+  /** Refuses settings that nothing has read. */
+  checkAllRead(): void {
+    const unknown = [...this._settings.keys()].find((key) => !this._read.has(key));
+    if (unknown === undefined) {
+      return;
+    }
+    const known = [...this._read].join(", ");
+    throw this.createError(unknown, String(this._settings.get(unknown)), `one of ${known}`);
+  }
+
+  /** The library gives a list where a key stands twice, or stood in an earlier section. */
+  private _getText(key: string, allowed: string): string {
+    this._read.add(key);
+    const raw = this._settings.get(key);
+    if (raw === undefined) {
+      throw this.createError(key, "(missing)", allowed);
+    }
+    const values: readonly unknown[] = Array.isArray(raw) ? raw : [raw];
+    if (values.length > 1) {
+      throw this.createError(key, values.join(" and "), "the setting once");
+    }
+    return String(values[0]).trim();
+  }
+}
