--- /dev/null
+++ b/src/coordination/tasks/TaskKey.ts
@@ -0,0 +1,18 @@
+/**
+ * Identity of one attempt at a task.
+ */
+
+/** One attempt at a task. */
+export interface TaskKey {
+  readonly task: string;
+  /** Number of the attempt; rises with every start of the task. */
+  readonly attempt: number;
+}
+
+/**
+ * Gives the text of a key, for use in maps and logs.
+ * @param key - The key.
+ */
+export function formatTaskKey(key: TaskKey): string {
+  return `${key.task}#${key.attempt}`;
+}
--- /dev/null
+++ b/src/coordination/tasks/TaskTable.ts
@@ -0,0 +1,364 @@
+/**
+ * The tasks of one VM, by attempt. The table decides which starts are admitted, keeps the capacity
+ * book in step with what the worker confirms, counts the lease of every task on the agent's
+ * monotonic clock, and names the tasks whose lease has lapsed. It admits nothing before the worker
+ * has told what runs on the VM.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { NO_RESOURCES } from "../../protocol/Resources.ts";
+import type { WorkerTask } from "../../protocol/platform/Worker.ts";
+import type { CapacityBook } from "./CapacityBook.ts";
+import { HeartbeatSequence } from "./HeartbeatSequence.ts";
+import { PartitionEpochs } from "./PartitionEpochs.ts";
+import type { StartOrder, StartRefusal } from "./StartOrder.ts";
+import { StoppedAttempts } from "./StoppedAttempts.ts";
+import { formatTaskKey, type TaskKey } from "./TaskKey.ts";
+import { getNextPhase, type TaskEventType } from "./TaskLifecycle.ts";
+import { isEndPhase, type TaskEnd, type TaskRecord } from "./TaskRecord.ts";
+
+/** Shortest lease with which a task is worth starting, in milliseconds. */
+export const MIN_START_LEASE_MS = 500;
+
+/** Why an attempt must stop. */
+export interface StopOrder {
+  readonly reason: string;
+  readonly checkpointFirst: boolean;
+}
+
+/** Settings of a table. */
+export interface TaskTableOptions {
+  readonly book: CapacityBook;
+  readonly incarnation: string;
+  /** Most ended attempts remembered. */
+  readonly maxStoppedAttempts?: number;
+}
+
+/** Tasks of one VM. */
+export class TaskTable {
+  private readonly _book: CapacityBook;
+  private readonly _incarnation: string;
+  private readonly _records = new Map<string, TaskRecord>();
+  private readonly _epochs = new PartitionEpochs();
+  private readonly _sequence = new HeartbeatSequence();
+  private readonly _stopped: StoppedAttempts;
+  private _ready = false;
+  private _draining = false;
+
+  /**
+   * Creates a table that admits nothing until it is opened.
+   * @param options - Settings of the table.
+   */
+  constructor(options: TaskTableOptions) {
+    this._book = options.book;
+    this._incarnation = options.incarnation;
+    this._stopped = new StoppedAttempts(options.maxStoppedAttempts);
+  }
+
+  /**
+   * Issues the number of the next heartbeat; to be called before it is sent.
+   * @param now - Monotonic time in milliseconds.
+   */
+  issueSequence(now: number): number {
+    return this._sequence.next(now);
+  }
+
+  /** Opens the table for starts, once everything that the worker runs has been adopted. */
+  open(): void {
+    this._ready = true;
+  }
+
+  /** Whether the worker has told what runs on the VM. */
+  isReady(): boolean {
+    return this._ready;
+  }
+
+  /** Refuses all further starts. */
+  drain(): void {
+    this._draining = true;
+  }
+
+  /**
+   * Takes in the epoch of a message from the owner of a partition.
+   * @param partition - The partition.
+   * @param epoch - Epoch of the message.
+   * @returns Whether the epoch is current.
+   */
+  observeEpoch(partition: number, epoch: number): boolean {
+    return this._epochs.observe(partition, epoch);
+  }
+
+  /**
+   * Gives the highest epoch seen of a partition.
+   * @param partition - The partition.
+   */
+  getEpoch(partition: number): number {
+    return this._epochs.get(partition);
+  }
+
+  /**
+   * Gives an attempt.
+   * @param key - The attempt.
+   */
+  get(key: TaskKey): TaskRecord | undefined {
+    return this._records.get(formatTaskKey(key));
+  }
+
+  /** Gives all attempts that are known, ended ones until they are forgotten. */
+  getAll(): readonly TaskRecord[] {
+    return [...this._records.values()];
+  }
+
+  /**
+   * Admits a start and commits its amount, or refuses it. A refused attempt never runs here.
+   * @param order - The order.
+   * @param now - Monotonic time in milliseconds.
+   */
+  admit(order: StartOrder, now: number): Result<TaskRecord, StartRefusal> {
+    const refusal = this._findRefusal(order, now);
+    if (refusal !== undefined) {
+      this._stopped.remember(order, this._sequence.getLast());
+      return err(refusal);
+    }
+    const sentAt = this._sequence.getSentAt(order.sequence) ?? now;
+    const record = createRecord(order, sentAt + order.leaseMs, now);
+    this._records.set(formatTaskKey(order), record);
+    return ok(record);
+  }
+
+  /**
+   * Takes in that the worker accepted a start.
+   * @param key - The attempt.
+   * @param now - Monotonic time in milliseconds.
+   */
+  noteAccepted(key: TaskKey, now: number): void {
+    this._advance(key, "accepted", {}, now);
+  }
+
+  /**
+   * Drops an attempt whose start the worker certainly did not act on.
+   * @param key - The attempt.
+   */
+  dropUnstarted(key: TaskKey): void {
+    this._remove(key);
+  }
+
+  /**
+   * Marks an attempt as one that must stop; it holds its amount until the stop is confirmed.
+   * @param key - The attempt.
+   * @param order - Why it must stop, and whether a checkpoint is to be taken first.
+   * @param now - Monotonic time in milliseconds.
+   */
+  orderStop(key: TaskKey, order: StopOrder, now: number): void {
+    const record = this.get(key);
+    if (record === undefined || isEndPhase(record.phase) || record.phase === "stopping") {
+      return;
+    }
+    this._book.noteYielding(key);
+    this._advance(key, "stop", order, now);
+  }
+
+  /**
+   * Remembers an attempt that was never here, so that it cannot start later.
+   * @param key - The attempt.
+   */
+  forbid(key: TaskKey): void {
+    this._stopped.remember(key, this._sequence.getLast());
+  }
+
+  /**
+   * Takes in that the worker confirmed the end of an attempt, and releases its amount.
+   * @param key - The attempt.
+   * @param end - How it ended.
+   * @param now - Monotonic time in milliseconds.
+   */
+  noteEnd(key: TaskKey, end: TaskEnd, now: number): void {
+    const record = this.get(key);
+    if (record === undefined || isEndPhase(record.phase)) {
+      return;
+    }
+    const { phase, ...rest } = end;
+    const reason = end.reason === "" ? record.reason : end.reason;
+    this._advance(key, phase, { ...rest, reason }, now);
+    this._book.release(key);
+    this._stopped.remember(key, this._sequence.getLast());
+  }
+
+  /**
+   * Forgets an attempt whose end the owner has recorded.
+   * @param key - The attempt.
+   */
+  forget(key: TaskKey): void {
+    const record = this.get(key);
+    if (record !== undefined && isEndPhase(record.phase)) {
+      this._remove(key);
+    }
+  }
+
+  /**
+   * Takes in a task that the worker runs and the table does not hold as running.
+   * @param task - The task as the worker lists it.
+   * @param now - Monotonic time in milliseconds, taken before the worker was asked.
+   */
+  adopt(task: WorkerTask, now: number): void {
+    this._epochs.observe(task.partition, task.epoch);
+    const { leaseLeftMs, ...rest } = task;
+    const adopted: TaskRecord = {
+      ...rest,
+      checkpointFirst: false,
+      leaseUntil: now + leaseLeftMs,
+      changedAt: now,
+    };
+    this._records.set(formatTaskKey(task), adopted);
+    if (!isEndPhase(task.phase)) {
+      this._book.adopt(task, task.resources);
+      return;
+    }
+    this._stopped.remember(task, this._sequence.getLast());
+  }
+
+  /**
+   * Takes in the usage and progress of a running task.
+   * @param task - The task as the worker lists it.
+   */
+  noteUsage(task: WorkerTask): void {
+    const record = this.get(task);
+    if (record === undefined || isEndPhase(record.phase)) {
+      return;
+    }
+    this._records.set(formatTaskKey(task), {
+      ...record,
+      used: task.used,
+      checkpoint: task.checkpoint,
+      progress: task.progress,
+      throttlePercent: task.throttlePercent,
+    });
+  }
+
+  /**
+   * Extends the lease of running tasks. A lapsed lease is not revived, and none is shortened.
+   * @param keys - Tasks that the owner was told are running.
+   * @param epoch - Epoch of the owner that granted it.
+   * @param until - End of the lease on the agent's clock, counted from before the report was sent.
+   * @param now - Monotonic time in milliseconds.
+   * @returns The tasks whose lease was extended.
+   */
+  extendLeases(
+    keys: readonly TaskKey[],
+    epoch: number,
+    until: number,
+    now: number,
+  ): readonly TaskRecord[] {
+    const extended = keys
+      .map((key) => this.get(key))
+      .filter((record) => record !== undefined)
+      .filter((record) => record.phase === "running" && record.leaseUntil > now)
+      .filter((record) => record.leaseUntil < until && epoch >= this.getEpoch(record.partition))
+      .map((record) => ({ ...record, epoch, leaseUntil: until }));
+    extended.forEach((record) => this._records.set(formatTaskKey(record), record));
+    return extended;
+  }
+
+  /**
+   * Tells whether an attempt is known to have ended or to have been refused here.
+   * @param key - The attempt.
+   */
+  isForbidden(key: TaskKey): boolean {
+    return this._stopped.has(key);
+  }
+
+  /**
+   * Gives the tasks whose lease has lapsed and that have not been told to stop.
+   * @param now - Monotonic time in milliseconds.
+   */
+  getLapsed(now: number): readonly TaskRecord[] {
+    return this.getAll().filter(
+      (record) =>
+        (record.phase === "running" || record.phase === "starting") && record.leaseUntil <= now,
+    );
+  }
+
+  private _findRefusal(order: StartOrder, now: number): StartRefusal | undefined {
+    if (!this._ready) {
+      return "agent-not-ready";
+    }
+    if (this._draining) {
+      return "draining";
+    }
+    if (order.incarnation !== this._incarnation) {
+      return "wrong-incarnation";
+    }
+    if (this._isExpired(order, now)) {
+      return "start-expired";
+    }
+    return this._findStale(order) ?? (this._commit(order) ? undefined : "no-room");
+  }
+
+  private _isExpired(order: StartOrder, now: number): boolean {
+    const sentAt = this._sequence.getSentAt(order.sequence);
+    return (
+      sentAt === undefined ||
+      now - sentAt > order.expiresMs ||
+      sentAt + order.leaseMs < now + MIN_START_LEASE_MS ||
+      this._stopped.mayHaveForgotten(order.sequence)
+    );
+  }
+
+  private _findStale(order: StartOrder): StartRefusal | undefined {
+    if (!this._epochs.observe(order.partition, order.epoch)) {
+      return "stale-epoch";
+    }
+    const others = this.getAll().filter((record) => record.task === order.task);
+    if (this._stopped.has(order) || others.some((other) => other.attempt >= order.attempt)) {
+      return "stale-attempt";
+    }
+    return others.some((other) => !isEndPhase(other.phase)) ? "earlier-attempt-present" : undefined;
+  }
+
+  private _commit(order: StartOrder): boolean {
+    return this._book.commit(order, order.resources);
+  }
+
+  private _remove(key: TaskKey): void {
+    this._records.delete(formatTaskKey(key));
+    this._book.release(key);
+    this._stopped.remember(key, this._sequence.getLast());
+  }
+
+  private _advance(
+    key: TaskKey,
+    event: TaskEventType,
+    change: Partial<TaskRecord>,
+    now: number,
+  ): void {
+    const record = this.get(key);
+    if (record === undefined) {
+      return;
+    }
+    const phase = getNextPhase(record.phase, event);
+    if (phase !== record.phase) {
+      this._records.set(formatTaskKey(key), { ...record, ...change, phase, changedAt: now });
+    }
+  }
+}
+
+function createRecord(order: StartOrder, leaseUntil: number, now: number): TaskRecord {
+  return {
+    task: order.task,
+    attempt: order.attempt,
+    partition: order.partition,
+    epoch: order.epoch,
+    ownerAddress: order.ownerAddress,
+    kind: order.kind,
+    tenant: order.tenant,
+    phase: "starting",
+    resources: order.resources,
+    used: NO_RESOURCES,
+    checkpoint: "",
+    progress: 0,
+    throttlePercent: 100,
+    reason: "",
+    checkpointFirst: false,
+    leaseUntil,
+    changedAt: now,
+  };
+}
