--- a/src/coordination/tasks/CapacityBook.ts
+++ b/src/coordination/tasks/CapacityBook.ts
@@ -53,6 +53,12 @@
     );
   }
 
+  /** Gives what a new task cannot have: what is held or kept for a waiting reservation. */
+  getUnavailable(): Resources {
+    const kept = minResources(this._getDemand(), this._capacity ?? NO_RESOURCES);
+    return maxResources(this.getCommitted(), kept);
+  }
+
   /** Gives what a new task could have; nothing while reservations wait. */
   getFree(): Resources {
     if (this._capacity === undefined) {
--- a/src/coordination/tasks/TaskTable.ts
+++ b/src/coordination/tasks/TaskTable.ts
@@ -234,6 +234,18 @@
     });
   }
 
+  /**
+   * Takes in the checkpoint of a task that is about to be stopped.
+   * @param key - The attempt.
+   * @param checkpoint - Reference of the checkpoint.
+   */
+  noteCheckpoint(key: TaskKey, checkpoint: string): void {
+    const record = this.get(key);
+    if (record !== undefined && !isEndPhase(record.phase)) {
+      this._records.set(formatTaskKey(key), { ...record, checkpoint });
+    }
+  }
+
   /**
    * Extends the lease of running tasks. A lapsed lease is not revived, and none is shortened.
    * @param keys - Tasks that the owner was told are running.
--- /dev/null
+++ b/src/transport/agent/tasks/TaskReporter.ts
@@ -0,0 +1,144 @@
+/**
+ * Reports the tasks of each partition to its owner, takes the leases that the owner grants, and
+ * obeys its verdicts. A lease counts from before the report was sent. The end of a task is reported
+ * again until the owner has recorded it.
+ */
+import type { ReportTasksReply } from "../../../protocol/generated/fireflylb/v1/control_pb.ts";
+import { formatTaskKey } from "../../../coordination/tasks/TaskKey.ts";
+import { isEndPhase, type TaskRecord } from "../../../coordination/tasks/TaskRecord.ts";
+import type { TaskTable } from "../../../coordination/tasks/TaskTable.ts";
+import { toTaskState } from "./taskMessages.ts";
+import type { TaskServiceOptions } from "./TaskServiceOptions.ts";
+
+const REPORT_INTERVAL_MS = 10_000;
+const REPORT_TIMEOUT_MS = 2_000;
+/** Share of a lease after which it is extended. */
+const RENEWAL_SHARE = 1 / 3;
+
+/** Calls that a reporter makes when an owner has decided on a task. */
+export interface ReportHandlers {
+  /** The owner has recorded the end of the task. */
+  readonly onRecorded: (record: TaskRecord) => void;
+  /** The owner wants the task stopped. */
+  readonly onStop: (record: TaskRecord) => void;
+}
+
+interface PartitionState {
+  readonly reportedAt: number;
+  readonly leaseMs: number | undefined;
+}
+
+/** Reports tasks to the owners of their partitions. */
+export class TaskReporter {
+  private readonly _options: TaskServiceOptions;
+  private readonly _table: TaskTable;
+  private readonly _handlers: ReportHandlers;
+  private readonly _partitions = new Map<number, PartitionState>();
+  private readonly _underWay = new Set<number>();
+
+  /**
+   * Creates a reporter.
+   * @param options - Surroundings of the task service.
+   * @param table - Tasks of the VM.
+   * @param handlers - Calls for the owners' decisions.
+   */
+  constructor(options: TaskServiceOptions, table: TaskTable, handlers: ReportHandlers) {
+    this._options = options;
+    this._table = table;
+    this._handlers = handlers;
+  }
+
+  /** Sends the reports that are due. */
+  async reportDue(): Promise<void> {
+    const groups = Map.groupBy(this._table.getAll(), (record) => record.partition);
+    [...this._partitions.keys()]
+      .filter((partition) => !groups.has(partition))
+      .forEach((partition) => this._partitions.delete(partition));
+    const due = [...groups].filter(
+      ([partition, records]) => !this._underWay.has(partition) && this._isDue(partition, records),
+    );
+    await Promise.all(due.map(([partition, records]) => this._report(partition, records)));
+  }
+
+  private _isDue(partition: number, records: readonly TaskRecord[]): boolean {
+    const state = this._partitions.get(partition);
+    if (state === undefined || records.some((record) => isEndPhase(record.phase))) {
+      return true;
+    }
+    const renewalMs = (state.leaseMs ?? REPORT_INTERVAL_MS) * RENEWAL_SHARE;
+    return this._options.clock.now() - state.reportedAt >= Math.min(REPORT_INTERVAL_MS, renewalMs);
+  }
+
+  private async _report(partition: number, records: readonly TaskRecord[]): Promise<void> {
+    this._underWay.add(partition);
+    const sentAt = this._options.clock.now();
+    try {
+      const reply = await this._send(partition, records);
+      this._take(partition, records, reply, sentAt);
+    } catch (err) {
+      const detail = err instanceof Error ? err.message : String(err);
+      this._options.log.debug("A report was not answered.", { partition, detail });
+    } finally {
+      this._underWay.delete(partition);
+    }
+  }
+
+  private async _send(
+    partition: number,
+    records: readonly TaskRecord[],
+  ): Promise<ReportTasksReply> {
+    const client = this._options.createEntryClient(this._getAddress(partition, records));
+    return await client.reportTasks(
+      {
+        agent: this._options.agent,
+        incarnation: this._options.incarnation,
+        partition,
+        epoch: BigInt(this._table.getEpoch(partition)),
+        tasks: records.map(toTaskState),
+      },
+      { timeoutMs: REPORT_TIMEOUT_MS },
+    );
+  }
+
+  /** The owner told by heartbeat, unless a task was ordered by a later one. */
+  private _getAddress(partition: number, records: readonly TaskRecord[]): string {
+    const told = this._options.getOwner(partition);
+    const latest = records.reduce((a, b) => (b.epoch > a.epoch ? b : a));
+    return told !== undefined && told.epoch >= latest.epoch
+      ? told.controlAddress
+      : latest.ownerAddress;
+  }
+
+  private _take(
+    partition: number,
+    records: readonly TaskRecord[],
+    reply: ReportTasksReply,
+    sentAt: number,
+  ): void {
+    const epoch = Number(reply.epoch);
+    if (reply.notOwner || !this._table.observeEpoch(partition, epoch)) {
+      return;
+    }
+    this._partitions.set(partition, { reportedAt: sentAt, leaseMs: reply.leaseMs });
+    this._obeyVerdicts(records, reply);
+    const running = records.filter((record) => record.phase === "running");
+    const until = sentAt + reply.leaseMs;
+    this._table.extendLeases(running, epoch, until, this._options.clock.now());
+  }
+
+  private _obeyVerdicts(records: readonly TaskRecord[], reply: ReportTasksReply): void {
+    const reported = new Map(records.map((record) => [formatTaskKey(record), record]));
+    reply.verdicts.forEach((verdict) => {
+      const record = reported.get(formatTaskKey(verdict));
+      if (record === undefined) {
+        return;
+      }
+      if (verdict.recorded && isEndPhase(record.phase)) {
+        this._handlers.onRecorded(record);
+      }
+      if (verdict.stop && !isEndPhase(record.phase)) {
+        this._handlers.onStop(record);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/transport/agent/tasks/TaskService.ts
@@ -0,0 +1,274 @@
+/**
+ * The agent's side of batch work: starts, stops and throttles tasks at the worker for the owners of
+ * partitions, keeps the capacity book of the VM, enforces the leases that owners grant, and reports
+ * to the owners what became of their tasks.
+ */
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { CapacityBook } from "../../../coordination/tasks/CapacityBook.ts";
+import type { ReservationState } from "../../../coordination/tasks/Reservation.ts";
+import type { TaskKey } from "../../../coordination/tasks/TaskKey.ts";
+import { formatTaskKey } from "../../../coordination/tasks/TaskKey.ts";
+import { isEndPhase, type TaskRecord } from "../../../coordination/tasks/TaskRecord.ts";
+import { TaskTable } from "../../../coordination/tasks/TaskTable.ts";
+import {
+  StopTaskReplySchema,
+  ThrottleTaskReplySchema,
+  type StartTaskReply,
+  type StartTaskRequest,
+  type StopTaskReply,
+  type StopTaskRequest,
+  type ThrottleTaskReply,
+  type ThrottleTaskRequest,
+} from "../../../protocol/generated/fireflylb/v1/control_pb.ts";
+import type { Timer } from "../../../protocol/platform/Clock.ts";
+import { NO_RESOURCES, type Resources } from "../../../protocol/Resources.ts";
+import { Headroom } from "./Headroom.ts";
+import { LeaseRenewer } from "./LeaseRenewer.ts";
+import { toTaskState } from "./taskMessages.ts";
+import { TaskReporter } from "./TaskReporter.ts";
+import type { TaskServiceOptions } from "./TaskServiceOptions.ts";
+import { TaskStarter } from "./TaskStarter.ts";
+import { TaskStopper } from "./TaskStopper.ts";
+import { WorkerPoller } from "./WorkerPoller.ts";
+
+const DEFAULT_DRAIN_TIMEOUT_MS = 10_000;
+
+/** Batch work on one VM. */
+export class TaskService {
+  private readonly _options: TaskServiceOptions;
+  private readonly _book = new CapacityBook();
+  private readonly _table: TaskTable;
+  private readonly _headroom: Headroom;
+  private readonly _renewer: LeaseRenewer;
+  private readonly _stopper: TaskStopper;
+  private readonly _starter: TaskStarter;
+  private readonly _reporter: TaskReporter;
+  private readonly _poller: WorkerPoller;
+  private _timer: Timer | undefined;
+  private _ended = false;
+
+  /**
+   * Creates the service; it does nothing until it is started.
+   * @param options - Surroundings and settings.
+   */
+  constructor(options: TaskServiceOptions) {
+    const { worker, clock, log } = options;
+    this._options = options;
+    this._table = new TaskTable({ book: this._book, incarnation: options.incarnation });
+    this._headroom = new Headroom(this._book, options.getConfig);
+    this._renewer = new LeaseRenewer(worker, clock, log);
+    this._stopper = new TaskStopper({ worker, table: this._table, clock, log });
+    this._starter = new TaskStarter(options, this._table, this._renewer, this._stopper);
+    this._reporter = new TaskReporter(options, this._table, {
+      onRecorded: (record) => void this._forget(record),
+      onStop: (record) => {
+        this._orderStop(record, "its owner does not know the attempt", false);
+      },
+    });
+    this._poller = new WorkerPoller(options, this._table, this._book);
+  }
+
+  /** Begins to poll the worker and to report. */
+  start(): void {
+    this._poller.begin();
+    this._tick();
+  }
+
+  /**
+   * Drains: refuses starts, takes checkpoints, stops all tasks, and reports their ends until the
+   * owners have recorded them or the time is up.
+   */
+  async stop(): Promise<void> {
+    this._table.drain();
+    this._table.getAll().forEach((record) => {
+      this._orderStop(record, "the agent drains", true);
+    });
+    const timeoutMs = this._options.drainTimeoutMs ?? DEFAULT_DRAIN_TIMEOUT_MS;
+    const deadline = this._options.clock.now() + timeoutMs;
+    while (this._table.getAll().length > 0 && this._options.clock.now() < deadline) {
+      await this._options.clock.sleep(Math.min(this._options.pollMs, timeoutMs));
+    }
+    this._ended = true;
+    this._timer?.cancel();
+  }
+
+  /** Whether the worker has told what runs on the VM, so that tasks may start. */
+  isReady(): boolean {
+    return this._table.isReady();
+  }
+
+  /** Issues the number of the next heartbeat; to be called before the heartbeat is sent. */
+  issueSequence(): number {
+    return this._table.issueSequence(this._options.clock.now());
+  }
+
+  /**
+   * Starts a task. A reply without acceptance means that the attempt does not run and will not run
+   * here; an error means that its outcome is unknown.
+   * @param req - The request.
+   */
+  async startTask(req: StartTaskRequest): Promise<StartTaskReply> {
+    return await this._starter.start(req);
+  }
+
+  /**
+   * Stops a task and forbids later starts of the attempt.
+   * @param req - The request.
+   */
+  async stopTask(req: StopTaskRequest): Promise<StopTaskReply> {
+    this._requireReady();
+    this._requireEpoch(req.partition, Number(req.epoch));
+    if (this._table.get(req) === undefined) {
+      return await this._stopUnknown(req);
+    }
+    this._orderStop(req, req.reason, req.checkpoint);
+    await this._stopper.stop(req);
+    const record = this._table.get(req);
+    return create(StopTaskReplySchema, {
+      stopped: record === undefined || isEndPhase(record.phase),
+      checkpoint: record?.checkpoint ?? "",
+      ...(record === undefined ? {} : { state: toTaskState(record) }),
+    });
+  }
+
+  /**
+   * Limits the processors of a running task.
+   * @param req - The request.
+   */
+  async throttleTask(req: ThrottleTaskRequest): Promise<ThrottleTaskReply> {
+    this._requireReady();
+    const record = this._table.get(req);
+    if (record?.phase !== "running") {
+      return create(ThrottleTaskReplySchema, { accepted: false });
+    }
+    this._requireEpoch(record.partition, Number(req.epoch));
+    return create(ThrottleTaskReplySchema, {
+      accepted: await this.throttle(record, req.throttlePercent),
+    });
+  }
+
+  /**
+   * Limits the processors of a running task, as decided on this VM.
+   * @param key - The attempt.
+   * @param percent - Share of its processors that the task may use.
+   * @returns Whether the worker did so.
+   */
+  async throttle(key: TaskKey, percent: number): Promise<boolean> {
+    const result = await this._options.worker.throttle(key.task, key.attempt, percent);
+    return result.isOk();
+  }
+
+  /**
+   * Evicts a running task, as decided on this VM: takes a checkpoint and stops it.
+   * @param key - The attempt.
+   * @param reason - Why it must go.
+   */
+  async evict(key: TaskKey, reason: string): Promise<void> {
+    this._orderStop(key, reason, true);
+    await this._stopper.stop(key);
+  }
+
+  /**
+   * Reserves what a backend server needs. Tasks yield where it does not fit beside them.
+   * @param id - Id of the backend server.
+   * @param service - Its service; the service's profile adds headroom.
+   * @param resources - Amount that it announced.
+   */
+  reserveServer(id: string, service: string, resources: Resources): ReservationState {
+    this._headroom.addServer(id, service);
+    return this._book.reserveServer(id, resources);
+  }
+
+  /**
+   * Drops the reservation of a backend server that has gone.
+   * @param id - Id of the backend server.
+   */
+  releaseServer(id: string): void {
+    this._headroom.removeServer(id);
+    this._book.releaseServer(id);
+  }
+
+  /** Gives what the VM has; nothing until the worker has reported. */
+  getCapacity(): Resources {
+    return this._book.getCapacity() ?? NO_RESOURCES;
+  }
+
+  /** Gives what no further task can have: what is held or kept for a waiting reservation. */
+  getCommitted(): Resources {
+    return this._book.getUnavailable();
+  }
+
+  /** Gives the usage of the VM that the worker last reported. */
+  getUsed(): Resources {
+    return this._poller.getUsed();
+  }
+
+  /** Gives the heat level that the worker last reported; undefined where it reports none. */
+  getHeatLevel(): number | undefined {
+    return this._poller.getHeatLevel();
+  }
+
+  /** Gives all tasks that are known, ended ones until their owners have recorded them. */
+  getTasks(): readonly TaskRecord[] {
+    return this._table.getAll();
+  }
+
+  private _tick(): void {
+    if (this._ended) {
+      return;
+    }
+    this._headroom.apply();
+    this._stopLapsed();
+    void this._poller.poll();
+    void this._stopper.stopAll();
+    void this._reportAndRenew();
+    this._timer = this._options.clock.after(this._options.pollMs, () => {
+      this._tick();
+    });
+  }
+
+  private async _reportAndRenew(): Promise<void> {
+    await this._reporter.reportDue();
+    await this._renewer.renew(this._table.getAll());
+  }
+
+  private _stopLapsed(): void {
+    this._table.getLapsed(this._options.clock.now()).forEach((record) => {
+      this._options.log.warn("A lease has lapsed.", { task: formatTaskKey(record) });
+      this._orderStop(record, "its lease has lapsed", false);
+    });
+  }
+
+  private async _stopUnknown(req: StopTaskRequest): Promise<StopTaskReply> {
+    this._table.forbid(req);
+    const result = await this._options.worker.stop(req.task, req.attempt);
+    return create(StopTaskReplySchema, {
+      stopped: result.isOk() && result.value?.phase !== "running",
+      checkpoint: result.isOk() ? (result.value?.checkpoint ?? "") : "",
+    });
+  }
+
+  private async _forget(record: TaskRecord): Promise<void> {
+    const result = await this._options.worker.forget(record.task, record.attempt);
+    if (result.isOk() || result.error.kind === "unknown-task") {
+      this._table.forget(record);
+    }
+  }
+
+  private _orderStop(key: TaskKey, reason: string, checkpointFirst: boolean): void {
+    this._table.orderStop(key, { reason, checkpointFirst }, this._options.clock.now());
+  }
+
+  private _requireReady(): void {
+    if (!this._table.isReady()) {
+      throw new ConnectError("agent-not-ready", Code.Unavailable);
+    }
+  }
+
+  private _requireEpoch(partition: number, epoch: number): void {
+    if (!this._table.observeEpoch(partition, epoch)) {
+      throw new ConnectError("stale-epoch", Code.FailedPrecondition);
+    }
+  }
+}
--- /dev/null
+++ b/src/transport/agent/tasks/TaskStarter.ts
@@ -0,0 +1,121 @@
+/**
+ * Starts tasks at the worker: admits the order, asks the worker, and settles what the worker's
+ * failure leaves open.
+ */
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { formatTaskKey } from "../../../coordination/tasks/TaskKey.ts";
+import type { StartRefusal } from "../../../coordination/tasks/StartOrder.ts";
+import { isEndPhase, type TaskRecord } from "../../../coordination/tasks/TaskRecord.ts";
+import type { TaskTable } from "../../../coordination/tasks/TaskTable.ts";
+import {
+  StartTaskReplySchema,
+  type StartTaskReply,
+  type StartTaskRequest,
+} from "../../../protocol/generated/fireflylb/v1/control_pb.ts";
+import type { WorkerFailure } from "../../../protocol/platform/Worker.ts";
+import type { LeaseRenewer } from "./LeaseRenewer.ts";
+import { toStartOrder } from "./taskMessages.ts";
+import type { TaskServiceOptions } from "./TaskServiceOptions.ts";
+import type { TaskStopper } from "./TaskStopper.ts";
+
+/** Starts tasks of one VM. */
+export class TaskStarter {
+  private readonly _options: TaskServiceOptions;
+  private readonly _table: TaskTable;
+  private readonly _renewer: LeaseRenewer;
+  private readonly _stopper: TaskStopper;
+
+  /**
+   * Creates a starter.
+   * @param options - Surroundings of the task service.
+   * @param table - Tasks of the VM.
+   * @param renewer - Passes leases to the worker.
+   * @param stopper - Stops tasks whose start is of unknown outcome.
+   */
+  constructor(
+    options: TaskServiceOptions,
+    table: TaskTable,
+    renewer: LeaseRenewer,
+    stopper: TaskStopper,
+  ) {
+    this._options = options;
+    this._table = table;
+    this._renewer = renewer;
+    this._stopper = stopper;
+  }
+
+  /**
+   * Starts a task; an error means that its outcome is unknown.
+   * @param req - The request.
+   */
+  async start(req: StartTaskRequest): Promise<StartTaskReply> {
+    const order = toStartOrder(req);
+    const known = this._table.get(order);
+    if (known !== undefined) {
+      return TaskStarter._answerRepeat(known, order.epoch);
+    }
+    if (this._options.getStartHold?.() !== undefined) {
+      this._table.forbid(order);
+      return refuse("held-back");
+    }
+    const admitted = this._table.admit(order, this._options.clock.now());
+    return admitted.isErr()
+      ? refuse(admitted.error)
+      : await this._startAtWorker(req, admitted.value);
+  }
+
+  private async _startAtWorker(req: StartTaskRequest, record: TaskRecord): Promise<StartTaskReply> {
+    const { task, attempt, partition, epoch, ownerAddress, resources, kind, tenant } = record;
+    this._renewer.noteGiven(record);
+    const result = await this._options.worker.start({
+      task,
+      attempt,
+      partition,
+      epoch,
+      ownerAddress,
+      resources,
+      command: req.command,
+      checkpoint: req.checkpoint,
+      leaseMs: this._renewer.getWorkerLeaseMs(record.leaseUntil),
+      kind,
+      tenant,
+    });
+    if (result.isErr()) {
+      return await this._settleFailure(record, result.error);
+    }
+    this._table.noteAccepted(record, this._options.clock.now());
+    return create(StartTaskReplySchema, { accepted: true });
+  }
+
+  private async _settleFailure(
+    record: TaskRecord,
+    failure: WorkerFailure,
+  ): Promise<StartTaskReply> {
+    const fields = { task: formatTaskKey(record), detail: failure.detail };
+    this._options.log.warn("The worker did not accept a start.", fields);
+    if (!failure.mayHaveActed) {
+      this._table.dropUnstarted(record);
+      return refuse("worker-refused");
+    }
+    const stopOrder = { reason: "the outcome of its start is unknown", checkpointFirst: false };
+    this._table.orderStop(record, stopOrder, this._options.clock.now());
+    await this._stopper.stop(record);
+    throw new ConnectError("start-outcome-unknown", Code.Unknown);
+  }
+
+  /** A repeated order of a task that runs is accepted; one whose outcome is open stays open. */
+  private static _answerRepeat(known: TaskRecord, epoch: number): StartTaskReply {
+    if (known.phase === "running" && epoch === known.epoch) {
+      return create(StartTaskReplySchema, { accepted: true });
+    }
+    if (isEndPhase(known.phase)) {
+      return refuse("stale-attempt");
+    }
+    throw new ConnectError("start-outcome-unknown", Code.Unknown);
+  }
+}
+
+function refuse(refusal: StartRefusal): StartTaskReply {
+  return create(StartTaskReplySchema, { accepted: false, refusal });
+}
