--- a/src/transport/agent/requests/AgentRequestServer.ts
+++ b/src/transport/agent/requests/AgentRequestServer.ts
@@ -2,9 +2,11 @@
  * Takes requests from entries over HTTP and passes the admitted ones to the backend server.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { ResultAsync } from "neverthrow";
 import { Pool } from "undici";
 import type { AgentAdmission } from "../../../coordination/requests/AgentAdmission.ts";
 import type { LocalServer } from "../../../coordination/requests/LocalServer.ts";
+import type { ListenError } from "../../../protocol/errors/errors.ts";
 import type { Clock } from "../../../protocol/platform/Clock.ts";
 import type { Refusal } from "../../../protocol/Refusal.ts";
 import { getRequestHead, type RequestHead } from "../../../protocol/RequestHead.ts";
@@ -61,8 +63,8 @@
    * Starts to listen.
    * @param address - Address as host:port.
    */
-  async listen(address: string): Promise<void> {
-    await listen(this._server, address, "[agent] listen");
+  listen(address: string): ResultAsync<string, ListenError> {
+    return listen(this._server, "[agent] listen", address);
   }
 
   /** Stops listening once the requests in flight have ended. */
--- a/src/transport/control/ControlServer.ts
+++ b/src/transport/control/ControlServer.ts
@@ -4,6 +4,8 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import type { ResultAsync } from "neverthrow";
+import type { ListenError } from "../../protocol/errors/errors.ts";
 import { listen } from "../http/listen.ts";
 
 /** Control interface of one process. */
@@ -28,8 +30,8 @@
    * @param address - Address as host:port.
    * @param setting - Setting that holds the address, as "[section] key".
    */
-  async listen(address: string, setting: string): Promise<void> {
-    await listen(this._server, address, setting);
+  listen(address: string, setting: string): ResultAsync<string, ListenError> {
+    return listen(this._server, setting, address);
   }
 
   /** Stops listening and lets the calls under way end. */
--- /dev/null
+++ b/src/transport/entry/requests/EntryRequestServer.ts
@@ -0,0 +1,179 @@
+/**
+ * Takes requests from callers over HTTP and starts a run for each.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { ResultAsync } from "neverthrow";
+import type { ListenError } from "../../../protocol/errors/errors.ts";
+import type { Refusal } from "../../../protocol/Refusal.ts";
+import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
+import { answerClientErrors } from "../../http/clientErrors.ts";
+import { getForwardHeaders } from "../../http/forwardHeaders.ts";
+import { listen } from "../../http/listen.ts";
+import { answerRefusal } from "../../http/refusalAnswer.ts";
+import { takeBody } from "../../http/requestBody.ts";
+import { readCallerRequest } from "./CallerRequest.ts";
+import { RequestRun, type RequestRunParts } from "./RequestRun.ts";
+
+/** Headers that only the system may set; a caller's own are dropped. */
+const DROPPED: ReadonlySet<string> = new Set<string>(Object.values(RequestHeaders));
+const KEEP_ALIVE_MS = 65_000;
+const ID_RADIX = 36;
+
+/** What the server works with. */
+export interface EntryRequestServerParts extends RequestRunParts {
+  readonly limits: {
+    readonly defaultTimeoutMs: number;
+    readonly maxTimeoutMs: number;
+    readonly maxBodyBytes: number;
+    readonly maxHeaderBytes: number;
+    readonly maxInFlight: number;
+  };
+  /** Whether a configuration is in force here. */
+  readonly hasConfig: () => boolean;
+  readonly isKnownService: (service: string) => boolean;
+}
+
+/** Requests of one entry. */
+export class EntryRequestServer {
+  private readonly _parts: EntryRequestServerParts;
+  private readonly _server: Server;
+  private _nextId = 0;
+  private _inFlight = 0;
+  private _draining = false;
+
+  /**
+   * Creates the server; it does not listen yet.
+   * @param parts - What it works with.
+   */
+  constructor(parts: EntryRequestServerParts) {
+    this._parts = parts;
+    const options = {
+      maxHeaderSize: parts.limits.maxHeaderBytes,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      noDelay: true,
+    };
+    this._server = createServer(options, (req, res) => {
+      void this._handle(req, res);
+    });
+    answerClientErrors(this._server);
+  }
+
+  /** Requests in flight. */
+  get inFlight(): number {
+    return this._inFlight;
+  }
+
+  /**
+   * Starts to listen.
+   * @param address - Address as host:port.
+   */
+  listen(address: string): ResultAsync<string, ListenError> {
+    return listen(this._server, "[entry] listen", address);
+  }
+
+  /** Asks callers to use another connection from now on. */
+  drain(): void {
+    this._draining = true;
+  }
+
+  /** Stops listening and resolves once the requests in flight are answered. */
+  async close(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this._server.close(() => {
+        resolve();
+      });
+      this._server.closeIdleConnections();
+    });
+  }
+
+  private async _handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const arrivedAt = this._parts.clock.now();
+    const id = this._createId();
+    if (this._draining) {
+      res.setHeader("connection", "close");
+    }
+    const { limits, clock } = this._parts;
+    const caller = readCallerRequest(req, {
+      defaultMs: limits.defaultTimeoutMs,
+      maxMs: limits.maxTimeoutMs,
+    });
+    if (caller.isErr()) {
+      this._refuse(req, res, id, caller.error);
+      return;
+    }
+    const refusal = this._getRefusal(caller.value.service);
+    if (refusal !== undefined) {
+      this._refuse(req, res, id, refusal);
+      return;
+    }
+    this._inFlight += 1;
+    res.on("close", () => {
+      this._inFlight -= 1;
+    });
+    const body = await takeBody(req, limits.maxBodyBytes);
+    if (typeof body === "string") {
+      this._refuse(req, res, id, {
+        code: body,
+        verdict: "not-run",
+        detail: body === "body-too-large" ? `at most ${limits.maxBodyBytes} bytes` : "broken body",
+      });
+      return;
+    }
+    const deadlinePassed = clock.now() - arrivedAt >= caller.value.timeoutMs;
+    if (deadlinePassed || res.destroyed) {
+      this._refuse(req, res, id, {
+        code: "deadline-exceeded",
+        verdict: "not-run",
+        detail: "the budget ended before the body had arrived",
+      });
+      return;
+    }
+    new RequestRun(this._parts, {
+      id,
+      caller: caller.value,
+      path: req.url ?? "/",
+      headers: getForwardHeaders(req.rawHeaders, DROPPED),
+      body,
+      arrivedAt,
+      res,
+    }).start();
+  }
+
+  private _getRefusal(service: string): Refusal | undefined {
+    const { hasConfig, isKnownService, limits } = this._parts;
+    if (!hasConfig()) {
+      return {
+        code: "no-configuration",
+        verdict: "not-run",
+        detail: "this entry has no configuration yet",
+        retryAfterSeconds: 1,
+      };
+    }
+    if (!isKnownService(service)) {
+      return {
+        code: "unknown-service",
+        verdict: "not-run",
+        detail: `service ${service} is not assigned to a profile and no backend server offers it`,
+      };
+    }
+    if (this._inFlight >= limits.maxInFlight) {
+      return {
+        code: "overloaded",
+        verdict: "not-run",
+        detail: `${limits.maxInFlight} requests are in flight at this entry`,
+        retryAfterSeconds: 1,
+      };
+    }
+    return undefined;
+  }
+
+  private _refuse(req: IncomingMessage, res: ServerResponse, id: string, refusal: Refusal): void {
+    req.resume();
+    answerRefusal(res, refusal, { [RequestHeaders.requestId]: id });
+  }
+
+  private _createId(): string {
+    this._nextId += 1;
+    return `${this._parts.sender}-${this._nextId.toString(ID_RADIX)}`;
+  }
+}
