--- /dev/null
+++ b/src/coordination/batch/LeaseTerms.ts
@@ -0,0 +1,44 @@
+/**
+ * Arithmetic of task leases: how long an owner may grant and how long it must wait before it may
+ * take a task as not running. Only durations on monotonic clocks count; each clock may run faster
+ * or slower than real time by the stated drift.
+ */
+import type { BatchSettings } from "./BatchSettings.ts";
+
+const PARTS = 1_000_000;
+
+/** Durations of a former owner. */
+export interface FormerTerms {
+  readonly leaseMs: number;
+  readonly horizonMs: number;
+}
+
+/**
+ * Gives the time to wait on this clock until a duration has surely passed on another one.
+ * @param durationMs - Duration on the other clock, in milliseconds.
+ * @param driftPpm - Largest deviation of either clock, in parts per million.
+ */
+export function getCertainWaitMs(durationMs: number, driftPpm: number): number {
+  return (durationMs * (PARTS + driftPpm)) / (PARTS - driftPpm);
+}
+
+/**
+ * Gives the time after its last grant at which a task's lease has surely lapsed.
+ * @param cfg - Settings of batch work.
+ */
+export function getLapseMs(cfg: BatchSettings): number {
+  return getCertainWaitMs(cfg.taskLeaseMs, cfg.clockDriftPpm);
+}
+
+/**
+ * Gives the time after its takeover at which a new owner may be sure that no lease of any former
+ * owner holds: each may have granted until its horizon, for one lease.
+ * @param cfg - Settings of batch work.
+ * @param former - Durations of the former owners, as the log holds them.
+ */
+export function getTakeoverWaitMs(cfg: BatchSettings, former: readonly FormerTerms[]): number {
+  const longest = former
+    .map((terms) => terms.horizonMs + terms.leaseMs)
+    .reduce((a, b) => Math.max(a, b), cfg.takeoverHorizonMs + cfg.taskLeaseMs);
+  return getCertainWaitMs(longest, cfg.clockDriftPpm);
+}
--- /dev/null
+++ b/src/state/batch/JobEntry.ts
@@ -0,0 +1,50 @@
+/**
+ * Jobs and tasks as the ledger of a partition holds them.
+ */
+import type { JobSpec } from "../../protocol/jobs/JobSpec.ts";
+
+/** Phase of a task: a held task may run on a VM; the last three are final. */
+export type TaskPhase = "waiting" | "held" | "completed" | "failed" | "cancelled";
+
+/** A task. */
+export interface TaskEntry {
+  readonly phase: TaskPhase;
+  /** Number of the current attempt; 0 before the first start. */
+  readonly attempt: number;
+  readonly failures: number;
+  /** Epoch in which the current attempt was started. */
+  readonly epoch: number;
+  /** VM of the current or last attempt. */
+  readonly agent: string;
+  /** Checkpoint from which the current or next attempt starts. */
+  readonly checkpoint: string;
+  /** Why the last attempt ended. */
+  readonly reason: string;
+}
+
+/** A job with its tasks. */
+export interface JobEntry {
+  readonly id: string;
+  readonly spec: JobSpec;
+  readonly cancelled: boolean;
+  readonly tasks: readonly TaskEntry[];
+}
+
+/** A task that was never started. */
+export const NEW_TASK: TaskEntry = {
+  phase: "waiting",
+  attempt: 0,
+  failures: 0,
+  epoch: 0,
+  agent: "",
+  checkpoint: "",
+  reason: "",
+};
+
+/**
+ * Tells whether a phase is final.
+ * @param phase - The phase.
+ */
+export function isFinal(phase: TaskPhase): boolean {
+  return phase !== "waiting" && phase !== "held";
+}
--- /dev/null
+++ b/src/state/batch/PartitionLedger.ts
@@ -0,0 +1,271 @@
+/**
+ * The state of one partition: what the records of its log add up to. Applying the same records in
+ * the same order always gives the same ledger.
+ */
+import type { JobSpec } from "../../protocol/jobs/JobSpec.ts";
+import { getTaskId, getTaskName } from "./BatchIds.ts";
+import type { BatchRecord, EndRecord, EpochRecord, StartRecord } from "./BatchRecord.ts";
+import { isFinal, NEW_TASK, type JobEntry, type TaskEntry, type TaskPhase } from "./JobEntry.ts";
+
+/** Number of past owners whose epochs are remembered. */
+const MAX_EPOCHS = 1_000;
+
+/** A past or present owner of the partition. */
+export interface EpochEntry {
+  readonly epoch: number;
+  /** Place in the log at which the epoch begins. */
+  readonly sequence: number;
+  readonly owner: string;
+  readonly leaseMs: number;
+  readonly horizonMs: number;
+}
+
+/** A job in a form that can be written to a snapshot. */
+export interface JobImage {
+  readonly id: string;
+  readonly spec: JobSpec;
+  readonly cancelled: boolean;
+  /** Tasks that are not new, each with its number. */
+  readonly tasks: readonly (readonly [number, TaskEntry])[];
+}
+
+interface MutableJob {
+  readonly id: string;
+  readonly spec: JobSpec;
+  cancelled: boolean;
+  readonly tasks: TaskEntry[];
+  readonly waiting: Set<number>;
+  open: number;
+}
+
+/** Ledger of one partition. */
+export class PartitionLedger {
+  private readonly _jobs = new Map<string, MutableJob>();
+  private readonly _held = new Set<string>();
+  private _epochs: readonly EpochEntry[] = [];
+
+  /** Epochs so far, the oldest first. */
+  get epochs(): readonly EpochEntry[] {
+    return this._epochs;
+  }
+
+  /** Epoch of the last owner; 0 where there was none. */
+  get epoch(): number {
+    return this._epochs.at(-1)?.epoch ?? 0;
+  }
+
+  /** Ids of the tasks that may run on a VM. */
+  get held(): ReadonlySet<string> {
+    return this._held;
+  }
+
+  /** Number of jobs. */
+  get jobCount(): number {
+    return this._jobs.size;
+  }
+
+  /**
+   * Applies a record.
+   * @param record - The record.
+   * @param epoch - Epoch of its writer.
+   * @param sequence - Its place in the log.
+   */
+  apply(record: BatchRecord, epoch: number, sequence: number): void {
+    switch (record.type) {
+      case "epoch":
+        this._addEpoch(record, epoch, sequence);
+        return;
+      case "submit":
+        this._addJob(record.job, record.spec);
+        return;
+      case "start":
+        this._start(record, epoch);
+        return;
+      case "end":
+        this._end(record);
+        return;
+      case "cancel":
+        record.jobs.forEach((job) => {
+          this._cancel(job);
+        });
+        return;
+      case "drop":
+        record.jobs.forEach((job) => this._jobs.delete(job));
+    }
+  }
+
+  /**
+   * Gives a job.
+   * @param id - Id of the job.
+   */
+  getJob(id: string): JobEntry | undefined {
+    return this._jobs.get(id);
+  }
+
+  /** Gives all jobs in order of submission. */
+  getJobs(): readonly JobEntry[] {
+    return [...this._jobs.values()];
+  }
+
+  /**
+   * Gives a task.
+   * @param task - Id of the task.
+   */
+  getTask(task: string): TaskEntry | undefined {
+    const name = getTaskName(task);
+    return name === undefined ? undefined : this._jobs.get(name.job)?.tasks[name.index];
+  }
+
+  /**
+   * Gives the job of a task.
+   * @param task - Id of the task.
+   */
+  getJobOf(task: string): JobEntry | undefined {
+    const name = getTaskName(task);
+    return name === undefined ? undefined : this._jobs.get(name.job);
+  }
+
+  /**
+   * Gives the ids of waiting tasks of a job.
+   * @param id - Id of the job.
+   * @param limit - Most ids to give.
+   */
+  getWaiting(id: string, limit: number): readonly string[] {
+    const found: string[] = [];
+    for (const index of this._jobs.get(id)?.waiting ?? []) {
+      if (found.length >= limit) {
+        break;
+      }
+      found.push(getTaskId(id, index));
+    }
+    return found;
+  }
+
+  /**
+   * Tells whether all tasks of a job are final.
+   * @param id - Id of the job.
+   */
+  isFinished(id: string): boolean {
+    return this._jobs.get(id)?.open === 0;
+  }
+
+  /** Gives the jobs in the form of a snapshot. */
+  getImages(): readonly JobImage[] {
+    return [...this._jobs.values()].map((job) => ({
+      id: job.id,
+      spec: job.spec,
+      cancelled: job.cancelled,
+      tasks: [...job.tasks.entries()].filter(([, task]) => task !== NEW_TASK),
+    }));
+  }
+
+  /**
+   * Takes in what a snapshot holds.
+   * @param epochs - Epochs so far.
+   * @param images - The jobs.
+   */
+  restore(epochs: readonly EpochEntry[], images: readonly JobImage[]): void {
+    this._epochs = epochs;
+    images.forEach((image) => {
+      const job = this._addJob(image.id, image.spec);
+      job.cancelled = image.cancelled;
+      image.tasks.forEach(([index, task]) => {
+        this._set(job, index, task);
+      });
+    });
+  }
+
+  private _addEpoch(record: EpochRecord, epoch: number, sequence: number): void {
+    const { owner, leaseMs, horizonMs } = record;
+    const entry = { epoch, sequence, owner, leaseMs, horizonMs };
+    this._epochs = [...this._epochs, entry].slice(-MAX_EPOCHS);
+  }
+
+  private _addJob(id: string, spec: JobSpec): MutableJob {
+    const known = this._jobs.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const job = {
+      id,
+      spec,
+      cancelled: false,
+      tasks: Array.from({ length: spec.tasks }, () => NEW_TASK),
+      waiting: new Set(Array.from({ length: spec.tasks }, (_, index) => index)),
+      open: spec.tasks,
+    };
+    this._jobs.set(id, job);
+    return job;
+  }
+
+  private _start(record: StartRecord, epoch: number): void {
+    const found = this._find(record.task);
+    if (found?.task.phase !== "waiting" || record.attempt !== found.task.attempt + 1) {
+      return;
+    }
+    const { attempt, agent } = record;
+    this._set(found.job, found.index, { ...found.task, phase: "held", attempt, agent, epoch });
+  }
+
+  private _end(record: EndRecord): void {
+    const found = this._find(record.task);
+    if (found?.task.phase !== "held" || record.attempt !== found.task.attempt) {
+      return;
+    }
+    const failures = found.task.failures + Number(record.outcome === "failed");
+    const phase = PartitionLedger._phaseAfter(found.job, record, failures);
+    const { checkpoint, reason } = record;
+    this._set(found.job, found.index, { ...found.task, phase, failures, checkpoint, reason });
+  }
+
+  private _cancel(id: string): void {
+    const job = this._jobs.get(id);
+    if (job === undefined || job.cancelled) {
+      return;
+    }
+    job.cancelled = true;
+    [...job.waiting].forEach((index) => {
+      const task = job.tasks[index] ?? NEW_TASK;
+      this._set(job, index, { ...task, phase: "cancelled" });
+    });
+  }
+
+  private _find(
+    task: string,
+  ): { readonly job: MutableJob; readonly index: number; readonly task: TaskEntry } | undefined {
+    const name = getTaskName(task);
+    const job = name === undefined ? undefined : this._jobs.get(name.job);
+    const entry = name === undefined ? undefined : job?.tasks[name.index];
+    if (name === undefined || job === undefined || entry === undefined) {
+      return undefined;
+    }
+    return { job, index: name.index, task: entry };
+  }
+
+  private _set(job: MutableJob, index: number, task: TaskEntry): void {
+    const before = job.tasks[index] ?? NEW_TASK;
+    job.tasks[index] = task;
+    job.open += Number(isFinal(before.phase)) - Number(isFinal(task.phase));
+    const id = getTaskId(job.id, index);
+    if (task.phase === "waiting") {
+      job.waiting.add(index);
+    } else {
+      job.waiting.delete(index);
+    }
+    if (task.phase === "held") {
+      this._held.add(id);
+    } else {
+      this._held.delete(id);
+    }
+  }
+
+  private static _phaseAfter(job: MutableJob, record: EndRecord, failures: number): TaskPhase {
+    if (record.outcome === "completed") {
+      return "completed";
+    }
+    if (job.cancelled) {
+      return "cancelled";
+    }
+    return record.outcome === "failed" && failures >= job.spec.maxFailures ? "failed" : "waiting";
+  }
+}
