--- /dev/null
+++ b/src/coordination/batch/BatchScheduler.ts
@@ -0,0 +1,177 @@
+/**
+ * Rounds of placement over all partitions that an entry owns.
+ */
+import type { ConfigSnapshot } from "../../protocol/config/ConfigDocument.ts";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import { addResources, type Resources } from "../../protocol/Resources.ts";
+import { getPartition } from "../../state/batch/BatchIds.ts";
+import type { JobEntry } from "../../state/batch/JobEntry.ts";
+import type { FleetView, VmRecord } from "../../state/FleetView.ts";
+import type { PartitionOwner } from "./PartitionOwner.ts";
+import type { HeldTask, PendingTask, Placement, Placer, WaitingReason } from "./Placer.ts";
+
+const MAX_PENDING = 2_000;
+const MAX_PENDING_PER_JOB = 128;
+const MAX_STARTS = 1_000;
+
+/** What a scheduler needs. */
+export interface BatchSchedulerParts {
+  readonly clock: Clock;
+  readonly fleet: FleetView;
+  readonly placer: Placer;
+  readonly getConfig: () => ConfigSnapshot | undefined;
+  readonly getOwners: () => readonly PartitionOwner[];
+  /** Tasks held by partitions of other entries, as far as known. */
+  readonly getPeerTasks: () => readonly HeldTask[];
+}
+
+interface RecentStart {
+  readonly agent: string;
+  readonly resources: Resources;
+  readonly at: number;
+}
+
+/** Places the waiting tasks of an entry's partitions. */
+export class BatchScheduler {
+  private readonly _parts: BatchSchedulerParts;
+  private readonly _readySince = new Map<string, number>();
+  private _waiting = new Map<string, WaitingReason>();
+  private _recent: readonly RecentStart[] = [];
+
+  /**
+   * Creates a scheduler.
+   * @param parts - What it needs.
+   */
+  constructor(parts: BatchSchedulerParts) {
+    this._parts = parts;
+  }
+
+  /**
+   * Gives why a task waits, as the last round that looked at it said.
+   * @param task - Id of the task.
+   */
+  getWaitingReason(task: string): WaitingReason | undefined {
+    return this._waiting.get(task);
+  }
+
+  /** Runs one round and starts what it placed. */
+  runRound(): void {
+    const { clock, placer, getConfig, getOwners, getPeerTasks } = this._parts;
+    const cfg = getConfig()?.document;
+    const owners = getOwners().filter((owner) => owner.isAvailable && owner.mayGrant);
+    const pending = this._getPending(owners);
+    if (cfg === undefined || pending.length === 0) {
+      this._waiting = new Map();
+      return;
+    }
+    const now = clock.now();
+    const held = [...owners.flatMap((owner) => BatchScheduler._getHeld(owner)), ...getPeerTasks()];
+    const vms = this._getVms();
+    const plan = placer.plan({ now, pending, held, vms, cfg, limit: MAX_STARTS });
+    this._waiting = new Map(plan.waiting.map((reason) => [reason.task, reason]));
+    const byTask = new Map(pending.map((task) => [task.task, task]));
+    const byPartition = new Map(owners.map((owner) => [owner.partition, owner]));
+    plan.placements.forEach((placement) => {
+      this._start(placement, byTask, byPartition);
+    });
+  }
+
+  private _start(
+    placement: Placement,
+    pending: ReadonlyMap<string, PendingTask>,
+    owners: ReadonlyMap<number, PartitionOwner>,
+  ): void {
+    const { task, agent } = placement;
+    const resources = pending.get(task)?.resources;
+    const owner = owners.get(getPartition(task) ?? -1);
+    if (resources === undefined || owner === undefined) {
+      return;
+    }
+    this._recent = [...this._recent, { agent, resources, at: this._parts.clock.now() }];
+    void owner.runner.start(task, agent);
+  }
+
+  private _getPending(owners: readonly PartitionOwner[]): readonly PendingTask[] {
+    const now = this._parts.clock.now();
+    const jobs = owners.flatMap((owner) =>
+      owner.ledger
+        .getJobs()
+        .filter((job) => !job.cancelled && !owner.ledger.isFinished(job.id))
+        .map((job) => ({ owner, job, since: this._getReadySince(job, now) })),
+    );
+    const ordered = jobs.toSorted(
+      (a, b) => Number(b.job.spec.urgent) - Number(a.job.spec.urgent) || a.since - b.since,
+    );
+    this._forgetFinished(new Set(ordered.map(({ job }) => job.id)));
+    const pending: PendingTask[] = [];
+    for (const { owner, job, since } of ordered) {
+      if (pending.length >= MAX_PENDING) {
+        break;
+      }
+      pending.push(...BatchScheduler._getPendingOf(owner, job, since, now));
+    }
+    return pending;
+  }
+
+  private _getReadySince(job: JobEntry, now: number): number {
+    const since = this._readySince.get(job.id) ?? now;
+    this._readySince.set(job.id, since);
+    return since;
+  }
+
+  private _forgetFinished(open: ReadonlySet<string>): void {
+    [...this._readySince.keys()]
+      .filter((job) => !open.has(job))
+      .forEach((job) => this._readySince.delete(job));
+  }
+
+  /** Counts the starts that the reports of the VMs cannot contain yet. */
+  private _getVms(): readonly VmRecord[] {
+    const { fleet } = this._parts;
+    this._recent = this._recent.filter(
+      ({ agent, at }) => at >= (fleet.getVm(agent)?.reportedAt ?? Number.POSITIVE_INFINITY),
+    );
+    const added = Map.groupBy(this._recent, ({ agent }) => agent);
+    return fleet.getVms().map((vm) => {
+      const starts = added.get(vm.agent) ?? [];
+      const committed = starts.reduce(
+        (sum, start) => addResources(sum, start.resources),
+        vm.committed,
+      );
+      return { ...vm, committed };
+    });
+  }
+
+  private static _getPendingOf(
+    owner: PartitionOwner,
+    job: JobEntry,
+    since: number,
+    now: number,
+  ): readonly PendingTask[] {
+    const { tenant, kind, urgent, resources } = job.spec;
+    return owner.ledger
+      .getWaiting(job.id, MAX_PENDING_PER_JOB)
+      .filter((task) => owner.getActiveTask(task) === undefined)
+      .filter((task) => owner.runner.getNotBefore(task) <= now)
+      .map((task) => ({
+        task,
+        attempt: (owner.ledger.getTask(task)?.attempt ?? 0) + 1,
+        tenant,
+        kind,
+        urgent,
+        resources,
+        readyAt: Math.max(since, owner.runner.getNotBefore(task)),
+      }));
+  }
+
+  private static _getHeld(owner: PartitionOwner): readonly HeldTask[] {
+    return owner.activeTasks.flatMap((active) => {
+      const job = owner.ledger.getJobOf(active.task);
+      if (job === undefined) {
+        return [];
+      }
+      const { tenant, kind, urgent, resources } = job.spec;
+      return [{ task: active.task, tenant, kind, agent: active.agent, resources, urgent }];
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/PartitionLog.ts
@@ -0,0 +1,338 @@
+/**
+ * The log of a partition as its owner writes it: records wait shortly and are committed together,
+ * one write at a time. Each write takes the slot of the next sequence number by compare-and-swap;
+ * whoever finds another writer's value there has been deposed. A lost answer is settled by writing
+ * again: the slot then holds this writer's nonce, or it is free, or another writer has it.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
+import type { Store, StoreEntry, WriteResult } from "../../protocol/platform/Store.ts";
+import type { BatchRecord, LogValue } from "../../state/batch/BatchRecord.ts";
+import { getLogKey, LOG_SLOTS } from "../../state/batch/LogKeys.ts";
+import type { PartitionLedger } from "../../state/batch/PartitionLedger.ts";
+import type { PartitionImage } from "./PartitionReader.ts";
+import { SnapshotWriter } from "./SnapshotWriter.ts";
+
+const MAX_VALUE_BYTES = 900_000;
+const RETRY_MIN_MS = 50;
+const RETRY_MAX_MS = 2_000;
+/** Urgent records wait this many times shorter than others. */
+const URGENT_SPEEDUP = 5;
+const SNAPSHOT_AFTER_VALUES = LOG_SLOTS / 2;
+const SNAPSHOT_AFTER_BYTES = 8_000_000;
+
+/**
+ * Why records were not committed. With "deposed" they may be in the log if the answer to an
+ * earlier try was lost; with the others they are certainly not in it.
+ */
+export type AppendFailure = "unavailable" | "deposed" | "closed";
+
+/** What a log needs. */
+export interface PartitionLogParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly partition: number;
+  /** Identity of the writing process; never used by another one. */
+  readonly writer: string;
+  readonly commitIntervalMs: number;
+  /** Called once when another owner is found. */
+  readonly onDeposed: () => void;
+}
+
+/** Counters of a log. */
+export interface PartitionLogCounts {
+  readonly commits: number;
+  readonly bytes: number;
+  readonly records: number;
+}
+
+interface Pending {
+  readonly records: readonly BatchRecord[];
+  readonly text: string;
+  readonly resolve: (result: Result<void, AppendFailure>) => void;
+}
+
+/** Log of one partition, written by its owner. */
+export class PartitionLog {
+  private readonly _parts: PartitionLogParts;
+  private readonly _image: PartitionImage;
+  private readonly _epoch: number;
+  private readonly _snapshots: SnapshotWriter;
+  private readonly _slotRevisions = new Map<number, number>();
+  private _next: number;
+  private _queue: Pending[] = [];
+  private _urgent = false;
+  private _writing = false;
+  private _timer: Timer | undefined;
+  private _failure: AppendFailure | undefined;
+  private _failing = false;
+  private _lastWriteAt = Number.NEGATIVE_INFINITY;
+  private _confirmedAt: number;
+  private _bytesSinceSnapshot = 0;
+  private _snapshotting = false;
+  private _counts = { commits: 0, bytes: 0, records: 0 };
+
+  /**
+   * Creates a log that goes on where a partition ends.
+   * @param parts - What the log needs.
+   * @param image - The partition as it was read.
+   */
+  constructor(parts: PartitionLogParts, image: PartitionImage) {
+    this._parts = parts;
+    this._image = image;
+    this._epoch = image.ledger.epoch + 1;
+    this._next = image.next;
+    this._slotRevisions.set(image.next % LOG_SLOTS, image.nextRevision);
+    this._confirmedAt = parts.clock.now();
+    this._snapshots = new SnapshotWriter({
+      store: parts.store,
+      partition: parts.partition,
+      epoch: this._epoch,
+      head: image.head,
+      headRevision: image.headRevision,
+    });
+  }
+
+  /** What the records in the log add up to. */
+  get ledger(): PartitionLedger {
+    return this._image.ledger;
+  }
+
+  /** Epoch of this writer. */
+  get epoch(): number {
+    return this._epoch;
+  }
+
+  /** When the last confirmed write was sent, on the monotonic clock. */
+  get confirmedAt(): number {
+    return this._confirmedAt;
+  }
+
+  /** Whether the last write failed or is in doubt. */
+  get isFailing(): boolean {
+    return this._failing;
+  }
+
+  /** Counters since the log was created. */
+  get counts(): PartitionLogCounts {
+    return this._counts;
+  }
+
+  /** Whether nothing waits for a commit. */
+  get isIdle(): boolean {
+    return this._queue.length === 0 && !this._writing;
+  }
+
+  /**
+   * Adds records; they are committed together and applied to the ledger before the result is given.
+   * @param records - The records; none to find out whether the store takes writes.
+   * @param urgent - Whether to commit sooner than usual.
+   */
+  append(records: readonly BatchRecord[], urgent = false): Promise<Result<void, AppendFailure>> {
+    if (this._failure !== undefined) {
+      return Promise.resolve(err(this._failure));
+    }
+    const text = records.map((record) => JSON.stringify(record)).join(",");
+    this._urgent ||= urgent;
+    const result = new Promise<Result<void, AppendFailure>>((resolve) => {
+      this._queue.push({ records, text, resolve });
+    });
+    this._schedule();
+    return result;
+  }
+
+  /** Ends the log; records that are not being written are refused. */
+  close(): void {
+    this._stop("closed");
+  }
+
+  private _schedule(): void {
+    if (this._writing || this._queue.length === 0 || this._failure !== undefined) {
+      return;
+    }
+    const { clock, commitIntervalMs } = this._parts;
+    const interval = this._urgent ? commitIntervalMs / URGENT_SPEEDUP : commitIntervalMs;
+    this._timer?.cancel();
+    const delay = Math.max(0, this._lastWriteAt + interval - clock.now());
+    this._timer = clock.after(delay, () => {
+      this._timer = undefined;
+      void this._commit();
+    });
+  }
+
+  private async _commit(): Promise<void> {
+    if (this._writing || this._queue.length === 0 || this._failure !== undefined) {
+      return;
+    }
+    this._writing = true;
+    const batch = this._takeBatch();
+    const result = await this._write(batch);
+    this._writing = false;
+    if (result.isOk()) {
+      this._apply(batch);
+    }
+    batch.forEach((pending) => {
+      pending.resolve(result);
+    });
+    if (result.isErr() && result.error === "deposed") {
+      this._stop("deposed");
+      this._parts.onDeposed();
+    }
+    this._schedule();
+  }
+
+  private _takeBatch(): readonly Pending[] {
+    let bytes = 0;
+    const end = this._queue.findIndex((pending, index) => {
+      bytes += Buffer.byteLength(pending.text) + 1;
+      return index > 0 && bytes > MAX_VALUE_BYTES;
+    });
+    const batch = this._queue.slice(0, end < 0 ? undefined : end);
+    this._queue = end < 0 ? [] : this._queue.slice(end);
+    this._urgent &&= this._queue.length > 0;
+    return batch;
+  }
+
+  private async _write(batch: readonly Pending[]): Promise<Result<void, AppendFailure>> {
+    const sequence = this._next;
+    const nonce = `${this._parts.writer}/${this._epoch}/${sequence}`;
+    const records = batch
+      .map((pending) => pending.text)
+      .filter((text) => text !== "")
+      .join(",");
+    const value = `{"sequence":${sequence},"epoch":${this._epoch},"nonce":${JSON.stringify(nonce)},"records":[${records}]}`;
+    const result = await this._writeValue(sequence, nonce, value);
+    if (result.isOk()) {
+      this._counts = {
+        commits: this._counts.commits + 1,
+        bytes: this._counts.bytes + value.length,
+        records: this._counts.records + batch.reduce((sum, { records: r }) => sum + r.length, 0),
+      };
+      this._bytesSinceSnapshot += value.length;
+    }
+    return result;
+  }
+
+  /** Writes until the outcome is certain. */
+  private async _writeValue(
+    sequence: number,
+    nonce: string,
+    value: string,
+  ): Promise<Result<void, AppendFailure>> {
+    const { clock, store, partition } = this._parts;
+    const key = getLogKey(partition, sequence);
+    let inDoubt = false;
+    for (let delay = RETRY_MIN_MS; ; delay = Math.min(delay * 2, RETRY_MAX_MS)) {
+      const expected = await this._getSlotRevision(sequence);
+      if (expected === "deposed") {
+        return err("deposed");
+      }
+      const sentAt = clock.now();
+      this._lastWriteAt = sentAt;
+      if (expected !== "unknown") {
+        const written = await store.write({ key, value, expected });
+        if (written.isOk()) {
+          return this._settle(written.value, sequence, nonce, sentAt);
+        }
+        inDoubt ||= written.error.mayHaveWritten;
+      }
+      this._failing = true;
+      if (!inDoubt) {
+        return err("unavailable");
+      }
+      if (this._failure !== undefined) {
+        return err("deposed");
+      }
+      await clock.sleep(delay);
+    }
+  }
+
+  private _settle(
+    result: WriteResult,
+    sequence: number,
+    nonce: string,
+    sentAt: number,
+  ): Result<void, AppendFailure> {
+    const revision =
+      result.kind === "written" ? result.revision : PartitionLog._find(result.current, nonce);
+    if (revision === undefined) {
+      return err("deposed");
+    }
+    this._failing = false;
+    this._confirmedAt = sentAt;
+    this._slotRevisions.set(sequence % LOG_SLOTS, revision);
+    this._next = sequence + 1;
+    return ok();
+  }
+
+  /** Gives the revision that the slot must have, and reads it where this writer never wrote it. */
+  private async _getSlotRevision(sequence: number): Promise<number | "unknown" | "deposed"> {
+    if (sequence - this._snapshots.sequence > LOG_SLOTS) {
+      // The slot holds a value that no snapshot contains yet.
+      void this._snapshot();
+      return "unknown";
+    }
+    const known = this._slotRevisions.get(sequence % LOG_SLOTS);
+    if (known !== undefined) {
+      return known;
+    }
+    const entry = await this._parts.store.read(getLogKey(this._parts.partition, sequence));
+    if (entry.isErr()) {
+      return "unknown";
+    }
+    if (entry.value !== undefined && PartitionLog._parse(entry.value).sequence >= sequence) {
+      return "deposed";
+    }
+    const revision = entry.value?.revision ?? 0;
+    this._slotRevisions.set(sequence % LOG_SLOTS, revision);
+    return revision;
+  }
+
+  private _apply(batch: readonly Pending[]): void {
+    const sequence = this._next - 1;
+    batch
+      .flatMap((pending) => pending.records)
+      .forEach((record) => {
+        this.ledger.apply(record, this._epoch, sequence);
+      });
+    const due =
+      sequence - this._snapshots.sequence >= SNAPSHOT_AFTER_VALUES ||
+      this._bytesSinceSnapshot > Math.max(SNAPSHOT_AFTER_BYTES, 2 * this._snapshots.bytes);
+    if (due) {
+      void this._snapshot();
+    }
+  }
+
+  private async _snapshot(): Promise<void> {
+    if (this._snapshotting || this._failure !== undefined) {
+      return;
+    }
+    this._snapshotting = true;
+    const bytes = this._bytesSinceSnapshot;
+    const written = await this._snapshots.write(this.ledger, this._next - 1);
+    if (written) {
+      this._bytesSinceSnapshot -= bytes;
+    }
+    this._snapshotting = false;
+  }
+
+  private _stop(failure: AppendFailure): void {
+    this._failure ??= failure;
+    this._timer?.cancel();
+    const refused = this._queue;
+    this._queue = [];
+    refused.forEach((pending) => {
+      pending.resolve(err(failure));
+    });
+  }
+
+  private static _find(current: StoreEntry | undefined, nonce: string): number | undefined {
+    return current !== undefined && PartitionLog._parse(current).nonce === nonce
+      ? current.revision
+      : undefined;
+  }
+
+  private static _parse(entry: StoreEntry): LogValue {
+    return JSON.parse(entry.value) as LogValue;
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/PartitionOwner.ts
@@ -0,0 +1,247 @@
+/**
+ * One partition on the entry that owns it. Ownership begins with an epoch record in the log, which
+ * deposes the former owner. What the former owner granted is unknown: its tasks are left alone
+ * until their agents report, or until no lease of any former owner can hold any more.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
+import type { PartitionLedger } from "../../state/batch/PartitionLedger.ts";
+import type { FleetView } from "../../state/FleetView.ts";
+import type { AgentGateway } from "./AgentGateway.ts";
+import { AttemptRunner } from "./AttemptRunner.ts";
+import type { BatchSettings } from "./BatchSettings.ts";
+import { JobIntake } from "./JobIntake.ts";
+import { getTakeoverWaitMs } from "./LeaseTerms.ts";
+import { getNextOwnerState, type OwnerState } from "./ownerLifecycle.ts";
+import { PartitionLog, type AppendFailure, type PartitionLogCounts } from "./PartitionLog.ts";
+import { PartitionReader } from "./PartitionReader.ts";
+import { ReportHandler, type ReportAnswer, type ReportedTask } from "./ReportHandler.ts";
+import { TaskBook, type ActiveTask } from "./TaskBook.ts";
+
+const PROBE_INTERVAL_MS = 2_000;
+
+/** What an owner needs. */
+export interface PartitionOwnerParts {
+  readonly cfg: BatchSettings;
+  readonly partition: number;
+  /** Name of the entry. */
+  readonly entry: string;
+  /** Identity of this process; never used by another one. */
+  readonly writer: string;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly fleet: FleetView;
+  readonly gateway: AgentGateway;
+  /** Called when an attempt was accepted or refused, or has completed or failed. */
+  readonly onOutcome: (agent: string, started: boolean) => void;
+  /** Called once when another owner was found. */
+  readonly onDeposed: () => void;
+}
+
+/** Owner of one partition. */
+export class PartitionOwner {
+  readonly intake: JobIntake;
+  readonly runner: AttemptRunner;
+  private readonly _parts: PartitionOwnerParts;
+  private readonly _log: PartitionLog;
+  private readonly _book = new TaskBook();
+  private readonly _reports: ReportHandler;
+  private _state: OwnerState = "recovering";
+  private _renewedAt = Number.NEGATIVE_INFINITY;
+  private _nextProbeAt = 0;
+
+  private constructor(
+    parts: PartitionOwnerParts,
+    createLog: (onDeposed: () => void) => PartitionLog,
+  ) {
+    this._parts = parts;
+    this._log = createLog(() => {
+      this._depose();
+    });
+    const { cfg, clock, partition, fleet, gateway, onOutcome } = parts;
+    const shared = { cfg, clock, log: this._log, book: this._book };
+    const mayGrant = (): boolean => this.mayGrant;
+    this.runner = new AttemptRunner({ ...shared, partition, fleet, gateway, mayGrant, onOutcome });
+    this._reports = new ReportHandler({ ...shared, runner: this.runner, mayGrant });
+    this.intake = new JobIntake(clock, this._log, cfg.retentionMs);
+  }
+
+  /**
+   * Reads a partition and takes it over.
+   * @param parts - What the owner needs.
+   * @returns The owner, or why the partition could not be taken over.
+   */
+  static async takeOver(
+    parts: PartitionOwnerParts,
+  ): Promise<Result<PartitionOwner, AppendFailure>> {
+    const image = await new PartitionReader(parts.store, parts.partition).read();
+    if (image.isErr()) {
+      return err("unavailable");
+    }
+    const { store, clock, partition, writer, cfg } = parts;
+    const { commitIntervalMs } = cfg;
+    const owner = new PartitionOwner(
+      parts,
+      (onDeposed) =>
+        new PartitionLog(
+          { store, clock, partition, writer, commitIntervalMs, onDeposed },
+          image.value,
+        ),
+    );
+    const claimed = await owner._claim();
+    return claimed.map(() => owner);
+  }
+
+  /** Number of the partition. */
+  get partition(): number {
+    return this._parts.partition;
+  }
+
+  /** Epoch of this owner. */
+  get epoch(): number {
+    return this._log.epoch;
+  }
+
+  /** State of the ownership. */
+  get state(): OwnerState {
+    return this._state;
+  }
+
+  /** Jobs and tasks of the partition. */
+  get ledger(): PartitionLedger {
+    return this._log.ledger;
+  }
+
+  /** Held tasks with their states. */
+  get activeTasks(): readonly ActiveTask[] {
+    return this._book.getAll();
+  }
+
+  /** Whether the store takes this owner's records. */
+  get isAvailable(): boolean {
+    return this._state === "owning" && !this._log.isFailing;
+  }
+
+  /** Counters of the log. */
+  get counts(): PartitionLogCounts {
+    return this._log.counts;
+  }
+
+  /** Whether this owner may still grant leases and start tasks. */
+  get mayGrant(): boolean {
+    const confirmedAt = Math.max(this._log.confirmedAt, this._renewedAt);
+    const { clock, cfg } = this._parts;
+    return this._state === "owning" && clock.now() - confirmedAt < cfg.takeoverHorizonMs;
+  }
+
+  /**
+   * Notes that the store confirmed the ownership.
+   * @param sentAt - When the confirmed call was sent, on the monotonic clock.
+   */
+  noteRenewal(sentAt: number): void {
+    this._renewedAt = Math.max(this._renewedAt, sentAt);
+  }
+
+  /**
+   * Takes in a report of an agent.
+   * @param agent - Name of the agent.
+   * @param tasks - All tasks of the partition on its VM.
+   * @param isEpochKnown - Whether the agent refuses the grants of former owners already.
+   */
+  async handleReport(
+    agent: string,
+    tasks: readonly ReportedTask[],
+    isEpochKnown: boolean,
+  ): Promise<ReportAnswer> {
+    return this._reports.handle(agent, tasks, isEpochKnown);
+  }
+
+  /**
+   * Gives a held task.
+   * @param task - Id of the task.
+   */
+  getActiveTask(task: string): ActiveTask | undefined {
+    return this._book.get(task);
+  }
+
+  /** Does what the passing of time calls for. */
+  tick(): void {
+    if (this._state !== "owning") {
+      return;
+    }
+    this.runner.tick();
+    if (this._log.isFailing) {
+      // A write shows whether the store is back; the ends that wait are written first.
+      this._probe();
+      return;
+    }
+    this.runner.retryEnds();
+    this.intake.tick();
+    this._stopCancelled();
+  }
+
+  /** Stops owning; records that are being written are waited for. */
+  async release(): Promise<void> {
+    this._state = getNextOwnerState(this._state, "RELEASED");
+    this._log.close();
+    while (!this._log.isIdle) {
+      await this._parts.clock.sleep(this._parts.cfg.commitIntervalMs);
+    }
+  }
+
+  private async _claim(): Promise<Result<void, AppendFailure>> {
+    const { cfg, clock, entry, log, partition } = this._parts;
+    const former = this.ledger.epochs;
+    const { taskLeaseMs: leaseMs, takeoverHorizonMs: horizonMs } = cfg;
+    const claimed = await this._log.append(
+      [{ type: "epoch", owner: entry, leaseMs, horizonMs }],
+      true,
+    );
+    if (claimed.isErr()) {
+      this._log.close();
+      return err(claimed.error);
+    }
+    const lapsesAt = clock.now() + getTakeoverWaitMs(cfg, former);
+    this.ledger.held.forEach((task) => {
+      const { attempt, agent, checkpoint } = this.ledger.getTask(task) ?? {};
+      if (attempt !== undefined && agent !== undefined && checkpoint !== undefined) {
+        this._book.add(task, attempt, agent, "unconfirmed", lapsesAt, checkpoint);
+      }
+    });
+    this._state = getNextOwnerState(this._state, "RECOVERED");
+    log.info("Took over a partition.", { partition, epoch: this.epoch, held: this._book.size });
+    return ok();
+  }
+
+  private _probe(): void {
+    const { clock } = this._parts;
+    if (!this._log.isIdle || clock.now() < this._nextProbeAt) {
+      return;
+    }
+    this._nextProbeAt = clock.now() + PROBE_INTERVAL_MS;
+    this.runner.retryEnds();
+    void this._log.append([]);
+  }
+
+  private _stopCancelled(): void {
+    this._book
+      .getAll()
+      .filter((active) => this.ledger.getJobOf(active.task)?.cancelled === true)
+      .filter((active) => active.state !== "settling" && active.state !== "ending")
+      .forEach((active) => {
+        this.runner.cancel(active.task);
+      });
+  }
+
+  private _depose(): void {
+    if (this._state !== "owning") {
+      return;
+    }
+    this._state = getNextOwnerState(this._state, "DEPOSED");
+    this._parts.log.warn("Another entry owns a partition now.", { partition: this.partition });
+    this._parts.onDeposed();
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/PartitionReader.ts
@@ -0,0 +1,146 @@
+/**
+ * Reads a partition from the store: its snapshot and the log after it.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Store, StoreEntry, StoreFailure } from "../../protocol/platform/Store.ts";
+import type { LogValue } from "../../state/batch/BatchRecord.ts";
+import { getChunkKey, getHeadKey, getLogKey } from "../../state/batch/LogKeys.ts";
+import { PartitionLedger } from "../../state/batch/PartitionLedger.ts";
+import {
+  EMPTY_HEAD,
+  type SnapshotChunk,
+  type SnapshotHead,
+} from "../../state/batch/SnapshotHead.ts";
+
+const READ_WINDOW = 16;
+const MAX_ROUNDS = 10;
+
+/** A partition as it was read, up to the first free sequence number. */
+export interface PartitionImage {
+  readonly ledger: PartitionLedger;
+  /** First sequence number that is not in the log. */
+  readonly next: number;
+  /** Store revision of the slot of the next sequence number; 0 where it is absent. */
+  readonly nextRevision: number;
+  readonly head: SnapshotHead;
+  /** Store revision of the head; 0 where it is absent. */
+  readonly headRevision: number;
+}
+
+type Round = Result<PartitionImage | "moved", StoreFailure>;
+
+/** Reads partitions. */
+export class PartitionReader {
+  private readonly _store: Store;
+  private readonly _partition: number;
+
+  /**
+   * Creates a reader.
+   * @param store - The store.
+   * @param partition - Number of the partition.
+   */
+  constructor(store: Store, partition: number) {
+    this._store = store;
+    this._partition = partition;
+  }
+
+  /** Reads the partition; starts again where its owner moved on meanwhile. */
+  async read(): Promise<Result<PartitionImage, StoreFailure>> {
+    for (let round = 0; round < MAX_ROUNDS; round += 1) {
+      const result = await this._readOnce();
+      if (result.isErr()) {
+        return err(result.error);
+      }
+      if (result.value !== "moved") {
+        return ok(result.value);
+      }
+    }
+    return err({
+      kind: "unavailable",
+      mayHaveWritten: false,
+      detail: `partition ${this._partition} changed while it was read`,
+    });
+  }
+
+  private async _readOnce(): Promise<Round> {
+    const entry = await this._store.read(getHeadKey(this._partition));
+    if (entry.isErr()) {
+      return err(entry.error);
+    }
+    const head =
+      entry.value === undefined ? EMPTY_HEAD : (JSON.parse(entry.value.value) as SnapshotHead);
+    const ledger = new PartitionLedger();
+    const restored = await this._restore(ledger, head);
+    if (restored.isErr()) {
+      return err(restored.error);
+    }
+    if (!restored.value) {
+      return ok("moved");
+    }
+    return this._replay(ledger, head, entry.value?.revision ?? 0);
+  }
+
+  private async _restore(
+    ledger: PartitionLedger,
+    head: SnapshotHead,
+  ): Promise<Result<boolean, StoreFailure>> {
+    const keys = Array.from({ length: head.chunks }, (_, index) =>
+      getChunkKey(this._partition, head.snapshot, index),
+    );
+    ledger.restore(head.epochs, []);
+    for (const key of keys) {
+      const chunk = await this._store.read(key);
+      if (chunk.isErr()) {
+        return err(chunk.error);
+      }
+      if (chunk.value === undefined) {
+        return ok(false);
+      }
+      const { images } = JSON.parse(chunk.value.value) as SnapshotChunk;
+      ledger.restore(head.epochs, images);
+    }
+    return ok(true);
+  }
+
+  private async _replay(
+    ledger: PartitionLedger,
+    head: SnapshotHead,
+    headRevision: number,
+  ): Promise<Round> {
+    for (let next = head.sequence + 1; ; next += READ_WINDOW) {
+      const window = await this._readWindow(next);
+      if (window.isErr()) {
+        return err(window.error);
+      }
+      for (const [offset, entry] of window.value.entries()) {
+        const sequence = next + offset;
+        const value = entry === undefined ? undefined : (JSON.parse(entry.value) as LogValue);
+        if (value === undefined || value.sequence < sequence) {
+          const nextRevision = entry?.revision ?? 0;
+          return ok({ ledger, next: sequence, nextRevision, head, headRevision });
+        }
+        if (value.sequence > sequence) {
+          return ok("moved");
+        }
+        value.records.forEach((record) => {
+          ledger.apply(record, value.epoch, sequence);
+        });
+      }
+    }
+  }
+
+  private async _readWindow(
+    first: number,
+  ): Promise<Result<readonly (StoreEntry | undefined)[], StoreFailure>> {
+    const reads = await Promise.all(
+      Array.from({ length: READ_WINDOW }, (_, offset) =>
+        this._store.read(getLogKey(this._partition, first + offset)),
+      ),
+    );
+    const failed = reads.find((read) => read.isErr());
+    if (failed?.isErr() === true) {
+      return err(failed.error);
+    }
+    return ok(reads.map((read) => read._unsafeUnwrap()));
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/ReportHandler.ts
@@ -0,0 +1,153 @@
+/**
+ * Takes in the reports of agents on the tasks of one partition and grants their leases.
+ */
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { AttemptRunner } from "./AttemptRunner.ts";
+import type { BatchSettings } from "./BatchSettings.ts";
+import { getLapseMs } from "./LeaseTerms.ts";
+import type { PartitionLog } from "./PartitionLog.ts";
+import type { ActiveTask, TaskBook } from "./TaskBook.ts";
+
+/** Phase of a task as its agent reports it. */
+export type ReportedPhase =
+  "running" | "checkpointing" | "stopped" | "completed" | "failed" | "unknown";
+
+/** A task as its agent reports it. */
+export interface ReportedTask {
+  readonly task: string;
+  readonly attempt: number;
+  readonly phase: ReportedPhase;
+  readonly checkpoint: string;
+  readonly reason: string;
+}
+
+/** What the agent is to do with a task that it reported. */
+export interface ReportVerdict {
+  readonly task: string;
+  readonly attempt: number;
+  /** Whether the agent may forget the task. */
+  readonly recorded: boolean;
+  /** Whether the agent must stop the task. */
+  readonly stop: boolean;
+}
+
+/** Answer to a report. */
+export interface ReportAnswer {
+  /** Lease of the running tasks that need not stop, counted from before the report was sent. */
+  readonly leaseMs: number;
+  readonly verdicts: readonly ReportVerdict[];
+}
+
+/** What a handler needs. */
+export interface ReportHandlerParts {
+  readonly cfg: BatchSettings;
+  readonly clock: Clock;
+  readonly log: PartitionLog;
+  readonly book: TaskBook;
+  readonly runner: AttemptRunner;
+  /** Whether this owner may still grant leases. */
+  readonly mayGrant: () => boolean;
+}
+
+/** Handles the reports on one partition. */
+export class ReportHandler {
+  private readonly _parts: ReportHandlerParts;
+
+  /**
+   * Creates a handler.
+   * @param parts - What it needs.
+   */
+  constructor(parts: ReportHandlerParts) {
+    this._parts = parts;
+  }
+
+  /**
+   * Takes in a report.
+   * @param agent - Name of the agent.
+   * @param tasks - All tasks of the partition on its VM.
+   * @param isEpochKnown - Whether the agent refuses the grants of former owners already.
+   */
+  async handle(
+    agent: string,
+    tasks: readonly ReportedTask[],
+    isEpochKnown: boolean,
+  ): Promise<ReportAnswer> {
+    const { book, cfg, mayGrant } = this._parts;
+    const listed = new Set(tasks.map((reported) => reported.task));
+    const missing = book.getByAgent(agent).filter((active) => !listed.has(active.task));
+    missing
+      .filter((active) => active.state === "running" || active.state === "unconfirmed")
+      .forEach((active) => {
+        book.noteMissing(active.task);
+      });
+    const verdicts = await Promise.all(tasks.map((reported) => this._judge(agent, reported)));
+    this._parts.runner.driveStops();
+    if (!mayGrant()) {
+      return { leaseMs: 0, verdicts };
+    }
+    this._noteGrants(verdicts, isEpochKnown);
+    return { leaseMs: cfg.taskLeaseMs, verdicts };
+  }
+
+  private _noteGrants(verdicts: readonly ReportVerdict[], isEpochKnown: boolean): void {
+    const { book, cfg, clock } = this._parts;
+    const lapsesAt = clock.now() + getLapseMs(cfg);
+    verdicts
+      .filter((verdict) => !verdict.stop && !verdict.recorded)
+      .forEach((verdict) => {
+        if (isEpochKnown) {
+          book.replaceGrant(verdict.task, lapsesAt);
+        } else {
+          // The answer may be lost, and a former owner may grant until its horizon.
+          book.noteGrant(verdict.task, lapsesAt);
+        }
+      });
+  }
+
+  private async _judge(agent: string, reported: ReportedTask): Promise<ReportVerdict> {
+    const { task, attempt } = reported;
+    const isRunning = reported.phase === "running" || reported.phase === "checkpointing";
+    const active = this._parts.book.get(task);
+    if (active?.attempt !== attempt || active.agent !== agent || active.state === "recording") {
+      return { task, attempt, recorded: !isRunning, stop: isRunning };
+    }
+    if (isRunning) {
+      return this._noteRunning(active, reported);
+    }
+    const recorded = await this._noteEnded(active, reported);
+    return { task, attempt, recorded, stop: false };
+  }
+
+  private _noteRunning(active: ActiveTask, reported: ReportedTask): ReportVerdict {
+    const { book, log, runner } = this._parts;
+    const { task, attempt } = active;
+    book.apply(task, "REPORTED");
+    book.noteReport(task, reported.checkpoint);
+    if (log.ledger.getJobOf(task)?.cancelled === true) {
+      runner.cancel(task);
+    }
+    const state = book.get(task)?.state;
+    return { task, attempt, recorded: false, stop: state === "settling" || state === "ending" };
+  }
+
+  private async _noteEnded(active: ActiveTask, reported: ReportedTask): Promise<boolean> {
+    const { runner } = this._parts;
+    const { task } = active;
+    switch (reported.phase) {
+      case "completed":
+        return runner.end(task, "completed", "", reported.checkpoint);
+      case "failed":
+        return runner.end(task, "failed", reported.reason, reported.checkpoint);
+      case "stopped":
+        return runner.end(
+          task,
+          "released",
+          active.reason === "" ? reported.reason : active.reason,
+          reported.checkpoint,
+        );
+      default:
+        this._parts.book.noteMissing(task);
+        return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/SnapshotWriter.ts
@@ -0,0 +1,151 @@
+/**
+ * Writes snapshots of a partition, so that the slots of its log can be used again. The chunks lie
+ * under a name of their own; the head, changed by compare-and-swap, makes them the snapshot.
+ */
+import type { Store } from "../../protocol/platform/Store.ts";
+import { getChunkKey, getChunkPrefix, getHeadKey } from "../../state/batch/LogKeys.ts";
+import type { JobImage, PartitionLedger } from "../../state/batch/PartitionLedger.ts";
+import type { SnapshotHead } from "../../state/batch/SnapshotHead.ts";
+
+const MAX_CHUNK_BYTES = 900_000;
+
+/** What the writer starts from. */
+export interface SnapshotWriterParts {
+  readonly store: Store;
+  readonly partition: number;
+  readonly epoch: number;
+  /** Newest snapshot at the takeover, with its store revision. */
+  readonly head: SnapshotHead;
+  readonly headRevision: number;
+}
+
+/** Writes the snapshots of one owner. */
+export class SnapshotWriter {
+  private readonly _parts: SnapshotWriterParts;
+  private _head: SnapshotHead;
+  private _headRevision: number;
+  private _count = 0;
+  private _swept = false;
+  private _bytes = 0;
+
+  /**
+   * Creates a writer.
+   * @param parts - What the writer starts from.
+   */
+  constructor(parts: SnapshotWriterParts) {
+    this._parts = parts;
+    this._head = parts.head;
+    this._headRevision = parts.headRevision;
+  }
+
+  /** Sequence number up to which the newest snapshot goes. */
+  get sequence(): number {
+    return this._head.sequence;
+  }
+
+  /** Size of the last snapshot that this owner wrote. */
+  get bytes(): number {
+    return this._bytes;
+  }
+
+  /**
+   * Writes a snapshot.
+   * @param ledger - The ledger; read before this method first waits.
+   * @param sequence - Sequence number of the last log value in the ledger.
+   * @returns Whether the snapshot is in force.
+   */
+  async write(ledger: PartitionLedger, sequence: number): Promise<boolean> {
+    const { store, partition, epoch } = this._parts;
+    const chunks = SnapshotWriter._split(ledger.getImages());
+    const snapshot = `${epoch}-${this._count}`;
+    const { epochs } = ledger;
+    this._count += 1;
+    for (const [index, value] of chunks.entries()) {
+      const key = getChunkKey(partition, snapshot, index);
+      const written = await store.write({ key, value, expected: 0 });
+      if (written.isErr() || written.value.kind !== "written") {
+        this._swept = false;
+        return false;
+      }
+    }
+    const former = this._head;
+    const replaced = await this._replace({ sequence, snapshot, chunks: chunks.length, epochs });
+    if (!replaced) {
+      this._swept = false;
+      return false;
+    }
+    this._bytes = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    await this._removeOld(former);
+    return true;
+  }
+
+  private async _replace(head: SnapshotHead): Promise<boolean> {
+    const key = getHeadKey(this._parts.partition);
+    const value = JSON.stringify(head);
+    const result = await this._parts.store.write({ key, value, expected: this._headRevision });
+    if (result.isOk() && result.value.kind === "written") {
+      this._take(head, result.value.revision);
+      return true;
+    }
+    // After a lost answer or a change by a former owner: learn what the head is now.
+    const current = await this._parts.store.read(key);
+    if (current.isErr() || current.value === undefined) {
+      return false;
+    }
+    const found = JSON.parse(current.value.value) as SnapshotHead;
+    if (found.sequence >= this._head.sequence) {
+      this._take(found, current.value.revision);
+    }
+    return found.snapshot === head.snapshot;
+  }
+
+  private _take(head: SnapshotHead, revision: number): void {
+    this._head = head;
+    this._headRevision = revision;
+  }
+
+  private async _removeOld(former: SnapshotHead): Promise<void> {
+    const { store, partition } = this._parts;
+    const keys = this._swept
+      ? Array.from({ length: former.chunks }, (_, index) =>
+          getChunkKey(partition, former.snapshot, index),
+        )
+      : await this._findOld();
+    this._swept = true;
+    for (const key of keys) {
+      const entry = await store.read(key);
+      if (entry.isOk() && entry.value !== undefined) {
+        await store.remove(key, entry.value.revision);
+      }
+    }
+  }
+
+  private async _findOld(): Promise<readonly string[]> {
+    const { store, partition, epoch } = this._parts;
+    const prefix = getChunkPrefix(partition);
+    const listing = await store.list(prefix);
+    if (listing.isErr()) {
+      return [];
+    }
+    // Chunks of later epochs belong to a successor; they are not this owner's to remove.
+    return listing.value.entries
+      .map((entry) => entry.key)
+      .filter((key) => !key.startsWith(`${prefix}${this._head.snapshot}/`))
+      .filter((key) => Number.parseInt(key.slice(prefix.length), 10) <= epoch);
+  }
+
+  private static _split(images: readonly JobImage[]): readonly string[] {
+    const chunks: string[][] = [[]];
+    let size = 0;
+    images.forEach((image) => {
+      const text = JSON.stringify(image);
+      if (size > 0 && size + text.length > MAX_CHUNK_BYTES) {
+        chunks.push([]);
+        size = 0;
+      }
+      chunks.at(-1)?.push(text);
+      size += Buffer.byteLength(text) + 1;
+    });
+    return chunks.map((texts) => `{"images":[${texts.join(",")}]}`);
+  }
+}
--- a/src/coordination/batch/taskLifecycle.ts
+++ b/src/coordination/batch/taskLifecycle.ts
@@ -44,7 +44,13 @@
       on: { MISSING: "settling", EVICT: "evicting", CANCEL: "settling", ENDED: "ending" },
     },
     unconfirmed: {
-      on: { REPORTED: "running", EVICT: "evicting", CANCEL: "settling", ENDED: "ending" },
+      on: {
+        REPORTED: "running",
+        MISSING: "settling",
+        EVICT: "evicting",
+        CANCEL: "settling",
+        ENDED: "ending",
+      },
     },
     settling: { on: { ENDED: "ending" } },
     evicting: { on: { CANCEL: "settling", ENDED: "ending" } },
--- a/src/state/batch/BatchRecord.ts
+++ b/src/state/batch/BatchRecord.ts
@@ -61,6 +61,8 @@
 
 /** One value of the log: the records of one commit with the identity of their write. */
 export interface LogValue {
+  /** Place in the log, from 1. */
+  readonly sequence: number;
   /** Epoch of the writer. */
   readonly epoch: number;
   /** Identity of the write; a lost answer is settled by comparing it. */
--- a/src/state/batch/PartitionLedger.ts
+++ b/src/state/batch/PartitionLedger.ts
@@ -8,7 +8,9 @@
 import { isFinal, NEW_TASK, type JobEntry, type TaskEntry, type TaskPhase } from "./JobEntry.ts";
 
 /** Number of past owners whose epochs are remembered. */
-const MAX_EPOCHS = 1_000;
+const MAX_EPOCHS = 100;
+/** Number of tasks in one image of a job; a larger job has several images. */
+const MAX_IMAGE_TASKS = 2_000;
 
 /** A past or present owner of the partition. */
 export interface EpochEntry {
@@ -151,12 +153,7 @@
 
   /** Gives the jobs in the form of a snapshot. */
   getImages(): readonly JobImage[] {
-    return [...this._jobs.values()].map((job) => ({
-      id: job.id,
-      spec: job.spec,
-      cancelled: job.cancelled,
-      tasks: [...job.tasks.entries()].filter(([, task]) => task !== NEW_TASK),
-    }));
+    return [...this._jobs.values()].flatMap((job) => PartitionLedger._getImagesOf(job));
   }
 
   /**
@@ -259,6 +256,16 @@
     }
   }
 
+  private static _getImagesOf(job: MutableJob): readonly JobImage[] {
+    const { id, spec, cancelled } = job;
+    const tasks = [...job.tasks.entries()].filter(([, task]) => task !== NEW_TASK);
+    const count = Math.max(1, Math.ceil(tasks.length / MAX_IMAGE_TASKS));
+    return Array.from({ length: count }, (_, index) => {
+      const first = index * MAX_IMAGE_TASKS;
+      return { id, spec, cancelled, tasks: tasks.slice(first, first + MAX_IMAGE_TASKS) };
+    });
+  }
+
   private static _phaseAfter(job: MutableJob, record: EndRecord, failures: number): TaskPhase {
     if (record.outcome === "completed") {
       return "completed";
