--- /dev/null
+++ b/src/coordination/config/documentKeys.ts
@@ -0,0 +1,69 @@
+/**
+ * The document seen as keys with values: reading and setting single keys, and differences between
+ * two documents.
+ */
+import { isDeepStrictEqual } from "node:util";
+import {
+  CONFIG_SECTIONS,
+  type ConfigDifference,
+  type ConfigSection,
+} from "../../protocol/config/ConfigChange.ts";
+import type { ConfigDocument } from "../../protocol/config/ConfigDocument.ts";
+
+/** One key of the document. */
+export interface DocumentKey {
+  readonly section: ConfigSection;
+  readonly key: string;
+}
+
+/**
+ * Gives the value of a key; undefined where the document has no such key.
+ * @param document - The document.
+ * @param at - The key.
+ */
+export function getValue(document: ConfigDocument, at: DocumentKey): unknown {
+  const section: Readonly<Record<string, unknown>> = document[at.section];
+  return Object.hasOwn(section, at.key) ? section[at.key] : undefined;
+}
+
+/**
+ * Sets or removes a key.
+ * @param document - The document.
+ * @param at - The key.
+ * @param value - New value, of the section's type; undefined removes the key.
+ */
+export function withValue(
+  document: ConfigDocument,
+  at: DocumentKey,
+  value: unknown,
+): ConfigDocument {
+  const others = Object.entries(document[at.section]).filter(([key]) => key !== at.key);
+  const entries = value === undefined ? others : [...others, [at.key, value]];
+  return { ...document, [at.section]: Object.fromEntries(entries) as unknown };
+}
+
+/**
+ * Gives the keys that stand in at least one of two documents.
+ * @param a - One document.
+ * @param b - The other document.
+ */
+export function getKeysOfBoth(a: ConfigDocument, b: ConfigDocument): readonly DocumentKey[] {
+  return CONFIG_SECTIONS.flatMap((section) => {
+    const keys = new Set([...Object.keys(a[section]), ...Object.keys(b[section])]);
+    return [...keys].toSorted().map((key) => ({ section, key }));
+  });
+}
+
+/**
+ * Lists the keys whose values differ between two documents.
+ * @param before - The document before.
+ * @param after - The document after.
+ */
+export function getDifferences(
+  before: ConfigDocument,
+  after: ConfigDocument,
+): readonly ConfigDifference[] {
+  return getKeysOfBoth(before, after)
+    .map((at) => ({ ...at, before: getValue(before, at), after: getValue(after, at) }))
+    .filter((difference) => !isDeepStrictEqual(difference.before, difference.after));
+}
--- /dev/null
+++ b/src/coordination/config/planChange.ts
@@ -0,0 +1,220 @@
+/**
+ * Decides what a change makes of the stored configuration. Conflicts are found key by key: a
+ * change is refused where a key that it sets has been touched after its base revision and now
+ * has another value than the one it asks for. A change that touches other keys is merged.
+ */
+import { isDeepStrictEqual } from "node:util";
+import { err, ok, type Result } from "neverthrow";
+import type {
+  ChangeOutcome,
+  ChangeRefusalReason,
+  ConfigChange,
+  ConfigConflict,
+  ConfigOperation,
+  HistoryEntry,
+} from "../../protocol/config/ConfigChange.ts";
+import type { ConfigDocument } from "../../protocol/config/ConfigDocument.ts";
+import { findDocumentProblem } from "../../protocol/config/documentProblems.ts";
+import {
+  formatStoredConfig,
+  MAX_STORED_CONFIG_BYTES,
+  type StoredConfig,
+} from "../../protocol/config/StoredConfig.ts";
+import {
+  getDifferences,
+  getKeysOfBoth,
+  getValue,
+  withValue,
+  type DocumentKey,
+} from "./documentKeys.ts";
+import { trimHistory } from "./history.ts";
+
+/** Outcome of a change that certainly has no effect. */
+export type RefusedChange = Extract<ChangeOutcome, { readonly kind: "refused" }>;
+
+/** A key with the value that an operation gives it; undefined removes it. */
+interface KeyUpdate extends DocumentKey {
+  readonly value: unknown;
+}
+
+/**
+ * Plans a change on the stored configuration.
+ * @param stored - Configuration in the store.
+ * @param change - The change.
+ * @param baseRevision - Revision that the change is based on.
+ * @param at - Time of the change, as ISO 8601 text.
+ * @returns The configuration to write, or why the change is refused.
+ */
+export function planChange(
+  stored: StoredConfig,
+  change: ConfigChange,
+  baseRevision: number,
+  at: string,
+): Result<StoredConfig, RefusedChange> {
+  const wanted = change.operations.reduce(applyOperation, stored.document);
+  const refusal =
+    findBaseRefusal(stored, change, baseRevision) ??
+    findConflictRefusal(stored, change, baseRevision, wanted) ??
+    findDocumentRefusal(change, wanted);
+  if (refusal !== undefined) {
+    return err(refusal);
+  }
+  return checkSize(change, addChange(stored, change, wanted, at));
+}
+
+/**
+ * Builds the refusal of a change.
+ * @param changeId - Id of the change.
+ * @param reason - Why it is refused.
+ * @param detail - The same as a sentence.
+ * @param conflicts - Keys that other changes have set.
+ */
+export function refuseChange(
+  changeId: string,
+  reason: ChangeRefusalReason,
+  detail: string,
+  conflicts: readonly ConfigConflict[] = [],
+): RefusedChange {
+  return { kind: "refused", changeId, reason, detail, conflicts };
+}
+
+function applyOperation(document: ConfigDocument, operation: ConfigOperation): ConfigDocument {
+  if (operation.kind === "replace-document") {
+    return operation.document;
+  }
+  const { value, ...at } = getUpdate(operation);
+  return withValue(document, at, value);
+}
+
+function getUpdate(operation: Exclude<ConfigOperation, { kind: "replace-document" }>): KeyUpdate {
+  switch (operation.kind) {
+    case "set-profile":
+      return { section: "profiles", key: operation.name, value: operation.profile };
+    case "remove-profile":
+      return { section: "profiles", key: operation.name, value: undefined };
+    case "set-assignment":
+      return { section: "assignments", key: operation.service, value: operation.profile };
+    case "remove-assignment":
+      return { section: "assignments", key: operation.service, value: undefined };
+    case "set-quota":
+      return { section: "quotas", key: operation.tenant, value: operation.quota };
+    case "remove-quota":
+      return { section: "quotas", key: operation.tenant, value: undefined };
+    case "set-class":
+      return { section: "classes", key: operation.name, value: operation.limit };
+    case "set-heat-level":
+      return { section: "heatLevels", key: operation.zone, value: operation.level };
+  }
+}
+
+/** Keys that a change sets; the replacement of the document sets every key. */
+function getTouchedKeys(
+  change: ConfigChange,
+  current: ConfigDocument,
+  wanted: ConfigDocument,
+): readonly DocumentKey[] {
+  return change.operations.some((operation) => operation.kind === "replace-document")
+    ? getKeysOfBoth(current, wanted)
+    : getSingleKeys(change);
+}
+
+function getSingleKeys(change: ConfigChange): readonly DocumentKey[] {
+  const keys = change.operations.flatMap((operation) => {
+    if (operation.kind === "replace-document") {
+      return [];
+    }
+    const { section, key } = getUpdate(operation);
+    return [{ section, key }];
+  });
+  return [...new Map(keys.map((at) => [`${at.section}/${at.key}`, at])).values()];
+}
+
+function findBaseRefusal(
+  stored: StoredConfig,
+  change: ConfigChange,
+  baseRevision: number,
+): RefusedChange | undefined {
+  if (baseRevision > stored.revision) {
+    const detail = `the store holds revision ${stored.revision}, the change is based on ${baseRevision}`;
+    return refuseChange(change.changeId, "unknown-base", detail);
+  }
+  if (baseRevision < stored.horizon) {
+    const detail = `the history begins after revision ${stored.horizon}, the change is based on ${baseRevision}`;
+    return refuseChange(change.changeId, "base-too-old", detail);
+  }
+  return undefined;
+}
+
+function findConflictRefusal(
+  stored: StoredConfig,
+  change: ConfigChange,
+  baseRevision: number,
+  wanted: ConfigDocument,
+): RefusedChange | undefined {
+  const since = stored.history.filter((entry) => entry.revision > baseRevision);
+  const conflicts = getTouchedKeys(change, stored.document, wanted).flatMap((at) =>
+    findConflict(at, since, stored.document, wanted),
+  );
+  if (conflicts.length === 0) {
+    return undefined;
+  }
+  const detail = `${conflicts.length} of its keys were changed after revision ${baseRevision}`;
+  return refuseChange(change.changeId, "conflict", detail, conflicts);
+}
+
+function findConflict(
+  at: DocumentKey,
+  since: readonly HistoryEntry[],
+  current: ConfigDocument,
+  wanted: ConfigDocument,
+): readonly ConfigConflict[] {
+  const winner = since.findLast((entry) =>
+    entry.touched.some((key) => key.section === at.section && key.key === at.key),
+  );
+  const values = { wanted: getValue(wanted, at), current: getValue(current, at) };
+  if (winner === undefined || isDeepStrictEqual(values.wanted, values.current)) {
+    return [];
+  }
+  const { changeId, author, revision } = winner;
+  return [{ section: at.section, key: at.key, ...values, changeId, author, revision }];
+}
+
+function findDocumentRefusal(
+  change: ConfigChange,
+  wanted: ConfigDocument,
+): RefusedChange | undefined {
+  const problem = findDocumentProblem(wanted);
+  if (problem === undefined) {
+    return undefined;
+  }
+  const detail = `[${problem.section}] ${problem.key} = ${problem.value}: expected ${problem.allowed}`;
+  return refuseChange(change.changeId, "bad-document", detail);
+}
+
+function addChange(
+  stored: StoredConfig,
+  change: ConfigChange,
+  wanted: ConfigDocument,
+  at: string,
+): StoredConfig {
+  const { changeId, author, note } = change;
+  const revision = stored.revision + 1;
+  const touched = new Map(
+    [...getSingleKeys(change), ...getDifferences(stored.document, wanted)].map((key) => [
+      `${key.section}/${key.key}`,
+      { section: key.section, key: key.key, before: getValue(stored.document, key) },
+    ]),
+  );
+  const entry = { revision, changeId, author, note, at, touched: [...touched.values()] };
+  const history = [...stored.history, entry];
+  return trimHistory({ ...stored, revision, document: wanted, history });
+}
+
+function checkSize(change: ConfigChange, next: StoredConfig): Result<StoredConfig, RefusedChange> {
+  const bytes = Buffer.byteLength(formatStoredConfig(next));
+  if (bytes <= MAX_STORED_CONFIG_BYTES) {
+    return ok(next);
+  }
+  const detail = `the configuration would take ${bytes} of ${MAX_STORED_CONFIG_BYTES} bytes`;
+  return err(refuseChange(change.changeId, "too-large", detail));
+}
--- /dev/null
+++ b/src/transport/config/ConfigWriter.ts
@@ -0,0 +1,278 @@
+/**
+ * Changes the configuration in the store. Each change is one compare-and-swap with its id embedded
+ * in the history. After a lost answer the same change is written again at the same store revision:
+ * whichever of the two writes lands first makes the other one fail, so that reading back tells the
+ * outcome for certain.
+ */
+import type { ResultAsync } from "neverthrow";
+import { findOutcome, barChange, isBarred } from "../../coordination/config/history.ts";
+import type { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
+import { planChange, refuseChange } from "../../coordination/config/planChange.ts";
+import { getSettlePath } from "../../protocol/config/ConfigChange.ts";
+import type { ChangeOutcome, ConfigChange } from "../../protocol/config/ConfigChange.ts";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
+import type { Store, StoreFailure } from "../../protocol/platform/Store.ts";
+import {
+  CONFIG_KEY,
+  formatStoredConfig,
+  INITIAL_CONFIG,
+  parseStoredConfig,
+  type StoredConfig,
+} from "../../protocol/config/StoredConfig.ts";
+import { callStore } from "./callStore.ts";
+
+const CALL_TIMEOUT_MS = 1000;
+const BACKOFF_MIN_MS = 20;
+const BACKOFF_MAX_MS = 500;
+
+/** What a writer works with. */
+export interface ConfigWriterParts {
+  readonly store: Store;
+  readonly keeper: ConfigKeeper;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  /** Gives the time of day as ISO 8601 text, for the history. */
+  readonly getTimeOfDay: () => string;
+}
+
+/** Stored configuration with the store revision of its key; 0 where the key is absent. */
+interface ReadConfig {
+  readonly stored: StoredConfig;
+  readonly storeRevision: number;
+}
+
+/** What to do with the stored configuration: end with an outcome or write. */
+type Step =
+  | { readonly kind: "done"; readonly outcome: ChangeOutcome }
+  | { readonly kind: "write"; readonly next: StoredConfig; readonly outcome: ChangeOutcome };
+
+/** A write whose answer was lost and that may land later. */
+interface OutstandingWrite {
+  readonly storeRevision: number;
+  readonly revision: number;
+}
+
+/** A transaction under way. */
+interface Transaction {
+  readonly changeId: string;
+  readonly endsAt: number;
+  readonly plan: (stored: StoredConfig) => Step;
+  /** Revision before the change as far as is known. */
+  since: number | undefined;
+  outstanding: OutstandingWrite | undefined;
+  attempts: number;
+  lastFailure: string;
+}
+
+/** Changes the configuration in the store. */
+export class ConfigWriter {
+  private readonly _parts: ConfigWriterParts;
+
+  /**
+   * Creates a writer.
+   * @param parts - What it works with.
+   */
+  constructor(parts: ConfigWriterParts) {
+    this._parts = parts;
+  }
+
+  /**
+   * Makes a change.
+   * @param change - The change.
+   * @param timeoutMs - Time that the caller allows, in milliseconds.
+   */
+  async submit(change: ConfigChange, timeoutMs: number): Promise<ChangeOutcome> {
+    let { baseRevision } = change;
+    return this._run(change.changeId, change.baseRevision, timeoutMs, (stored) => {
+      baseRevision ??= stored.revision;
+      return this._planSubmit(stored, change, baseRevision);
+    });
+  }
+
+  /**
+   * Settles a change: tells that it has taken effect, or makes sure that it never will.
+   * @param changeId - Id of the change.
+   * @param sinceRevision - Revision that is certainly older than the change.
+   * @param timeoutMs - Time that the caller allows, in milliseconds.
+   */
+  async settle(changeId: string, sinceRevision: number, timeoutMs: number): Promise<ChangeOutcome> {
+    return this._run(changeId, sinceRevision, timeoutMs, (stored) => {
+      const outcome = findOutcome(stored, changeId, sinceRevision);
+      if (outcome.kind !== "unknown" || isBarred(stored, changeId)) {
+        return { kind: "done", outcome };
+      }
+      const next = barChange(stored, changeId, this._parts.getTimeOfDay());
+      return { kind: "write", next, outcome: findOutcome(next, changeId, sinceRevision) };
+    });
+  }
+
+  /**
+   * Reads the stored configuration.
+   * @param timeoutMs - Time that the caller allows, in milliseconds.
+   * @returns The configuration, or why it could not be read.
+   */
+  async read(timeoutMs: number): Promise<StoredConfig | string> {
+    const endsAt = this._parts.clock.now() + timeoutMs;
+    const result = await this._read(endsAt);
+    return typeof result === "string" ? result : result.stored;
+  }
+
+  private _planSubmit(stored: StoredConfig, change: ConfigChange, baseRevision: number): Step {
+    const { changeId } = change;
+    const known = findOutcome(stored, changeId, baseRevision);
+    if (known.kind !== "unknown" || isBarred(stored, changeId)) {
+      return { kind: "done", outcome: known };
+    }
+    return planChange(stored, change, baseRevision, this._parts.getTimeOfDay()).match<Step>(
+      (next) => ({
+        kind: "write",
+        next,
+        outcome: { kind: "accepted", changeId, revision: next.revision },
+      }),
+      (outcome) => ({ kind: "done", outcome }),
+    );
+  }
+
+  private async _run(
+    changeId: string,
+    since: number | undefined,
+    timeoutMs: number,
+    plan: Transaction["plan"],
+  ): Promise<ChangeOutcome> {
+    const transaction: Transaction = {
+      changeId,
+      endsAt: this._parts.clock.now() + timeoutMs,
+      plan,
+      since,
+      outstanding: undefined,
+      attempts: 0,
+      lastFailure: "no answer in time",
+    };
+    while (this._parts.clock.now() < transaction.endsAt) {
+      const outcome = await this._attempt(transaction);
+      if (outcome !== undefined) {
+        return outcome;
+      }
+      await this._backOff(transaction);
+    }
+    return ConfigWriter._giveUp(transaction);
+  }
+
+  private async _attempt(transaction: Transaction): Promise<ChangeOutcome | undefined> {
+    const result = await this._read(transaction.endsAt);
+    if (typeof result === "string") {
+      transaction.lastFailure = result;
+      return undefined;
+    }
+    const { stored } = result;
+    const held = this._parts.keeper.getRevision() ?? 0;
+    if (stored.revision < held) {
+      transaction.lastFailure = `the store holds revision ${stored.revision}, but ${held} is in force`;
+      return undefined;
+    }
+    this._parts.keeper.offer(stored);
+    transaction.since ??= stored.revision;
+    if (!ConfigWriter._dropLostWrite(transaction, result)) {
+      return undefined;
+    }
+    const step = transaction.plan(stored);
+    if (step.kind === "done") {
+      return transaction.outstanding === undefined || step.outcome.kind === "accepted"
+        ? step.outcome
+        : undefined;
+    }
+    return this._write(transaction, result, step);
+  }
+
+  private async _write(
+    transaction: Transaction,
+    from: ReadConfig,
+    step: Extract<Step, { kind: "write" }>,
+  ): Promise<ChangeOutcome | undefined> {
+    const value = formatStoredConfig(step.next);
+    const write = { key: CONFIG_KEY, value, expected: from.storeRevision };
+    const result = await this._call(this._parts.store.write(write), transaction.endsAt);
+    if (result.isErr()) {
+      ConfigWriter._noteFailure(transaction, from, result.error);
+      return undefined;
+    }
+    if (result.value.kind === "conflict") {
+      return undefined;
+    }
+    this._parts.keeper.offer(step.next);
+    return step.outcome;
+  }
+
+  private async _read(endsAt: number): Promise<ReadConfig | string> {
+    const result = await this._call(this._parts.store.read(CONFIG_KEY), endsAt);
+    if (result.isErr()) {
+      return result.error.detail;
+    }
+    if (result.value === undefined) {
+      return { stored: INITIAL_CONFIG, storeRevision: 0 };
+    }
+    const { value, revision } = result.value;
+    return parseStoredConfig(value).match<ReadConfig | string>(
+      (stored) => ({ stored, storeRevision: revision }),
+      (problem) => `the stored configuration is damaged: ${problem}`,
+    );
+  }
+
+  private _call<T>(
+    call: ResultAsync<T, StoreFailure>,
+    endsAt: number,
+  ): ResultAsync<T, StoreFailure> {
+    const { clock } = this._parts;
+    const leftMs = Math.max(0, endsAt - clock.now());
+    return callStore(call, clock, Math.min(CALL_TIMEOUT_MS, leftMs));
+  }
+
+  private async _backOff(transaction: Transaction): Promise<void> {
+    const { clock, random } = this._parts;
+    const ceiling = Math.min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** transaction.attempts);
+    transaction.attempts += 1;
+    const left = Math.max(0, transaction.endsAt - clock.now());
+    await clock.sleep(Math.min(left, BACKOFF_MIN_MS + random.next() * ceiling));
+  }
+
+  private static _noteFailure(
+    transaction: Transaction,
+    from: ReadConfig,
+    failure: StoreFailure,
+  ): void {
+    transaction.lastFailure = failure.detail;
+    if (failure.mayHaveWritten) {
+      const { storeRevision, stored } = from;
+      transaction.outstanding = { storeRevision, revision: stored.revision };
+    }
+  }
+
+  /**
+   * Drops an outstanding write once the key has moved past the revision that it expects.
+   * @returns Whether what was read can be planned on.
+   */
+  private static _dropLostWrite(transaction: Transaction, read: ReadConfig): boolean {
+    const { outstanding } = transaction;
+    if (outstanding === undefined || outstanding.storeRevision === read.storeRevision) {
+      return true;
+    }
+    const isOlder = read.storeRevision < outstanding.storeRevision;
+    if (isOlder || outstanding.revision < read.stored.horizon) {
+      return false;
+    }
+    transaction.outstanding = undefined;
+    return true;
+  }
+
+  private static _giveUp(transaction: Transaction): ChangeOutcome {
+    const { changeId, lastFailure, outstanding, since } = transaction;
+    if (outstanding === undefined) {
+      return refuseChange(changeId, "store-unavailable", lastFailure);
+    }
+    const settlePath = getSettlePath(changeId, since ?? 0);
+    return { kind: "unknown", changeId, detail: lastFailure, settlePath };
+  }
+}
