--- a/src/transport/agent/tasks/LeaseRenewer.ts
+++ b/src/transport/agent/tasks/LeaseRenewer.ts
@@ -40,11 +40,14 @@
   }
 
   /**
-   * Notes the lease with which a task was started or found.
+   * Notes the lease with which a task was started.
    * @param record - The task.
+   * @param askedAt - When the worker was asked, in milliseconds.
    */
-  noteGiven(record: TaskRecord): void {
-    this._given.set(formatTaskKey(record), record.leaseUntil);
+  noteStarted(record: TaskRecord, askedAt: number): void {
+    if (this._isInTime(askedAt)) {
+      this._given.set(formatTaskKey(record), record.leaseUntil);
+    }
   }
 
   /**
@@ -77,9 +80,13 @@
       const { detail } = result.error;
       this._log.warn("A lease could not be renewed.", { task: record.task, detail });
     }
-    // A call that was delayed beyond the margin may have given the worker too long a lease.
-    if (result.isErr() || this._clock.now() - askedAt > WORKER_CALL_MARGIN_MS) {
+    if (result.isErr() || !this._isInTime(askedAt)) {
       this._given.delete(formatTaskKey(record));
     }
   }
+
+  /** A call that took longer than the margin may have given the worker too long a lease. */
+  private _isInTime(askedAt: number): boolean {
+    return this._clock.now() - askedAt <= WORKER_CALL_MARGIN_MS;
+  }
 }
--- a/src/transport/agent/tasks/TaskStarter.ts
+++ b/src/transport/agent/tasks/TaskStarter.ts
@@ -67,7 +67,7 @@
 
   private async _startAtWorker(req: StartTaskRequest, record: TaskRecord): Promise<StartTaskReply> {
     const { task, attempt, partition, epoch, ownerAddress, resources, kind, tenant } = record;
-    this._renewer.noteGiven(record);
+    const askedAt = this._options.clock.now();
     const result = await this._options.worker.start({
       task,
       attempt,
@@ -84,6 +84,7 @@
     if (result.isErr()) {
       return await this._settleFailure(record, result.error);
     }
+    this._renewer.noteStarted(record, askedAt);
     this._table.noteAccepted(record, this._options.clock.now());
     return create(StartTaskReplySchema, { accepted: true });
   }
--- /dev/null
+++ b/tests/support/FakeWorker.ts
@@ -0,0 +1,295 @@
+/**
+ * Worker for tests, in memory: runs tasks under leases on a manual clock, fails or holds calls as a
+ * test asks, and keeps a journal.
+ */
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { addResources, NO_RESOURCES, type Resources } from "../../src/protocol/Resources.ts";
+import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import {
+  Worker,
+  type WorkerFailure,
+  type WorkerReport,
+  type WorkerStart,
+  type WorkerTask,
+} from "../../src/protocol/platform/Worker.ts";
+
+/** Calls of a worker that a test can fail or hold. */
+export type WorkerCall =
+  "report" | "start" | "renew" | "checkpoint" | "throttle" | "stop" | "forget";
+
+/** A line of the journal. */
+export interface WorkerEvent {
+  readonly at: number;
+  readonly event: "started" | "stopped" | "completed" | "failed" | "checkpoint";
+  readonly task: string;
+  readonly attempt: number;
+}
+
+interface RunningTask extends Omit<WorkerTask, "leaseLeftMs"> {
+  readonly leaseUntil: number;
+  readonly command: string;
+}
+
+const UNAVAILABLE: WorkerFailure = { kind: "unavailable", mayHaveActed: true, detail: "lost" };
+
+/** Worker in memory. */
+export class FakeWorker extends Worker {
+  /** Everything that happened to tasks. */
+  readonly journal: WorkerEvent[] = [];
+  /** What the VM has. */
+  capacity: Resources;
+  heatLevel: number | undefined;
+  private readonly _clock: Clock;
+  private readonly _tasks = new Map<string, RunningTask>();
+  private readonly _highest = new Map<string, number>();
+  private readonly _failures = new Map<WorkerCall, { failure: WorkerFailure; acts: boolean }[]>();
+  private readonly _held = new Map<WorkerCall, (() => void)[]>();
+
+  /**
+   * Creates a worker.
+   * @param clock - Clock of the leases.
+   * @param capacity - What the VM has.
+   */
+  constructor(clock: Clock, capacity: Resources) {
+    super();
+    this._clock = clock;
+    this.capacity = capacity;
+  }
+
+  /** Amounts of the tasks that run. */
+  getRunningTotal(): Resources {
+    this._expire();
+    return this._getRunning()
+      .map((task) => task.resources)
+      .reduce(addResources, NO_RESOURCES);
+  }
+
+  /** Names of the tasks that run. */
+  getRunning(): readonly string[] {
+    this._expire();
+    return this._getRunning().map((task) => `${task.task}#${task.attempt}`);
+  }
+
+  /**
+   * Gives a task.
+   * @param task - Id of the task.
+   * @param attempt - Attempt.
+   */
+  getTask(task: string, attempt: number): RunningTask | undefined {
+    return this._tasks.get(`${task}#${attempt}`);
+  }
+
+  /**
+   * Changes what the worker reports of a task.
+   * @param task - Id of the task.
+   * @param attempt - Attempt.
+   * @param change - Fields to change.
+   */
+  update(task: string, attempt: number, change: Partial<RunningTask>): void {
+    const known = this._tasks.get(`${task}#${attempt}`);
+    if (known !== undefined) {
+      this._tasks.set(`${task}#${attempt}`, { ...known, ...change });
+    }
+  }
+
+  /**
+   * Ends a task by itself.
+   * @param task - Id of the task.
+   * @param attempt - Attempt.
+   * @param phase - How it ends.
+   */
+  finish(task: string, attempt: number, phase: "completed" | "failed"): void {
+    this._end(task, attempt, phase, phase === "failed" ? "it failed" : "");
+  }
+
+  /**
+   * Drops a task as a worker that lost its state.
+   * @param task - Id of the task.
+   * @param attempt - Attempt.
+   */
+  lose(task: string, attempt: number): void {
+    this._tasks.delete(`${task}#${attempt}`);
+  }
+
+  /**
+   * Fails the next call of a kind.
+   * @param call - Kind of call.
+   * @param acts - Whether the worker acts all the same, as where the answer was lost.
+   * @param failure - The failure.
+   */
+  failNext(call: WorkerCall, acts: boolean, failure: WorkerFailure = UNAVAILABLE): void {
+    this._failures.set(call, [...(this._failures.get(call) ?? []), { failure, acts }]);
+  }
+
+  /**
+   * Holds calls of a kind until they are let go.
+   * @param call - Kind of call.
+   */
+  hold(call: WorkerCall): void {
+    this._held.set(call, []);
+  }
+
+  /**
+   * Lets the held calls of a kind go, in their order.
+   * @param call - Kind of call.
+   */
+  release(call: WorkerCall): void {
+    const held = this._held.get(call) ?? [];
+    this._held.delete(call);
+    held.forEach((proceed) => {
+      proceed();
+    });
+  }
+
+  override report(): ResultAsync<WorkerReport, WorkerFailure> {
+    return this._call("report", () => {
+      this._expire();
+      return okAsync({
+        vm: "vm",
+        capacity: this.capacity,
+        used: this.getRunningTotal(),
+        heatLevel: this.heatLevel,
+        tasks: [...this._tasks.values()].map((task) => this._toWorkerTask(task)),
+      });
+    });
+  }
+
+  override start(start: WorkerStart): ResultAsync<void, WorkerFailure> {
+    return this._call("start", () => {
+      if ((this._highest.get(start.task) ?? 0) >= start.attempt) {
+        return errAsync({ kind: "refused", mayHaveActed: false, detail: "known attempt" });
+      }
+      this._highest.set(start.task, start.attempt);
+      const { leaseMs, ...rest } = start;
+      this._tasks.set(`${start.task}#${start.attempt}`, {
+        ...rest,
+        phase: "running",
+        used: NO_RESOURCES,
+        progress: 0,
+        throttlePercent: 100,
+        reason: "",
+        leaseUntil: this._clock.now() + leaseMs,
+      });
+      this._note("started", start.task, start.attempt);
+      return okAsync(undefined);
+    });
+  }
+
+  override renew(task: string, attempt: number, leaseMs: number): ResultAsync<void, WorkerFailure> {
+    return this._onRunning("renew", task, attempt, () => {
+      this.update(task, attempt, { leaseUntil: this._clock.now() + leaseMs });
+      return undefined;
+    });
+  }
+
+  override checkpoint(task: string, attempt: number): ResultAsync<string, WorkerFailure> {
+    return this._onRunning("checkpoint", task, attempt, () => {
+      const checkpoint = `checkpoint-${task}-${attempt}-${this._clock.now()}`;
+      this.update(task, attempt, { checkpoint });
+      this._note("checkpoint", task, attempt);
+      return checkpoint;
+    });
+  }
+
+  override throttle(
+    task: string,
+    attempt: number,
+    percent: number,
+  ): ResultAsync<void, WorkerFailure> {
+    return this._onRunning("throttle", task, attempt, () => {
+      this.update(task, attempt, { throttlePercent: percent });
+      return undefined;
+    });
+  }
+
+  override stop(task: string, attempt: number): ResultAsync<WorkerTask | undefined, WorkerFailure> {
+    return this._call("stop", () => {
+      this._highest.set(task, Math.max(attempt, this._highest.get(task) ?? 0));
+      this._end(task, attempt, "stopped", "ordered");
+      const ended = this._tasks.get(`${task}#${attempt}`);
+      return okAsync(ended === undefined ? undefined : this._toWorkerTask(ended));
+    });
+  }
+
+  override forget(task: string, attempt: number): ResultAsync<void, WorkerFailure> {
+    return this._call("forget", () => {
+      this._tasks.delete(`${task}#${attempt}`);
+      return okAsync(undefined);
+    });
+  }
+
+  private _onRunning<T>(
+    call: WorkerCall,
+    task: string,
+    attempt: number,
+    act: () => T,
+  ): ResultAsync<T, WorkerFailure> {
+    return this._call(call, () => {
+      this._expire();
+      return this._tasks.get(`${task}#${attempt}`)?.phase === "running"
+        ? okAsync(act())
+        : errAsync({ kind: "unknown-task", mayHaveActed: false, detail: "not running" });
+    });
+  }
+
+  private _call<T>(
+    call: WorkerCall,
+    act: () => ResultAsync<T, WorkerFailure>,
+  ): ResultAsync<T, WorkerFailure> {
+    const held = this._held.get(call);
+    if (held === undefined) {
+      return this._actOrFail(call, act);
+    }
+    const proceeded = new Promise<void>((resolve) => {
+      held.push(resolve);
+    });
+    return ResultAsync.fromSafePromise(proceeded).andThen(() => this._actOrFail(call, act));
+  }
+
+  private _actOrFail<T>(
+    call: WorkerCall,
+    act: () => ResultAsync<T, WorkerFailure>,
+  ): ResultAsync<T, WorkerFailure> {
+    const failing = this._failures.get(call)?.shift();
+    if (failing === undefined) {
+      return act();
+    }
+    if (failing.acts) {
+      act();
+    }
+    return errAsync(failing.failure);
+  }
+
+  private _getRunning(): readonly RunningTask[] {
+    return [...this._tasks.values()].filter((task) => task.phase === "running");
+  }
+
+  private _expire(): void {
+    this._getRunning()
+      .filter((task) => task.leaseUntil <= this._clock.now())
+      .forEach((task) => {
+        this._end(task.task, task.attempt, "stopped", "lease lapsed");
+      });
+  }
+
+  private _end(
+    task: string,
+    attempt: number,
+    phase: "stopped" | "completed" | "failed",
+    reason: string,
+  ): void {
+    if (this._tasks.get(`${task}#${attempt}`)?.phase === "running") {
+      this.update(task, attempt, { phase, reason });
+      this._note(phase, task, attempt);
+    }
+  }
+
+  private _note(event: WorkerEvent["event"], task: string, attempt: number): void {
+    this.journal.push({ at: this._clock.now(), event, task, attempt });
+  }
+
+  private _toWorkerTask(task: RunningTask): WorkerTask {
+    const { leaseUntil, ...rest } = task;
+    return { ...rest, leaseLeftMs: Math.max(0, leaseUntil - this._clock.now()) };
+  }
+}
