--- /dev/null
+++ b/tests/coordination/config/configKeeperTests.ts
@@ -0,0 +1,29 @@
+import test from "ava";
+import { ConfigKeeper } from "../../../src/coordination/config/ConfigKeeper.ts";
+import { computeCoverage } from "../../../src/coordination/config/coverage.ts";
+import { EMPTY_DOCUMENT } from "../../../src/protocol/config/ConfigDocument.ts";
+
+const snapshot = (revision: number) => ({ revision, document: EMPTY_DOCUMENT });
+
+test("ConfigKeeper takes only larger revisions and tells its listeners", (t) => {
+  const keeper = new ConfigKeeper();
+  const seen: number[] = [];
+  const stop = keeper.addListener((taken) => seen.push(taken.revision));
+  t.is(keeper.getRevision(), undefined);
+  [0, 3, 2, 3, 4].forEach((revision) => keeper.offer(snapshot(revision)));
+  stop();
+  keeper.offer(snapshot(5));
+  t.deepEqual(seen, [0, 3, 4]);
+  t.is(keeper.getRevision(), 5);
+});
+
+test("computeCoverage names the processes that lack a revision", (t) => {
+  const process = (name: string, revision: number) =>
+    ({ role: "agent", name, zone: "a", revision, ageMs: 0 }) as const;
+  const coverage = computeCoverage([process("b", 4), process("a", 3), process("c", 5)], 4);
+  t.like(coverage, { total: 3, holding: 2, complete: false });
+  t.deepEqual(
+    coverage.missing.map(({ name }) => name),
+    ["a"],
+  );
+});
--- /dev/null
+++ b/tests/coordination/config/historyTests.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import fc from "fast-check";
+import { getDifferences } from "../../../src/coordination/config/documentKeys.ts";
+import {
+  barChange,
+  findOutcome,
+  getDocumentAt,
+  MAX_HISTORY_ENTRIES,
+} from "../../../src/coordination/config/history.ts";
+import { planChange } from "../../../src/coordination/config/planChange.ts";
+import { EMPTY_DOCUMENT } from "../../../src/protocol/config/ConfigDocument.ts";
+import { INITIAL_CONFIG, type StoredConfig } from "../../../src/protocol/config/StoredConfig.ts";
+import { arbitraryDocument } from "../../support/arbitraryDocument.ts";
+import { makeChange, setHeat } from "../../support/configSamples.ts";
+
+const SEED = 20262;
+const AT = "2026-01-01T00:00:00.000Z";
+
+const apply = (stored: StoredConfig, change: ReturnType<typeof makeChange>): StoredConfig =>
+  planChange(stored, change, stored.revision, AT)._unsafeUnwrap();
+
+test("getDocumentAt gives every document of the past", (t) => {
+  fc.assert(
+    fc.property(fc.array(arbitraryDocument, { minLength: 1, maxLength: 6 }), (documents) => {
+      const last = documents.reduce(
+        (stored, document, index) =>
+          apply(stored, makeChange(`change-${index}`, [{ kind: "replace-document", document }])),
+        INITIAL_CONFIG,
+      );
+      [EMPTY_DOCUMENT, ...documents].forEach((document, revision) => {
+        t.deepEqual(getDocumentAt(last, revision), document);
+      });
+      t.deepEqual(getDifferences(last.document, documents.at(-1) ?? EMPTY_DOCUMENT), []);
+    }),
+    { seed: SEED, numRuns: 100 },
+  );
+});
+
+const long = Array.from({ length: MAX_HISTORY_ENTRIES + 5 }, (_, index) => index).reduce(
+  (stored, index) => apply(stored, makeChange(`change-${index}`, [setHeat("a", index % 11)])),
+  INITIAL_CONFIG,
+);
+
+test("trimHistory drops the oldest changes and tells from where the history counts", (t) => {
+  t.is(long.history.length, MAX_HISTORY_ENTRIES);
+  t.is(long.horizon, 5);
+  t.is(getDocumentAt(long, 4), undefined);
+  t.deepEqual(getDocumentAt(long, 5)?.heatLevels, { a: 4 });
+});
+
+test("findOutcome says refused only where the history would hold the change", (t) => {
+  const barred = barChange(long, "change-0", AT);
+  t.is(findOutcome(long, "change-100", 0).kind, "accepted");
+  t.is(findOutcome(long, "change-missing", 5).kind, "unknown");
+  t.is(findOutcome(barred, "change-0", 4).kind, "unknown");
+  t.is(findOutcome(barChange(long, "change-missing", AT), "change-missing", 5).kind, "refused");
+});
--- /dev/null
+++ b/tests/coordination/config/planChangeTests.ts
@@ -0,0 +1,85 @@
+import test from "ava";
+import { planChange, type RefusedChange } from "../../../src/coordination/config/planChange.ts";
+import type { ConfigChange } from "../../../src/protocol/config/ConfigChange.ts";
+import { EMPTY_DOCUMENT } from "../../../src/protocol/config/ConfigDocument.ts";
+import { INITIAL_CONFIG, type StoredConfig } from "../../../src/protocol/config/StoredConfig.ts";
+import { makeChange, SAMPLE_PROFILE, setHeat } from "../../support/configSamples.ts";
+
+const AT = "2026-01-01T00:00:00.000Z";
+
+const accept = (stored: StoredConfig, change: ConfigChange): StoredConfig =>
+  planChange(stored, change, change.baseRevision ?? stored.revision, AT)._unsafeUnwrap();
+
+const refuse = (stored: StoredConfig, change: ConfigChange): RefusedChange =>
+  planChange(stored, change, change.baseRevision ?? stored.revision, AT)._unsafeUnwrapErr();
+
+const first = accept(INITIAL_CONFIG, makeChange("change-1", [setHeat("a", 1)], 0));
+
+test("planChange merges a change of another key on an older base", (t) => {
+  const next = accept(first, makeChange("change-2", [setHeat("b", 2)], 0));
+  t.deepEqual(next.document.heatLevels, { a: 1, b: 2 });
+  t.is(next.revision, 2);
+});
+
+test("planChange refuses a change of a key that has changed since, with both values", (t) => {
+  const refusal = refuse(first, makeChange("change-2", [setHeat("b", 2), setHeat("a", 3)], 0));
+  t.is(refusal.reason, "conflict");
+  t.deepEqual(refusal.conflicts, [
+    {
+      section: "heatLevels",
+      key: "a",
+      wanted: 3,
+      current: 1,
+      changeId: "change-1",
+      author: "desk",
+      revision: 1,
+    },
+  ]);
+});
+
+test("planChange takes a change that asks for the value in force", (t) => {
+  t.is(accept(first, makeChange("change-2", [setHeat("a", 1)], 0)).revision, 2);
+});
+
+test("planChange refuses the replacement of a document that has gained a key since", (t) => {
+  const replace = { kind: "replace-document", document: EMPTY_DOCUMENT } as const;
+  t.is(refuse(first, makeChange("change-2", [replace], 0)).reason, "conflict");
+  t.deepEqual(accept(first, makeChange("change-2", [replace], 1)).document, EMPTY_DOCUMENT);
+});
+
+test("planChange refuses the removal of a profile that is assigned meanwhile", (t) => {
+  const assigned = accept(
+    INITIAL_CONFIG,
+    makeChange("change-1", [
+      { kind: "set-profile", name: "desk", profile: SAMPLE_PROFILE },
+      { kind: "set-assignment", service: "rota", profile: "desk" },
+    ]),
+  );
+  const removal = makeChange("change-2", [{ kind: "remove-profile", name: "desk" }], 1);
+  const refusal = refuse(assigned, removal);
+  t.is(refusal.reason, "bad-document");
+  t.regex(refusal.detail, /rota = desk/);
+});
+
+test("planChange refuses bases that the store does not know", (t) => {
+  t.is(refuse(first, makeChange("change-2", [setHeat("b", 1)], 2)).reason, "unknown-base");
+  const trimmed = { ...first, history: [], horizon: 1 };
+  t.is(refuse(trimmed, makeChange("change-2", [setHeat("b", 1)], 0)).reason, "base-too-old");
+});
+
+test("planChange refuses a value above the store's limit", (t) => {
+  const operations = Array.from({ length: 1000 }, (_, index) => ({
+    kind: "set-profile" as const,
+    name: `${"p".repeat(50)}-${index}`,
+    profile: {
+      ...SAMPLE_PROFILE,
+      heat: Array.from({ length: 11 }, (_, level) => ({
+        level,
+        startTasks: false,
+        throttlePercent: 100,
+        evict: false,
+      })),
+    },
+  }));
+  t.is(refuse(INITIAL_CONFIG, makeChange("change-big", operations)).reason, "too-large");
+});
--- /dev/null
+++ b/tests/transport/config/configWatcherTests.ts
@@ -0,0 +1,170 @@
+import { errAsync, okAsync } from "neverthrow";
+import test from "ava";
+import { ConfigKeeper } from "../../../src/coordination/config/ConfigKeeper.ts";
+import {
+  EMPTY_DOCUMENT,
+  type ConfigSnapshot,
+} from "../../../src/protocol/config/ConfigDocument.ts";
+import {
+  CONFIG_KEY,
+  formatStoredConfig,
+  INITIAL_CONFIG,
+} from "../../../src/protocol/config/StoredConfig.ts";
+import { ConfigWatcher } from "../../../src/transport/config/ConfigWatcher.ts";
+import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+import { MemoryLog } from "../../support/MemoryLog.ts";
+import { SeededRandom } from "../../support/SeededRandom.ts";
+
+const IN_FORCE_MS = 4000;
+
+const snapshot = (revision: number): ConfigSnapshot => ({ revision, document: EMPTY_DOCUMENT });
+const value = (revision: number) => formatStoredConfig({ ...INITIAL_CONFIG, revision });
+
+function setUp(peers: () => readonly ConfigSnapshot[] = () => []) {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const keeper = new ConfigKeeper();
+  const log = new MemoryLog();
+  const watcher = new ConfigWatcher({
+    store,
+    keeper,
+    clock,
+    log,
+    random: new SeededRandom(2),
+    getPeerSnapshots: () => Promise.resolve(peers()),
+  });
+  const write = (revision: number): void => {
+    const expected = store.model.read(CONFIG_KEY)?.revision ?? 0;
+    store.model.write({ key: CONFIG_KEY, value: value(revision), expected });
+  };
+  return { clock, store, keeper, log, watcher, write };
+}
+
+test("ConfigWatcher begins with the empty document only where the store has none", async (t) => {
+  const { clock, store, keeper, watcher } = setUp();
+  store.startOutage();
+  watcher.start();
+  await clock.advance(60_000);
+  t.is(keeper.getSnapshot(), undefined);
+  store.endOutage();
+  await clock.advance(IN_FORCE_MS);
+  t.deepEqual(keeper.getSnapshot(), snapshot(0));
+  watcher.stop();
+});
+
+test("ConfigWatcher follows changes at the cost of one waiting watch", async (t) => {
+  const { clock, store, keeper, watcher, write } = setUp();
+  write(1);
+  watcher.start();
+  await clock.advance(0);
+  t.is(keeper.getRevision(), 1);
+  write(2);
+  await clock.advance(0);
+  t.is(keeper.getRevision(), 2);
+  t.is(store.counts.waitingWatches, 1);
+  t.is(store.counts.reads, 3);
+  watcher.stop();
+});
+
+test("ConfigWatcher has a change in force within 4 s of the end of an outage", async (t) => {
+  const { clock, store, keeper, watcher, write } = setUp();
+  write(1);
+  watcher.start();
+  await clock.advance(0);
+  store.startOutage();
+  await clock.advance(600_000);
+  t.is(keeper.getRevision(), 1);
+  write(2);
+  store.endOutage();
+  await clock.advance(IN_FORCE_MS);
+  t.is(keeper.getRevision(), 2);
+  watcher.stop();
+});
+
+test("ConfigWatcher takes the largest revision of its peers in an outage", async (t) => {
+  const { clock, store, keeper, watcher, write } = setUp(() => [3, 5, 4].map(snapshot));
+  store.startOutage();
+  watcher.start();
+  await clock.advance(IN_FORCE_MS);
+  t.is(keeper.getRevision(), 5);
+  write(4);
+  store.endOutage();
+  await clock.advance(IN_FORCE_MS);
+  t.is(keeper.getRevision(), 5);
+  watcher.stop();
+});
+
+test("ConfigWatcher keeps what is in force where the store has lost it", async (t) => {
+  const { clock, keeper, log, watcher } = setUp();
+  keeper.offer(snapshot(5));
+  watcher.start();
+  await clock.advance(0);
+  t.is(keeper.getRevision(), 5);
+  t.true(log.lines.some((line) => line.level === "error" && line.sentence.includes("lost")));
+  watcher.stop();
+});
+
+test("ConfigWatcher ignores a stale watch and goes on", async (t) => {
+  const { clock, store, keeper, watcher, write } = setUp();
+  write(1);
+  write(2);
+  const watch = store.watch.bind(store);
+  let staleAnswers = 3;
+  store.watch = (prefix, after) => {
+    staleAnswers -= 1;
+    return staleAnswers < 0
+      ? watch(prefix, after)
+      : okAsync({
+          changes: [{ key: CONFIG_KEY, value: value(1), revision: 1 }],
+          revision: 1,
+        });
+  };
+  watcher.start();
+  await clock.advance(0);
+  t.is(keeper.getRevision(), 2);
+  write(3);
+  await clock.advance(0);
+  t.is(keeper.getRevision(), 3);
+  watcher.stop();
+});
+
+test("ConfigWatcher lists again after a compaction", async (t) => {
+  const { clock, store, keeper, watcher, write } = setUp();
+  write(1);
+  const watch = store.watch.bind(store);
+  let compactions = 1;
+  store.watch = (prefix, after) => {
+    compactions -= 1;
+    if (compactions < 0) {
+      return watch(prefix, after);
+    }
+    write(2);
+    return errAsync({ kind: "compacted", mayHaveWritten: false, detail: "" });
+  };
+  watcher.start();
+  await clock.advance(IN_FORCE_MS);
+  t.is(keeper.getRevision(), 2);
+  watcher.stop();
+});
+
+test("ConfigWatcher fetches a revision that it hears of while its watch hangs", async (t) => {
+  const peers: ConfigSnapshot[] = [];
+  const { clock, store, keeper, watcher, write } = setUp(() => peers);
+  write(1);
+  watcher.start();
+  await clock.advance(0);
+  store.startOutage();
+  peers.push(snapshot(2));
+  watcher.noteRevision(2);
+  await clock.advance(0);
+  t.is(keeper.getRevision(), 2);
+  write(3);
+  watcher.noteRevision(3);
+  await clock.advance(10_000);
+  t.is(keeper.getRevision(), 2);
+  store.endOutage();
+  await clock.advance(IN_FORCE_MS);
+  t.is(keeper.getRevision(), 3);
+  watcher.stop();
+});
--- /dev/null
+++ b/tests/transport/config/configWriterTests.ts
@@ -0,0 +1,149 @@
+import test from "ava";
+import { ConfigKeeper } from "../../../src/coordination/config/ConfigKeeper.ts";
+import type { ChangeOutcome } from "../../../src/protocol/config/ConfigChange.ts";
+import type { StoredConfig } from "../../../src/protocol/config/StoredConfig.ts";
+import { ConfigWriter } from "../../../src/transport/config/ConfigWriter.ts";
+import { makeChange, setHeat } from "../../support/configSamples.ts";
+import { HeldWriteStore } from "../../support/HeldWriteStore.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+import { MemoryLog } from "../../support/MemoryLog.ts";
+import { SeededRandom } from "../../support/SeededRandom.ts";
+
+const TIMEOUT_MS = 3000;
+
+function setUp(clock = new ManualClock(), shared?: HeldWriteStore) {
+  const store = new HeldWriteStore(clock, shared?.model);
+  const keeper = new ConfigKeeper();
+  const writer = new ConfigWriter({
+    store,
+    keeper,
+    clock,
+    random: new SeededRandom(1),
+    log: new MemoryLog(),
+    getTimeOfDay: () => "2026-01-01T00:00:00.000Z",
+  });
+  const finish = async <T>(call: Promise<T>): Promise<T> => {
+    await clock.advance(2 * TIMEOUT_MS);
+    return call;
+  };
+  const submit = (changeId: string, level: number, base?: number): Promise<ChangeOutcome> =>
+    writer.submit(makeChange(changeId, [setHeat("a", level)], base), TIMEOUT_MS);
+  const readStored = async (): Promise<StoredConfig> => {
+    const stored = await finish(writer.read(TIMEOUT_MS));
+    if (typeof stored === "string") {
+      throw new Error(stored);
+    }
+    return stored;
+  };
+  return { clock, store, keeper, writer, finish, submit, readStored };
+}
+
+test("ConfigWriter accepts a change with one read and one write", async (t) => {
+  const { finish, submit, store, keeper } = setUp();
+  t.deepEqual(await finish(submit("change-1", 1)), {
+    kind: "accepted",
+    changeId: "change-1",
+    revision: 1,
+  });
+  t.is(keeper.getRevision(), 1);
+  t.like(store.counts, { reads: 1, writes: 1 });
+});
+
+test("ConfigWriter refuses one of two operators who race on a setting", async (t) => {
+  const one = setUp();
+  const two = setUp(one.clock, one.store);
+  one.store.faults.delayMs = 10;
+  two.store.faults.delayMs = 11;
+  const both = Promise.all([one.submit("change-1", 1), two.submit("change-2", 2)]);
+  const [won, lost] = await one.finish(both);
+  t.is(won.kind, "accepted");
+  t.like(lost, { kind: "refused", reason: "conflict" });
+  t.deepEqual((await one.readStored()).document.heatLevels, { a: 1 });
+});
+
+test("ConfigWriter reads back a change whose answer was lost", async (t) => {
+  const { finish, submit, store, readStored } = setUp();
+  store.faults.lostAnswers = 1;
+  t.like(await finish(submit("change-1", 1)), { kind: "accepted", revision: 1 });
+  t.is((await readStored()).revision, 1);
+});
+
+test("ConfigWriter writes a change again whose request was lost", async (t) => {
+  const { finish, submit, store } = setUp();
+  store.faults.lostRequests = 2;
+  t.like(await finish(submit("change-1", 1)), { kind: "accepted", revision: 1 });
+});
+
+test("ConfigWriter applies a repeated change once", async (t) => {
+  const { finish, submit, readStored } = setUp();
+  await finish(submit("change-1", 1));
+  await finish(submit("change-2", 2));
+  t.like(await finish(submit("change-1", 1)), { kind: "accepted", revision: 1 });
+  t.deepEqual((await readStored()).document.heatLevels, { a: 2 });
+});
+
+test("ConfigWriter refuses changes in an outage, since none was sent", async (t) => {
+  const { finish, submit, store } = setUp();
+  store.startOutage();
+  t.like(await finish(submit("change-1", 1)), { kind: "refused", reason: "store-unavailable" });
+});
+
+test("ConfigWriter answers unknown within its deadline and settles a write that landed", async (t) => {
+  const { clock, finish, submit, store, writer } = setUp();
+  store.faults.lostAnswers = 1;
+  const call = submit("change-1", 1);
+  await clock.advance(0);
+  store.startOutage();
+  await clock.advance(TIMEOUT_MS);
+  const outcome = await call;
+  t.like(outcome, {
+    kind: "unknown",
+    settlePath: "/v1/config/changes/change-1/settle?since=0",
+  });
+  store.endOutage();
+  t.like(await finish(writer.settle("change-1", 0, TIMEOUT_MS)), { kind: "accepted", revision: 1 });
+});
+
+test("ConfigWriter settles a held write as refused, and it never lands", async (t) => {
+  const { clock, finish, submit, store, writer, readStored } = setUp();
+  await finish(submit("change-0", 5));
+  store.holdNext = 1;
+  const call = submit("change-1", 1);
+  await clock.advance(0);
+  store.startOutage();
+  await clock.advance(TIMEOUT_MS);
+  t.is((await call).kind, "unknown");
+  store.endOutage();
+  t.like(await finish(writer.settle("change-1", 1, TIMEOUT_MS)), {
+    kind: "refused",
+    reason: "barred",
+  });
+  t.deepEqual(store.land(), ["conflict"]);
+  t.like(await finish(submit("change-1", 1)), { kind: "refused", reason: "barred" });
+  t.like(await readStored(), { revision: 1, document: { heatLevels: { a: 5 } } });
+});
+
+test("ConfigWriter accepts once where a held write and its repetition race", async (t) => {
+  const { finish, submit, store, readStored } = setUp();
+  store.holdNext = 1;
+  t.like(await finish(submit("change-1", 1)), { kind: "accepted", revision: 1 });
+  t.deepEqual(store.land(), ["conflict"]);
+  t.is((await readStored()).history.length, 1);
+});
+
+test("ConfigWriter accepts a held write that lands before its repetition", async (t) => {
+  const { clock, finish, submit, store, readStored } = setUp();
+  store.holdNext = 1;
+  const call = submit("change-1", 1);
+  await clock.advance(0);
+  t.deepEqual(store.land(), ["written"]);
+  t.like(await finish(call), { kind: "accepted", revision: 1 });
+  t.is((await readStored()).history.length, 1);
+});
+
+test("ConfigWriter refuses to build on a store that holds less than is in force", async (t) => {
+  const { finish, submit, keeper } = setUp();
+  keeper.offer({ revision: 7, document: (await setUp().readStored()).document });
+  t.like(await finish(submit("change-1", 1)), { kind: "refused", reason: "store-unavailable" });
+  t.is(keeper.getRevision(), 7);
+});
