Add the command line: roles, config check, operator commands, exit codes

Writes carry a change id or job key, so that a call which one entry cannot take goes to the next; where an entry may have acted and no answer came, the outcome is unknown and the command that settles it is named.

--- /dev/null
+++ b/src/commands/ApiClient.ts
@@ -0,0 +1,172 @@
+/**
+ * Calls the entries' interface for operators. Several entries may be named: a call that one cannot
+ * take goes to the next. Writes carry an identity of their own, so that repeating one is safe.
+ */
+import { err, ok, ResultAsync, type Result } from "neverthrow";
+import { request } from "undici";
+import type { CommandFailure, CommandInput, FlagSpecs } from "./Command.ts";
+import { ExitCode } from "./ExitCode.ts";
+
+const DEFAULT_ADDRESS = "127.0.0.1:8082";
+const TIMEOUT_MS = 15_000;
+const FIRST_SERVER_ERROR = 500;
+const FIRST_ERROR = 400;
+const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+const NOT_SENT_ERRORS: readonly string[] = [
+  "ECONNREFUSED",
+  "ENOTFOUND",
+  "EAI_AGAIN",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+];
+
+/** Flags of all commands that call an entry. */
+export const API_FLAGS: FlagSpecs = {
+  api: {
+    type: "string",
+    value: "ADDRESS",
+    help: "Entries to ask, host:port separated by commas; else FIREFLYLB_API",
+  },
+};
+
+/** A call. */
+export interface ApiCall {
+  readonly method: "GET" | "POST" | "DELETE";
+  readonly path: string;
+  readonly body?: unknown;
+  /** Whether each entry knows only its own part, so that "not found" leads to the next one. */
+  readonly askAll?: boolean;
+}
+
+/** An answer of an entry. */
+export interface ApiAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Why a call has no answer. */
+export interface ApiProblem {
+  /** Whether an entry may have acted on the call. */
+  readonly mayHaveActed: boolean;
+  readonly detail: string;
+}
+
+/** Client of the operators' interface. */
+export class ApiClient {
+  private readonly _addresses: readonly string[];
+
+  /**
+   * Creates a client.
+   * @param addresses - Addresses of entries, in the order in which they are asked.
+   */
+  constructor(addresses: readonly string[]) {
+    this._addresses = addresses;
+  }
+
+  /**
+   * Creates a client from a command's flags and the environment.
+   * @param input - Arguments and flags.
+   */
+  static fromInput(input: CommandInput): ApiClient {
+    const flag = input.flags.api;
+    const given = typeof flag === "string" ? flag : process.env.FIREFLYLB_API;
+    const addresses = (given ?? DEFAULT_ADDRESS).split(",").map((address) => address.trim());
+    return new ApiClient(addresses.filter((address) => address !== ""));
+  }
+
+  /**
+   * Makes a call, at the next entry where one does not answer.
+   * @param call - The call.
+   */
+  call(call: ApiCall): ResultAsync<ApiAnswer, ApiProblem> {
+    return new ResultAsync(this._callInOrder(call));
+  }
+
+  /**
+   * Makes a call that changes nothing and gives the body of its answer.
+   * @param path - Path with the query.
+   * @param askAll - Whether each entry knows only its own part.
+   */
+  read(path: string, askAll = false): ResultAsync<unknown, CommandFailure> {
+    return this.call({ method: "GET", path, askAll })
+      .mapErr(unreachableFailure)
+      .andThen((answer) => (answer.status < FIRST_ERROR ? ok(answer.body) : err(refusal(answer))));
+  }
+
+  private async _callInOrder(call: ApiCall): Promise<Result<ApiAnswer, ApiProblem>> {
+    let last: Result<ApiAnswer, ApiProblem> = err({ mayHaveActed: false, detail: "no address" });
+    let mayHaveActed = false;
+    for (const address of this._addresses) {
+      last = await sendTo(address, call);
+      if (last.isOk() && !isForNextEntry(last.value, call)) {
+        return last;
+      }
+      mayHaveActed ||= last.isErr() && last.error.mayHaveActed;
+    }
+    if (last.isErr() || !mayHaveActed) {
+      return last.mapErr((problem) => ({ ...problem, mayHaveActed }));
+    }
+    return err({ mayHaveActed, detail: describe(last.value) });
+  }
+}
+
+/**
+ * Gives the failure of an answer that refuses.
+ * @param answer - The answer.
+ */
+export function refusal(answer: ApiAnswer): CommandFailure {
+  const body = isObject(answer.body) ? answer.body : {};
+  const exitCode = answer.status === UNAVAILABLE ? ExitCode.unavailable : ExitCode.refused;
+  const code = typeof body.code === "string" ? body.code : `http-${answer.status}`;
+  return { exitCode, code, lines: [describe(answer)], json: answer.body };
+}
+
+/**
+ * Gives the failure of a call that no entry answered and that changed nothing.
+ * @param problem - Why there is no answer.
+ */
+export function unreachableFailure(problem: ApiProblem): CommandFailure {
+  const lines = [problem.detail, "Name entries with --api or in FIREFLYLB_API."];
+  return { exitCode: ExitCode.unavailable, code: "unreachable", lines };
+}
+
+/**
+ * Narrows a value to an object.
+ * @param value - Value of any kind.
+ */
+export function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+function describe(answer: ApiAnswer): string {
+  const detail = isObject(answer.body) ? answer.body.detail : undefined;
+  return typeof detail === "string" ? detail : `the entry answered with status ${answer.status}`;
+}
+
+function isForNextEntry(answer: ApiAnswer, call: ApiCall): boolean {
+  const missing = call.askAll === true && answer.status === NOT_FOUND;
+  const failedRead = call.method === "GET" && answer.status >= FIRST_SERVER_ERROR;
+  return missing || failedRead || answer.status === UNAVAILABLE;
+}
+
+async function sendTo(address: string, call: ApiCall): Promise<Result<ApiAnswer, ApiProblem>> {
+  const options = {
+    method: call.method,
+    headersTimeout: TIMEOUT_MS,
+    bodyTimeout: TIMEOUT_MS,
+    ...(call.body === undefined
+      ? {}
+      : { body: JSON.stringify(call.body), headers: { "content-type": "application/json" } }),
+  };
+  try {
+    const res = await request(`http://${address}${call.path}`, options);
+    return ok({ status: res.statusCode, body: await res.body.json() });
+  } catch (cause) {
+    const code = (cause as NodeJS.ErrnoException).code ?? "";
+    const reason = cause instanceof Error && cause.message !== "" ? cause.message : code;
+    const mayHaveActed = call.method !== "GET" && !NOT_SENT_ERRORS.includes(code);
+    return err({ mayHaveActed, detail: `${address}: ${reason}` });
+  }
+}
--- /dev/null
+++ b/src/commands/ChangeSender.ts
@@ -0,0 +1,129 @@
+/**
+ * Sends changes of the configuration and tells their outcome. A change has an id, so that sending
+ * it twice is safe; where the outcome stays unknown, the command that settles it is named.
+ */
+import { randomUUID } from "node:crypto";
+import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
+import type { ConfigOperation } from "../protocol/config/ConfigChange.ts";
+import {
+  ApiClient,
+  isObject,
+  refusal,
+  unreachableFailure,
+  type ApiAnswer,
+  type ApiProblem,
+} from "./ApiClient.ts";
+import {
+  getText,
+  type CommandFailure,
+  type CommandInput,
+  type CommandOutput,
+  type FlagSpecs,
+} from "./Command.ts";
+import { readConfig } from "./ConfigReader.ts";
+import { ExitCode } from "./ExitCode.ts";
+import { usageFailure } from "./failures.ts";
+import { render } from "./render.ts";
+
+const REVISION_PATTERN = /^\d{1,15}$/;
+
+/** Flags of all commands that change the configuration. */
+export const CHANGE_FLAGS: FlagSpecs = {
+  base: {
+    type: "string",
+    value: "REVISION",
+    help: "Refuse where the same values changed after REVISION",
+  },
+  note: { type: "string", value: "TEXT", help: "Why the change is made; kept in the history" },
+  author: { type: "string", value: "NAME", help: "Who makes the change; else USER" },
+  changeId: { type: "string", value: "ID", help: "Id of the change; else a new one" },
+};
+
+/** A change before it is sent. */
+export interface ChangeRequest {
+  readonly operations: readonly ConfigOperation[];
+  /** Revision that the operator looked at, where --base does not say. */
+  readonly baseRevision?: number | undefined;
+}
+
+/** A change that is on its way. */
+interface SentChange {
+  readonly changeId: string;
+  readonly sinceRevision: number;
+}
+
+/**
+ * Sends a change.
+ * @param input - Arguments and flags of the command.
+ * @param change - The change.
+ */
+export function sendChange(
+  input: CommandInput,
+  change: ChangeRequest,
+): ResultAsync<CommandOutput, CommandFailure> {
+  const client = ApiClient.fromInput(input);
+  const base = getText(input, "base");
+  if (base !== undefined && !REVISION_PATTERN.test(base)) {
+    return errAsync(usageFailure("--base needs a revision"));
+  }
+  return readConfig(client).andThen(({ revision }) => {
+    const sent = {
+      changeId: getText(input, "changeId") ?? randomUUID(),
+      sinceRevision: revision,
+    };
+    const body = {
+      changeId: sent.changeId,
+      author: getText(input, "author") ?? process.env.USER ?? "operator",
+      note: getText(input, "note") ?? "",
+      baseRevision: base === undefined ? change.baseRevision : Number(base),
+      operations: change.operations,
+    };
+    return client
+      .call({ method: "POST", path: "/v1/config/changes", body })
+      .mapErr((problem) => describeProblem(problem, sent))
+      .andThen((answer) => describeAnswer(answer, sent));
+  });
+}
+
+/**
+ * Tells the outcome that an entry answered.
+ * @param answer - The answer.
+ * @param sent - The change.
+ */
+export function describeAnswer(
+  answer: ApiAnswer,
+  sent: SentChange,
+): Result<CommandOutput, CommandFailure> {
+  const outcome = isObject(answer.body) ? answer.body : {};
+  if (outcome.kind === "accepted") {
+    const line = `accepted as revision ${String(outcome.revision)} (change ${sent.changeId})`;
+    return ok({ json: outcome, lines: [line] });
+  }
+  if (outcome.kind === "unknown") {
+    return err(unknownFailure(String(outcome.detail), sent, outcome));
+  }
+  if (outcome.kind !== "refused") {
+    return err(refusal(answer));
+  }
+  const conflicts = Array.isArray(outcome.conflicts) ? outcome.conflicts : [];
+  const shown = conflicts.length > 0 ? render(conflicts) : [];
+  const unavailable = outcome.reason === "store-unavailable";
+  return err({
+    exitCode: unavailable ? ExitCode.unavailable : ExitCode.refused,
+    code: String(outcome.reason),
+    lines: [String(outcome.detail), ...shown],
+    json: outcome,
+  });
+}
+
+function describeProblem(problem: ApiProblem, sent: SentChange): CommandFailure {
+  return problem.mayHaveActed
+    ? unknownFailure(problem.detail, sent, { changeId: sent.changeId })
+    : unreachableFailure(problem);
+}
+
+function unknownFailure(detail: string, sent: SentChange, json: unknown): CommandFailure {
+  const settle = `fireflylb change settle ${sent.changeId} --since ${sent.sinceRevision}`;
+  const lines = [`${detail}; the change may or may not be in force`, `settle it with: ${settle}`];
+  return { exitCode: ExitCode.unknown, code: "outcome-unknown", lines, json };
+}
--- /dev/null
+++ b/src/commands/ConfigListCommand.ts
@@ -0,0 +1,86 @@
+/**
+ * The commands that list one section of the configuration: `profile list`, `assignment list` and
+ * `quota list`.
+ */
+import type { ResultAsync } from "neverthrow";
+import type { ConfigDocument } from "../protocol/config/ConfigDocument.ts";
+import { API_FLAGS, ApiClient } from "./ApiClient.ts";
+import {
+  Command,
+  getText,
+  type CommandFailure,
+  type CommandInput,
+  type CommandOutput,
+} from "./Command.ts";
+import { readConfig } from "./ConfigReader.ts";
+import { render } from "./render.ts";
+
+/** How one section is listed. */
+export interface ConfigListing {
+  readonly words: string;
+  readonly summary: string;
+  /** Gives the rows of the section. */
+  readonly select: (document: ConfigDocument) => readonly Readonly<Record<string, unknown>>[];
+}
+
+/** Lists one section of the configuration. */
+export class ConfigListCommand extends Command {
+  override readonly words: string;
+  override readonly usage = "[--revision REVISION]";
+  override readonly summary: string;
+  override readonly flags = {
+    revision: { type: "string", value: "REVISION", help: "Revision to list; else the newest" },
+    ...API_FLAGS,
+  } as const;
+  private readonly _listing: ConfigListing;
+
+  /**
+   * Creates the command.
+   * @param listing - How the section is listed.
+   */
+  constructor(listing: ConfigListing) {
+    super();
+    this._listing = listing;
+    this.words = listing.words;
+    this.summary = listing.summary;
+  }
+
+  override run(input: CommandInput): ResultAsync<CommandOutput, CommandFailure> {
+    const config = readConfig(ApiClient.fromInput(input), getText(input, "revision"));
+    return config.map(({ revision, document }) => {
+      const rows = this._listing.select(document);
+      return { json: { revision, rows }, lines: [`revision ${revision}`, ...render(rows)] };
+    });
+  }
+}
+
+/** All listings. */
+export const CONFIG_LISTINGS: readonly ConfigListing[] = [
+  {
+    words: "profile list",
+    summary: "List the profiles with the services that use them",
+    select: (document) =>
+      Object.entries(document.profiles).map(([name, profile]) => ({
+        profile: name,
+        objectiveMs: profile.latencyObjectiveMs,
+        headroomCores: profile.headroomProcessorsMilli / 1000,
+        disturbancePercent: profile.toleratedDisturbancePercent,
+        yieldOrder: profile.yieldOrder,
+        services: Object.entries(document.assignments)
+          .filter(([, assigned]) => assigned === name)
+          .map(([service]) => service),
+      })),
+  },
+  {
+    words: "assignment list",
+    summary: "List the services with their profiles",
+    select: (document) =>
+      Object.entries(document.assignments).map(([service, profile]) => ({ service, profile })),
+  },
+  {
+    words: "quota list",
+    summary: "List the quotas of tenants",
+    select: (document) =>
+      Object.entries(document.quotas).map(([tenant, quota]) => ({ tenant, ...quota })),
+  },
+];
--- /dev/null
+++ b/src/commands/ExplainCommand.ts
@@ -0,0 +1,40 @@
+/**
+ * The commands `explain request`, `explain job` and `explain vm`.
+ */
+import type { CommandInput } from "./Command.ts";
+import { ReadCommand } from "./ReadCommand.ts";
+
+/** What can be explained. */
+export type ExplainSubject = "request" | "job" | "vm";
+
+const SUMMARIES: Readonly<Record<ExplainSubject, string>> = {
+  request: "Explain why a request went where it did or was refused",
+  job: "Explain why a job's tasks run, wait or were evicted",
+  vm: "Explain what a VM runs, has committed and why it gets or gets no work",
+};
+
+/** Shows the decisions about one subject with their reasons. */
+export class ExplainCommand extends ReadCommand {
+  override readonly words: string;
+  override readonly usage: string;
+  override readonly summary: string;
+  override readonly argCount = [1, 1] as const;
+  protected override readonly askAll = true;
+  private readonly _subject: ExplainSubject;
+
+  /**
+   * Creates the command.
+   * @param subject - What it explains.
+   */
+  constructor(subject: ExplainSubject) {
+    super();
+    this._subject = subject;
+    this.words = `explain ${subject}`;
+    this.usage = subject === "vm" ? "NAME" : "ID";
+    this.summary = SUMMARIES[subject];
+  }
+
+  protected override getPath(input: CommandInput): string {
+    return `/v1/explain/${this._subject}/${encodeURIComponent(input.args[0] ?? "")}`;
+  }
+}
--- /dev/null
+++ b/src/commands/JobCancelCommand.ts
@@ -0,0 +1,42 @@
+/**
+ * The command `job cancel`.
+ */
+import { err, ok, type ResultAsync } from "neverthrow";
+import { API_FLAGS, ApiClient, refusal, unreachableFailure, type ApiProblem } from "./ApiClient.ts";
+import { Command, type CommandFailure, type CommandInput, type CommandOutput } from "./Command.ts";
+import { ExitCode } from "./ExitCode.ts";
+import { render } from "./render.ts";
+
+const FIRST_ERROR = 400;
+
+/** Cancels a job. */
+export class JobCancelCommand extends Command {
+  override readonly words = "job cancel";
+  override readonly usage = "ID";
+  override readonly summary = "Cancel a job; its running tasks are stopped";
+  override readonly argCount = [1, 1] as const;
+  override readonly flags = API_FLAGS;
+
+  override run(input: CommandInput): ResultAsync<CommandOutput, CommandFailure> {
+    const path = `/v1/jobs/${encodeURIComponent(input.args[0] ?? "")}`;
+    return ApiClient.fromInput(input)
+      .call({ method: "DELETE", path })
+      .mapErr(describeProblem)
+      .andThen((answer) =>
+        answer.status < FIRST_ERROR
+          ? ok({ json: answer.body, lines: render(answer.body) })
+          : err(refusal(answer)),
+      );
+  }
+}
+
+function describeProblem(problem: ApiProblem): CommandFailure {
+  if (!problem.mayHaveActed) {
+    return unreachableFailure(problem);
+  }
+  const lines = [
+    `${problem.detail}; the job may or may not be cancelled`,
+    "settle it by cancelling again, which is safe",
+  ];
+  return { exitCode: ExitCode.unknown, code: "outcome-unknown", lines };
+}
--- /dev/null
+++ b/src/commands/commands.ts
@@ -0,0 +1,52 @@
+/**
+ * All commands of the program, in the order of the help.
+ */
+import { AgentCommand } from "./AgentCommand.ts";
+import { AssignmentSetCommand } from "./AssignmentSetCommand.ts";
+import { ChangeSettleCommand } from "./ChangeSettleCommand.ts";
+import { ChangeStatusCommand } from "./ChangeStatusCommand.ts";
+import type { Command } from "./Command.ts";
+import { ConfigCheckCommand } from "./ConfigCheckCommand.ts";
+import { CONFIG_LISTINGS, ConfigListCommand } from "./ConfigListCommand.ts";
+import { CoverageCommand } from "./CoverageCommand.ts";
+import { EntryCommand } from "./EntryCommand.ts";
+import { ExplainCommand } from "./ExplainCommand.ts";
+import { HeatSetCommand } from "./HeatSetCommand.ts";
+import { JobCancelCommand } from "./JobCancelCommand.ts";
+import { JobListCommand } from "./JobListCommand.ts";
+import { JobStatusCommand } from "./JobStatusCommand.ts";
+import { JobSubmitCommand } from "./JobSubmitCommand.ts";
+import { ProfileApplyCommand } from "./ProfileApplyCommand.ts";
+import { ProfileDiffCommand } from "./ProfileDiffCommand.ts";
+import { ProfileHistoryCommand } from "./ProfileHistoryCommand.ts";
+import { ProfileShowCommand } from "./ProfileShowCommand.ts";
+import { QuotaSetCommand } from "./QuotaSetCommand.ts";
+import { StatusCommand } from "./StatusCommand.ts";
+import { VersionCommand } from "./VersionCommand.ts";
+
+/** All commands. */
+export const COMMANDS: readonly Command[] = [
+  new EntryCommand(),
+  new AgentCommand(),
+  new ConfigCheckCommand(),
+  ...CONFIG_LISTINGS.map((listing) => new ConfigListCommand(listing)),
+  new ProfileShowCommand(),
+  new ProfileApplyCommand(),
+  new ProfileDiffCommand(),
+  new ProfileHistoryCommand(),
+  new AssignmentSetCommand(),
+  new QuotaSetCommand(),
+  new HeatSetCommand(),
+  new ChangeStatusCommand(),
+  new ChangeSettleCommand(),
+  new CoverageCommand(),
+  new JobSubmitCommand(),
+  new JobStatusCommand(),
+  new JobCancelCommand(),
+  new JobListCommand(),
+  new StatusCommand(),
+  new ExplainCommand("request"),
+  new ExplainCommand("job"),
+  new ExplainCommand("vm"),
+  new VersionCommand(),
+];
--- /dev/null
+++ b/src/commands/documentOperations.ts
@@ -0,0 +1,51 @@
+/**
+ * The operations that bring the values of a document in force.
+ */
+import { isDeepStrictEqual } from "node:util";
+import type { ConfigOperation } from "../protocol/config/ConfigChange.ts";
+import type { ConfigDocument } from "../protocol/config/ConfigDocument.ts";
+
+/**
+ * Gives the operations for all values that a document names and that are not in force.
+ * @param current - Document in force.
+ * @param wanted - Document with the wanted values.
+ */
+export function toOperations(
+  current: ConfigDocument,
+  wanted: ConfigDocument,
+): readonly ConfigOperation[] {
+  return [
+    ...getNew(current.profiles, wanted.profiles).map(([name, profile]): ConfigOperation => ({
+      kind: "set-profile",
+      name,
+      profile,
+    })),
+    ...getNew(current.assignments, wanted.assignments).map(
+      ([service, profile]): ConfigOperation => ({ kind: "set-assignment", service, profile }),
+    ),
+    ...getNew(current.quotas, wanted.quotas).map(([tenant, quota]): ConfigOperation => ({
+      kind: "set-quota",
+      tenant,
+      quota,
+    })),
+    ...getNew(current.classes, wanted.classes).map(([name, limit]): ConfigOperation => ({
+      kind: "set-class",
+      name,
+      limit,
+    })),
+    ...getNew(current.heatLevels, wanted.heatLevels).map(([zone, level]): ConfigOperation => ({
+      kind: "set-heat-level",
+      zone,
+      level,
+    })),
+  ];
+}
+
+function getNew<T>(
+  current: Readonly<Record<string, T>>,
+  wanted: Readonly<Record<string, T>>,
+): readonly (readonly [string, T])[] {
+  return Object.entries(wanted).filter(
+    ([key, value]) => !(Object.hasOwn(current, key) && isDeepStrictEqual(current[key], value)),
+  );
+}
--- /dev/null
+++ b/src/commands/files.ts
@@ -0,0 +1,20 @@
+/**
+ * Reads the files that commands are given.
+ */
+import { readFile } from "node:fs/promises";
+import { ResultAsync } from "neverthrow";
+import type { CommandFailure } from "./Command.ts";
+import { unreadableFailure } from "./failures.ts";
+
+const STANDARD_INPUT = "/dev/stdin";
+
+/**
+ * Reads the text of a file; "-" is standard input.
+ * @param file - Name of the file.
+ */
+export function readText(file: string): ResultAsync<string, CommandFailure> {
+  const path = file === "-" ? STANDARD_INPUT : file;
+  return ResultAsync.fromPromise(readFile(path, "utf8"), (err) =>
+    unreadableFailure(file, err instanceof Error ? err.message : String(err)),
+  );
+}
--- /dev/null
+++ b/src/commands/numbers.ts
@@ -0,0 +1,37 @@
+/**
+ * Reads the numbers that operators type.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { getText, type CommandFailure, type CommandInput } from "./Command.ts";
+import { usageFailure } from "./failures.ts";
+
+const NUMBER_PATTERN = /^\d{1,15}(?:\.\d{1,9})?$/;
+
+/** Thousandths of a core in a core. */
+export const MILLI_PER_CORE = 1000;
+/** Bytes in a MiB. */
+export const BYTES_PER_MIB = 1024 * 1024;
+
+/**
+ * Reads the number that a flag gives.
+ * @param input - Arguments and flags.
+ * @param name - Name of the flag in camel case.
+ * @param fallback - Number where the flag is not given; without one the flag must be given.
+ */
+export function readNumber(
+  input: CommandInput,
+  name: string,
+  fallback?: number,
+): Result<number, CommandFailure> {
+  const text = getText(input, name);
+  if (text === undefined && fallback !== undefined) {
+    return ok(fallback);
+  }
+  const flag = `--${name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+  if (text === undefined) {
+    return err(usageFailure(`${flag} is missing`));
+  }
+  return NUMBER_PATTERN.test(text)
+    ? ok(Number(text))
+    : err(usageFailure(`${flag} = ${text}: expected a number without sign`));
+}
