--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,103 @@
+/**
+ * Runs measurements and draws their figures.
+ *
+ *   npm run bench                              runs all measurements
+ *   npm run bench -- NAME…                     runs these
+ *   npm run bench -- --report FILE FILE…       lays result files side by side
+ *
+ * Flags: --seed N, --scale X, --out DIRECTORY.
+ */
+import { appendFileSync, mkdirSync, readdirSync, readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { Bench, type Figure } from "./Bench.ts";
+import { getCommit, getMachine } from "./origin.ts";
+import { Report } from "./report/Report.ts";
+import { parseResults, type ResultLine } from "./ResultLine.ts";
+
+const MODULE_SUFFIX = "Bench.ts";
+const DEFAULT_SEED = "1";
+const USAGE_EXIT_CODE = 2;
+
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: {
+    seed: { type: "string", default: DEFAULT_SEED },
+    scale: { type: "string", default: "1" },
+    out: { type: "string", default: "bench/results" },
+    report: { type: "boolean", default: false },
+  },
+});
+
+/** Loads the measurements; a module that fails to load ends the program. */
+async function loadBenches(): Promise<readonly Bench[]> {
+  const files = readdirSync(import.meta.dirname).filter(
+    (file) => file.endsWith(MODULE_SUFFIX) && file !== MODULE_SUFFIX,
+  );
+  const modules = await Promise.all(
+    files.map(async (file) => (await import(`./${file}`)) as { readonly default: unknown }),
+  );
+  return modules.map(({ default: exported }, i) => {
+    if (exported instanceof Bench) {
+      return exported;
+    }
+    if (typeof exported !== "function") {
+      throw new Error(`${files[i] ?? ""} has no measurement as its default export`);
+    }
+    return new (exported as new () => Bench)();
+  });
+}
+
+async function drawReport(files: readonly string[], target: string): Promise<void> {
+  const runs = files.map((file) => parseResults(readFileSync(file, "utf8")));
+  writeFileSync(target, await new Report(runs).toHtml());
+  console.log(`report: ${target}`);
+}
+
+function print(figure: Figure): void {
+  const labels = Object.entries(figure.labels).map(([name, value]) => `${name}=${value}`);
+  const value = Number(figure.value.toPrecision(6));
+  console.log(`  ${[figure.name, ...labels].join(" ")}: ${value} ${figure.unit}`);
+}
+
+async function runBenches(benches: readonly Bench[]): Promise<void> {
+  const seed = Number(values.seed);
+  const scale = Number(values.scale);
+  const origin = { commit: getCommit(), seed, scale, machine: getMachine() };
+  const stem = join(values.out, `${origin.commit}-${new Date().toISOString().replaceAll(":", "")}`);
+  mkdirSync(values.out, { recursive: true });
+  await benches.reduce(async (previous, bench) => {
+    await previous;
+    console.log(`${bench.name}: ${bench.title} (seed ${seed}, scale ${scale})`);
+    const emit = (figure: Figure): void => {
+      print(figure);
+      const at = new Date().toISOString();
+      const line: ResultLine = { bench: bench.name, title: bench.title, ...figure, ...origin, at };
+      appendFileSync(`${stem}.jsonl`, `${JSON.stringify(line)}\n`);
+    };
+    await bench.run({ seed, scale, emit });
+  }, Promise.resolve());
+  console.log(`figures: ${stem}.jsonl`);
+  await drawReport([`${stem}.jsonl`], `${stem}.html`);
+}
+
+async function main(): Promise<void> {
+  if (values.report) {
+    await drawReport(positionals, join(values.out, "comparison.html"));
+    return;
+  }
+  const benches = await loadBenches();
+  const unknown = positionals.filter((name) => benches.every((bench) => bench.name !== name));
+  if (unknown.length > 0 || benches.length === 0) {
+    const known = benches.map((bench) => bench.name).join(", ");
+    console.error(`unknown measurement: ${unknown.join(", ")}; there are: ${known}`);
+    process.exitCode = USAGE_EXIT_CODE;
+    return;
+  }
+  const wanted = benches.filter(
+    (bench) => positionals.length === 0 || positionals.includes(bench.name),
+  );
+  await runBenches(wanted);
+}
+
+await main();
--- /dev/null
+++ b/bench/report/FigureChart.ts
@@ -0,0 +1,89 @@
+/**
+ * A chart of all figures of one name, drawn as SVG by Vega. Runs lie side by side in one chart.
+ */
+import { parse, View } from "vega";
+import { compile, type TopLevelSpec } from "vega-lite";
+import type { ResultLine } from "../ResultLine.ts";
+
+const PERCENTILE_LABEL = "percentile";
+const CHART_WIDTH = 640;
+const BAR_STEP = 18;
+const PERCENTILE_HEIGHT = 260;
+
+/** A figure of one of the runs that are compared. */
+export interface ComparedLine {
+  readonly run: string;
+  readonly line: ResultLine;
+}
+
+/** Chart of the figures of one name. */
+export class FigureChart {
+  private readonly _lines: readonly ComparedLine[];
+
+  /**
+   * Creates the chart.
+   * @param lines - Figures of one name and unit, of one run or several.
+   */
+  constructor(lines: readonly ComparedLine[]) {
+    this._lines = lines;
+  }
+
+  /** Draws the chart. */
+  async toSvg(): Promise<string> {
+    const byPercentile = this._lines.some(({ line }) => PERCENTILE_LABEL in line.labels);
+    const spec = byPercentile ? this._createPercentiles() : this._createBars();
+    const view = new View(parse(compile(spec).spec), { renderer: "none" });
+    const svg = await view.toSVG();
+    view.finalize();
+    return svg;
+  }
+
+  private _createPercentiles(): TopLevelSpec {
+    return {
+      data: { values: this._lines.map(toRow) },
+      width: CHART_WIDTH,
+      height: PERCENTILE_HEIGHT,
+      mark: { type: "line", point: true },
+      encoding: {
+        x: { field: "percentile", type: "ordinal", sort: null, title: "percentile" },
+        y: { field: "value", type: "quantitative", title: this._getTitle() },
+        color: { field: "series", type: "nominal", title: null },
+        strokeDash: { field: "run", type: "nominal", title: null },
+      },
+    };
+  }
+
+  private _createBars(): TopLevelSpec {
+    return {
+      data: { values: this._lines.map(toRow) },
+      width: CHART_WIDTH,
+      height: { step: BAR_STEP },
+      mark: "bar",
+      encoding: {
+        y: { field: "series", type: "nominal", sort: null, title: null },
+        yOffset: { field: "run", type: "nominal", sort: null },
+        x: { field: "value", type: "quantitative", title: this._getTitle() },
+        color: { field: "run", type: "nominal", sort: null, title: null },
+      },
+    };
+  }
+
+  private _getTitle(): string {
+    const first = this._lines[0]?.line;
+    return first === undefined ? "" : `${first.name} (${first.unit})`;
+  }
+}
+
+/**
+ * Gives the labels of a figure besides its percentile, as one text.
+ * @param line - The figure.
+ */
+export function getSeries(line: ResultLine): string {
+  const labels = Object.entries(line.labels).filter(([name]) => name !== PERCENTILE_LABEL);
+  return labels.length === 0 ? line.name : labels.map(([k, v]) => `${k}=${v}`).join(" ");
+}
+
+function toRow({ run, line }: ComparedLine): Readonly<Record<string, string | number>> {
+  const percentile = line.labels[PERCENTILE_LABEL] ?? "";
+  return { run, series: getSeries(line), percentile, value: line.value };
+}
--- a/src/commands/CommandLine.ts
+++ b/src/commands/CommandLine.ts
@@ -43,6 +43,9 @@
    * @returns The exit code.
    */
   async run(argv: readonly string[]): Promise<ExitCodeValue> {
+    if (argv[0] === "--version") {
+      return this.run(["version", ...argv.slice(1)]);
+    }
     const command = this._commands.find((candidate) => isCalled(candidate, argv));
     if (command === undefined) {
       return this._runWithoutCommand(argv);
@@ -178,7 +181,7 @@
 }
 
 function formatOverview(commands: readonly Command[]): string {
-  const names = commands.map(formatUsage);
+  const names = commands.map((command) => `${PROGRAM} ${command.words}`);
   const width = Math.max(...names.map((name) => name.length));
   const codes = Object.entries(EXIT_CODE_MEANINGS).map(
     ([name, meaning]) => `  ${ExitCode[name as keyof typeof ExitCode]}  ${meaning}`,
@@ -187,7 +190,7 @@
     "Commands:",
     ...commands.map((command, i) => `  ${(names[i] ?? "").padEnd(width)}  ${command.summary}`),
     "",
-    "Each command takes --help and --json.",
+    "Each command takes --help, which shows its arguments, and --json.",
     "",
     "Exit codes:",
     ...codes,
--- a/src/commands/ConfigListCommand.ts
+++ b/src/commands/ConfigListCommand.ts
@@ -53,34 +53,3 @@
     });
   }
 }
-
-/** All listings. */
-export const CONFIG_LISTINGS: readonly ConfigListing[] = [
-  {
-    words: "profile list",
-    summary: "List the profiles with the services that use them",
-    select: (document) =>
-      Object.entries(document.profiles).map(([name, profile]) => ({
-        profile: name,
-        objectiveMs: profile.latencyObjectiveMs,
-        headroomCores: profile.headroomProcessorsMilli / 1000,
-        disturbancePercent: profile.toleratedDisturbancePercent,
-        yieldOrder: profile.yieldOrder,
-        services: Object.entries(document.assignments)
-          .filter(([, assigned]) => assigned === name)
-          .map(([service]) => service),
-      })),
-  },
-  {
-    words: "assignment list",
-    summary: "List the services with their profiles",
-    select: (document) =>
-      Object.entries(document.assignments).map(([service, profile]) => ({ service, profile })),
-  },
-  {
-    words: "quota list",
-    summary: "List the quotas of tenants",
-    select: (document) =>
-      Object.entries(document.quotas).map(([tenant, quota]) => ({ tenant, ...quota })),
-  },
-];
--- a/src/commands/commands.ts
+++ b/src/commands/commands.ts
@@ -7,7 +7,8 @@
 import { ChangeStatusCommand } from "./ChangeStatusCommand.ts";
 import type { Command } from "./Command.ts";
 import { ConfigCheckCommand } from "./ConfigCheckCommand.ts";
-import { CONFIG_LISTINGS, ConfigListCommand } from "./ConfigListCommand.ts";
+import { ASSIGNMENT_LISTING, PROFILE_LISTING, QUOTA_LISTING } from "./configListings.ts";
+import { ConfigListCommand } from "./ConfigListCommand.ts";
 import { CoverageCommand } from "./CoverageCommand.ts";
 import { EntryCommand } from "./EntryCommand.ts";
 import { ExplainCommand } from "./ExplainCommand.ts";
@@ -29,12 +30,14 @@
   new EntryCommand(),
   new AgentCommand(),
   new ConfigCheckCommand(),
-  ...CONFIG_LISTINGS.map((listing) => new ConfigListCommand(listing)),
+  new ConfigListCommand(PROFILE_LISTING),
   new ProfileShowCommand(),
   new ProfileApplyCommand(),
   new ProfileDiffCommand(),
   new ProfileHistoryCommand(),
+  new ConfigListCommand(ASSIGNMENT_LISTING),
   new AssignmentSetCommand(),
+  new ConfigListCommand(QUOTA_LISTING),
   new QuotaSetCommand(),
   new HeatSetCommand(),
   new ChangeStatusCommand(),
