--- /dev/null
+++ b/tests/support/TaskServiceHarness.ts
@@ -0,0 +1,132 @@
+/**
+ * A task service with a worker in memory, a manual clock and owners that a test plays.
+ */
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { TaskService } from "../../src/transport/agent/tasks/TaskService.ts";
+import type {
+  EntryClient,
+  TaskServiceOptions,
+} from "../../src/transport/agent/tasks/TaskServiceOptions.ts";
+import {
+  ReportTasksReplySchema,
+  StartTaskRequestSchema,
+  StopTaskRequestSchema,
+  type ReportTasksReply,
+  type ReportTasksRequest,
+  type StartTaskReply,
+  type StopTaskReply,
+} from "../../src/protocol/generated/fireflylb/v1/control_pb.ts";
+import type { Resources } from "../../src/protocol/Resources.ts";
+import { FakeWorker } from "./FakeWorker.ts";
+import { ManualClock } from "./ManualClock.ts";
+import { MemoryLog } from "./MemoryLog.ts";
+
+/** Part of a start or stop that a test chooses. */
+export interface OrderChange {
+  readonly task?: string;
+  readonly attempt?: number;
+  readonly partition?: number;
+  readonly epoch?: bigint;
+  readonly resources?: Resources;
+  readonly leaseMs?: number;
+  readonly sequence?: bigint;
+  readonly incarnation?: string;
+}
+
+export const VM_CAPACITY = { processorsMilli: 4_000, memoryBytes: 4_000, accelerators: 0 };
+export const TASK_SIZE = { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 };
+export const LEASE_MS = 6_000;
+
+/** Answer of an owner that grants a lease and decides nothing else. */
+export function grant(
+  change: MessageInitShape<typeof ReportTasksReplySchema> = {},
+): ReportTasksReply {
+  return create(ReportTasksReplySchema, {
+    epoch: 1n,
+    leaseMs: LEASE_MS,
+    ...change,
+  });
+}
+
+/** Task service under test. */
+export class TaskServiceHarness {
+  readonly clock = new ManualClock(1_000);
+  readonly worker = new FakeWorker(this.clock, VM_CAPACITY);
+  readonly log = new MemoryLog();
+  readonly reports: ReportTasksRequest[] = [];
+  /** Answers reports; a test replaces it. */
+  answer: (req: ReportTasksRequest) => Promise<ReportTasksReply> = () => Promise.resolve(grant());
+  service = this.create("i1");
+
+  /**
+   * Creates a service on the worker, as after a restart of the agent.
+   * @param incarnation - Incarnation of the agent.
+   * @param change - Options that differ.
+   */
+  create(incarnation: string, change: Partial<TaskServiceOptions> = {}): TaskService {
+    const client = {
+      reportTasks: (req: ReportTasksRequest): Promise<ReportTasksReply> => {
+        this.reports.push(req);
+        return this.answer(req);
+      },
+    } as unknown as EntryClient;
+    return new TaskService({
+      worker: this.worker,
+      clock: this.clock,
+      log: this.log,
+      agent: "agent",
+      incarnation,
+      createEntryClient: () => client,
+      getOwner: () => undefined,
+      getConfig: () => undefined,
+      pollMs: 500,
+      settleMs: 1_000,
+      ...change,
+    });
+  }
+
+  /** Starts the service and waits until tasks may start. */
+  async open(): Promise<this> {
+    this.service.start();
+    await this.clock.advance(1_600);
+    return this;
+  }
+
+  /**
+   * Orders the start of a task.
+   * @param change - What differs from the usual order.
+   */
+  async startTask(change: OrderChange = {}): Promise<StartTaskReply> {
+    const reply = this.service.startTask(
+      create(StartTaskRequestSchema, {
+        task: "t",
+        attempt: 1,
+        partition: 1,
+        epoch: 1n,
+        ownerAddress: "owner",
+        resources: TASK_SIZE,
+        leaseMs: LEASE_MS,
+        incarnation: "i1",
+        kind: "kind",
+        tenant: "tenant",
+        expiresMs: 2_000,
+        sequence: BigInt(this.service.issueSequence()),
+        ...change,
+      }),
+    );
+    await ManualClock.settle();
+    return await reply;
+  }
+
+  /**
+   * Orders the stop of a task.
+   * @param change - What differs from the usual order.
+   */
+  async stopTask(
+    change: OrderChange & { readonly checkpoint?: boolean } = {},
+  ): Promise<StopTaskReply> {
+    const { task = "t", attempt = 1, epoch = 1n, checkpoint = false } = change;
+    const req = { task, attempt, partition: 1, epoch, checkpoint, reason: "ordered" };
+    return await this.service.stopTask(create(StopTaskRequestSchema, req));
+  }
+}
--- /dev/null
+++ b/tests/transport/agent/tasks/taskServiceTests.ts
@@ -0,0 +1,272 @@
+import test from "ava";
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { TaskVerdictSchema } from "../../../../src/protocol/generated/fireflylb/v1/control_pb.ts";
+import { ManualClock } from "../../../support/ManualClock.ts";
+import {
+  grant,
+  LEASE_MS,
+  TASK_SIZE,
+  TaskServiceHarness,
+} from "../../../support/TaskServiceHarness.ts";
+
+function verdict(change: { recorded?: boolean; stop?: boolean }) {
+  return create(TaskVerdictSchema, { task: "t", attempt: 1, ...change });
+}
+
+async function catchCode(call: Promise<unknown>): Promise<Code | undefined> {
+  try {
+    await call;
+    return undefined;
+  } catch (err) {
+    return ConnectError.from(err).code;
+  }
+}
+
+test("TaskService starts nothing before the worker has told what runs", async (t) => {
+  const harness = new TaskServiceHarness();
+  harness.worker.hold("report");
+  harness.service.start();
+  await harness.clock.advance(3_000);
+  t.is((await harness.startTask()).refusal, "agent-not-ready");
+  t.is(await catchCode(harness.stopTask()), Code.Unavailable);
+  harness.worker.release("report");
+  await harness.clock.advance(3_000);
+  t.true((await harness.startTask({ attempt: 2 })).accepted);
+});
+
+test("TaskService accepts a start only after the worker has", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  harness.worker.hold("start");
+  const reply = harness.startTask();
+  await ManualClock.settle();
+  t.is(harness.service.getTasks()[0]?.phase, "starting");
+  t.deepEqual(harness.service.getCommitted(), TASK_SIZE);
+  harness.worker.release("start");
+  t.true((await reply).accepted);
+  t.is(harness.service.getTasks()[0]?.phase, "running");
+});
+
+test("TaskService answers a repeated start of a running task with acceptance", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  t.true((await harness.startTask()).accepted);
+  t.true((await harness.startTask()).accepted);
+  t.is(harness.worker.journal.length, 1);
+});
+
+test("TaskService frees the amount where the worker certainly did not start", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  const failure = { kind: "refused", mayHaveActed: false, detail: "no" } as const;
+  harness.worker.failNext("start", false, failure);
+  t.is((await harness.startTask()).refusal, "worker-refused");
+  t.is(harness.service.getCommitted().processorsMilli, 0);
+  t.is((await harness.startTask()).refusal, "stale-attempt");
+});
+
+test("TaskService keeps the amount of a start of unknown outcome until its stop is confirmed", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  harness.worker.failNext("start", true);
+  harness.worker.failNext("stop", false);
+  t.is(await catchCode(harness.startTask()), Code.Unknown);
+  t.deepEqual(harness.worker.getRunning(), ["t#1"]);
+  t.deepEqual(harness.service.getCommitted(), TASK_SIZE);
+  await harness.clock.advance(600);
+  t.deepEqual(harness.worker.getRunning(), []);
+  t.is(harness.service.getCommitted().processorsMilli, 0);
+});
+
+test("TaskService stops a task with a checkpoint and reports it until it is recorded", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  await harness.clock.advance(600);
+  const reply = await harness.stopTask({ checkpoint: true });
+  t.true(reply.stopped);
+  t.regex(reply.checkpoint, /^checkpoint-t-1/);
+  harness.reports.length = 0;
+  await harness.clock.advance(1_100);
+  t.deepEqual(
+    harness.reports.map((req) => req.tasks.map((task) => task.phase)),
+    [["stopped"], ["stopped"]],
+  );
+  harness.answer = () => Promise.resolve(grant({ verdicts: [verdict({ recorded: true })] }));
+  await harness.clock.advance(1_100);
+  t.deepEqual(harness.service.getTasks(), []);
+  t.is(harness.worker.getTask("t", 1), undefined);
+});
+
+test("TaskService tells a stop that the task had completed before", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  harness.worker.finish("t", 1, "completed");
+  const reply = await harness.stopTask();
+  t.true(reply.stopped);
+  t.is(reply.state?.phase, "completed");
+});
+
+test("TaskService confirms no stop that the worker did not confirm", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  harness.worker.failNext("stop", false);
+  t.false((await harness.stopTask()).stopped);
+  t.true((await harness.stopTask()).stopped);
+});
+
+test("TaskService forbids the start of an attempt that was stopped before it came", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  t.true((await harness.stopTask()).stopped);
+  t.is((await harness.startTask()).refusal, "stale-attempt");
+});
+
+test("TaskService refuses the orders of a replaced owner", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  t.true((await harness.startTask({ epoch: 2n })).accepted);
+  t.is(await catchCode(harness.stopTask({ epoch: 1n })), Code.FailedPrecondition);
+  t.is((await harness.startTask({ task: "u", epoch: 1n })).refusal, "stale-epoch");
+});
+
+test("TaskService counts a lease from before the report was sent", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  let answer: () => void = () => undefined;
+  let sentAt = 0;
+  harness.answer = () => {
+    sentAt = harness.clock.now();
+    return new Promise((resolve) => {
+      answer = () => {
+        resolve(grant());
+      };
+    });
+  };
+  await harness.clock.advance(600);
+  await harness.clock.advance(1_000);
+  answer();
+  await ManualClock.settle();
+  t.true(sentAt < harness.clock.now() - 1_000);
+  t.is(harness.service.getTasks()[0]?.leaseUntil, sentAt + LEASE_MS);
+});
+
+test("TaskService stops a task whose owner is out of reach when its lease lapses", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  harness.answer = () => Promise.reject(new Error("cut"));
+  const startedAt = harness.clock.now();
+  await harness.startTask();
+  await harness.clock.advance(LEASE_MS + 600);
+  t.deepEqual(harness.worker.getRunning(), []);
+  const stopped = harness.worker.journal.find((line) => line.event === "stopped");
+  t.true((stopped?.at ?? Infinity) <= startedAt + LEASE_MS);
+  t.is(harness.service.getTasks()[0]?.phase, "stopped");
+});
+
+test("TaskService keeps a task running while its owner answers", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  await harness.clock.advance(4 * LEASE_MS);
+  t.deepEqual(harness.worker.getRunning(), ["t#1"]);
+  t.true(harness.reports.length <= 4 * 4);
+});
+
+test("TaskService revives no lease that lapsed while the agent was paused", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  let answer: () => void = () => undefined;
+  harness.answer = () =>
+    new Promise((resolve) => {
+      answer = () => {
+        resolve(grant({ leaseMs: 60_000 }));
+      };
+    });
+  await harness.clock.advance(600);
+  harness.clock.pause(LEASE_MS + 1_000);
+  answer();
+  await ManualClock.settle();
+  await harness.clock.advance(600);
+  t.is(harness.service.getTasks()[0]?.phase, "stopped");
+});
+
+test("TaskService takes no lease from a process that does not own the partition", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  harness.answer = () => Promise.resolve(grant({ notOwner: true, leaseMs: 60_000 }));
+  await harness.startTask();
+  await harness.clock.advance(LEASE_MS + 600);
+  t.is(harness.service.getTasks()[0]?.phase, "stopped");
+});
+
+test("TaskService stops a task that its owner does not know", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  harness.answer = () => Promise.resolve(grant({ verdicts: [verdict({ stop: true })] }));
+  await harness.clock.advance(1_600);
+  t.deepEqual(harness.worker.getRunning(), []);
+});
+
+test("TaskService adopts after a restart what the worker runs and commits nothing beside it", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  const size = { ...TASK_SIZE, processorsMilli: 3_000 };
+  await harness.startTask({ resources: size });
+  harness.service = harness.create("i2");
+  await harness.open();
+  t.deepEqual(harness.service.getCommitted(), size);
+  const change = { task: "u", incarnation: "i2" };
+  t.is((await harness.startTask({ ...change, resources: size })).refusal, "no-room");
+  t.is(
+    (await harness.startTask({ task: "t", attempt: 2, incarnation: "i2" })).refusal,
+    "earlier-attempt-present",
+  );
+  t.is((await harness.startTask({ task: "v" })).refusal, "wrong-incarnation");
+});
+
+test("TaskService makes tasks yield with a checkpoint to a backend server", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  t.is(
+    harness.service.reserveServer("s", "svc", { ...TASK_SIZE, processorsMilli: 4_000 }),
+    "pending",
+  );
+  await harness.clock.advance(1_100);
+  t.is(harness.service.getTasks()[0]?.phase, "stopped");
+  t.regex(harness.service.getTasks()[0]?.checkpoint ?? "", /^checkpoint/);
+  t.is(
+    harness.service.reserveServer("s", "svc", { ...TASK_SIZE, processorsMilli: 4_000 }),
+    "granted",
+  );
+});
+
+test("TaskService lets a task that outgrows its declared size yield where it does not fit", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  await harness.startTask({ task: "u", resources: { ...TASK_SIZE, memoryBytes: 2_000 } });
+  harness.worker.update("t", 1, { used: { ...TASK_SIZE, memoryBytes: 1_900 } });
+  await harness.clock.advance(600);
+  t.is(harness.service.getCommitted().memoryBytes, 3_900);
+  harness.worker.update("t", 1, { used: { ...TASK_SIZE, memoryBytes: 2_100 } });
+  await harness.clock.advance(1_100);
+  t.deepEqual(harness.worker.getRunning(), ["u#1"]);
+});
+
+test("TaskService stops what the worker no longer lists", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  await harness.clock.advance(600);
+  harness.worker.lose("t", 1);
+  await harness.clock.advance(1_100);
+  t.is(harness.service.getTasks()[0]?.phase, "stopped");
+  t.is(harness.service.getCommitted().processorsMilli, 0);
+});
+
+test("TaskService drains with checkpoints and waits until the ends are recorded", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  let ended = false;
+  const drained = harness.service.stop().then(() => {
+    ended = true;
+  });
+  await harness.clock.advance(2_000);
+  t.false(ended);
+  t.is((await harness.startTask({ task: "u" })).refusal, "draining");
+  t.is(harness.service.getTasks()[0]?.phase, "stopped");
+  harness.answer = () => Promise.resolve(grant({ verdicts: [verdict({ recorded: true })] }));
+  await harness.clock.advance(2_000);
+  await drained;
+  t.true(ended);
+  t.is(harness.clock.pendingTimers, 0);
+});
