--- a/src/coordination/tasks/TaskTable.ts
+++ b/src/coordination/tasks/TaskTable.ts
@@ -8,7 +8,7 @@
 import { NO_RESOURCES } from "../../protocol/Resources.ts";
 import type { WorkerTask } from "../../protocol/platform/Worker.ts";
 import type { CapacityBook } from "./CapacityBook.ts";
-import { HeartbeatSequence } from "./HeartbeatSequence.ts";
+import { HeartbeatTimes } from "./HeartbeatTimes.ts";
 import { PartitionEpochs } from "./PartitionEpochs.ts";
 import type { StartOrder, StartRefusal } from "./StartOrder.ts";
 import { StoppedAttempts } from "./StoppedAttempts.ts";
@@ -39,7 +39,7 @@
   private readonly _incarnation: string;
   private readonly _records = new Map<string, TaskRecord>();
   private readonly _epochs = new PartitionEpochs();
-  private readonly _sequence = new HeartbeatSequence();
+  private readonly _heartbeats = new HeartbeatTimes();
   private readonly _stopped: StoppedAttempts;
   private _ready = false;
   private _draining = false;
@@ -55,11 +55,12 @@
   }
 
   /**
-   * Issues the number of the next heartbeat; to be called before it is sent.
+   * Notes a heartbeat, so that starts can be dated by it; to be called before it is sent.
+   * @param sequence - Number of the heartbeat.
    * @param now - Monotonic time in milliseconds.
    */
-  issueSequence(now: number): number {
-    return this._sequence.next(now);
+  noteHeartbeat(sequence: number, now: number): void {
+    this._heartbeats.note(sequence, now);
   }
 
   /** Opens the table for starts, once everything that the worker runs has been adopted. */
@@ -116,10 +117,10 @@
   admit(order: StartOrder, now: number): Result<TaskRecord, StartRefusal> {
     const refusal = this._findRefusal(order, now);
     if (refusal !== undefined) {
-      this._stopped.remember(order, this._sequence.getLast());
+      this._stopped.remember(order, this._heartbeats.getLast());
       return err(refusal);
     }
-    const sentAt = this._sequence.getSentAt(order.sequence) ?? now;
+    const sentAt = this._heartbeats.getSentAt(order.sequence) ?? now;
     const record = createRecord(order, sentAt + order.leaseMs, now);
     this._records.set(formatTaskKey(order), record);
     return ok(record);
@@ -162,7 +163,7 @@
    * @param key - The attempt.
    */
   forbid(key: TaskKey): void {
-    this._stopped.remember(key, this._sequence.getLast());
+    this._stopped.remember(key, this._heartbeats.getLast());
   }
 
   /**
@@ -180,7 +181,7 @@
     const reason = end.reason === "" ? record.reason : end.reason;
     this._advance(key, phase, { ...rest, reason }, now);
     this._book.release(key);
-    this._stopped.remember(key, this._sequence.getLast());
+    this._stopped.remember(key, this._heartbeats.getLast());
   }
 
   /**
@@ -213,7 +214,7 @@
       this._book.adopt(task, task.resources);
       return;
     }
-    this._stopped.remember(task, this._sequence.getLast());
+    this._stopped.remember(task, this._heartbeats.getLast());
   }
 
   /**
@@ -306,7 +307,7 @@
   }
 
   private _isExpired(order: StartOrder, now: number): boolean {
-    const sentAt = this._sequence.getSentAt(order.sequence);
+    const sentAt = this._heartbeats.getSentAt(order.sequence);
     return (
       sentAt === undefined ||
       now - sentAt > order.expiresMs ||
@@ -333,7 +334,7 @@
   private _remove(key: TaskKey): void {
     this._records.delete(formatTaskKey(key));
     this._book.release(key);
-    this._stopped.remember(key, this._sequence.getLast());
+    this._stopped.remember(key, this._heartbeats.getLast());
   }
 
   private _advance(
--- a/src/transport/agent/tasks/TaskService.ts
+++ b/src/transport/agent/tasks/TaskService.ts
@@ -98,9 +98,12 @@
     return this._table.isReady();
   }
 
-  /** Issues the number of the next heartbeat; to be called before the heartbeat is sent. */
-  issueSequence(): number {
-    return this._table.issueSequence(this._options.clock.now());
+  /**
+   * Notes a heartbeat, so that starts can be dated by it; to be called before it is sent.
+   * @param sequence - Number of the heartbeat.
+   */
+  noteHeartbeat(sequence: number): void {
+    this._table.noteHeartbeat(sequence, this._options.clock.now());
   }
 
   /**
--- a/src/transport/agent/tasks/taskMessages.ts
+++ b/src/transport/agent/tasks/taskMessages.ts
@@ -13,7 +13,7 @@
 import { NO_RESOURCES, type Resources } from "../../../protocol/Resources.ts";
 
 const PHASE_TEXTS: Readonly<Record<TaskPhase, string>> = {
-  starting: "unknown",
+  starting: "running",
   running: "running",
   stopping: "checkpointing",
   stopped: "stopped",
--- a/tests/coordination/tasks/taskTableTests.ts
+++ b/tests/coordination/tasks/taskTableTests.ts
@@ -20,6 +20,14 @@
   return table;
 }
 
+let sequence = 0;
+
+function heartbeat(table: TaskTable, now: number): number {
+  sequence += 1;
+  table.noteHeartbeat(sequence, now);
+  return sequence;
+}
+
 function order(table: TaskTable, now: number, change: Partial<StartOrder> = {}): StartOrder {
   return {
     task: "t",
@@ -31,7 +39,7 @@
     kind: "kind",
     tenant: "tenant",
     incarnation: "i1",
-    sequence: table.issueSequence(now),
+    sequence: heartbeat(table, now),
     expiresMs: 2_000,
     leaseMs: 10_000,
     ...change,
@@ -113,10 +121,10 @@
 test("TaskTable refuses every start that may be older than a stop it no longer remembers", (t) => {
   const table = createTable(2);
   const delayed = order(table, 10);
-  table.issueSequence(20);
+  heartbeat(table, 20);
   table.forbid(delayed);
   ["u", "v"].forEach((task) => {
-    table.issueSequence(30);
+    heartbeat(table, 30);
     table.forbid({ task, attempt: 1 });
   });
   t.is(refusal(table, delayed, 40), "start-expired");
--- a/tests/support/TaskServiceHarness.ts
+++ b/tests/support/TaskServiceHarness.ts
@@ -57,6 +57,7 @@
   /** Answers reports; a test replaces it. */
   answer: (req: ReportTasksRequest) => Promise<ReportTasksReply> = () => Promise.resolve(grant());
   service = this.create("i1");
+  private _sequence = 0;
 
   /**
    * Creates a service on the worker, as after a restart of the agent.
@@ -92,6 +93,13 @@
     return this;
   }
 
+  /** Notes a heartbeat and gives its number. */
+  sendHeartbeat(): number {
+    this._sequence += 1;
+    this.service.noteHeartbeat(this._sequence);
+    return this._sequence;
+  }
+
   /**
    * Orders the start of a task.
    * @param change - What differs from the usual order.
@@ -110,7 +118,7 @@
         kind: "kind",
         tenant: "tenant",
         expiresMs: 2_000,
-        sequence: BigInt(this.service.issueSequence()),
+        sequence: BigInt(this.sendHeartbeat()),
         ...change,
       }),
     );
