--- a/src/coordination/batch/Placer.ts
+++ b/src/coordination/batch/Placer.ts
@@ -58,6 +58,16 @@
   readonly waiting: readonly WaitingReason[];
 }
 
+/** How an attempt on a VM went, as far as it is known. */
+export interface AttemptNote {
+  readonly agent: string;
+  readonly kind: string;
+  /** "refused" only tells that the agent did not admit the start, as for lack of room. */
+  readonly outcome: "accepted" | "refused" | "completed" | "failed";
+  /** Monotonic time in milliseconds. */
+  readonly now: number;
+}
+
 /** Decides where waiting tasks start. */
 export abstract class Placer {
   /**
@@ -73,4 +83,15 @@
    * @param now - Monotonic time in milliseconds.
    */
   abstract noteOutcome(agent: string, started: boolean, now: number): void;
+
+  /**
+   * Learns how an attempt went; placers that tell kinds of jobs apart override it.
+   * @param note - The attempt.
+   */
+  noteAttempt(note: AttemptNote): void {
+    const { agent, outcome, now } = note;
+    if (outcome === "completed" || outcome === "failed") {
+      this.noteOutcome(agent, outcome === "completed", now);
+    }
+  }
 }
--- /dev/null
+++ b/src/coordination/placement/AlignmentRule.ts
@@ -0,0 +1,22 @@
+/**
+ * Alignment: prefers the VM whose free amounts have the proportions of the task, so that no part
+ * runs out long before the others.
+ */
+import type { Resources } from "../../protocol/Resources.ts";
+import { FitRule, getPartShare } from "./FitRule.ts";
+
+/** Prefers VMs whose free amounts match the task's proportions. */
+export class AlignmentRule extends FitRule {
+  override readonly searchOrder = "ascending";
+
+  override rate(wanted: Resources, free: Resources, capacity: Resources): number {
+    const wantedProcessors = getPartShare(wanted.processorsMilli, capacity.processorsMilli);
+    const wantedMemory = getPartShare(wanted.memoryBytes, capacity.memoryBytes);
+    const freeProcessors = getPartShare(free.processorsMilli, capacity.processorsMilli);
+    const freeMemory = getPartShare(free.memoryBytes, capacity.memoryBytes);
+    const lengths =
+      Math.hypot(wantedProcessors, wantedMemory) * Math.hypot(freeProcessors, freeMemory);
+    const product = wantedProcessors * freeProcessors + wantedMemory * freeMemory;
+    return lengths > 0 ? product / lengths : 0;
+  }
+}
--- /dev/null
+++ b/src/coordination/placement/PlacementRound.ts
@@ -0,0 +1,238 @@
+/**
+ * One round of placement over the VMs: chooses a VM for each task, bounds the starts on each VM,
+ * and remembers which sizes found no room so that the same search is not repeated.
+ */
+import { fits, type Resources } from "../../protocol/Resources.ts";
+import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
+import type { VmRecord } from "../../state/FleetView.ts";
+import type { PendingTask, WaitingReason } from "../batch/Placer.ts";
+import { describeExcess } from "./describeExcess.ts";
+import type { FitRule } from "./FitRule.ts";
+import { VmIndex, type Candidate } from "./VmIndex.ts";
+import type { Admission } from "./WorkerQuarantine.ts";
+
+/** Most VMs with room among which one is chosen. */
+const CHOICES = 8;
+/** Most starts on one VM in a round, so that a lost rack's tasks do not fall on one VM. */
+const MAX_STARTS_PER_VM = 4;
+/** Weight of the predicted disturbance against the fit. */
+const PENALTY_WEIGHT = 2;
+const FULL_PENALTY = 1;
+
+/** Parts of a round. */
+export interface PlacementRoundOptions {
+  readonly random: RandomSource;
+  readonly fitRule: FitRule;
+  readonly getPenalty: (services: readonly string[], kind: string) => number;
+  readonly now: number;
+  /** VMs that may take tasks. */
+  readonly vms: readonly VmRecord[];
+  /** All VMs that are known. */
+  readonly allVms: readonly VmRecord[];
+  readonly admissions: ReadonlyMap<string, Admission>;
+  /** VMs kept free for tasks that have waited long. */
+  readonly earmarked: ReadonlySet<string>;
+}
+
+/** A size of a kind of job for which no VM was found. */
+interface FailedSearch {
+  readonly kind: string;
+  readonly wanted: Resources;
+}
+
+/** One round. */
+export class PlacementRound {
+  private readonly _options: PlacementRoundOptions;
+  private readonly _index: VmIndex;
+  private readonly _capacities: readonly Resources[];
+  private readonly _keptFree: Set<string>;
+  private readonly _penalties = new Map<string, number>();
+  private readonly _services = new Map<string, readonly string[]>();
+  private _failed: readonly FailedSearch[] = [];
+  private _disturbing = new Set<string>();
+  private _placed = 0;
+
+  /**
+   * Creates a round.
+   * @param options - Its parts.
+   */
+  constructor(options: PlacementRoundOptions) {
+    const { vms, allVms, admissions, random, earmarked } = options;
+    this._options = options;
+    const open = vms.filter((vm) => admissions.get(vm.agent) !== "closed");
+    this._index = new VmIndex(open, random);
+    this._capacities = getDistinct(allVms.map((vm) => vm.capacity));
+    this._keptFree = new Set(earmarked);
+  }
+
+  /** Number of tasks placed so far. */
+  get placed(): number {
+    return this._placed;
+  }
+
+  /** VMs that may take tasks. */
+  get vms(): readonly VmRecord[] {
+    return this._options.vms;
+  }
+
+  /**
+   * Whether a VM takes a single task as a probe.
+   * @param agent - Name of its agent.
+   */
+  isProbe(agent: string): boolean {
+    return this._options.admissions.get(agent) === "probe";
+  }
+
+  /**
+   * Keeps a VM free from now on.
+   * @param agent - Name of its agent.
+   */
+  keepFree(agent: string): void {
+    this._keptFree.add(agent);
+  }
+
+  /**
+   * Chooses a VM for a task and takes the amount from it.
+   * @param task - The task.
+   * @param wanted - Amount to commit.
+   * @param marked - VM kept free for the task.
+   * @returns Name of the VM's agent; undefined where no VM has room.
+   */
+  place(task: PendingTask, wanted: Resources, marked: string | undefined): string | undefined {
+    const kept = marked === undefined ? undefined : this._index.get(marked);
+    if (kept !== undefined && fits(wanted, kept.free) && this._accepts(kept, task, true)) {
+      return this._take(kept, wanted);
+    }
+    if (this._hasFailed(task.kind, wanted)) {
+      return undefined;
+    }
+    const found = this._index.find({
+      wanted,
+      order: this._options.fitRule.searchOrder,
+      count: CHOICES,
+      accepts: (candidate) => this._accepts(candidate, task, task.urgent),
+    });
+    const best = this._getBest(found, task.kind, wanted);
+    if (best === undefined) {
+      this._noteFailed(task.kind, wanted);
+      return undefined;
+    }
+    return this._take(best, wanted);
+  }
+
+  /**
+   * Says why a task was not placed.
+   * @param task - The task.
+   * @param wanted - Amount to commit.
+   * @param marked - VM kept free for the task.
+   */
+  explain(
+    task: PendingTask,
+    wanted: Resources,
+    marked: string | undefined,
+  ): Omit<WaitingReason, "task"> {
+    if (this._options.vms.length === 0) {
+      return { parked: false, reason: "no VM is known that takes tasks" };
+    }
+    if (!this._capacities.some((capacity) => fits(wanted, capacity))) {
+      return { parked: true, reason: `it is larger than every VM: ${this._describe(wanted)}` };
+    }
+    if (marked !== undefined) {
+      return { parked: false, reason: `VM ${marked} is kept free for it` };
+    }
+    const disturbing = this._disturbing.has(task.kind);
+    return {
+      parked: false,
+      reason: disturbing ? "it would disturb the services of every VM with room" : "no VM has room",
+    };
+  }
+
+  private _describe(wanted: Resources): string {
+    const nearest = this._capacities.toSorted(
+      (a, b) => b.processorsMilli - a.processorsMilli || b.memoryBytes - a.memoryBytes,
+    );
+    const largest = nearest.find((capacity) => capacity.accelerators >= wanted.accelerators);
+    return describeExcess(wanted, largest ?? nearest[0] ?? wanted);
+  }
+
+  private _accepts(candidate: Candidate, task: PendingTask, mayUseKept: boolean): boolean {
+    const { agent } = candidate.vm;
+    const most = this.isProbe(agent) ? 1 : MAX_STARTS_PER_VM;
+    if (candidate.starts >= most || (!mayUseKept && this._keptFree.has(agent))) {
+      return false;
+    }
+    const bearable = this._getPenalty(candidate.vm, task.kind) < FULL_PENALTY;
+    if (!bearable) {
+      this._disturbing.add(task.kind);
+    }
+    return bearable;
+  }
+
+  private _getBest(
+    found: readonly Candidate[],
+    kind: string,
+    wanted: Resources,
+  ): Candidate | undefined {
+    const { fitRule } = this._options;
+    const rated = found.map((candidate) => ({
+      candidate,
+      rating:
+        fitRule.rate(wanted, candidate.free, candidate.vm.capacity) -
+        PENALTY_WEIGHT * this._getPenalty(candidate.vm, kind),
+    }));
+    const [first, ...others] = rated;
+    return others.reduce((best, next) => (next.rating > (best?.rating ?? 0) ? next : best), first)
+      ?.candidate;
+  }
+
+  private _getPenalty(vm: VmRecord, kind: string): number {
+    if (vm.servers.length === 0) {
+      return 0;
+    }
+    const services = this._getServices(vm);
+    const key = `${services.join(",")}\n${kind}`;
+    const known = this._penalties.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const penalty = this._options.getPenalty(services, kind);
+    this._penalties.set(key, penalty);
+    return penalty;
+  }
+
+  private _getServices(vm: VmRecord): readonly string[] {
+    const known = this._services.get(vm.agent);
+    if (known !== undefined) {
+      return known;
+    }
+    const services = [...new Set(vm.servers.map((server) => server.service))].sort();
+    this._services.set(vm.agent, services);
+    return services;
+  }
+
+  private _take(candidate: Candidate, wanted: Resources): string {
+    this._index.take(candidate, wanted);
+    this._placed += 1;
+    return candidate.vm.agent;
+  }
+
+  private _noteFailed(kind: string, wanted: Resources): void {
+    const others = this._failed.filter(
+      (failed) => failed.kind !== kind || !fits(wanted, failed.wanted),
+    );
+    this._failed = [...others, { kind, wanted }];
+  }
+
+  /** Free amounts only shrink in a round, so what is no smaller than a failed size fails too. */
+  private _hasFailed(kind: string, wanted: Resources): boolean {
+    return this._failed.some((failed) => failed.kind === kind && fits(failed.wanted, wanted));
+  }
+}
+
+function getDistinct(capacities: readonly Resources[]): readonly Resources[] {
+  const byText = capacities.map((capacity): [string, Resources] => [
+    `${capacity.processorsMilli},${capacity.memoryBytes},${capacity.accelerators}`,
+    capacity,
+  ]);
+  return [...new Map(byText).values()];
+}
--- /dev/null
+++ b/src/coordination/placement/describeExcess.ts
@@ -0,0 +1,24 @@
+/**
+ * Words for an amount that does not fit.
+ */
+import type { Resources } from "../../protocol/Resources.ts";
+
+const MILLI_PER_CORE = 1_000;
+const BYTES_PER_MIB = 2 ** 20;
+
+/**
+ * Names the first part of an amount that exceeds a limit.
+ * @param wanted - The amount.
+ * @param limit - The limit.
+ */
+export function describeExcess(wanted: Resources, limit: Resources): string {
+  if (wanted.processorsMilli > limit.processorsMilli) {
+    const cores = wanted.processorsMilli / MILLI_PER_CORE;
+    return `${cores} processors of ${limit.processorsMilli / MILLI_PER_CORE}`;
+  }
+  if (wanted.memoryBytes > limit.memoryBytes) {
+    const mebibytes = Math.ceil(wanted.memoryBytes / BYTES_PER_MIB);
+    return `${mebibytes} MiB of memory of ${Math.floor(limit.memoryBytes / BYTES_PER_MIB)}`;
+  }
+  return `${wanted.accelerators} accelerators of ${limit.accelerators}`;
+}
