--- a/src/protocol/Refusal.ts
+++ b/src/protocol/Refusal.ts
@@ -21,10 +21,14 @@
   | "upstream-failed"
   | "upstream-truncated"
   | "store-unavailable"
+  | "no-owner"
   | "conflict"
   | "outcome-unknown"
   | "not-found"
-  | "bad-document";
+  | "bad-document"
+  | "method-not-allowed"
+  | "request-timeout"
+  | "internal-error";
 
 const STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
   "unknown-service": 404,
@@ -42,10 +46,14 @@
   "upstream-failed": 502,
   "upstream-truncated": 502,
   "store-unavailable": 503,
+  "no-owner": 503,
   conflict: 409,
   "outcome-unknown": 504,
   "not-found": 404,
   "bad-document": 422,
+  "method-not-allowed": 405,
+  "request-timeout": 408,
+  "internal-error": 500,
 };
 
 /** A refusal or failure with everything that the caller is told. */
