Add the backend server stand-in and the fault-injecting proxy

Cause: the request path needs servers that announce themselves, and links that fail on demand. FaultProxy holds, drops, delays and cuts bytes of each direction.

--- /dev/null
+++ b/standins/backend/Announcer.ts
@@ -0,0 +1,69 @@
+/**
+ * Announces the backend stand-in to the agent of its VM, at once and then every second.
+ */
+import { request } from "undici";
+import type { Clock, Timer } from "../../src/protocol/platform/Clock.ts";
+import type { ServerAnnouncement } from "../../src/protocol/ServerAnnouncement.ts";
+
+const INTERVAL_MS = 1_000;
+
+/** Repeated announcement. */
+export class Announcer {
+  private readonly _clock: Clock;
+  private readonly _agent: string;
+  private readonly _describe: () => ServerAnnouncement;
+  private _timer: Timer | undefined;
+  private _silent = false;
+
+  /**
+   * Creates an announcer that is not started.
+   * @param clock - Clock of the repetition.
+   * @param agent - Local address of the agent, as "host:port".
+   * @param describe - Gives the announcement.
+   */
+  constructor(clock: Clock, agent: string, describe: () => ServerAnnouncement) {
+    this._clock = clock;
+    this._agent = agent;
+    this._describe = describe;
+  }
+
+  /** Announces at once and goes on every second. */
+  start(): void {
+    this._timer?.cancel();
+    this._timer = this._clock.after(INTERVAL_MS, () => {
+      this.start();
+    });
+    void this._announce();
+  }
+
+  /** Ends the announcements. */
+  stop(): void {
+    this._timer?.cancel();
+  }
+
+  /**
+   * Leaves announcements out, or makes them again.
+   * @param silent - Whether to leave them out.
+   */
+  setSilent(silent: boolean): void {
+    this._silent = silent;
+  }
+
+  private async _announce(): Promise<void> {
+    if (this._silent) {
+      return;
+    }
+    const announcement = this._describe();
+    try {
+      const { body } = await request(`http://${this._agent}/v1/servers/${announcement.id}`, {
+        method: "PUT",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(announcement),
+        signal: AbortSignal.timeout(INTERVAL_MS),
+      });
+      await body.dump();
+    } catch {
+      // An agent that is away hears the next announcement.
+    }
+  }
+}
--- /dev/null
+++ b/standins/proxy/FaultProxy.ts
@@ -0,0 +1,194 @@
+/**
+ * TCP proxy between two processes that injects faults, switched at run time.
+ */
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import { SeededRandom } from "../../tests/support/SeededRandom.ts";
+import { parseAddress } from "../support/address.ts";
+import { NO_PROXY_FAULTS } from "./ProxyFaults.ts";
+import type { ProxyFaults, ProxyFaultsChange } from "./ProxyFaults.ts";
+import { ProxyPipe } from "./ProxyPipe.ts";
+
+/** What went through a proxy. */
+export interface ProxyCounts {
+  readonly connections: number;
+  readonly open: number;
+  /** Connections that the proxy cut. */
+  readonly cut: number;
+  readonly upBytes: number;
+  readonly downBytes: number;
+}
+
+interface Link {
+  readonly up: ProxyPipe;
+  readonly down: ProxyPipe;
+  readonly cut: () => void;
+}
+
+/** Proxy of one link. */
+export class FaultProxy {
+  private readonly _clock: Clock;
+  private readonly _listen: string;
+  private readonly _target: string;
+  private readonly _links = new Set<Link>();
+  private _server: Server | undefined;
+  private _faults = NO_PROXY_FAULTS;
+  private _random = new SeededRandom(NO_PROXY_FAULTS.seed);
+  private _connections = 0;
+  private _cut = 0;
+  private _endedUpBytes = 0;
+  private _endedDownBytes = 0;
+
+  /**
+   * Creates a proxy that does not listen yet.
+   * @param clock - Clock of the delays.
+   * @param listen - Address to listen on, as "host:port".
+   * @param target - Address to connect to.
+   */
+  constructor(clock: Clock, listen: string, target: string) {
+    this._clock = clock;
+    this._listen = listen;
+    this._target = target;
+  }
+
+  /** Address to which callers connect. */
+  get address(): string {
+    return this._listen;
+  }
+
+  /** Faults in force. */
+  get faults(): ProxyFaults {
+    return this._faults;
+  }
+
+  /** What went through so far. */
+  get counts(): ProxyCounts {
+    const links = [...this._links];
+    return {
+      connections: this._connections,
+      open: links.length,
+      cut: this._cut,
+      upBytes: links.reduce((sum, link) => sum + link.up.passedBytes, this._endedUpBytes),
+      downBytes: links.reduce((sum, link) => sum + link.down.passedBytes, this._endedDownBytes),
+    };
+  }
+
+  /** Listens; a proxy that listens already is left alone. */
+  async start(): Promise<void> {
+    if (this._server !== undefined) {
+      return;
+    }
+    const server = createServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
+      this._accept(socket);
+    });
+    this._server = server;
+    server.listen(parseAddress(this._listen));
+    await once(server, "listening");
+  }
+
+  /** Stops to listen and cuts all connections. */
+  async stop(): Promise<void> {
+    await this._stopListening();
+    this.cutAll();
+  }
+
+  /**
+   * Changes the faults; what they no longer hold back passes at once.
+   * @param change - What changes.
+   */
+  async setFaults(change: ProxyFaultsChange): Promise<void> {
+    this._faults = { ...this._faults, ...change };
+    if (change.seed !== undefined) {
+      this._random = new SeededRandom(change.seed);
+    }
+    if (this._faults.newConnections === "refuse") {
+      await this._stopListening();
+    } else {
+      await this.start();
+    }
+    this._links.forEach((link) => {
+      link.up.pump();
+      link.down.pump();
+    });
+  }
+
+  /** Ends all faults. */
+  async heal(): Promise<void> {
+    await this.setFaults(NO_PROXY_FAULTS);
+  }
+
+  /** Cuts all connections. */
+  cutAll(): void {
+    [...this._links].forEach((link) => {
+      link.cut();
+    });
+  }
+
+  private async _stopListening(): Promise<void> {
+    const server = this._server;
+    if (server === undefined) {
+      return;
+    }
+    this._server = undefined;
+    // Open connections go on; the event "close" would wait for them.
+    server.close();
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+
+  private _accept(caller: Socket): void {
+    this._connections += 1;
+    if (this._faults.newConnections === "reset") {
+      caller.resetAndDestroy();
+      return;
+    }
+    const target = connect({ ...parseAddress(this._target), allowHalfOpen: true, noDelay: true });
+    this._connect(caller, target);
+  }
+
+  private _connect(caller: Socket, target: Socket): void {
+    const cut = (): void => {
+      this._cut += this._links.has(link) ? 1 : 0;
+      caller.resetAndDestroy();
+      target.resetAndDestroy();
+    };
+    const shared = {
+      clock: this._clock,
+      getFaults: () => this._faults,
+      mayCut: this._random.next() < this._faults.cutShare,
+      cut,
+    };
+    const link: Link = {
+      up: new ProxyPipe({ ...shared, direction: "up", source: caller, target }),
+      down: new ProxyPipe({ ...shared, direction: "down", source: target, target: caller }),
+      cut,
+    };
+    this._links.add(link);
+    this._joinEnds(caller, target, link);
+  }
+
+  private _joinEnds(caller: Socket, target: Socket, link: Link): void {
+    const open = new Set([caller, target]);
+    open.forEach((socket) => {
+      // The event "close" follows every error; nothing is lost here.
+      socket.on("error", () => undefined);
+      socket.on("close", (hadError) => {
+        open.delete(socket);
+        if (hadError) {
+          [...open].forEach((other) => other.resetAndDestroy());
+        }
+        if (open.size === 0) {
+          this._end(link);
+        }
+      });
+    });
+  }
+
+  private _end(link: Link): void {
+    if (this._links.delete(link)) {
+      this._endedUpBytes += link.up.passedBytes;
+      this._endedDownBytes += link.down.passedBytes;
+    }
+  }
+}
--- /dev/null
+++ b/standins/proxy/ProxyPipe.ts
@@ -0,0 +1,146 @@
+/**
+ * One direction of a proxied connection: bytes pass in order, late, held back, thrown away or up to
+ * a cut.
+ */
+import type { Socket } from "node:net";
+import type { Clock, Timer } from "../../src/protocol/platform/Clock.ts";
+import type { ProxyFaults } from "./ProxyFaults.ts";
+
+/** Bytes that wait in the proxy before it stops to read. */
+const MAX_WAITING_BYTES = 1_048_576;
+
+/** What a pipe needs. */
+export interface ProxyPipeOptions {
+  readonly clock: Clock;
+  readonly direction: "up" | "down";
+  readonly source: Socket;
+  readonly target: Socket;
+  /** Gives the faults in force. */
+  readonly getFaults: () => ProxyFaults;
+  /** Whether the cut after a number of bytes applies to the connection. */
+  readonly mayCut: boolean;
+  /** Cuts the connection. */
+  readonly cut: () => void;
+}
+
+interface Item {
+  /** Bytes; undefined for the end of the direction. */
+  readonly bytes: Buffer | undefined;
+  readonly dueAt: number;
+}
+
+/** One direction of a connection. */
+export class ProxyPipe {
+  private readonly _options: ProxyPipeOptions;
+  private _items: readonly Item[] = [];
+  private _waitingBytes = 0;
+  private _passedBytes = 0;
+  private _timer: Timer | undefined;
+
+  /**
+   * Creates the pipe and begins to read.
+   * @param options - What it needs.
+   */
+  constructor(options: ProxyPipeOptions) {
+    this._options = options;
+    options.source.on("data", (bytes: Buffer) => {
+      this._take(bytes);
+    });
+    options.source.on("end", () => {
+      this._take(undefined);
+    });
+    options.target.on("drain", () => {
+      this.pump();
+    });
+  }
+
+  /** Bytes that passed. */
+  get passedBytes(): number {
+    return this._passedBytes;
+  }
+
+  /** Passes on what may pass under the faults in force. */
+  pump(): void {
+    this._timer?.cancel();
+    const { hold } = this._options.getFaults();
+    while (!this._applies(hold) && !this._options.target.writableNeedDrain) {
+      const item = this._items[0];
+      if (item === undefined) {
+        break;
+      }
+      if (item.dueAt > this._options.clock.now()) {
+        this._pumpAt(item.dueAt);
+        break;
+      }
+      this._items = this._items.slice(1);
+      this._pass(item);
+    }
+    this._limitReading();
+  }
+
+  private _take(bytes: Buffer | undefined): void {
+    const { clock, direction, getFaults } = this._options;
+    const faults = getFaults();
+    if (this._applies(faults.drop)) {
+      return;
+    }
+    const delayMs = direction === "up" ? faults.delayUpMs : faults.delayDownMs;
+    this._items = [...this._items, { bytes, dueAt: clock.now() + delayMs }];
+    this._waitingBytes += bytes?.length ?? 0;
+    this.pump();
+  }
+
+  private _pass(item: Item): void {
+    const { target } = this._options;
+    if (item.bytes === undefined) {
+      target.end();
+      return;
+    }
+    this._waitingBytes -= item.bytes.length;
+    const left = this._getBytesLeft();
+    const part = item.bytes.subarray(0, left);
+    this._passedBytes += part.length;
+    if (part.length === item.bytes.length) {
+      target.write(part);
+    } else {
+      this._cutAfter(part);
+    }
+  }
+
+  private _cutAfter(part: Buffer): void {
+    const { target, cut } = this._options;
+    this._items = [];
+    if (part.length === 0) {
+      cut();
+    } else {
+      target.write(part, cut);
+    }
+  }
+
+  private _getBytesLeft(): number {
+    const { direction, mayCut, getFaults } = this._options;
+    const { cutAfterUpBytes, cutAfterDownBytes } = getFaults();
+    const limit = direction === "up" ? cutAfterUpBytes : cutAfterDownBytes;
+    return limit === null || !mayCut ? Infinity : Math.max(0, limit - this._passedBytes);
+  }
+
+  private _applies(fault: ProxyFaults["hold"]): boolean {
+    return fault === "both" || fault === this._options.direction;
+  }
+
+  private _pumpAt(dueAt: number): void {
+    const { clock } = this._options;
+    this._timer = clock.after(dueAt - clock.now(), () => {
+      this.pump();
+    });
+  }
+
+  private _limitReading(): void {
+    const { source } = this._options;
+    if (this._waitingBytes > MAX_WAITING_BYTES) {
+      source.pause();
+    } else {
+      source.resume();
+    }
+  }
+}
