--- /dev/null
+++ b/bench/requests/describeAgent.ts
@@ -0,0 +1,33 @@
+/**
+ * What an agent of the model reports.
+ */
+import { NO_RESOURCES } from "../../src/protocol/Resources.ts";
+import type { VmRecord } from "../../src/state/FleetView.ts";
+import type { ModelAgent } from "./RequestModelTypes.ts";
+
+/**
+ * Makes the report of an agent.
+ * @param agent - The agent.
+ * @param now - Virtual time in milliseconds.
+ */
+export function describeAgent(agent: ModelAgent, now: number): VmRecord {
+  return {
+    agent: `agent-${agent.index}`,
+    incarnation: agent.incarnation,
+    sequence: agent.sequence,
+    region: "region",
+    zone: agent.zone,
+    rack: "rack",
+    requestAddress: String(agent.index),
+    controlAddress: "",
+    capacity: NO_RESOURCES,
+    committed: NO_RESOURCES,
+    used: NO_RESOURCES,
+    servers: agent.admission.getServers().map((server) => server.takeReport()),
+    draining: agent.admission.draining,
+    configRevision: 1,
+    tasks: 0,
+    heatLevel: undefined,
+    reportedAt: now,
+  };
+}
--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -1,12 +1,281 @@
 /**
- * The process of the role `agent`.
+ * The role `agent`: puts the parts of an agent together, starts them in order and ends them without
+ * cutting a request off.
  */
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { err, ok, type Result } from "neverthrow";
+import { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
+import { ReportTargets } from "../../coordination/ReportTargets.ts";
+import { AgentAdmission } from "../../coordination/requests/AgentAdmission.ts";
+import type { ListenError } from "../../protocol/errors/errors.ts";
+import {
+  AgentControl,
+  HeartbeatRequestSchema,
+  SettleRequestReplySchema,
+  type HeartbeatReply,
+  type HeartbeatRequest,
+  type PartitionOwner,
+  type SettleRequestReply,
+  type SettleRequestRequest,
+} from "../../protocol/generated/fireflylb/v1/control_pb.ts";
 import type { AgentSettings } from "../../protocol/settings/AgentSettings.ts";
+import { RequestHistograms } from "../../state/metrics/RequestHistograms.ts";
+import { ControlServer } from "../control/ControlServer.ts";
+import { EntryClients } from "../control/EntryClients.ts";
+import { writeServer } from "../control/fleetMessages.ts";
+import { PeerConfigs } from "../entry/PeerConfigs.ts";
+import { ApiServer } from "../http/ApiServer.ts";
+import { PromMetrics } from "../http/PromMetrics.ts";
+import { PinoLog } from "../log/PinoLog.ts";
+import { runProcess } from "../runProcess.ts";
+import { SystemClock } from "../platform/SystemClock.ts";
+import { HttpWorker } from "../worker/HttpWorker.ts";
+import { AnnouncementRoutes } from "./AnnouncementRoutes.ts";
+import { HeartbeatSender } from "./HeartbeatSender.ts";
+import { AgentRequestServer } from "./requests/AgentRequestServer.ts";
+import { TaskService } from "./tasks/TaskService.ts";
+
+const CONFIG_TIMEOUT_MS = 2_000;
+const WORKER_TIMEOUT_MS = 2_000;
+const CLOSE_TIMEOUT_MS = 2_000;
+const DRAIN_POLL_MS = 50;
+
+/** One agent. */
+export class AgentProcess {
+  private readonly _settings: AgentSettings;
+  private readonly _log: PinoLog;
+  private readonly _clock = new SystemClock();
+  private readonly _incarnation = crypto.randomUUID();
+  private readonly _metrics = new PromMetrics(new RequestHistograms(this._clock));
+  private readonly _keeper = new ConfigKeeper();
+  private readonly _clients = new EntryClients();
+  private readonly _owners = new Map<number, PartitionOwner>();
+  private readonly _admission: AgentAdmission;
+  private readonly _tasks: TaskService;
+  private readonly _requests: AgentRequestServer;
+  private readonly _heartbeats: HeartbeatSender;
+  private readonly _control: ControlServer;
+  private readonly _local: ApiServer;
+  private readonly _admin: ApiServer;
+  private _pulling = false;
+  private _draining = false;
+
+  /**
+   * Creates the agent; it does nothing before it is started.
+   * @param settings - Its settings.
+   * @param log - Log of the process.
+   */
+  constructor(settings: AgentSettings, log: PinoLog) {
+    this._settings = settings;
+    this._log = log;
+    this._admission = new AgentAdmission({
+      clock: this._clock,
+      incarnation: this._incarnation,
+      maxQueue: settings.requests.maxQueue,
+      getConfig: () => this._keeper.getSnapshot()?.document,
+    });
+    this._tasks = this._createTasks();
+    this._requests = new AgentRequestServer({
+      admission: this._admission,
+      clock: this._clock,
+      maxBodyBytes: settings.requests.maxBodyBytes,
+      isReady: () => this._tasks.isReady(),
+    });
+    this._heartbeats = this._createHeartbeats();
+    this._control = new ControlServer((router) => {
+      this._registerControl(router);
+    });
+    const announcements = new AnnouncementRoutes({
+      clock: this._clock,
+      log: log.part("servers"),
+      admission: this._admission,
+      tasks: this._tasks,
+      expiryMs: settings.fleet.announcementExpiryMs,
+      onChange: () => void this._heartbeats.sendNow(),
+    });
+    this._local = this._createApi("[agent] local", announcements);
+    this._admin = this._createApi("[agent] admin", undefined);
+  }
+
+  /** Starts to listen and to report. */
+  async start(): Promise<Result<void, ListenError>> {
+    const { agent } = this._settings;
+    const results = [
+      await this._control.listen(agent.control, "[agent] control"),
+      await this._requests.listen(agent.listen),
+      await this._local.listen(agent.local),
+      await this._admin.listen(agent.admin),
+    ];
+    const failed = results.find((result) => result.isErr());
+    if (failed?.isErr() === true) {
+      return err(failed.error);
+    }
+    this._tasks.start();
+    this._heartbeats.start();
+    this._log.info("Agent started.", { name: agent.name, zone: agent.zone });
+    return ok(undefined);
+  }
+
+  /** Ends gracefully: takes no new work, lets requests end, stops tasks with checkpoints. */
+  async stop(): Promise<void> {
+    const deadline = this._clock.now() + this._settings.agent.drainTimeoutMs;
+    this._draining = true;
+    this._admission.drain();
+    this._log.info("Agent drains.", { requests: this._admission.getOpenRequests() });
+    await this._heartbeats.sendNow();
+    await Promise.all([this._waitForRequests(deadline), this._tasks.stop()]);
+    this._heartbeats.stop();
+    await Promise.race([
+      Promise.all([this._requests.close(), this._control.close()]),
+      this._clock.sleep(CLOSE_TIMEOUT_MS),
+    ]);
+    await Promise.all([this._local.close(CLOSE_TIMEOUT_MS), this._admin.close(CLOSE_TIMEOUT_MS)]);
+    this._log.info("Agent ended.", { requests: this._admission.getOpenRequests() });
+  }
+
+  private async _waitForRequests(deadline: number): Promise<void> {
+    while (this._admission.getOpenRequests() > 0 && this._clock.now() < deadline) {
+      await this._clock.sleep(DRAIN_POLL_MS);
+    }
+  }
+
+  private _createTasks(): TaskService {
+    const { agent, worker } = this._settings;
+    return new TaskService({
+      worker: new HttpWorker({ address: worker.address, timeoutMs: WORKER_TIMEOUT_MS }),
+      clock: this._clock,
+      log: this._log.part("tasks"),
+      agent: agent.name,
+      incarnation: this._incarnation,
+      createEntryClient: (address) => this._clients.getClient(address),
+      getOwner: (partition) => this._getOwner(partition),
+      getConfig: () => this._keeper.getSnapshot(),
+      pollMs: worker.pollMs,
+      drainTimeoutMs: agent.drainTimeoutMs,
+    });
+  }
+
+  private _createHeartbeats(): HeartbeatSender {
+    return new HeartbeatSender({
+      clock: this._clock,
+      log: this._log.part("heartbeat"),
+      targets: new ReportTargets(this._settings.agent.entries),
+      clients: this._clients,
+      intervalMs: this._settings.fleet.heartbeatMs,
+      onSend: (sequence) => {
+        this._tasks.noteHeartbeat(sequence);
+      },
+      createHeartbeat: (sequence) => this._createHeartbeat(sequence),
+      onReply: (reply, entry) => {
+        this._onReply(reply, entry);
+      },
+    });
+  }
+
+  private _createHeartbeat(sequence: bigint): HeartbeatRequest {
+    const { agent } = this._settings;
+    const heatLevel = this._tasks.getHeatLevel();
+    return create(HeartbeatRequestSchema, {
+      agent: agent.name,
+      incarnation: this._incarnation,
+      sequence,
+      region: agent.region,
+      zone: agent.zone,
+      rack: agent.rack,
+      requestAddress: agent.listen,
+      controlAddress: agent.control,
+      capacity: { ...this._tasks.getCapacity() },
+      committed: { ...this._tasks.getCommitted() },
+      used: { ...this._tasks.getUsed() },
+      servers: this._admission.getServers().map((server) => writeServer(server.takeReport())),
+      draining: this._draining || !this._tasks.isReady(),
+      configRevision: BigInt(this._keeper.getRevision() ?? 0),
+      tasks: this._tasks.getTasks().length,
+      ...(heatLevel === undefined ? {} : { heatLevel }),
+    });
+  }
+
+  private _onReply(reply: HeartbeatReply, entry: string): void {
+    reply.owners.forEach((owner) => {
+      const known = this._owners.get(owner.partition);
+      if (known === undefined || owner.epoch >= known.epoch) {
+        this._owners.set(owner.partition, owner);
+      }
+    });
+    const known = this._keeper.getRevision();
+    if (known === undefined || Number(reply.configRevision) > known) {
+      void this._pullConfig(entry);
+    }
+  }
+
+  private async _pullConfig(entry: string): Promise<void> {
+    if (this._pulling) {
+      return;
+    }
+    this._pulling = true;
+    try {
+      const reply = await this._clients
+        .getClient(entry)
+        .getConfig({}, { timeoutMs: CONFIG_TIMEOUT_MS });
+      const snapshot = PeerConfigs.readReply(reply);
+      if (snapshot !== undefined && this._keeper.offer(snapshot)) {
+        this._log.part("config").info("Configuration in force.", { revision: snapshot.revision });
+        void this._heartbeats.sendNow();
+      }
+    } catch (reason) {
+      this._log.part("config").debug("Configuration not pulled.", { reason: String(reason) });
+    } finally {
+      this._pulling = false;
+    }
+  }
+
+  private _getOwner(partition: number): { controlAddress: string; epoch: number } | undefined {
+    const owner = this._owners.get(partition);
+    return owner === undefined
+      ? undefined
+      : { controlAddress: owner.controlAddress, epoch: Number(owner.epoch) };
+  }
+
+  private _registerControl(router: ConnectRouter): void {
+    router.service(AgentControl, {
+      settleRequest: (req) => this._settle(req),
+      startTask: (req) => this._tasks.startTask(req),
+      stopTask: (req) => this._tasks.stopTask(req),
+      throttleTask: (req) => this._tasks.throttleTask(req),
+      getConfig: (req) => PeerConfigs.getReply(this._keeper, req),
+    });
+  }
+
+  private _settle(req: SettleRequestRequest): SettleRequestReply {
+    const verdict = this._admission.settle(req.request, req.attempt, req.incarnation);
+    return create(SettleRequestReplySchema, { verdict });
+  }
+
+  private _createApi(setting: string, announcements: AnnouncementRoutes | undefined): ApiServer {
+    return new ApiServer({
+      setting,
+      routes: announcements?.getRoutes() ?? [],
+      renderMetrics: () => this._metrics.render(),
+      findUnready: () => this._findUnready(),
+      log: this._log,
+    });
+  }
+
+  private _findUnready(): readonly string[] {
+    return [
+      ...(this._draining ? ["the agent drains"] : []),
+      ...(this._tasks.isReady() ? [] : ["the worker has not been read yet"]),
+      ...(this._keeper.getSnapshot() === undefined ? ["no configuration yet"] : []),
+    ];
+  }
+}
 
 /**
- * Runs an agent until it is told to stop.
- * @param settings - Settings of the agent.
+ * Runs an agent until it is told to end.
+ * @param settings - Its settings.
  */
 export async function runAgent(settings: AgentSettings): Promise<void> {
-  await Promise.reject(new Error(`agent ${settings.agent.name} is not built yet`));
+  const log = PinoLog.create(settings.log.level, settings.agent.name);
+  await runProcess(new AgentProcess(settings, log), log);
 }
--- /dev/null
+++ b/src/transport/agent/AnnouncementRoutes.ts
@@ -0,0 +1,91 @@
+/**
+ * Where backend servers of the VM announce themselves, over loopback.
+ */
+import type { AgentAdmission } from "../../coordination/requests/AgentAdmission.ts";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import {
+  serverAnnouncementSchema,
+  type ServerAnnouncement,
+} from "../../protocol/ServerAnnouncement.ts";
+import type { ApiReply, ApiRequest, ApiRoute } from "../http/ApiRoute.ts";
+import type { TaskService } from "./tasks/TaskService.ts";
+
+/** What the routes work with. */
+export interface AnnouncementRoutesParts {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly admission: AgentAdmission;
+  readonly tasks: TaskService;
+  /** Silence after which a backend server counts as gone, in milliseconds. */
+  readonly expiryMs: number;
+  /** Called where entries should hear of a change at once. */
+  readonly onChange: () => void;
+}
+
+/** Announcements of the backend servers of one VM. */
+export class AnnouncementRoutes {
+  private readonly _parts: AnnouncementRoutesParts;
+
+  /**
+   * Creates the routes and begins to watch for silence.
+   * @param parts - What they work with.
+   */
+  constructor(parts: AnnouncementRoutesParts) {
+    this._parts = parts;
+    this._watch();
+  }
+
+  /** Gives the routes. */
+  getRoutes(): readonly ApiRoute[] {
+    return [
+      {
+        method: "PUT",
+        path: "/v1/servers/:id",
+        handle: (req) => Promise.resolve(this._announce(req)),
+      },
+    ];
+  }
+
+  private _announce(req: ApiRequest): ApiReply {
+    const parsed = serverAnnouncementSchema.safeParse(req.body);
+    if (!parsed.success || parsed.data.id !== req.params.id) {
+      const detail = parsed.success
+        ? "the id differs from that of the path"
+        : (parsed.error.issues[0]?.message ?? "not an announcement");
+      return { status: 422, body: { code: "bad-document", detail } };
+    }
+    this._take(parsed.data);
+    return { status: 200, body: { announced: true } };
+  }
+
+  private _take(announcement: ServerAnnouncement): void {
+    const { admission, tasks, log, onChange } = this._parts;
+    const changed = admission.announce(announcement);
+    tasks.reserveServer(announcement.id, announcement.service, {
+      processorsMilli: announcement.processorsMilli,
+      memoryBytes: announcement.memoryBytes,
+      accelerators: 0,
+    });
+    if (changed) {
+      const { id, service, draining } = announcement;
+      log.info("A backend server has changed.", { id, service, draining });
+      onChange();
+    }
+  }
+
+  private _watch(): void {
+    const { clock, expiryMs, admission, tasks, log, onChange } = this._parts;
+    clock.after(expiryMs / 2, () => {
+      const dropped = admission.expireServers(expiryMs);
+      dropped.forEach((id) => {
+        tasks.releaseServer(id);
+        log.info("A backend server has gone silent.", { id });
+      });
+      if (dropped.length > 0) {
+        onChange();
+      }
+      this._watch();
+    });
+  }
+}
--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -1,12 +1,292 @@
 /**
- * The process of the role `entry`.
+ * The role `entry`: puts the parts of an entry together, starts them in order and ends them without
+ * cutting a request off.
  */
+import type { ConnectRouter } from "@connectrpc/connect";
+import { err, ok, type Result } from "neverthrow";
+import { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
+import { DEFAULT_BATCH_SETTINGS } from "../../coordination/batch/BatchSettings.ts";
+import { FairSharePlacer } from "../../coordination/placement/FairSharePlacer.ts";
+import { TwoChoicesLatencyPicker } from "../../coordination/requests/pickers/TwoChoicesLatencyPicker.ts";
+import { RequestRouter } from "../../coordination/requests/RequestRouter.ts";
+import { ServerTable } from "../../coordination/requests/ServerTable.ts";
+import type { ListenError } from "../../protocol/errors/errors.ts";
+import { EntryControl } from "../../protocol/generated/fireflylb/v1/control_pb.ts";
 import type { EntrySettings } from "../../protocol/settings/EntrySettings.ts";
+import { FleetView } from "../../state/FleetView.ts";
+import { RequestHistograms } from "../../state/metrics/RequestHistograms.ts";
+import { RequestTraces, type RequestTrace } from "../../state/RequestTraces.ts";
+import { ConfigRoutes } from "../config/ConfigRoutes.ts";
+import { ConfigWatcher } from "../config/ConfigWatcher.ts";
+import { ConfigWriter } from "../config/ConfigWriter.ts";
+import { ControlServer } from "../control/ControlServer.ts";
+import { EntryClients } from "../control/EntryClients.ts";
+import { ApiServer } from "../http/ApiServer.ts";
+import { PromMetrics } from "../http/PromMetrics.ts";
+import { PinoLog } from "../log/PinoLog.ts";
+import { runProcess } from "../runProcess.ts";
+import { SystemClock } from "../platform/SystemClock.ts";
+import { SystemRandom } from "../platform/SystemRandom.ts";
+import { HttpStore } from "../store/HttpStore.ts";
+import { BatchService } from "./batch/BatchService.ts";
+import { EntryRoutes } from "./EntryRoutes.ts";
+import { FleetService, type EntryPeer } from "./FleetService.ts";
+import { PeerConfigs } from "./PeerConfigs.ts";
+import { AgentConnections } from "./requests/AgentConnections.ts";
+import { EntryRequestServer } from "./requests/EntryRequestServer.ts";
+import { RequestSettler } from "./requests/RequestSettler.ts";
+
+const API_CLOSE_TIMEOUT_MS = 2_000;
+
+/** One entry. */
+export class EntryProcess {
+  private readonly _settings: EntrySettings;
+  private readonly _log: PinoLog;
+  private readonly _clock = new SystemClock();
+  private readonly _random = new SystemRandom();
+  private readonly _histograms = new RequestHistograms(this._clock);
+  private readonly _metrics = new PromMetrics(this._histograms);
+  private readonly _traces = new RequestTraces();
+  private readonly _fleet = new FleetView();
+  private readonly _table = new ServerTable();
+  private readonly _keeper = new ConfigKeeper();
+  private readonly _clients = new EntryClients();
+  private readonly _connections = new AgentConnections();
+  private readonly _store: HttpStore;
+  private readonly _watcher: ConfigWatcher;
+  private readonly _batch: BatchService;
+  private readonly _fleetService: FleetService;
+  private readonly _requests: EntryRequestServer;
+  private readonly _control: ControlServer;
+  private readonly _api: ApiServer;
+  private _draining = false;
+
+  /**
+   * Creates the entry; it does nothing before it is started.
+   * @param settings - Its settings.
+   * @param log - Log of the process.
+   */
+  constructor(settings: EntrySettings, log: PinoLog) {
+    this._settings = settings;
+    this._log = log;
+    this._store = new HttpStore({
+      address: settings.store.address,
+      timeoutMs: settings.store.timeoutMs,
+    });
+    this._watcher = this._createWatcher();
+    this._batch = this._createBatch();
+    this._fleetService = this._createFleetService();
+    this._requests = this._createRequests();
+    this._control = new ControlServer((router) => {
+      this._registerControl(router);
+    });
+    this._api = this._createApi();
+  }
+
+  /** Starts to listen and to take part in the fleet. */
+  async start(): Promise<Result<void, ListenError>> {
+    const { entry } = this._settings;
+    const control = await this._control.listen(entry.control, "[entry] control");
+    const api = await this._api.listen(entry.api);
+    const requests = await this._requests.listen(entry.listen);
+    const failed = [control, api, requests].find((result) => result.isErr());
+    if (failed?.isErr() === true) {
+      return err(failed.error);
+    }
+    this._watcher.start();
+    this._fleetService.start();
+    void this._batch.start();
+    this._log.info("Entry started.", { name: entry.name, zone: entry.zone });
+    return ok(undefined);
+  }
+
+  /** Ends gracefully: hands over, lets the requests in flight end, then closes. */
+  async stop(): Promise<void> {
+    const { drainNoticeMs: noticeMs, drainTimeoutMs: timeoutMs } = this._settings.entry;
+    this._draining = true;
+    this._requests.drain();
+    this._log.info("Entry drains.", { requests: this._requests.inFlight });
+    await Promise.all([this._batch.stop(), this._clock.sleep(noticeMs)]);
+    await Promise.race([this._requests.close(), this._clock.sleep(timeoutMs)]);
+    this._watcher.stop();
+    this._fleetService.stop();
+    await this._api.close(API_CLOSE_TIMEOUT_MS);
+    await Promise.race([this._control.close(), this._clock.sleep(API_CLOSE_TIMEOUT_MS)]);
+    this._log.info("Entry ended.", { requests: this._requests.inFlight });
+  }
+
+  private _createWatcher(): ConfigWatcher {
+    const peers = new PeerConfigs(this._clients, this._connections, this._fleet, () =>
+      this._getEntries(),
+    );
+    return new ConfigWatcher({
+      store: this._store,
+      keeper: this._keeper,
+      clock: this._clock,
+      random: this._random,
+      log: this._log,
+      getPeerSnapshots: () => peers.getSnapshots(this._settings.entry.name),
+    });
+  }
+
+  private _createBatch(): BatchService {
+    return new BatchService({
+      cfg: { ...DEFAULT_BATCH_SETTINGS, ...this._settings.batch },
+      entry: this._getIdentity(),
+      store: this._store,
+      clock: this._clock,
+      random: this._random,
+      log: this._log.part("batch"),
+      fleet: this._fleet,
+      placer: new FairSharePlacer({ random: this._random }),
+      getConfig: () => this._keeper.getSnapshot(),
+      createAgentClient: (address) => this._connections.getControl(address),
+    });
+  }
+
+  private _createFleetService(): FleetService {
+    return new FleetService({
+      clock: this._clock,
+      log: this._log.part("fleet"),
+      entry: this._getIdentity(),
+      fleet: this._fleet,
+      table: this._table,
+      clients: this._clients,
+      intervalMs: this._settings.fleet.heartbeatMs,
+      expiryMs: this._settings.fleet.expiryMs,
+      getConfigRevision: () => this._keeper.getRevision() ?? 0,
+      getEntries: () => this._getEntries(),
+      getOwners: () => this._batch.getOwners(),
+      isDraining: () => this._draining,
+      onRevision: (revision) => {
+        this._watcher.noteRevision(revision);
+      },
+      onGone: (vm) => {
+        this._connections.drop(vm.requestAddress, vm.controlAddress);
+      },
+    });
+  }
+
+  private _createRequests(): EntryRequestServer {
+    const { entry, requests } = this._settings;
+    return new EntryRequestServer({
+      clock: this._clock,
+      connections: this._connections,
+      settler: new RequestSettler(this._clock, this._connections),
+      sender: `${entry.name}-${crypto.randomUUID().slice(0, 8)}`,
+      router: new RequestRouter({
+        clock: this._clock,
+        table: this._table,
+        picker: new TwoChoicesLatencyPicker(this._random),
+        zone: entry.zone,
+        retryPercent: requests.retryBudgetPercent,
+      }),
+      limits: {
+        defaultTimeoutMs: requests.defaultTimeoutMs,
+        maxTimeoutMs: requests.maxTimeoutMs,
+        maxBodyBytes: requests.maxBodyBytes,
+        maxHeaderBytes: requests.maxHeaderBytes,
+        maxInFlight: requests.maxInFlight,
+      },
+      hasConfig: () => this._keeper.getSnapshot() !== undefined,
+      isKnownService: (service) => this._isKnownService(service),
+      onEnd: (trace) => {
+        this._noteEnd(trace);
+      },
+    });
+  }
+
+  private _registerControl(router: ConnectRouter): void {
+    router.service(EntryControl, {
+      heartbeat: (req) => this._fleetService.heartbeat(req),
+      exchangeDigest: (digest) => this._fleetService.exchangeDigest(digest),
+      reportTasks: (req) => this._batch.reportTasks(req),
+      getConfig: (req) => PeerConfigs.getReply(this._keeper, req),
+    });
+  }
+
+  private _createApi(): ApiServer {
+    const writer = new ConfigWriter({
+      store: this._store,
+      keeper: this._keeper,
+      clock: this._clock,
+      random: this._random,
+      log: this._log,
+      getTimeOfDay: () => new Date().toISOString(),
+    });
+    const own = new EntryRoutes({
+      clock: this._clock,
+      entry: this._getIdentity(),
+      keeper: this._keeper,
+      fleet: this._fleet,
+      traces: this._traces,
+      getPeerRevisions: () => this._fleetService.getPeerRevisions(),
+      getInFlight: () => this._requests.inFlight,
+    });
+    const config = new ConfigRoutes({
+      keeper: this._keeper,
+      writer,
+      getProcesses: () => own.getProcesses(),
+    });
+    return new ApiServer({
+      setting: "[entry] api",
+      routes: [...config.getRoutes(), ...this._batch.getRoutes(), ...own.getRoutes()],
+      renderMetrics: () => this._renderMetrics(),
+      findUnready: () => this._findUnready(),
+      log: this._log,
+    });
+  }
+
+  private _getIdentity(): EntryPeer {
+    const { name, zone, region, control, api } = this._settings.entry;
+    return { name, zone, region, control, api };
+  }
+
+  private _getEntries(): readonly EntryPeer[] {
+    return this._batch.getEntries();
+  }
+
+  private _isKnownService(service: string): boolean {
+    const assignments = this._keeper.getSnapshot()?.document.assignments ?? {};
+    return this._table.getServers(service).length > 0 || Object.hasOwn(assignments, service);
+  }
+
+  private _noteEnd(trace: RequestTrace): void {
+    const { tenant, requestClass, service, verdict, outcome } = trace;
+    this._traces.add(trace);
+    this._histograms.record({ tenant, requestClass, service }, trace.latencyMs);
+    this._metrics.add("fireflylb_requests_total", { service, verdict, outcome });
+    if (trace.attempts.length > 1) {
+      this._metrics.add("fireflylb_retries_total", { service }, trace.attempts.length - 1);
+    }
+  }
+
+  private async _renderMetrics(): Promise<string> {
+    this._metrics.set("fireflylb_requests_in_flight", this._requests.inFlight);
+    this._metrics.set("fireflylb_vms", this._fleet.getVms().length);
+    this._metrics.set("fireflylb_config_revision", this._keeper.getRevision() ?? 0);
+    this._table.getServices().forEach((service) => {
+      const servers = this._table.getServers(service);
+      const ejected = servers.filter((server) => !server.ejector.isAvailable(this._clock.now()));
+      this._metrics.set("fireflylb_servers", servers.length, { service });
+      this._metrics.set("fireflylb_servers_ejected", ejected.length, { service });
+    });
+    return this._metrics.render();
+  }
+
+  private _findUnready(): readonly string[] {
+    return [
+      ...(this._draining ? ["the entry drains"] : []),
+      ...(this._keeper.getSnapshot() === undefined ? ["no configuration yet"] : []),
+    ];
+  }
+}
 
 /**
- * Runs an entry until it is told to stop.
- * @param settings - Settings of the entry.
+ * Runs an entry until it is told to end.
+ * @param settings - Its settings.
  */
 export async function runEntry(settings: EntrySettings): Promise<void> {
-  await Promise.reject(new Error(`entry ${settings.entry.name} is not built yet`));
+  const log = PinoLog.create(settings.log.level, settings.entry.name);
+  await runProcess(new EntryProcess(settings, log), log);
 }
--- /dev/null
+++ b/src/transport/entry/EntryRoutes.ts
@@ -0,0 +1,122 @@
+/**
+ * Routes of an entry that concern the whole fleet: status, and why a request or a VM got what it got.
+ */
+import type { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
+import type { ProcessRevision } from "../../coordination/config/coverage.ts";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { FleetView, VmRecord } from "../../state/FleetView.ts";
+import type { RequestTraces } from "../../state/RequestTraces.ts";
+import type { ApiReply, ApiRoute } from "../http/ApiRoute.ts";
+import type { EntryPeer, PeerRevision } from "./FleetService.ts";
+
+/** What the routes work with. */
+export interface EntryRoutesParts {
+  readonly clock: Clock;
+  readonly entry: EntryPeer;
+  readonly keeper: ConfigKeeper;
+  readonly fleet: FleetView;
+  readonly traces: RequestTraces;
+  readonly getPeerRevisions: () => ReadonlyMap<string, PeerRevision>;
+  readonly getInFlight: () => number;
+}
+
+/** Routes of one entry. */
+export class EntryRoutes {
+  private readonly _parts: EntryRoutesParts;
+
+  /**
+   * Creates the routes.
+   * @param parts - What they work with.
+   */
+  constructor(parts: EntryRoutesParts) {
+    this._parts = parts;
+  }
+
+  /** Gives the routes. */
+  getRoutes(): readonly ApiRoute[] {
+    return [
+      { method: "GET", path: "/v1/status", handle: () => Promise.resolve(this._getStatus()) },
+      {
+        method: "GET",
+        path: "/v1/explain/request/:id",
+        handle: (req) => Promise.resolve(this._explainRequest(req.params.id ?? "")),
+      },
+      {
+        method: "GET",
+        path: "/v1/explain/vm/:name",
+        handle: (req) => Promise.resolve(this._explainVm(req.params.name ?? "")),
+      },
+    ];
+  }
+
+  /** Gives the configuration revision of every live process. */
+  getProcesses(): readonly ProcessRevision[] {
+    const { clock, entry, fleet, keeper, getPeerRevisions } = this._parts;
+    const now = clock.now();
+    const own: ProcessRevision = {
+      role: "entry",
+      name: entry.name,
+      zone: entry.zone,
+      revision: keeper.getRevision() ?? 0,
+      ageMs: 0,
+    };
+    const peers = [...getPeerRevisions()].map(([name, peer]): ProcessRevision => {
+      return {
+        role: "entry",
+        name,
+        zone: peer.zone,
+        revision: peer.revision,
+        ageMs: now - peer.at,
+      };
+    });
+    const agents = fleet.getVms().map((vm): ProcessRevision => {
+      return {
+        role: "agent",
+        name: vm.agent,
+        zone: vm.zone,
+        revision: vm.configRevision,
+        ageMs: now - vm.reportedAt,
+      };
+    });
+    return [own, ...peers, ...agents];
+  }
+
+  private _getStatus(): ApiReply {
+    const { entry, fleet, keeper, getInFlight, clock } = this._parts;
+    const now = clock.now();
+    return {
+      status: 200,
+      body: {
+        entry: entry.name,
+        zone: entry.zone,
+        requestsInFlight: getInFlight(),
+        configRevision: keeper.getRevision() ?? 0,
+        processes: this.getProcesses(),
+        vms: fleet.getVms().map((vm) => describeVm(vm, now)),
+      },
+    };
+  }
+
+  private _explainRequest(id: string): ApiReply {
+    const trace = this._parts.traces.getTrace(id);
+    return trace === undefined
+      ? notFound(`request ${id} is not among the last of this entry`)
+      : { status: 200, body: trace };
+  }
+
+  private _explainVm(name: string): ApiReply {
+    const vm = this._parts.fleet.getVm(name);
+    return vm === undefined
+      ? notFound(`VM ${name} has not been reported lately`)
+      : { status: 200, body: describeVm(vm, this._parts.clock.now()) };
+  }
+}
+
+function describeVm(vm: VmRecord, now: number): object {
+  const { reportedAt, ...rest } = vm;
+  return { ...rest, ageMs: Math.round(now - reportedAt) };
+}
+
+function notFound(detail: string): ApiReply {
+  return { status: 404, body: { code: "not-found", detail } };
+}
--- a/src/transport/entry/FleetService.ts
+++ b/src/transport/entry/FleetService.ts
@@ -27,6 +27,14 @@
   readonly api: string;
 }
 
+/** Configuration revision that another entry reported last. */
+export interface PeerRevision {
+  readonly revision: number;
+  readonly zone: string;
+  /** When it was reported, in monotonic milliseconds. */
+  readonly at: number;
+}
+
 const MIN_TIMEOUT_MS = 1_000;
 
 /** What the service works with. */
@@ -54,7 +62,7 @@
   private readonly _parts: FleetServiceParts;
   /** VMs that reported to this entry itself since the last digest, by agent. */
   private readonly _heard = new Set<string>();
-  private readonly _peerRevisions = new Map<string, number>();
+  private readonly _peerRevisions = new Map<string, PeerRevision>();
   private _timer: Timer | undefined;
   private _stopped = false;
 
@@ -85,7 +93,7 @@
   }
 
   /** Gives the configuration revision that each other entry last reported. */
-  getPeerRevisions(): ReadonlyMap<string, number> {
+  getPeerRevisions(): ReadonlyMap<string, PeerRevision> {
     return this._peerRevisions;
   }
 
@@ -125,7 +133,8 @@
 
   private _notePeer(digest: Digest): void {
     const revision = Number(digest.configRevision);
-    this._peerRevisions.set(digest.entry, revision);
+    const at = this._parts.clock.now();
+    this._peerRevisions.set(digest.entry, { revision, zone: digest.zone, at });
     this._parts.onRevision(revision, digest.controlAddress);
   }
 
@@ -139,7 +148,11 @@
 
   private _expire(): void {
     const { clock, expiryMs, fleet, table, log, onGone } = this._parts;
-    fleet.expire(clock.now() - expiryMs).forEach((vm) => {
+    const reportedBefore = clock.now() - expiryMs;
+    [...this._peerRevisions]
+      .filter(([, peer]) => peer.at < reportedBefore)
+      .forEach(([name]) => this._peerRevisions.delete(name));
+    fleet.expire(reportedBefore).forEach((vm) => {
       table.remove(vm.agent);
       log.info("A VM has gone silent.", { vm: vm.agent, zone: vm.zone });
       onGone(vm);
--- /dev/null
+++ b/src/transport/runProcess.ts
@@ -0,0 +1,41 @@
+/**
+ * The life of a process: it starts, runs until it is told to end, and ends gracefully.
+ */
+import type { Result } from "neverthrow";
+import type { ListenError } from "../protocol/errors/errors.ts";
+import type { Log } from "../protocol/platform/Log.ts";
+
+/** A role as it runs. */
+export interface RunnableRole {
+  start(): Promise<Result<void, ListenError>>;
+  stop(): Promise<void>;
+}
+
+/**
+ * Runs a role until SIGTERM or SIGINT; throws where it cannot start.
+ * @param role - The role.
+ * @param log - Log of the process.
+ */
+export async function runProcess(role: RunnableRole, log: Log): Promise<void> {
+  process.on("unhandledRejection", (reason) => {
+    log.error("Unexpected rejection.", { reason: String(reason) });
+  });
+  const ended = waitForSignal();
+  const started = await role.start();
+  if (started.isErr()) {
+    throw started.error;
+  }
+  const signal = await ended;
+  log.info("Told to end.", { signal });
+  await role.stop();
+}
+
+async function waitForSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    (["SIGTERM", "SIGINT"] as const).forEach((signal) => {
+      process.once(signal, () => {
+        resolve(signal);
+      });
+    });
+  });
+}
--- /dev/null
+++ b/tests/coordination/requests/admissionQueueTests.ts
@@ -0,0 +1,89 @@
+import test from "ava";
+import { AdmissionQueue, type Waiter } from "../../../src/coordination/requests/AdmissionQueue.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+
+interface Recorded {
+  readonly admitted: string[];
+  readonly refused: string[];
+}
+
+function createWaiter(key: string, recorded: Recorded, change: Partial<Waiter> = {}): Waiter {
+  return {
+    key,
+    priority: 50,
+    queueLimit: 10,
+    deadline: 1000,
+    admit: () => recorded.admitted.push(key),
+    refuse: (refusal) => recorded.refused.push(`${key}:${refusal.code}:${refusal.verdict}`),
+    ...change,
+  };
+}
+
+test("AdmissionQueue never admits more than the slots, counting foreign requests", (t) => {
+  const recorded: Recorded = { admitted: [], refused: [] };
+  const queue = new AdmissionQueue(new ManualClock(), 3);
+  queue.setForeign(1);
+  ["a", "b", "c"].forEach((key) => {
+    queue.offer(createWaiter(key, recorded));
+  });
+  t.deepEqual(recorded.admitted, ["a", "b"]);
+  queue.setForeign(0);
+  t.deepEqual(recorded.admitted, ["a", "b", "c"]);
+});
+
+test("AdmissionQueue serves classes by priority and each in order of arrival", (t) => {
+  const recorded: Recorded = { admitted: [], refused: [] };
+  const queue = new AdmissionQueue(new ManualClock(), 1);
+  queue.offer(createWaiter("first", recorded));
+  queue.offer(createWaiter("low", recorded, { priority: 90 }));
+  queue.offer(createWaiter("high-1", recorded, { priority: 10 }));
+  queue.offer(createWaiter("high-2", recorded, { priority: 10 }));
+  [1, 2, 3].forEach(() => {
+    queue.release(1);
+  });
+  t.deepEqual(recorded.admitted, ["first", "high-1", "high-2", "low"]);
+});
+
+test("AdmissionQueue refuses at once what a full queue or the expected wait rules out", (t) => {
+  const recorded: Recorded = { admitted: [], refused: [] };
+  const queue = new AdmissionQueue(new ManualClock(), 1);
+  queue.offer(createWaiter("runs", recorded));
+  queue.offer(createWaiter("full", recorded, { queueLimit: 0 }));
+  queue.offer(createWaiter("late", recorded, { deadline: 1 }));
+  t.deepEqual(recorded.refused, ["full:overloaded:not-run", "late:overloaded:not-run"]);
+});
+
+test("AdmissionQueue refuses a waiting request the moment its budget ends", async (t) => {
+  const recorded: Recorded = { admitted: [], refused: [] };
+  const clock = new ManualClock();
+  const queue = new AdmissionQueue(clock, 1);
+  queue.offer(createWaiter("runs", recorded));
+  queue.offer(createWaiter("waits", recorded, { deadline: 100 }));
+  await clock.advance(99);
+  t.deepEqual(recorded.refused, []);
+  await clock.advance(1);
+  t.deepEqual(recorded.refused, ["waits:deadline-exceeded:not-run"]);
+});
+
+test("AdmissionQueue does not admit after a pause that outlasted the budget", (t) => {
+  const recorded: Recorded = { admitted: [], refused: [] };
+  const clock = new ManualClock();
+  const queue = new AdmissionQueue(clock, 1);
+  queue.offer(createWaiter("runs", recorded));
+  queue.offer(createWaiter("waits", recorded, { deadline: 100 }));
+  clock.pause(200);
+  queue.release(200);
+  t.deepEqual(recorded.admitted, ["runs"]);
+  t.deepEqual(recorded.refused, ["waits:deadline-exceeded:not-run"]);
+});
+
+test("AdmissionQueue drains: what waits and what comes is refused, what runs goes on", (t) => {
+  const recorded: Recorded = { admitted: [], refused: [] };
+  const queue = new AdmissionQueue(new ManualClock(), 1);
+  queue.offer(createWaiter("runs", recorded));
+  queue.offer(createWaiter("waits", recorded));
+  queue.drain();
+  queue.offer(createWaiter("comes", recorded));
+  t.deepEqual(recorded.refused, ["waits:draining:not-run", "comes:draining:not-run"]);
+  t.is(queue.inUse, 1);
+});
--- /dev/null
+++ b/tests/coordination/requests/requestLedgerTests.ts
@@ -0,0 +1,37 @@
+import test from "ava";
+import { RequestLedger } from "../../../src/coordination/requests/RequestLedger.ts";
+
+const RETENTION_MS = 1000;
+const KEY = RequestLedger.getKey("r1", 1);
+
+test("RequestLedger refuses an attempt that it has seen", (t) => {
+  const ledger = new RequestLedger(RETENTION_MS);
+  t.true(ledger.open(KEY, 0));
+  t.false(ledger.open(KEY, 1));
+});
+
+test("RequestLedger keeps a late attempt out once it was settled as not run", (t) => {
+  const ledger = new RequestLedger(RETENTION_MS);
+  t.is(ledger.settle(KEY, 0), "not-run");
+  t.false(ledger.open(KEY, 1));
+});
+
+test("RequestLedger settles by phase", (t) => {
+  const ledger = new RequestLedger(RETENTION_MS);
+  ledger.open(KEY, 0);
+  ledger.markRunning(KEY);
+  t.is(ledger.settle(KEY, 1), "may-have-run");
+  ledger.markFinished(KEY, 2);
+  t.is(ledger.settle(KEY, 3), "ran");
+});
+
+test("RequestLedger forgets ended attempts after the retention, never open ones", (t) => {
+  const ledger = new RequestLedger(RETENTION_MS);
+  const open = RequestLedger.getKey("open", 1);
+  ledger.open(open, 0);
+  ledger.open(KEY, 0);
+  ledger.markRefused(KEY, 0);
+  ledger.open(RequestLedger.getKey("other", 1), RETENTION_MS + 1);
+  t.is(ledger.getPhase(KEY), undefined);
+  t.is(ledger.getPhase(open), "queued");
+});
--- /dev/null
+++ b/tests/coordination/requests/requestRouterTests.ts
@@ -0,0 +1,103 @@
+import test from "ava";
+import { RoundRobinPicker } from "../../../src/coordination/requests/pickers/RoundRobinPicker.ts";
+import {
+  RequestRouter,
+  type AttemptOutcome,
+  type RouteStep,
+} from "../../../src/coordination/requests/RequestRouter.ts";
+import { ServerTable } from "../../../src/coordination/requests/ServerTable.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+import { createVm } from "../../support/createVm.ts";
+
+const SERVERS = 4;
+const NOT_RUN: AttemptOutcome = { verdict: "not-run", code: "draining", detail: "" };
+const OPEN: AttemptOutcome = { verdict: "may-have-run", code: "upstream-failed", detail: "" };
+const OVERLOADED: AttemptOutcome = { verdict: "not-run", code: "overloaded", detail: "" };
+
+function createRouter(clock: ManualClock): { router: RequestRouter; table: ServerTable } {
+  const table = new ServerTable();
+  Array.from({ length: SERVERS }, (_, index) => createVm(`vm-${index}`)).forEach((vm) => {
+    table.apply(vm);
+  });
+  const picker = new RoundRobinPicker();
+  return {
+    router: new RequestRouter({ clock, table, picker, zone: "zone-1", retryPercent: 10 }),
+    table,
+  };
+}
+
+function describe(step: RouteStep): string {
+  return step.kind === "send" ? "send" : `${step.refusal.code}:${step.refusal.verdict}`;
+}
+
+test("RequestRouter repeats what has not run, on another server each time", (t) => {
+  const { router } = createRouter(new ManualClock());
+  const req = { service: "rota-desk", idempotent: false, deadline: 1000 };
+  const progress = RequestRouter.begin();
+  const steps = [router.first(req, progress), router.next(req, progress, NOT_RUN)];
+  const servers = steps.map((step) => (step.kind === "send" ? step.server.id : "none"));
+  t.is(new Set(servers).size, 2);
+});
+
+test("RequestRouter never repeats a request that may have run unless it is idempotent", (t) => {
+  const { router } = createRouter(new ManualClock());
+  const req = { service: "rota-desk", idempotent: false, deadline: 1000 };
+  const progress = RequestRouter.begin();
+  router.first(req, progress);
+  t.is(describe(router.next(req, progress, OPEN)), "upstream-failed:may-have-run");
+  const repeatable = { ...req, idempotent: true };
+  const again = RequestRouter.begin();
+  router.first(repeatable, again);
+  t.is(describe(router.next(repeatable, again, OPEN)), "send");
+  t.is(describe(router.next(repeatable, again, OVERLOADED)), "send");
+});
+
+test("RequestRouter keeps an open verdict when a later attempt has not run", (t) => {
+  const { router } = createRouter(new ManualClock());
+  const req = { service: "rota-desk", idempotent: true, deadline: 1000 };
+  const progress = RequestRouter.begin();
+  router.first(req, progress);
+  router.next(req, progress, OPEN);
+  router.next(req, progress, OVERLOADED);
+  t.is(describe(router.next(req, progress, OVERLOADED)), "overloaded:may-have-run");
+});
+
+test("RequestRouter gives up a saturated service after two refusals", (t) => {
+  const { router } = createRouter(new ManualClock());
+  const req = { service: "rota-desk", idempotent: true, deadline: 1000 };
+  const progress = RequestRouter.begin();
+  router.first(req, progress);
+  t.is(describe(router.next(req, progress, OVERLOADED)), "send");
+  t.is(describe(router.next(req, progress, OVERLOADED)), "overloaded:not-run");
+});
+
+test("RequestRouter sends nothing to draining servers and says so at once", (t) => {
+  const { router, table } = createRouter(new ManualClock());
+  Array.from({ length: SERVERS }, (_, index) =>
+    createVm(`vm-${index}`, { draining: true, sequence: 2 }),
+  ).forEach((vm) => {
+    table.apply(vm);
+  });
+  const req = { service: "rota-desk", idempotent: true, deadline: 1000 };
+  t.is(describe(router.first(req, RequestRouter.begin())), "no-server:not-run");
+});
+
+test("RequestRouter leaves out a server that fails fast, but never more than half", (t) => {
+  const clock = new ManualClock();
+  const { router, table } = createRouter(clock);
+  const servers = table.getServers("rota-desk");
+  const failing = servers[0]?.id;
+  Array.from({ length: 5 }).forEach(() => servers[0]?.ejector.noteFailure(0));
+  const req = { service: "rota-desk", idempotent: true, deadline: 1000 };
+  const chosen = Array.from({ length: 12 }, () => {
+    const step = router.first(req, RequestRouter.begin());
+    return step.kind === "send" ? step.server.id : "none";
+  });
+  t.false(chosen.includes(failing ?? ""));
+  servers.forEach((server) => {
+    Array.from({ length: 5 }).forEach(() => {
+      server.ejector.noteFailure(0);
+    });
+  });
+  t.is(describe(router.first(req, RequestRouter.begin())), "send");
+});
--- /dev/null
+++ b/tests/support/createVm.ts
@@ -0,0 +1,45 @@
+/**
+ * A VM record for tests, with one backend server.
+ */
+import type { VmRecord } from "../../src/state/FleetView.ts";
+
+/**
+ * Creates a VM.
+ * @param agent - Name of its agent; also of its backend server.
+ * @param change - What differs from the usual.
+ */
+export function createVm(agent: string, change: Partial<VmRecord> = {}): VmRecord {
+  return {
+    agent,
+    incarnation: "one",
+    sequence: 1,
+    region: "region-1",
+    zone: "zone-1",
+    rack: "rack-1",
+    requestAddress: "127.0.0.1:1",
+    controlAddress: "127.0.0.1:2",
+    capacity: { processorsMilli: 32_000, memoryBytes: 125e9, accelerators: 0 },
+    committed: { processorsMilli: 0, memoryBytes: 0, accelerators: 0 },
+    used: { processorsMilli: 0, memoryBytes: 0, accelerators: 0 },
+    servers: [
+      {
+        service: "rota-desk",
+        id: agent,
+        slots: 8,
+        slotsInUse: 0,
+        queued: 0,
+        draining: false,
+        p50Us: 0,
+        p99Us: 0,
+        requests: 0,
+        failures: 0,
+      },
+    ],
+    draining: false,
+    configRevision: 1,
+    tasks: 0,
+    heatLevel: undefined,
+    reportedAt: 0,
+    ...change,
+  };
+}
