--- a/bench/requests/RequestModel.ts
+++ b/bench/requests/RequestModel.ts
@@ -25,19 +25,17 @@
   RequestModelShape,
 } from "./RequestModelTypes.ts";
 import { describeAgent } from "./describeAgent.ts";
+import { ModelTimes } from "./ModelTimes.ts";
 
 const SERVICE = "rota-desk";
 const TIMEOUT_MS = 1_000;
 const HEARTBEAT_MS = 500;
-const SAME_ZONE_MS = 0.1;
 const FAIL_FAST_MS = 0.2;
 const MAX_QUEUE = 64;
 const US_PER_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 const WARM_UP_SHARE = 0.1;
 const DRAIN_MS = 2_000;
-/** Spread of the service time: standard deviation of its logarithm. */
-const SERVICE_SIGMA = 0.6;
 const RETRY_PERCENT = 10;
 
 /** One run. */
@@ -50,6 +48,7 @@
   private readonly _scenario: RequestScenario;
   private readonly _shape: RequestModelShape;
   private readonly _random: RandomSource;
+  private readonly _times: ModelTimes;
   private _nextId = 0;
   private _nextIncarnation = 0;
   private _good = 0;
@@ -73,6 +72,7 @@
     this._shape = shape;
     this._scenario = scenario;
     this._random = random;
+    this._times = new ModelTimes(shape, scenario, random);
     Array.from({ length: shape.entries }).forEach((_, index) => {
       this._entries.push(this._createEntry(index, createPicker()));
     });
@@ -146,7 +146,7 @@
     agent.sequence += 1;
     const vm = describeAgent(agent, this._clock.now());
     this._entries.forEach((entry) => {
-      this._clock.after(this._getDelayMs(entry.zone, agent.zone), () => {
+      this._clock.after(this._times.getDelayMs(entry.zone, agent.zone), () => {
         entry.table.apply(vm);
       });
     });
@@ -230,7 +230,7 @@
     const sentAt = this._clock.now();
     server.noteSent();
     const agent = this._agents[Number(server.requestAddress)];
-    this._clock.after(this._getDelayMs(req.entry.zone, server.zone), () => {
+    this._clock.after(this._times.getDelayMs(req.entry.zone, server.zone), () => {
       this._deliver(req, server, agent, sentAt);
     });
   }
@@ -256,7 +256,7 @@
       sentAt,
     };
     const refuse = (refusal: Refusal): void => {
-      this._clock.after(this._getDelayMs(req.entry.zone, agent.zone), () => {
+      this._clock.after(this._times.getDelayMs(req.entry.zone, agent.zone), () => {
         this._takeRefusal(req, server, refusal);
       });
     };
@@ -285,12 +285,14 @@
   ): void {
     const { server, agent, local, key, sentAt } = at;
     const fails = this._random.next() < this._scenario.getFailureShare(agent.index);
-    const serviceMs = fails ? FAIL_FAST_MS : this._drawServiceMs(agent.index);
+    const serviceMs = fails
+      ? FAIL_FAST_MS
+      : this._times.drawServiceMs(agent.index, this._clock.now());
     this._clock.after(serviceMs, () => {
       const load = local.queue.inUse - 1;
       const { queued } = local.queue;
       agent.admission.noteEnded(local, key, "finished");
-      this._clock.after(this._getDelayMs(req.entry.zone, agent.zone), () => {
+      this._clock.after(this._times.getDelayMs(req.entry.zone, agent.zone), () => {
         const now = this._clock.now();
         server.noteEnded();
         server.noteLatency(now - sentAt);
@@ -335,18 +337,6 @@
   private _isWarm(req: { readonly startedAt: number }): boolean {
     return req.startedAt >= this._shape.durationMs * WARM_UP_SHARE;
   }
-
-  private _getDelayMs(a: string, b: string): number {
-    return a === b ? SAME_ZONE_MS : this._shape.crossZoneMs;
-  }
-
-  private _drawServiceMs(server: number): number {
-    const normal =
-      Math.sqrt(-2 * Math.log(1 - this._random.next())) *
-      Math.cos(2 * Math.PI * this._random.next());
-    const mean = this._shape.meanServiceMs * this._scenario.getSlowness(server, this._clock.now());
-    return mean * Math.exp(SERVICE_SIGMA * normal - SERVICE_SIGMA ** 2 / 2);
-  }
 }
 
 function createHistogram(): Histogram {
