--- a/bench/requests/RequestModel.ts
+++ b/bench/requests/RequestModel.ts
@@ -2,9 +2,7 @@
  * Drives the entries' and the agents' decisions on requests in virtual time, with servers that only
  * take time. It measures decisions, not sockets.
  */
-import { build, type Histogram } from "hdr-histogram-js";
 import { AgentAdmission } from "../../src/coordination/requests/AgentAdmission.ts";
-import type { LocalServer } from "../../src/coordination/requests/LocalServer.ts";
 import type { ServerPicker } from "../../src/coordination/requests/pickers/ServerPicker.ts";
 import {
   RequestRouter,
@@ -21,9 +19,11 @@
   ModelAgent,
   ModelEntry,
   ModelRequest,
+  ModelService,
   RequestModelResult,
   RequestModelShape,
 } from "./RequestModelTypes.ts";
+import { createHistogram } from "./createHistogram.ts";
 import { describeAgent } from "./describeAgent.ts";
 import { ModelTimes } from "./ModelTimes.ts";
 
@@ -273,16 +273,7 @@
     });
   }
 
-  private _serve(
-    req: ModelRequest,
-    at: {
-      readonly server: ServerState;
-      readonly agent: ModelAgent;
-      readonly local: LocalServer;
-      readonly key: string;
-      readonly sentAt: number;
-    },
-  ): void {
+  private _serve(req: ModelRequest, at: ModelService): void {
     const { server, agent, local, key, sentAt } = at;
     const fails = this._random.next() < this._scenario.getFailureShare(agent.index);
     const serviceMs = fails
@@ -338,7 +329,3 @@
     return req.startedAt >= this._shape.durationMs * WARM_UP_SHARE;
   }
 }
-
-function createHistogram(): Histogram {
-  return build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
-}
--- a/bench/requests/RequestModelTypes.ts
+++ b/bench/requests/RequestModelTypes.ts
@@ -3,11 +3,13 @@
  */
 import type { Histogram } from "hdr-histogram-js";
 import type { AgentAdmission } from "../../src/coordination/requests/AgentAdmission.ts";
+import type { LocalServer } from "../../src/coordination/requests/LocalServer.ts";
 import type {
   RequestProgress,
   RequestRouter,
   RoutedRequest,
 } from "../../src/coordination/requests/RequestRouter.ts";
+import type { ServerState } from "../../src/coordination/requests/ServerState.ts";
 import type { ServerTable } from "../../src/coordination/requests/ServerTable.ts";
 
 /** Shape of the deployment and its traffic. */
@@ -56,3 +58,12 @@
   readonly progress: RequestProgress;
   readonly startedAt: number;
 }
+
+/** A request at its server. */
+export interface ModelService {
+  readonly server: ServerState;
+  readonly agent: ModelAgent;
+  readonly local: LocalServer;
+  readonly key: string;
+  readonly sentAt: number;
+}
