--- /dev/null
+++ b/bench/placementBench.ts
@@ -0,0 +1,329 @@
+/**
+ * Cost and quality of placement: time for each placement at several sizes of the fleet, how full a
+ * fleet gets, and how long tenants wait for their share while one of them floods the queue.
+ */
+import { FirstFitPlacer } from "../src/coordination/batch/FirstFitPlacer.ts";
+import type { HeldTask, PendingTask, Placer } from "../src/coordination/batch/Placer.ts";
+import { AlignmentRule } from "../src/coordination/placement/AlignmentRule.ts";
+import { BestFitRule } from "../src/coordination/placement/BestFitRule.ts";
+import { FairSharePlacer } from "../src/coordination/placement/FairSharePlacer.ts";
+import { WorstFitRule } from "../src/coordination/placement/WorstFitRule.ts";
+import { EMPTY_DOCUMENT } from "../src/protocol/config/ConfigDocument.ts";
+import type { RandomSource } from "../src/protocol/platform/RandomSource.ts";
+import { addResources, subtractResources, type Resources } from "../src/protocol/Resources.ts";
+import type { VmRecord } from "../src/state/FleetView.ts";
+import { SeededRandom } from "../tests/support/SeededRandom.ts";
+import { Bench, type BenchContext } from "./Bench.ts";
+
+const GIB = 2 ** 30;
+const FLEET_SIZES = [11, 500, 4_200];
+const ROUND_MS = 200;
+/** Starts of one round at 3,100 starts a second. */
+const ROUND_STARTS = 620;
+const TIMED_ROUNDS = 10;
+const FLOW_VMS = 60;
+const FLOW_ROUNDS = 1_500;
+
+interface Contender {
+  readonly name: string;
+  readonly create: (random: RandomSource) => Placer;
+}
+
+const CONTENDERS: readonly Contender[] = [
+  { name: "first fit in order of arrival", create: () => new FirstFitPlacer() },
+  {
+    name: "fair share, best fit",
+    create: (random) => new FairSharePlacer({ random, fitRule: new BestFitRule() }),
+  },
+  {
+    name: "fair share, worst fit",
+    create: (random) => new FairSharePlacer({ random, fitRule: new WorstFitRule() }),
+  },
+  {
+    name: "fair share, alignment",
+    create: (random) => new FairSharePlacer({ random, fitRule: new AlignmentRule() }),
+  },
+];
+
+/** Measures placers side by side. */
+export default class PlacementBench extends Bench {
+  override readonly name = "placement";
+  override readonly title = "Placement: cost, packing and waits by tenant";
+
+  override run(ctx: BenchContext): Promise<void> {
+    CONTENDERS.forEach((contender) => {
+      // The first run only warms the engine up.
+      measureCost({ ...ctx, emit: () => undefined }, contender, 500);
+      FLEET_SIZES.forEach((size) => {
+        measureCost(ctx, contender, size);
+      });
+      measurePacking(ctx, contender);
+      measureFlow(ctx, contender);
+    });
+    return Promise.resolve();
+  }
+}
+
+function createFleet(size: number): readonly VmRecord[] {
+  return Array.from({ length: size }, (_, number) => ({
+    agent: `vm-${number}`,
+    incarnation: "i",
+    sequence: 1,
+    region: "r",
+    zone: `z${number % 3}`,
+    rack: `rack-${Math.floor(number / 3)}`,
+    requestAddress: "",
+    controlAddress: "",
+    capacity: {
+      processorsMilli: 32_000,
+      memoryBytes: 125 * GIB,
+      accelerators: number % 4 === 0 ? 4 : 0,
+    },
+    committed: { processorsMilli: 4_000, memoryBytes: 8 * GIB, accelerators: 0 },
+    used: { processorsMilli: 0, memoryBytes: 0, accelerators: 0 },
+    servers: [],
+    draining: false,
+    configRevision: 1,
+    tasks: 0,
+    heatLevel: undefined,
+    reportedAt: 0,
+  }));
+}
+
+/** Sizes of four kinds: small, memory-heavy, processor-heavy, and with accelerators. */
+function drawSize(random: RandomSource): Resources {
+  const draw = random.next();
+  if (draw < 0.5) {
+    return size(500 + random.below(6) * 250, 1 + random.below(4));
+  }
+  if (draw < 0.7) {
+    return size(1_000 + random.below(4) * 500, 12 + random.below(20));
+  }
+  if (draw < 0.9) {
+    return size(4_000 + random.below(8) * 1_000, 2 + random.below(6));
+  }
+  return { ...size(2_000, 8), accelerators: 1 + random.below(2) };
+}
+
+function size(processorsMilli: number, gib: number): Resources {
+  return { processorsMilli, memoryBytes: gib * GIB, accelerators: 0 };
+}
+
+function createTask(id: string, change: Partial<PendingTask>): PendingTask {
+  return {
+    task: id,
+    attempt: 1,
+    tenant: "t0",
+    kind: "kind",
+    urgent: false,
+    resources: size(1_000, 1),
+    readyAt: 0,
+    ...change,
+  };
+}
+
+/** The fleet with the VMs' commitments kept by the bench, as agents would. */
+class Books {
+  private readonly _vms: Map<string, VmRecord>;
+
+  constructor(vms: readonly VmRecord[]) {
+    this._vms = new Map(vms.map((vm) => [vm.agent, vm]));
+  }
+
+  getVms(now: number): readonly VmRecord[] {
+    return [...this._vms.values()].map((vm) => ({ ...vm, reportedAt: now }));
+  }
+
+  add(agent: string, resources: Resources): void {
+    this._change(agent, (committed) => addResources(committed, resources));
+  }
+
+  release(agent: string, resources: Resources): void {
+    this._change(agent, (committed) => subtractResources(committed, resources));
+  }
+
+  getUtilisation(part: "processorsMilli" | "memoryBytes" | "accelerators"): number {
+    const vms = [...this._vms.values()];
+    const committed = vms.reduce((sum, vm) => sum + vm.committed[part], 0);
+    return committed / vms.reduce((sum, vm) => sum + vm.capacity[part], 0);
+  }
+
+  private _change(agent: string, change: (committed: Resources) => Resources): void {
+    const vm = this._vms.get(agent);
+    if (vm !== undefined) {
+      this._vms.set(agent, { ...vm, committed: change(vm.committed) });
+    }
+  }
+}
+
+function measureCost(ctx: BenchContext, contender: Contender, vmCount: number): void {
+  const random = new SeededRandom(ctx.seed);
+  const placer = contender.create(random);
+  const books = new Books(createFleet(vmCount));
+  const starts = Math.min(ROUND_STARTS, vmCount * 4);
+  let elapsedMs = 0;
+  let placed = 0;
+  for (let round = 0; round < TIMED_ROUNDS; round += 1) {
+    const now = round * ROUND_MS;
+    const pending = Array.from({ length: starts }, (_, number) =>
+      createTask(`${round}/${number}`, {
+        tenant: `t${random.below(390)}`,
+        kind: `k${random.below(20)}`,
+        urgent: random.next() < 0.1,
+        resources: drawSize(random),
+        readyAt: now,
+      }),
+    );
+    const sizes = new Map(pending.map((task) => [task.task, task.resources]));
+    const vms = books.getVms(now);
+    const startedAt = performance.now();
+    const plan = placer.plan({ now, pending, held: [], vms, cfg: EMPTY_DOCUMENT, limit: 1_000 });
+    elapsedMs += performance.now() - startedAt;
+    placed += plan.placements.length;
+    // Half of the starts stay, so that the fleet fills as the rounds go on.
+    plan.placements
+      .filter((_, number) => number % 2 === 0)
+      .forEach(({ task, agent }) => {
+        books.add(agent, sizes.get(task) ?? size(0, 0));
+      });
+  }
+  const labels = { placer: contender.name, vms: String(vmCount) };
+  ctx.emit({ name: "time per placement", value: (elapsedMs * 1_000) / placed, unit: "us", labels });
+  ctx.emit({ name: "time per round", value: elapsedMs / TIMED_ROUNDS, unit: "ms", labels });
+  ctx.emit({ name: "placed", value: placed, unit: "tasks", labels });
+}
+
+/** Fills a fleet until no more task of the mix finds room. */
+function measurePacking(ctx: BenchContext, contender: Contender): void {
+  const random = new SeededRandom(ctx.seed);
+  const placer = contender.create(random);
+  const books = new Books(createFleet(100));
+  let pending = Array.from({ length: 1_500 }, (_, number) =>
+    createTask(`${number}`, { resources: drawSize(random), readyAt: number }),
+  );
+  for (let round = 0; round < 40; round += 1) {
+    const sizes = new Map(pending.map((task) => [task.task, task.resources]));
+    const vms = books.getVms(0);
+    const plan = placer.plan({ now: 0, pending, held: [], vms, cfg: EMPTY_DOCUMENT, limit: 200 });
+    plan.placements.forEach(({ task, agent }) => {
+      books.add(agent, sizes.get(task) ?? size(0, 0));
+    });
+    const placed = new Set(plan.placements.map(({ task }) => task));
+    pending = pending.filter((task) => !placed.has(task.task));
+  }
+  (["processorsMilli", "memoryBytes", "accelerators"] as const).forEach((part) => {
+    const labels = { placer: contender.name, part };
+    ctx.emit({ name: "packing", value: 100 * books.getUtilisation(part), unit: "%", labels });
+  });
+}
+
+interface RunningTask extends HeldTask {
+  readonly endsAt: number;
+}
+
+/**
+ * Four tenants of equal weight: one offers several times its share at once, two stay below theirs,
+ * one submits tasks that take most of a VM. A tenth of the small tenants' work is urgent.
+ */
+function measureFlow(ctx: BenchContext, contender: Contender): void {
+  const random = new SeededRandom(ctx.seed);
+  const placer = contender.create(random);
+  const books = new Books(createFleet(FLOW_VMS));
+  const waits = new Map<string, number[]>();
+  let pending: readonly PendingTask[] = [];
+  let running: readonly RunningTask[] = [];
+  let busy = 0;
+  const rounds = Math.max(200, Math.floor(FLOW_ROUNDS * ctx.scale));
+  for (let round = 0; round < rounds; round += 1) {
+    const now = round * ROUND_MS;
+    running
+      .filter((task) => task.endsAt <= now)
+      .forEach((task) => {
+        books.release(task.agent, task.resources);
+      });
+    running = running.filter((task) => task.endsAt > now);
+    pending = [...pending, ...drawArrivals(random, round, now)];
+    const vms = books.getVms(now);
+    const plan = placer.plan({
+      now,
+      pending,
+      held: running,
+      vms,
+      cfg: EMPTY_DOCUMENT,
+      limit: 200,
+    });
+    const byId = new Map(pending.map((task) => [task.task, task]));
+    const started = plan.placements.flatMap(({ task, agent }) => {
+      const found = byId.get(task);
+      return found === undefined
+        ? []
+        : [{ ...found, agent, endsAt: now + 5_000 + random.below(20_000) }];
+    });
+    started.forEach((task) => {
+      books.add(task.agent, task.resources);
+      const label = task.urgent ? "urgent" : task.tenant;
+      waits.set(label, [...(waits.get(label) ?? []), now - task.readyAt]);
+    });
+    running = [...running, ...started];
+    const gone = new Set(started.map((task) => task.task));
+    pending = pending.filter((task) => !gone.has(task.task));
+    busy += books.getUtilisation("processorsMilli") / rounds;
+  }
+  pending.forEach((task) => {
+    const label = task.urgent ? "urgent" : task.tenant;
+    waits.set(label, [...(waits.get(label) ?? []), rounds * ROUND_MS - task.readyAt]);
+  });
+  ctx.emit({
+    name: "processors committed",
+    value: 100 * busy,
+    unit: "%",
+    labels: { placer: contender.name },
+  });
+  [...waits]
+    .sort(([a], [b]) => a.localeCompare(b))
+    .forEach(([tenant, values]) => {
+      emitWaits(ctx, contender, tenant, values);
+    });
+}
+
+function emitWaits(
+  ctx: BenchContext,
+  contender: Contender,
+  tenant: string,
+  values: readonly number[],
+): void {
+  const sorted = values.toSorted((a, b) => a - b);
+  [50, 99].forEach((percentile) => {
+    const value = sorted[Math.ceil((sorted.length * percentile) / 100) - 1] ?? 0;
+    const labels = { placer: contender.name, tenant, percentile: String(percentile) };
+    ctx.emit({ name: "wait", value: value / 1_000, unit: "s", labels });
+  });
+}
+
+function drawArrivals(random: RandomSource, round: number, now: number): readonly PendingTask[] {
+  const small = ["steady-a", "steady-b"].flatMap((tenant) =>
+    Array.from({ length: random.below(4) }, (_, number) =>
+      createTask(`${tenant}/${round}/${number}`, {
+        tenant,
+        resources: size(1_000 + random.below(3) * 500, 2),
+        urgent: random.next() < 0.1,
+        readyAt: now,
+      }),
+    ),
+  );
+  const flood = Array.from({ length: round % 100 === 0 ? 800 : 0 }, (_, number) =>
+    createTask(`flood/${round}/${number}`, {
+      tenant: "flood",
+      resources: size(2_000, 4),
+      readyAt: now,
+    }),
+  );
+  const large = Array.from({ length: round % 25 === 0 ? 1 : 0 }, (_, number) =>
+    createTask(`large/${round}/${number}`, {
+      tenant: "large",
+      resources: size(26_000, 60),
+      readyAt: now,
+    }),
+  );
+  return [...small, ...flood, ...large];
+}
