--- /dev/null
+++ b/standins/cluster/ClusterVm.ts
@@ -0,0 +1,162 @@
+/**
+ * One VM of a cluster: its worker, its agent and its backend server.
+ */
+import { findFreeAddresses } from "../support/freePorts.ts";
+import type { ClusterEntry } from "./ClusterEntry.ts";
+import type { ClusterFiles } from "./ClusterFiles.ts";
+import type { ClusterOptions, ServiceOptions } from "./ClusterOptions.ts";
+import type { ManagedProcess } from "./ManagedProcess.ts";
+
+const VMS_PER_RACK = 3;
+
+/** A process of a VM with the addresses by which a test reaches it. */
+export interface ClusterWorker {
+  readonly name: string;
+  readonly address: string;
+  readonly process: ManagedProcess;
+}
+
+/** A backend server. */
+export interface ClusterServer {
+  readonly name: string;
+  readonly service: string;
+  readonly address: string;
+  readonly control: string;
+  readonly process: ManagedProcess;
+}
+
+/** An agent. */
+export interface ClusterAgent {
+  readonly name: string;
+  readonly listen: string;
+  readonly control: string;
+  readonly local: string;
+  readonly admin: string;
+  readonly process: ManagedProcess;
+}
+
+/** A VM. */
+export interface ClusterVm {
+  readonly name: string;
+  readonly zone: string;
+  readonly worker: ClusterWorker;
+  readonly agent: ClusterAgent;
+  /** Backend server; undefined on a VM for batch work alone. */
+  readonly server: ClusterServer | undefined;
+}
+
+/** What a VM of a cluster needs. */
+export interface ClusterVmParts {
+  readonly options: ClusterOptions;
+  readonly files: ClusterFiles;
+  readonly entries: readonly ClusterEntry[];
+  readonly createProduct: (name: string, role: "entry" | "agent", file: string) => ManagedProcess;
+  readonly createStandin: (
+    name: string,
+    script: string,
+    args: Readonly<Record<string, string | number>>,
+  ) => ManagedProcess;
+}
+
+/** Creates the VMs of a cluster. */
+export class ClusterVmFactory {
+  private readonly _parts: ClusterVmParts;
+
+  /**
+   * Creates the factory.
+   * @param parts - What the VMs need.
+   */
+  constructor(parts: ClusterVmParts) {
+    this._parts = parts;
+  }
+
+  /**
+   * Creates a VM that is not started.
+   * @param index - Number of the VM, from 0.
+   * @param service - What its backend server serves; undefined for none.
+   */
+  async create(index: number, service: ServiceOptions | undefined): Promise<ClusterVm> {
+    const { zones } = this._parts.options;
+    const name = `vm-${index + 1}`;
+    const zone = zones[index % zones.length] ?? "";
+    const worker = await this._createWorker(name);
+    const agent = await this._createAgent(name, zone, index, worker.address);
+    const server =
+      service === undefined ? undefined : await this._createServer(name, index, service, agent);
+    return { name, zone, worker, agent, server };
+  }
+
+  private async _createWorker(vm: string): Promise<ClusterWorker> {
+    const { options, files, createStandin } = this._parts;
+    const [address = ""] = await findFreeAddresses(1);
+    const name = `worker-${vm}`;
+    const process = createStandin(name, "worker", {
+      listen: address,
+      vm,
+      "processors-milli": options.processorsMilli,
+      "memory-bytes": options.memoryBytes,
+      accelerators: options.accelerators,
+      "usage-lag-ms": options.usageLagMs,
+      journal: files.getJournalPath(name),
+    });
+    return { name, address, process };
+  }
+
+  private async _createAgent(
+    vm: string,
+    zone: string,
+    index: number,
+    worker: string,
+  ): Promise<ClusterAgent> {
+    const { options, files, entries, createProduct } = this._parts;
+    const [listen = "", control = "", local = "", admin = ""] = await findFreeAddresses(4);
+    const zoneIndex = Math.floor(index / options.zones.length);
+    const rack = `${zone}-rack-${Math.floor(zoneIndex / VMS_PER_RACK) + 1}`;
+    const ownZoneFirst = [
+      ...entries.filter((entry) => entry.zone === zone),
+      ...entries.filter((entry) => entry.zone !== zone),
+    ];
+    const settings = {
+      agent: {
+        name: vm,
+        region: "region-1",
+        zone,
+        rack,
+        listen,
+        control,
+        local,
+        admin,
+        entries: ownZoneFirst.map((entry) => entry.control).join(","),
+      },
+      worker: { address: worker },
+    };
+    const name = `agent-${vm}`;
+    const file = files.writeSettings(name, settings, options.agentSettings);
+    const process = createProduct(name, "agent", file);
+    return { name, listen, control, local, admin, process };
+  }
+
+  private async _createServer(
+    vm: string,
+    index: number,
+    service: ServiceOptions,
+    agent: ClusterAgent,
+  ): Promise<ClusterServer> {
+    const { options, files, createStandin } = this._parts;
+    const [address = "", control = ""] = await findFreeAddresses(2);
+    const name = `server-${vm}`;
+    const process = createStandin(name, "backend", {
+      listen: address,
+      control,
+      agent: agent.local,
+      service: service.service,
+      id: name,
+      slots: service.slots,
+      connections: service.connections,
+      "service-times": service.serviceTimes,
+      seed: options.seed + index,
+      journal: files.getJournalPath(name),
+    });
+    return { name, service: service.service, address, control, process };
+  }
+}
