Check the labels of metrics by type and bound their series

Seen with the built binary: an entry's first request ended in a rejection, since it counted fireflylb_requests_total with a label that the metric does not have, and no request was counted. Labels are typed by metric now, so that the compiler refuses this. A caller's service names could add series without bound; beyond 1000 a metric's series are counted as other. The program ends with process.exit, so that a listener left open by a failed start cannot keep it alive.

--- a/src/main.ts
+++ b/src/main.ts
@@ -11,11 +11,9 @@
 });
 
 line.run(process.argv.slice(2)).then(
-  (code) => {
-    process.exitCode = code;
-  },
+  (code) => process.exit(code),
   (cause: unknown) => {
     console.error(cause);
-    process.exitCode = ExitCode.fault;
+    process.exit(ExitCode.fault);
   },
 );
--- a/src/state/metrics/MemoryCounters.ts
+++ b/src/state/metrics/MemoryCounters.ts
@@ -1,32 +1,32 @@
 /**
  * Counters and gauges in memory, for benches and for status pages.
  */
-import { Counters, type MetricLabels } from "./Counters.ts";
-import type { MetricName } from "./metricDefinitions.ts";
+import { Counters } from "./Counters.ts";
+import type { LabelArguments, MetricName } from "./metricDefinitions.ts";
 
 /** Keeps each metric's value by its labels. */
 export class MemoryCounters extends Counters {
   private readonly _values = new Map<string, number>();
 
-  override add(name: MetricName, labels: MetricLabels = {}, amount = 1): void {
-    this._values.set(toKey(name, labels), this.get(name, labels) + amount);
+  override add<N extends MetricName>(name: N, amount: number, ...labels: LabelArguments<N>): void {
+    this._values.set(toKey(name, labels), this.get(name, ...labels) + amount);
   }
 
-  override set(name: MetricName, value: number, labels: MetricLabels = {}): void {
+  override set<N extends MetricName>(name: N, value: number, ...labels: LabelArguments<N>): void {
     this._values.set(toKey(name, labels), value);
   }
 
   /**
    * Gives the value of a metric; 0 where it was never counted.
    * @param name - Name of the metric.
-   * @param labels - Values of its labels.
+   * @param labels - Values of its labels, where it has any.
    */
-  get(name: MetricName, labels: MetricLabels = {}): number {
+  get<N extends MetricName>(name: N, ...labels: LabelArguments<N>): number {
     return this._values.get(toKey(name, labels)) ?? 0;
   }
 }
 
-function toKey(name: MetricName, labels: MetricLabels): string {
-  const ordered = Object.entries(labels).toSorted(([a], [b]) => (a < b ? -1 : 1));
+function toKey(name: MetricName, labels: readonly object[]): string {
+  const ordered = Object.entries(labels[0] ?? {}).toSorted(([a], [b]) => (a < b ? -1 : 1));
   return JSON.stringify([name, ordered]);
 }
--- a/src/state/metrics/metricDefinitions.ts
+++ b/src/state/metrics/metricDefinitions.ts
@@ -4,17 +4,17 @@
  */
 
 /** What one metric states. */
-export interface MetricDefinition {
+export interface MetricDefinition<L extends readonly string[] = readonly string[]> {
   readonly kind: "counter" | "gauge";
-  readonly labels: readonly string[];
+  readonly labels: L;
   readonly help: string;
 }
 
-function counter(labels: readonly string[], help: string): MetricDefinition {
+function counter<const L extends readonly string[]>(labels: L, help: string): MetricDefinition<L> {
   return { kind: "counter", labels, help };
 }
 
-function gauge(labels: readonly string[], help: string): MetricDefinition {
+function gauge<const L extends readonly string[]>(labels: L, help: string): MetricDefinition<L> {
   return { kind: "gauge", labels, help };
 }
 
@@ -22,7 +22,7 @@
 export const METRICS = {
   fireflylb_requests_total: counter(
     ["service", "verdict", "code"],
-    "Requests by outcome; the code is empty for an answer of the backend server.",
+    "Requests by outcome; the code is that of the refusal, or what else became of the request.",
   ),
   fireflylb_requests_in_flight: gauge([], "Requests in flight."),
   fireflylb_requests_queued: gauge(["service"], "Requests that wait for a slot."),
@@ -45,6 +45,16 @@
 
 export type MetricName = keyof typeof METRICS;
 
+/** Values of all labels of a metric. */
+export type MetricLabels<N extends MetricName = MetricName> = Readonly<
+  Record<(typeof METRICS)[N]["labels"][number], string>
+>;
+
+/** Arguments that give the labels of a metric; none where it has no labels. */
+export type LabelArguments<N extends MetricName> = (typeof METRICS)[N]["labels"] extends readonly []
+  ? readonly []
+  : readonly [labels: MetricLabels<N>];
+
 /** Gives the definition of a metric. */
 export function getMetricDefinition(name: MetricName): MetricDefinition {
   return METRICS[name];
--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -255,9 +255,9 @@
     const { tenant, requestClass, service, verdict, outcome } = trace;
     this._traces.add(trace);
     this._histograms.record({ tenant, requestClass, service }, trace.latencyMs);
-    this._metrics.add("fireflylb_requests_total", { service, verdict, outcome });
+    this._metrics.count("fireflylb_requests_total", { service, verdict, code: outcome });
     if (trace.attempts.length > 1) {
-      this._metrics.add("fireflylb_retries_total", { service }, trace.attempts.length - 1);
+      this._metrics.add("fireflylb_retries_total", trace.attempts.length - 1, { service });
     }
   }
 
--- a/src/transport/http/PromMetrics.ts
+++ b/src/transport/http/PromMetrics.ts
@@ -1,21 +1,32 @@
 /**
- * Counters, gauges and latency histograms of a process in the Prometheus text form.
+ * Counters, gauges and latency histograms of a process in the Prometheus text form. The series of a
+ * metric are bounded: what exceeds the bound is counted with all labels "other".
  */
 import { Counter, Gauge, Registry, collectDefaultMetrics } from "prom-client";
-import { Counters, type MetricLabels } from "../../state/metrics/Counters.ts";
-import { getMetricDefinition, type MetricName } from "../../state/metrics/metricDefinitions.ts";
+import { Counters } from "../../state/metrics/Counters.ts";
+import {
+  getMetricDefinition,
+  type LabelArguments,
+  type MetricName,
+} from "../../state/metrics/metricDefinitions.ts";
 import type { RequestHistograms, SeriesSummary } from "../../state/metrics/RequestHistograms.ts";
 
 const PERCENT = 100;
 const MS_PER_SECOND = 1000;
+const DEFAULT_MAX_SERIES = 1000;
+const OTHER = "other";
 const SERIES_LABELS = ["tenant", "class", "service"] as const;
 
+type Labels = Readonly<Record<string, string>>;
+
 /** Metrics of one process. */
 export class PromMetrics extends Counters {
   private readonly _registry = new Registry();
   private readonly _counters = new Map<MetricName, Counter>();
   private readonly _gauges = new Map<MetricName, Gauge>();
+  private readonly _series = new Map<MetricName, Set<string>>();
   private readonly _histograms: RequestHistograms;
+  private readonly _maxSeries: number;
   private readonly _latency = new Gauge({
     name: "fireflylb_request_latency_seconds",
     help: "Latency of requests by quantile over the last one to two minutes.",
@@ -38,19 +49,21 @@
   /**
    * Creates the metrics.
    * @param histograms - Latency histograms of the process.
+   * @param maxSeries - Most series of one metric, that named "other" aside.
    */
-  constructor(histograms: RequestHistograms) {
+  constructor(histograms: RequestHistograms, maxSeries = DEFAULT_MAX_SERIES) {
     super();
     this._histograms = histograms;
+    this._maxSeries = maxSeries;
     collectDefaultMetrics({ register: this._registry });
   }
 
-  override add(name: MetricName, labels: MetricLabels = {}, amount = 1): void {
-    this._getCounter(name).inc(labels, amount);
+  override add<N extends MetricName>(name: N, amount: number, ...labels: LabelArguments<N>): void {
+    this._getCounter(name).inc(this._bound(name, labels[0] ?? {}), amount);
   }
 
-  override set(name: MetricName, value: number, labels: MetricLabels = {}): void {
-    this._getGauge(name).set(labels, value);
+  override set<N extends MetricName>(name: N, value: number, ...labels: LabelArguments<N>): void {
+    this._getGauge(name).set(this._bound(name, labels[0] ?? {}), value);
   }
 
   /** Gives all metrics as text. */
@@ -59,18 +72,25 @@
     return this._registry.metrics();
   }
 
+  /** Gives the labels under which a value is kept. */
+  private _bound(name: MetricName, labels: Labels): Labels {
+    const known = this._series.get(name) ?? new Set<string>();
+    this._series.set(name, known);
+    const key = JSON.stringify(Object.values(labels));
+    if (known.size < this._maxSeries) {
+      known.add(key);
+    }
+    return known.has(key)
+      ? labels
+      : Object.fromEntries(Object.keys(labels).map((label) => [label, OTHER]));
+  }
+
   private _getCounter(name: MetricName): Counter {
     const known = this._counters.get(name);
     if (known !== undefined) {
       return known;
     }
-    const { help, labels } = getMetricDefinition(name);
-    const counter = new Counter({
-      name,
-      help,
-      labelNames: [...labels],
-      registers: [this._registry],
-    });
+    const counter = new Counter(this._configure(name));
     this._counters.set(name, counter);
     return counter;
   }
@@ -80,12 +100,21 @@
     if (known !== undefined) {
       return known;
     }
-    const { help, labels } = getMetricDefinition(name);
-    const gauge = new Gauge({ name, help, labelNames: [...labels], registers: [this._registry] });
+    const gauge = new Gauge(this._configure(name));
     this._gauges.set(name, gauge);
     return gauge;
   }
 
+  private _configure(name: MetricName): {
+    name: string;
+    help: string;
+    labelNames: string[];
+    registers: Registry[];
+  } {
+    const { help, labels } = getMetricDefinition(name);
+    return { name, help, labelNames: [...labels], registers: [this._registry] };
+  }
+
   private _refreshHistograms(): void {
     [this._latency, this._requests, this._seconds].forEach((metric) => {
       metric.reset();
