--- a/src/state/metrics/metricDefinitions.ts
+++ b/src/state/metrics/metricDefinitions.ts
@@ -24,6 +24,10 @@
     ["service", "verdict", "code"],
     "Requests by outcome; the code is that of the refusal, or what else became of the request.",
   ),
+  fireflylb_requests_refused_total: counter(
+    ["code"],
+    "Requests refused before they were routed, by code.",
+  ),
   fireflylb_requests_in_flight: gauge([], "Requests in flight."),
   fireflylb_requests_queued: gauge(["service"], "Requests that wait for a slot."),
   fireflylb_retries_total: counter(["service"], "Attempts after the first."),
--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -190,6 +190,9 @@
       },
       hasConfig: () => this._keeper.getSnapshot() !== undefined,
       isKnownService: (service) => this._isKnownService(service),
+      onRefuse: (code) => {
+        this._metrics.count("fireflylb_requests_refused_total", { code });
+      },
       onEnd: (trace) => {
         this._noteEnd(trace);
       },
--- a/src/transport/entry/requests/EntryRequestServer.ts
+++ b/src/transport/entry/requests/EntryRequestServer.ts
@@ -4,7 +4,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { ResultAsync } from "neverthrow";
 import type { ListenError } from "../../../protocol/errors/errors.ts";
-import type { Refusal } from "../../../protocol/Refusal.ts";
+import type { Refusal, RefusalCode } from "../../../protocol/Refusal.ts";
 import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
 import { answerClientErrors } from "../../http/clientErrors.ts";
 import { getForwardHeaders } from "../../http/forwardHeaders.ts";
@@ -31,6 +31,8 @@
   /** Whether a configuration is in force here. */
   readonly hasConfig: () => boolean;
   readonly isKnownService: (service: string) => boolean;
+  /** Called for each request that was refused before it was routed. */
+  readonly onRefuse: (code: RefusalCode) => void;
 }
 
 /** Requests of one entry. */
@@ -55,7 +57,7 @@
     this._server = createServer(options, (req, res) => {
       void this._handle(req, res);
     });
-    answerClientErrors(this._server);
+    answerClientErrors(this._server, parts.onRefuse);
   }
 
   /** Requests in flight. */
@@ -169,6 +171,7 @@
 
   private _refuse(req: IncomingMessage, res: ServerResponse, id: string, refusal: Refusal): void {
     req.resume();
+    this._parts.onRefuse(refusal.code);
     answerRefusal(res, refusal, { [RequestHeaders.requestId]: id });
   }
 
