--- a/src/coordination/placement/FairSharePlacer.ts
+++ b/src/coordination/placement/FairSharePlacer.ts
@@ -26,7 +26,7 @@
 /** Age from which the report of a VM is not relied on, in milliseconds. */
 const STALE_REPORT_MS = 10_000;
 /** Wait after which a VM is kept free for a task, in milliseconds. */
-const EARMARK_AFTER_MS = 30_000;
+const EARMARK_AFTER_MS = 10_000;
 
 /**
  * Predicts the disturbance of services by a kind of job, as the share of what their profiles
--- a/src/coordination/placement/PlacementRound.ts
+++ b/src/coordination/placement/PlacementRound.ts
@@ -106,12 +106,7 @@
     if (this._hasFailed(task.kind, wanted)) {
       return undefined;
     }
-    const found = this._index.find({
-      wanted,
-      order: this._options.fitRule.searchOrder,
-      count: CHOICES,
-      accepts: (candidate) => this._accepts(candidate, task, task.urgent),
-    });
+    const found = this._find(task, wanted);
     const best = this._getBest(found, task.kind, wanted);
     if (best === undefined) {
       this._noteFailed(task.kind, wanted);
@@ -155,6 +150,22 @@
     return describeExcess(wanted, largest ?? nearest[0] ?? wanted);
   }
 
+  /** An urgent task may use a VM that is kept free where no other has room. */
+  private _find(task: PendingTask, wanted: Resources): readonly Candidate[] {
+    const order = this._options.fitRule.searchOrder;
+    const query = { wanted, order, count: CHOICES };
+    const found = this._index.find({
+      ...query,
+      accepts: (candidate) => this._accepts(candidate, task, false),
+    });
+    return found.length > 0 || !task.urgent || this._keptFree.size === 0
+      ? found
+      : this._index.find({
+          ...query,
+          accepts: (candidate) => this._accepts(candidate, task, true),
+        });
+  }
+
   private _accepts(candidate: Candidate, task: PendingTask, mayUseKept: boolean): boolean {
     const { agent } = candidate.vm;
     const most = this.isProbe(agent) ? 1 : MAX_STARTS_PER_VM;
--- a/src/coordination/placement/SizeCorrector.ts
+++ b/src/coordination/placement/SizeCorrector.ts
@@ -65,8 +65,8 @@
     return ratios === undefined
       ? declared
       : {
-          processorsMilli: Math.ceil(declared.processorsMilli * getRatio(ratios.processors)),
-          memoryBytes: Math.ceil(declared.memoryBytes * getRatio(ratios.memory)),
+          processorsMilli: Math.round(declared.processorsMilli * getRatio(ratios.processors)),
+          memoryBytes: Math.round(declared.memoryBytes * getRatio(ratios.memory)),
           accelerators: declared.accelerators,
         };
   }
--- a/src/coordination/placement/VmEarmarks.ts
+++ b/src/coordination/placement/VmEarmarks.ts
@@ -6,7 +6,7 @@
 import type { VmRecord } from "../../state/FleetView.ts";
 import { getPartShare } from "./FitRule.ts";
 
-const MAX_SHARE = 0.02;
+const MAX_SHARE = 0.05;
 
 /** VMs kept free, by task. */
 export class VmEarmarks {
--- /dev/null
+++ b/tests/support/placementFixtures.ts
@@ -0,0 +1,93 @@
+/**
+ * VMs and tasks for tests of placement.
+ */
+import type { HeldTask, PendingTask, PlacementInput } from "../../src/coordination/batch/Placer.ts";
+import { EMPTY_DOCUMENT, type Quota } from "../../src/protocol/config/ConfigDocument.ts";
+import { NO_RESOURCES, type Resources } from "../../src/protocol/Resources.ts";
+import type { ServerRecord, VmRecord } from "../../src/state/FleetView.ts";
+
+/** Amount of some cores and as many units of memory. */
+export function cores(count: number, accelerators = 0): Resources {
+  return { processorsMilli: count * 1_000, memoryBytes: count * 1_000, accelerators };
+}
+
+/** A VM with eight cores. */
+export function createVm(agent: string, change: Partial<VmRecord> = {}): VmRecord {
+  return {
+    agent,
+    incarnation: "i",
+    sequence: 1,
+    region: "r",
+    zone: "z",
+    rack: "k",
+    requestAddress: "",
+    controlAddress: "",
+    capacity: cores(8),
+    committed: NO_RESOURCES,
+    used: NO_RESOURCES,
+    servers: [],
+    draining: false,
+    configRevision: 1,
+    tasks: 0,
+    heatLevel: undefined,
+    reportedAt: 0,
+    ...change,
+  };
+}
+
+/** A backend server of a service. */
+export function createServer(service: string): ServerRecord {
+  return {
+    service,
+    id: `${service}-1`,
+    slots: 8,
+    slotsInUse: 0,
+    queued: 0,
+    draining: false,
+    p50Us: 0,
+    p99Us: 0,
+    requests: 0,
+    failures: 0,
+  };
+}
+
+/** A waiting task of one core. */
+export function createTask(task: string, change: Partial<PendingTask> = {}): PendingTask {
+  return {
+    task,
+    attempt: 1,
+    tenant: "t",
+    kind: "k",
+    urgent: false,
+    resources: cores(1),
+    readyAt: 0,
+    ...change,
+  };
+}
+
+/** A held task of one core. */
+export function createHeld(task: string, change: Partial<HeldTask> = {}): HeldTask {
+  return {
+    task,
+    tenant: "t",
+    kind: "k",
+    agent: "a",
+    resources: cores(1),
+    urgent: false,
+    ...change,
+  };
+}
+
+/** Quota of some cores and as many units of memory. */
+export function createQuota(count: number, weight = 1): Quota {
+  return { ...cores(count), weight };
+}
+
+/** What a round looks at. */
+export function createInput(
+  change: Partial<PlacementInput> & { readonly quotas?: Readonly<Record<string, Quota>> },
+): PlacementInput {
+  const { quotas = {}, ...rest } = change;
+  const cfg = { ...EMPTY_DOCUMENT, quotas };
+  return { now: 0, pending: [], held: [], vms: [], cfg, limit: 100, ...rest };
+}
