--- a/src/coordination/batch/AttemptRunner.ts
+++ b/src/coordination/batch/AttemptRunner.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { AttemptOutcome, EndRecord } from "../../state/batch/BatchRecord.ts";
 import type { FleetView } from "../../state/FleetView.ts";
+import type { AttemptNote } from "./Placer.ts";
 import type { AgentGateway, StartOutcome, StopOutcome } from "./AgentGateway.ts";
 import type { BatchSettings } from "./BatchSettings.ts";
 import { getLapseMs } from "./LeaseTerms.ts";
@@ -31,7 +32,7 @@
   /** Whether this owner may still grant leases. */
   readonly mayGrant: () => boolean;
   /** Called when an attempt was accepted or refused, or has completed or failed. */
-  readonly onOutcome: (agent: string, started: boolean) => void;
+  readonly onOutcome: (note: Omit<AttemptNote, "now">) => void;
 }
 
 /** Runs the attempts of one partition. */
@@ -179,7 +180,8 @@
       this._notBefore.set(record.task, clock.now() + Math.min(delay, RETRY_MAX_MS));
     }
     if (agent !== undefined && record.outcome !== "released") {
-      this._parts.onOutcome(agent, record.outcome === "completed");
+      const kind = log.ledger.getJobOf(record.task)?.spec.kind ?? "";
+      this._parts.onOutcome({ agent, kind, outcome: record.outcome });
     }
     return true;
   }
@@ -226,19 +228,21 @@
     agent: string,
     outcome: StartOutcome,
   ): Promise<void> {
-    const { book, clock, onOutcome } = this._parts;
+    const { book, clock, log, onOutcome } = this._parts;
+    const kind = log.ledger.getJobOf(task)?.spec.kind ?? "";
     if (book.get(task)?.attempt !== attempt) {
       return;
     }
     if (outcome.kind === "accepted") {
       book.apply(task, "ACCEPTED");
-      onOutcome(agent, true);
+      onOutcome({ agent, kind, outcome: "accepted" });
       return;
     }
     if (outcome.kind === "refused") {
       await this.end(task, "released", `refused: ${outcome.reason}`);
       this._notBefore.set(task, clock.now() + REFUSAL_DELAY_MS);
-      onOutcome(agent, false);
+      const isWorkerFault = outcome.reason === "worker-refused";
+      onOutcome({ agent, kind, outcome: isWorkerFault ? "failed" : "refused" });
       return;
     }
     book.apply(task, "LOST", "the answer to the start was lost");
--- a/src/coordination/batch/PartitionOwner.ts
+++ b/src/coordination/batch/PartitionOwner.ts
@@ -18,6 +18,7 @@
 import { PartitionLog, type AppendFailure, type PartitionLogCounts } from "./PartitionLog.ts";
 import { PartitionReader } from "./PartitionReader.ts";
 import { ReportHandler, type ReportAnswer, type ReportedTask } from "./ReportHandler.ts";
+import type { AttemptNote } from "./Placer.ts";
 import { TaskBook, type ActiveTask } from "./TaskBook.ts";
 
 const PROBE_INTERVAL_MS = 2_000;
@@ -36,7 +37,7 @@
   readonly fleet: FleetView;
   readonly gateway: AgentGateway;
   /** Called when an attempt was accepted or refused, or has completed or failed. */
-  readonly onOutcome: (agent: string, started: boolean) => void;
+  readonly onOutcome: (note: Omit<AttemptNote, "now">) => void;
   /** Called once when another owner was found. */
   readonly onDeposed: () => void;
 }
--- a/src/transport/entry/batch/BatchService.ts
+++ b/src/transport/entry/batch/BatchService.ts
@@ -202,8 +202,8 @@
       log,
       fleet,
       gateway: this._gateway,
-      onOutcome: (agent, started) => {
-        placer.noteOutcome(agent, started, clock.now());
+      onOutcome: (note) => {
+        placer.noteAttempt({ ...note, now: clock.now() });
       },
       onDeposed: () => {
         this._manager.drop(partition);
