Let an agent advertise other addresses than it listens on

Cause: an agent that listens on all interfaces, or behind a forwarder, reported an address that no entry could reach. Change: [agent] advertise and advertise_control; the cluster of the tests puts a fault-injecting proxy between entries and agents by it.

--- a/src/protocol/settings/AgentSettings.ts
+++ b/src/protocol/settings/AgentSettings.ts
@@ -4,7 +4,16 @@
 import type { Result } from "neverthrow";
 import type { SettingError } from "../errors/errors.ts";
 import { LOG_LEVELS } from "./LogLevel.ts";
-import { address, addresses, bytes, choice, count, milliseconds, name } from "./settingKinds.ts";
+import {
+  address,
+  addresses,
+  bytes,
+  choice,
+  count,
+  milliseconds,
+  name,
+  optionalAddress,
+} from "./settingKinds.ts";
 import { SettingsReader } from "./SettingsReader.ts";
 import type { SettingsValues } from "./SettingsSchema.ts";
 
@@ -17,6 +26,8 @@
     rack: name("Rack of this VM."),
     listen: address("Where entries send requests."),
     control: address("Where entries send control messages."),
+    advertise: optionalAddress("Where entries reach listen, if not at the same address."),
+    advertise_control: optionalAddress("Where entries reach control, if not at the same address."),
     local: address("Where backend servers of this VM announce themselves, over loopback."),
     admin: address("Where metrics and health are read."),
     entries: addresses("Control addresses of entries, those of the own zone first."),
--- a/src/protocol/settings/settingKinds.ts
+++ b/src/protocol/settings/settingKinds.ts
@@ -5,6 +5,7 @@
 import { AddressSetting } from "./AddressSetting.ts";
 import { ChoiceSetting } from "./ChoiceSetting.ts";
 import { IntegerSetting } from "./IntegerSetting.ts";
+import { OptionalAddressSetting } from "./OptionalAddressSetting.ts";
 import { TextSetting } from "./TextSetting.ts";
 
 const MAX_DURATION_MS = 86_400_000;
@@ -27,6 +28,11 @@
   return new AddressSetting({ doc });
 }
 
+/** An address that may be left out. */
+export function optionalAddress(doc: string): OptionalAddressSetting {
+  return new OptionalAddressSetting({ defaultText: "", doc });
+}
+
 /** An address with a default. */
 export function addressOr(defaultText: string, doc: string): AddressSetting {
   return new AddressSetting({ defaultText, doc });
--- a/standins/cluster/Cluster.ts
+++ b/standins/cluster/Cluster.ts
@@ -215,9 +215,10 @@
   }
 
   private _getProxies(): readonly FaultProxy[] {
-    return this._entries
-      .map((entry) => entry.storeProxy)
-      .filter((proxy): proxy is FaultProxy => proxy !== undefined);
+    const requests = this._vms.map((vm) => vm.agent.proxy);
+    return [...this._entries.map((entry) => entry.storeProxy), ...requests].filter(
+      (proxy): proxy is FaultProxy => proxy !== undefined,
+    );
   }
 
   private async _createStore(): Promise<void> {
--- a/standins/cluster/ClusterOptions.ts
+++ b/standins/cluster/ClusterOptions.ts
@@ -33,6 +33,8 @@
   readonly agentSettings: SettingsOverrides;
   /** Whether entries reach the store through fault-injecting proxies, one for each entry. */
   readonly proxyStore: boolean;
+  /** Whether entries reach the agents' requests through fault-injecting proxies, one for each VM. */
+  readonly proxyRequests: boolean;
   /** Seed of the stand-ins' random numbers. */
   readonly seed: number;
 }
@@ -58,5 +60,6 @@
   entrySettings: {},
   agentSettings: {},
   proxyStore: false,
+  proxyRequests: false,
   seed: 1,
 };
--- a/standins/cluster/ClusterVm.ts
+++ b/standins/cluster/ClusterVm.ts
@@ -1,6 +1,8 @@
 /**
  * One VM of a cluster: its worker, its agent and its backend server.
  */
+import { FaultProxy } from "../proxy/FaultProxy.ts";
+import { MachineClock } from "../support/MachineClock.ts";
 import { findFreeAddresses } from "../support/freePorts.ts";
 import type { ClusterEntry } from "./ClusterEntry.ts";
 import type { ClusterFiles } from "./ClusterFiles.ts";
@@ -33,6 +35,8 @@
   readonly local: string;
   readonly admin: string;
   readonly process: ManagedProcess;
+  /** Proxy between entries and the agent's requests, where there is one. */
+  readonly proxy: FaultProxy | undefined;
 }
 
 /** A VM. */
@@ -110,6 +114,8 @@
   ): Promise<ClusterAgent> {
     const { options, files, entries, createProduct } = this._parts;
     const [listen = "", control = "", local = "", admin = ""] = await findFreeAddresses(4);
+    const proxy = await this._createProxy(listen);
+    const advertise = proxy?.address ?? "";
     const zoneIndex = Math.floor(index / options.zones.length);
     const rack = `${zone}-rack-${Math.floor(zoneIndex / VMS_PER_RACK) + 1}`;
     const ownZoneFirst = [
@@ -126,6 +132,7 @@
         control,
         local,
         admin,
+        advertise,
         entries: ownZoneFirst.map((entry) => entry.control).join(","),
       },
       worker: { address: worker },
@@ -133,7 +140,15 @@
     const name = `agent-${vm}`;
     const file = files.writeSettings(name, settings, options.agentSettings);
     const process = createProduct(name, "agent", file);
-    return { name, listen, control, local, admin, process };
+    return { name, listen, control, local, admin, process, proxy };
+  }
+
+  private async _createProxy(listen: string): Promise<FaultProxy | undefined> {
+    if (!this._parts.options.proxyRequests) {
+      return undefined;
+    }
+    const [proxied = ""] = await findFreeAddresses(1);
+    return new FaultProxy(new MachineClock(), proxied, listen);
   }
 
   private async _createServer(
