Test the request path end to end

Cause: the request path needs proof with real processes: streaming, truncated answers, a VM's death and a graceful shutdown under load.

--- /dev/null
+++ b/tests/integration/pathTests.ts
@@ -0,0 +1,125 @@
+/**
+ * End-to-end tests of the request path with the built binary and separate processes.
+ */
+import test from "ava";
+import { request } from "undici";
+import { createPatternStream, getPattern } from "../../standins/backend/streams.ts";
+import { CallerLoad } from "../../standins/callers/CallerLoad.ts";
+import type { CallerLoadOptions } from "../../standins/callers/CallerLoad.ts";
+import { Cluster } from "../../standins/cluster/Cluster.ts";
+import { waitUntil } from "../../standins/cluster/waitUntil.ts";
+import { findRequestViolations } from "../../standins/history/requestHistory.ts";
+import { MachineClock } from "../../standins/support/MachineClock.ts";
+import { SeededRandom } from "../support/SeededRandom.ts";
+
+const STREAM_BYTES = 5_000_000;
+const ANSWER_TIMEOUT_MS = 20_000;
+
+const KINDS: CallerLoadOptions["kinds"] = [
+  { method: "GET", name: "check", requestClass: "urgent", tenant: "paper-surat" },
+  { method: "POST", name: "swap", requestClass: "normal", tenant: "paper-ahmedabad" },
+];
+
+function createLoad(cluster: Cluster, random: SeededRandom): CallerLoad {
+  return new CallerLoad({
+    clock: new MachineClock(),
+    random,
+    entries: cluster.entries.map((entry) => entry.listen),
+    service: "rota-desk",
+    callers: 24,
+    thinkMs: 5,
+    timeoutMs: 5_000,
+    kinds: KINDS,
+  });
+}
+
+/** Tells how a caller sees a request end. */
+async function getOutcome(url: string): Promise<"complete" | "refused" | "cut" | "hung"> {
+  const signal = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
+  try {
+    const res = await request(url, { headers: { "fireflylb-service": "rota-desk" }, signal });
+    await res.body.arrayBuffer();
+    return res.statusCode === 200 ? "complete" : "refused";
+  } catch {
+    return signal.aborted ? "hung" : "cut";
+  }
+}
+
+async function waitForOutcomes(load: CallerLoad, count: number): Promise<void> {
+  const wanted = load.outcomes.length + count;
+  await waitUntil(`${count} outcomes`, 30_000, () =>
+    Promise.resolve(load.outcomes.length >= wanted),
+  );
+}
+
+test.serial("a caller's request runs once and streams both ways", async (t) => {
+  const cluster = await Cluster.start({ entries: 1 });
+  t.teardown(() => cluster.stop());
+  const url = `http://${cluster.getEntry().listen}`;
+  const headers = { "fireflylb-service": "rota-desk" };
+  const swap = await request(`${url}/swap/1`, { method: "POST", headers, body: "night desk" });
+  t.is(swap.statusCode, 200);
+  t.is(swap.headers["fireflylb-verdict"], "ran");
+  t.like(await swap.body.json(), { method: "POST", path: "/swap/1", bodyBytes: 10 });
+  const stream = await request(`${url}/stream?bytes=${STREAM_BYTES}`, { headers });
+  const bytes = Buffer.from(await stream.body.arrayBuffer());
+  t.is(bytes.length, STREAM_BYTES);
+  t.true(bytes.subarray(4_980_736).equals(getPattern(4_980_736, STREAM_BYTES - 4_980_736)));
+  const echo = await request(`${url}/echo`, {
+    method: "POST",
+    headers,
+    body: createPatternStream(STREAM_BYTES),
+  });
+  t.true(Buffer.from(await echo.body.arrayBuffer()).equals(bytes));
+  const starts = cluster.readServerEvents().filter((event) => event.event === "request-start");
+  t.deepEqual(
+    starts.map((event) => event.path),
+    ["/swap/1", `/stream?bytes=${STREAM_BYTES}`, "/echo"],
+  );
+});
+
+test.serial("a truncated answer never looks complete to the caller", async (t) => {
+  const cluster = await Cluster.start({ entries: 1 });
+  t.teardown(() => cluster.stop());
+  await Promise.all(cluster.vms.map((vm) => cluster.setServerFaults(vm, { truncate: true })));
+  const url = `http://${cluster.getEntry().listen}/stream`;
+  for (const query of ["?bytes=1000000", "?bytes=1000000&chunked=1"]) {
+    const outcome = await getOutcome(`${url}${query}`);
+    t.true(outcome === "cut" || outcome === "refused", `${query}: ${outcome}`);
+  }
+});
+
+test.serial("requests stay correct while a VM dies and a server shuts down", async (t) => {
+  const random = SeededRandom.announce(20_261_203, (text) => {
+    t.log(text);
+  });
+  const service = {
+    service: "rota-desk",
+    vms: 4,
+    serviceTimes: "exponential 20",
+    slots: 8,
+    connections: 64,
+  };
+  const cluster = await Cluster.start({ entries: 2, services: [service] });
+  t.teardown(() => cluster.stop());
+  const load = createLoad(cluster, random);
+  load.start();
+  await waitForOutcomes(load, 300);
+  const dying = cluster.getVm(0);
+  await Promise.all([dying.agent.process.kill(), dying.server?.process.kill()]);
+  await waitForOutcomes(load, 300);
+  const leaving = cluster.getVm(1).server;
+  const end = await leaving?.process.stop();
+  t.is(end?.code, 0);
+  await waitForOutcomes(load, 300);
+  const outcomes = await load.stop();
+  const events = cluster.readServerEvents();
+  t.deepEqual(findRequestViolations(outcomes, events), []);
+  const cut = events.filter(
+    (event) => event.event === "request-end" && event.server === leaving?.name && !event.delivered,
+  );
+  t.deepEqual(cut, []);
+  const failed = outcomes.filter((outcome) => outcome.status !== 200);
+  t.log(`${outcomes.length} requests, ${failed.length} without an answer of the service`);
+  t.true(failed.every((outcome) => outcome.kind.method === "POST"));
+});
