Repeat unreached attempts outside the retry budget; check requests under faults

Cause: with one VM of three unreachable, 71 of 2,677 callers were told 502 not-run although two servers were free: each attempt that never reached a server had used up the retry budget. Ruled out: a larger budget, which would also multiply load on a service in trouble. Change: an attempt that has not run, for another reason than load, is repeated outside the budget (at most four attempts, within the deadline). Tests with the built binary behind fault-injecting proxies compare what callers are told with the servers' journals.

--- a/src/coordination/requests/RequestRouter.ts
+++ b/src/coordination/requests/RequestRouter.ts
@@ -130,10 +130,15 @@
       progress.attempts < MAX_ATTEMPTS &&
       progress.overloads < MAX_OVERLOAD_REFUSALS &&
       this._clock.now() < req.deadline &&
-      this._getBudget(req.service).take()
+      (RequestRouter._isFree(outcome) || this._getBudget(req.service).take())
     );
   }
 
+  /** An attempt that reached no backend server and met no load there costs nothing to repeat. */
+  private static _isFree(outcome: AttemptOutcome): boolean {
+    return outcome.verdict === "not-run" && outcome.code !== "overloaded";
+  }
+
   private _send(req: RoutedRequest, progress: RequestProgress): RouteStep {
     const servers = this._sample(this._table.getServers(req.service));
     const candidates = this._getCandidates(servers, progress.tried);
--- /dev/null
+++ b/standins/callers/CallerLoad.ts
@@ -0,0 +1,167 @@
+/**
+ * Callers of a service in a closed loop: each sends a request, checks the whole answer, waits for a
+ * drawn time and sends the next. Each request has a path of its own, by which the journals of the
+ * backend servers are compared with what the caller was told.
+ */
+import { createHash } from "node:crypto";
+import { Agent } from "undici";
+import { z } from "zod";
+import { getVerdict } from "../../src/protocol/Verdict.ts";
+import type { Verdict } from "../../src/protocol/Verdict.ts";
+import { RequestHeaders } from "../../src/protocol/RequestHeaders.ts";
+import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import type { RandomSource } from "../../src/protocol/platform/RandomSource.ts";
+
+/** A kind of request that callers send. */
+export interface CallKind {
+  readonly method: "GET" | "POST";
+  /** First part of the path. */
+  readonly name: string;
+  readonly requestClass: "urgent" | "normal" | "background";
+  readonly tenant: string;
+}
+
+/** What callers do. */
+export interface CallerLoadOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Addresses of the entries, taken in turn as a balancer would. */
+  readonly entries: readonly string[];
+  readonly service: string;
+  /** Number of callers at once. */
+  readonly callers: number;
+  /** Mean wait between an answer and the next request, in milliseconds. */
+  readonly thinkMs: number;
+  readonly timeoutMs: number;
+  /** Kinds of requests, each as likely as the others. */
+  readonly kinds: readonly CallKind[];
+}
+
+/** What became of a request. */
+export interface CallOutcome {
+  readonly kind: CallKind;
+  readonly path: string;
+  /** Status; undefined where the connection failed. */
+  readonly status: number | undefined;
+  readonly verdict: Verdict | undefined;
+  readonly refusal: string | undefined;
+  readonly latencyMs: number;
+  /** Whether a good answer was whole and belonged to the request. */
+  readonly whole: boolean;
+}
+
+const Answer = z.object({ method: z.string(), path: z.string(), bodySha256: z.string() });
+
+/** Callers in a closed loop. */
+export class CallerLoad {
+  private readonly _options: CallerLoadOptions;
+  private readonly _outcomes: CallOutcome[] = [];
+  private readonly _agent = new Agent({ keepAliveTimeout: 1_000 });
+  private readonly _run: string;
+  private _count = 0;
+  private _stopped = false;
+  private _done: Promise<unknown> = Promise.resolve();
+
+  /**
+   * Creates callers that send nothing yet.
+   * @param options - What they do.
+   */
+  constructor(options: CallerLoadOptions) {
+    this._options = options;
+    this._run = Math.floor(options.random.next() * 1e9).toString(36);
+  }
+
+  /** What became of the requests so far. */
+  get outcomes(): readonly CallOutcome[] {
+    return this._outcomes;
+  }
+
+  /** Begins to send. */
+  start(): void {
+    const callers = Array.from({ length: this._options.callers }, () => this._loop());
+    this._done = Promise.all(callers);
+  }
+
+  /** Ends after the requests in flight and gives what became of all. */
+  async stop(): Promise<readonly CallOutcome[]> {
+    this._stopped = true;
+    await this._done;
+    await this._agent.close();
+    return this._outcomes;
+  }
+
+  private async _loop(): Promise<void> {
+    const { clock, random, thinkMs } = this._options;
+    while (!this._stopped) {
+      await clock.sleep(-thinkMs * Math.log(1 - random.next()));
+      this._outcomes.push(await this._call());
+    }
+  }
+
+  private async _call(): Promise<CallOutcome> {
+    const { clock, random, kinds, entries } = this._options;
+    const kind = kinds[random.below(kinds.length)];
+    if (kind === undefined) {
+      throw new Error("callers have no kind of request");
+    }
+    this._count += 1;
+    const path = `/${kind.name}/${this._run}-${this._count}`;
+    const entry = entries[this._count % entries.length] ?? "";
+    const startedAt = clock.now();
+    const failed = { status: undefined, verdict: undefined, refusal: undefined, whole: false };
+    const result = await this._send(kind, entry, path).catch(() => failed);
+    return { kind, path, latencyMs: clock.now() - startedAt, ...result };
+  }
+
+  private async _send(
+    kind: CallKind,
+    entry: string,
+    path: string,
+  ): Promise<Pick<CallOutcome, "status" | "verdict" | "refusal" | "whole">> {
+    const { service, timeoutMs } = this._options;
+    const body = kind.method === "POST" ? `body of ${path}` : "";
+    const res = await this._agent.request({
+      origin: `http://${entry}`,
+      path,
+      method: kind.method,
+      headers: {
+        [RequestHeaders.service]: service,
+        [RequestHeaders.tenant]: kind.tenant,
+        [RequestHeaders.requestClass]: kind.requestClass,
+        [RequestHeaders.timeoutMs]: String(timeoutMs),
+      },
+      body: body === "" ? null : body,
+      signal: AbortSignal.timeout(2 * timeoutMs),
+    });
+    const text = await res.body.text();
+    return {
+      status: res.statusCode,
+      verdict: getVerdict(getText(res.headers[RequestHeaders.verdict])),
+      refusal: getText(res.headers[RequestHeaders.refusal]),
+      whole: res.statusCode === 200 && belongs(text, kind.method, path, body),
+    };
+  }
+}
+
+function belongs(text: string, method: string, path: string, body: string): boolean {
+  const parsed = Answer.safeParse(parseJson(text));
+  const bodySha256 = createHash("sha256").update(body).digest("hex");
+  return (
+    parsed.success &&
+    parsed.data.method === method &&
+    parsed.data.path === path &&
+    parsed.data.bodySha256 === bodySha256
+  );
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function getText(value: string | readonly string[] | undefined): string | undefined {
+  return typeof value === "string" ? value : value?.[0];
+}
--- /dev/null
+++ b/standins/history/taskHistory.ts
@@ -0,0 +1,75 @@
+/**
+ * Checks a history of tasks, as the workers recorded it.
+ */
+import type { Resources } from "../../src/protocol/Resources.ts";
+import { fits } from "../../src/protocol/Resources.ts";
+import type { WorkerEvent } from "../worker/WorkerJournal.ts";
+
+type StartEvent = Extract<WorkerEvent, { event: "start" }>;
+
+interface StepPlace {
+  readonly vm: string;
+  readonly attempt: number;
+}
+
+/**
+ * Finds what must not happen to tasks and VMs.
+ * @param events - What all workers recorded, in the order of time.
+ * @returns One sentence for each violation.
+ */
+export function findTaskViolations(events: readonly WorkerEvent[]): readonly string[] {
+  return [...findOvercommitted(events), ...findDoubled(events), ...findLostProgress(events)];
+}
+
+function findOvercommitted(events: readonly WorkerEvent[]): readonly string[] {
+  const capacities = new Map<string, Resources>();
+  return events.flatMap((event) => {
+    if (event.event === "worker-start") {
+      capacities.set(event.vm, event.capacity);
+    }
+    const capacity = capacities.get(event.vm);
+    if (event.event !== "start" || capacity === undefined || fits(event.committed, capacity)) {
+      return [];
+    }
+    return [`${event.vm} was committed beyond its capacity by ${event.task}#${event.attempt}`];
+  });
+}
+
+/** A step of an earlier attempt, or of the same one elsewhere, after one of a later attempt. */
+function findDoubled(events: readonly WorkerEvent[]): readonly string[] {
+  const last = new Map<string, StepPlace>();
+  return events
+    .filter((event) => event.event === "step")
+    .flatMap((event) => event.steps.map((step) => ({ ...step, vm: event.vm })))
+    .flatMap(({ task, attempt, vm }) => {
+      const before = last.get(task);
+      last.set(task, { vm, attempt });
+      if (before === undefined || attempt > before.attempt) {
+        return [];
+      }
+      if (attempt === before.attempt && vm === before.vm) {
+        return [];
+      }
+      return [
+        `${task} ran as attempt ${attempt} on ${vm} after attempt ${before.attempt} on ${before.vm}`,
+      ];
+    });
+}
+
+/** A start from a point that is neither the beginning nor the last checkpoint of the task. */
+function findLostProgress(events: readonly WorkerEvent[]): readonly string[] {
+  const checkpoints = new Map<string, readonly number[]>();
+  return events.flatMap((event) => {
+    if (event.event === "checkpoint") {
+      checkpoints.set(event.task, [...(checkpoints.get(event.task) ?? []), event.workMs]);
+    }
+    if (event.event !== "start" || isKnownPoint(event, checkpoints.get(event.task) ?? [])) {
+      return [];
+    }
+    return [`${event.task}#${event.attempt} started from ${event.workFromMs} ms, no checkpoint`];
+  });
+}
+
+function isKnownPoint(start: StartEvent, checkpoints: readonly number[]): boolean {
+  return start.workFromMs === 0 || checkpoints.includes(start.workFromMs);
+}
--- a/tests/coordination/requests/requestRouterTests.ts
+++ b/tests/coordination/requests/requestRouterTests.ts
@@ -70,6 +70,20 @@
   t.is(describe(router.next(req, progress, OVERLOADED)), "overloaded:may-have-run");
 });
 
+test("RequestRouter spends its retry budget on load alone, not on servers that cannot be reached", (t) => {
+  const { router } = createRouter(new ManualClock());
+  const req = { service: "rota-desk", idempotent: true, deadline: 1000 };
+  const repeat = (outcome: AttemptOutcome): string => {
+    const progress = RequestRouter.begin();
+    router.first(req, progress);
+    return describe(router.next(req, progress, outcome));
+  };
+  const unreachable = Array.from({ length: 50 }, () => repeat(NOT_RUN));
+  t.true(unreachable.every((step) => step === "send"));
+  const failing = Array.from({ length: 50 }, () => repeat(OPEN));
+  t.true(failing.includes("upstream-failed:may-have-run"));
+});
+
 test("RequestRouter gives up a saturated service after two refusals", (t) => {
   const { router } = createRouter(new ManualClock());
   const req = { service: "rota-desk", idempotent: true, deadline: 1000 };
