Estimate disturbance for each pair and decide how batch work yields

Adds the estimator (a joint Gaussian filter over the base latency and the rise of each kind, aligned by report time, fading to a prior), the heat decision, the throttling plan, the yielding controller and a measurement against fixed policies on a small fake.

--- /dev/null
+++ b/bench/disturbance/policies.ts
@@ -0,0 +1,150 @@
+/**
+ * Policies that are compared: how batch tasks are admitted to VMs and how they yield.
+ */
+import { DisturbanceEstimator } from "../../src/coordination/disturbance/DisturbanceEstimator.ts";
+import { HeatTracker } from "../../src/coordination/disturbance/HeatTracker.ts";
+import { YieldController } from "../../src/coordination/disturbance/YieldController.ts";
+import type { YieldInput } from "../../src/coordination/disturbance/YieldInput.ts";
+import type { Profile } from "../../src/protocol/config/ConfigDocument.ts";
+import { VmFake, type FakeTask } from "./VmFake.ts";
+
+/** Profile of all services in the measurement. */
+export const BENCH_PROFILE: Profile = {
+  headroomProcessorsMilli: 10_000,
+  headroomMemoryBytes: 0,
+  latencyObjectiveMs: 1000,
+  toleratedDisturbancePercent: 10,
+  yieldOrder: ["throttle", "checkpoint", "evict"],
+  throttleFloorPercent: 20,
+  maxEvictionsPerMinute: 1,
+  heat: [
+    { level: 1, startTasks: true, throttlePercent: 60, evict: false },
+    { level: 2, startTasks: false, throttlePercent: 30, evict: false },
+  ],
+};
+
+const CLOSED_MS = 30_000;
+
+/** A task that is taken off its VM. */
+export interface Eviction {
+  readonly task: string;
+}
+
+/** Policy on one VM. */
+export abstract class Policy {
+  /**
+   * Tells whether a task may start on the VM.
+   * @param vm - The VM.
+   * @param task - The task.
+   * @param now - Time, in milliseconds.
+   */
+  abstract admits(vm: VmFake, task: FakeTask, now: number): boolean;
+
+  /**
+   * Throttles tasks and names those to evict.
+   * @param vm - The VM.
+   * @param now - Time, in milliseconds.
+   * @param heat - Heat level that the worker reports.
+   */
+  abstract act(vm: VmFake, now: number, heat: number): readonly Eviction[];
+}
+
+/** Batch work up to a share of the processors that the headroom leaves. */
+export class CapPolicy extends Policy {
+  private readonly _percent: number;
+
+  /**
+   * Creates the policy.
+   * @param percent - The share; 0 runs no batch work.
+   */
+  constructor(percent: number) {
+    super();
+    this._percent = percent;
+  }
+
+  override admits(vm: VmFake, task: FakeTask): boolean {
+    const room = vm.capacityMilli - BENCH_PROFILE.headroomProcessorsMilli;
+    return vm.committedMilli + task.processorsMilli <= (room * this._percent) / 100;
+  }
+
+  override act(): readonly Eviction[] {
+    return [];
+  }
+}
+
+/** Evicts the largest task with each report in breach; it is given the true base latency. */
+export class EvictOnBreachPolicy extends Policy {
+  private readonly _cap = new CapPolicy(100);
+  private _seenAt = 0;
+  private _closedUntil = 0;
+
+  override admits(vm: VmFake, task: FakeTask, now: number): boolean {
+    return now >= this._closedUntil && this._cap.admits(vm, task);
+  }
+
+  override act(vm: VmFake, now: number): readonly Eviction[] {
+    const { report } = vm;
+    if (report === undefined || report.measuredAt <= this._seenAt) {
+      return [];
+    }
+    this._seenAt = report.measuredAt;
+    const limit =
+      VmFake.getBaseMs(report.utilisation) * (1 + BENCH_PROFILE.toleratedDisturbancePercent / 100);
+    const [largest] = vm.tasks.toSorted((a, b) => b.processorsMilli - a.processorsMilli);
+    if (report.latencyMs <= limit || largest === undefined) {
+      return [];
+    }
+    this._closedUntil = now + CLOSED_MS;
+    return [{ task: largest.task }];
+  }
+}
+
+/** The system's own decisions. */
+export class AdaptivePolicy extends Policy {
+  readonly estimator = new DisturbanceEstimator();
+  private readonly _controller = new YieldController(this.estimator);
+  private readonly _heat = new HeatTracker();
+  private _seenAt = 0;
+  private _startTasks = true;
+
+  override admits(vm: VmFake, task: FakeTask, now: number): boolean {
+    const input = this._getInput(vm, now, { level: 0, reason: "", isAssumed: false });
+    return (
+      this._startTasks &&
+      this._controller.findStartRefusal(input, task.kind, task.processorsMilli) === undefined
+    );
+  }
+
+  override act(vm: VmFake, now: number, heat: number): readonly Eviction[] {
+    this.estimator.noteMix(
+      now,
+      vm.tasks.map((task) => ({
+        kind: task.kind,
+        share: (task.processorsMilli * task.throttlePercent) / 100 / vm.capacityMilli,
+      })),
+    );
+    if (vm.report !== undefined && vm.report.measuredAt > this._seenAt) {
+      this._seenAt = vm.report.measuredAt;
+      this.estimator.observe(vm.report);
+    }
+    const report = { receivedAt: now, level: heat };
+    const level = this._heat.decide({ now, operatorLevel: 0, report });
+    const decision = this._controller.decide(this._getInput(vm, now, level));
+    this._startTasks = decision.startTasks;
+    return decision.actions.flatMap((action): readonly Eviction[] => {
+      const task = vm.tasks.find((candidate) => candidate.task === action.task);
+      if (task === undefined) {
+        return [];
+      }
+      task.throttlePercent = action.percent ?? task.throttlePercent;
+      task.checkpointedAt = action.kind === "checkpoint" ? now : task.checkpointedAt;
+      return action.kind === "evict" ? [{ task: task.task }] : [];
+    });
+  }
+
+  private _getInput(vm: VmFake, now: number, heat: YieldInput["heat"]): YieldInput {
+    const service = { service: vm.service, profile: BENCH_PROFILE, report: vm.report };
+    const { capacityMilli, tasks } = vm;
+    return { now, capacityMilli, services: [service], tasks, heat };
+  }
+}
--- /dev/null
+++ b/bench/disturbance/workloads.ts
@@ -0,0 +1,106 @@
+/**
+ * Workloads of the measurement of disturbance.
+ */
+import type { RandomSource } from "../../src/protocol/platform/RandomSource.ts";
+import type { FakeTask, PairEffects } from "./VmFake.ts";
+
+/** What changes over a run. */
+export interface Workload {
+  readonly name: string;
+  /** Load of the services, from 0 to 1. */
+  readonly getUtilisation: (now: number) => number;
+  /** Kinds that arrive at a time. */
+  readonly getKinds: (now: number) => readonly string[];
+  /** Heat level that the workers report. */
+  readonly getHeat: (now: number) => number;
+}
+
+const QUIET_KINDS: readonly string[] = ["rebuild", "coverage", "export"];
+const NOISY_KINDS: readonly string[] = ["transcode", "index", "archive"];
+const ALL_KINDS: readonly string[] = [...QUIET_KINDS, ...NOISY_KINDS];
+const WAVE_MS = 60_000;
+const SHIFT_MS = 300_000;
+const HEAT_FROM_MS = 200_000;
+const HEAT_TO_MS = 400_000;
+const STEADY_LOAD = 0.5;
+
+const STEADY: Workload = {
+  name: "steady",
+  getUtilisation: () => STEADY_LOAD,
+  getKinds: () => ALL_KINDS,
+  getHeat: () => 0,
+};
+
+/** All workloads. */
+export const WORKLOADS: readonly Workload[] = [
+  STEADY,
+  {
+    ...STEADY,
+    name: "waves",
+    getKinds: (now) => (Math.floor(now / WAVE_MS) % 2 === 0 ? QUIET_KINDS : NOISY_KINDS),
+  },
+  {
+    ...STEADY,
+    name: "shifting-load",
+    getUtilisation: (now) => STEADY_LOAD + 0.3 * Math.sin((2 * Math.PI * now) / SHIFT_MS),
+  },
+  {
+    ...STEADY,
+    name: "heat-step",
+    getHeat: (now) => (now >= HEAT_FROM_MS && now < HEAT_TO_MS ? 2 : 0),
+  },
+];
+
+/**
+ * Draws the table of true pair effects.
+ * @param services - The services.
+ * @param random - Random numbers.
+ */
+export function drawEffects(services: readonly string[], random: RandomSource): PairEffects {
+  const draw = (low: number, high: number): number => low + random.next() * (high - low);
+  return Object.fromEntries(
+    services.map((service) => [
+      service,
+      Object.fromEntries([
+        ...QUIET_KINDS.map((kind) => [kind, draw(0.02, 0.2)] as const),
+        ...NOISY_KINDS.map((kind) => [kind, draw(0.5, 2.5)] as const),
+      ]),
+    ]),
+  );
+}
+
+/** Source of tasks: a queue that is never empty. */
+export class TaskSource {
+  private readonly _random: RandomSource;
+  private readonly _workload: Workload;
+  private _created = 0;
+
+  /**
+   * Creates a source.
+   * @param workload - The workload.
+   * @param random - Random numbers of kinds, sizes and work.
+   */
+  constructor(workload: Workload, random: RandomSource) {
+    this._workload = workload;
+    this._random = random;
+  }
+
+  /**
+   * Draws a task.
+   * @param now - Time, in milliseconds.
+   */
+  next(now: number): FakeTask {
+    const kinds = this._workload.getKinds(now);
+    this._created += 1;
+    return {
+      task: `task-${this._created}`,
+      kind: kinds[this._random.below(kinds.length)] ?? "",
+      processorsMilli: 1000 * (2 + this._random.below(5)),
+      workMs: 40_000 + this._random.below(80_000),
+      doneMs: 0,
+      throttlePercent: 100,
+      startedAt: now,
+      checkpointedAt: undefined,
+    };
+  }
+}
--- /dev/null
+++ b/src/coordination/disturbance/GaussianState.ts
@@ -0,0 +1,148 @@
+/**
+ * Named variables with means and covariances that are corrected by observations, as in a Kalman
+ * filter. Between observations each variable returns to its prior at the rate of its decay.
+ */
+
+/** What is assumed of a variable before it is observed. */
+export interface VariablePrior {
+  readonly mean: number;
+  readonly variance: number;
+  /** Time in which what was learnt fades to a share of 1/e, in milliseconds. */
+  readonly decayMs: number;
+}
+
+/** One variable's weight in an observation. */
+export interface ObservationTerm {
+  readonly name: string;
+  readonly prior: VariablePrior;
+  readonly weight: number;
+}
+
+interface Variable {
+  readonly name: string;
+  readonly prior: VariablePrior;
+  mean: number;
+  usedAt: number;
+}
+
+/** Jointly estimated variables. */
+export class GaussianState {
+  private readonly _maxVariables: number;
+  private _variables: readonly Variable[] = [];
+  private _covariance: readonly (readonly number[])[] = [];
+  private _updatedAt: number | undefined;
+
+  /**
+   * Creates a state without variables.
+   * @param maxVariables - Most variables; the one that was observed longest ago is dropped first.
+   */
+  constructor(maxVariables: number) {
+    this._maxVariables = maxVariables;
+  }
+
+  /**
+   * Gives the mean of a variable; undefined where it was never observed.
+   * @param name - Name of the variable.
+   */
+  getMean(name: string): number | undefined {
+    return this._variables.find((variable) => variable.name === name)?.mean;
+  }
+
+  /**
+   * Gives the variance of a variable; undefined where it was never observed.
+   * @param name - Name of the variable.
+   */
+  getVariance(name: string): number | undefined {
+    const index = this._variables.findIndex((variable) => variable.name === name);
+    return this._covariance[index]?.[index];
+  }
+
+  /**
+   * Gives the variance of a weighted sum of variables.
+   * @param terms - Variables with their weights; an unknown one counts with its prior.
+   */
+  getSumVariance(terms: readonly ObservationTerm[]): number {
+    const unknown = terms.filter((term) => this.getMean(term.name) === undefined);
+    const weights = this._getWeights(terms);
+    const known = dot(
+      this._covariance.map((row) => dot(row, weights)),
+      weights,
+    );
+    return unknown.reduce((sum, term) => sum + term.weight ** 2 * term.prior.variance, known);
+  }
+
+  /**
+   * Corrects the variables by an observation.
+   * @param now - Time of the observation, in milliseconds; an older one counts as made just now.
+   * @param terms - Variables that it depends on, with the slope of the observed value over each.
+   * @param error - Observed value less the expected one.
+   * @param noise - Variance of the observation.
+   */
+  observe(now: number, terms: readonly ObservationTerm[], error: number, noise: number): void {
+    this._age(now);
+    terms.forEach((term) => {
+      this._ensure(term, now);
+    });
+    const weights = this._getWeights(terms);
+    const spread = this._covariance.map((row) => dot(row, weights));
+    const total = dot(spread, weights) + noise;
+    this._variables.forEach((variable, index) => {
+      variable.mean += ((spread[index] ?? 0) / total) * error;
+    });
+    this._covariance = this._covariance.map((row, i) =>
+      row.map((value, j) => value - ((spread[i] ?? 0) * (spread[j] ?? 0)) / total),
+    );
+  }
+
+  private _getWeights(terms: readonly ObservationTerm[]): readonly number[] {
+    return this._variables.map(
+      (variable) => terms.find((term) => term.name === variable.name)?.weight ?? 0,
+    );
+  }
+
+  private _age(now: number): void {
+    const elapsedMs = Math.max(0, now - (this._updatedAt ?? now));
+    this._updatedAt = Math.max(now, this._updatedAt ?? now);
+    const kept = this._variables.map(({ prior }) => Math.exp(-elapsedMs / prior.decayMs));
+    this._variables.forEach((variable, index) => {
+      const { mean } = variable.prior;
+      variable.mean = mean + (variable.mean - mean) * (kept[index] ?? 1);
+    });
+    this._covariance = this._covariance.map((row, i) =>
+      row.map((value, j) => {
+        const prior = i === j ? (this._variables[i]?.prior.variance ?? 0) : 0;
+        return prior + (value - prior) * (kept[i] ?? 1) * (kept[j] ?? 1);
+      }),
+    );
+  }
+
+  private _ensure(term: ObservationTerm, now: number): void {
+    const known = this._variables.find((variable) => variable.name === term.name);
+    if (known !== undefined) {
+      known.usedAt = now;
+      return;
+    }
+    if (this._variables.length >= this._maxVariables) {
+      this._dropOldest();
+    }
+    const added = { name: term.name, prior: term.prior, mean: term.prior.mean, usedAt: now };
+    this._variables = [...this._variables, added];
+    this._covariance = [
+      ...this._covariance.map((row) => [...row, 0]),
+      this._variables.map((variable) => (variable === added ? term.prior.variance : 0)),
+    ];
+  }
+
+  private _dropOldest(): void {
+    const oldest = this._variables.reduce((a, b) => (b.usedAt < a.usedAt ? b : a));
+    const dropped = this._variables.indexOf(oldest);
+    this._variables = this._variables.filter((_, index) => index !== dropped);
+    this._covariance = this._covariance
+      .filter((_, index) => index !== dropped)
+      .map((row) => row.filter((_, index) => index !== dropped));
+  }
+}
+
+function dot(a: readonly number[], b: readonly number[]): number {
+  return a.reduce((sum, value, index) => sum + value * (b[index] ?? 0), 0);
+}
--- /dev/null
+++ b/src/coordination/disturbance/YieldController.ts
@@ -0,0 +1,313 @@
+/**
+ * Decides how batch work on one VM yields to the services there: throttle, then checkpoint, then
+ * evict, in the order and within the bounds of the profiles. Lowering is immediate; raising waits
+ * for a calm time, goes by steps and needs more room than lowering left, so that the two do not
+ * alternate. An eviction for disturbance needs two reports in breach that were measured after
+ * throttling had reached its floor.
+ */
+import { initialTransition, transition, type SnapshotFrom } from "xstate";
+import type { DisturbanceEstimator, KindShare } from "./DisturbanceEstimator.ts";
+import { EvictionBudget } from "./EvictionBudget.ts";
+import { getHeatYield } from "./heatYield.ts";
+import { getBatchMilli, getThrottleFloor, planThrottle } from "./planThrottle.ts";
+import {
+  getUtilisation,
+  type YieldAction,
+  type YieldDecision,
+  type YieldInput,
+  type YieldService,
+  type YieldTask,
+} from "./YieldInput.ts";
+import { yieldMachine, type YieldEvent } from "./yieldLifecycle.ts";
+
+const LOWER_MARGIN = 0.8;
+const RAISE_MARGIN = 0.65;
+const ADMIT_MARGIN = 0.65;
+const STEP_PERCENT = 5;
+const RAISE_STEP_PERCENT = 25;
+const CALM_MS = 6000;
+const RAISE_INTERVAL_MS = 3000;
+const SETTLE_MS = 1000;
+const BREACHES_BEFORE_EVICTION = 2;
+const CHECKPOINT_WAIT_MS = 5000;
+const READMIT_MS = 60_000;
+const EVICTION_RETRY_MS = 10_000;
+
+/** Yielding of batch work on one VM. */
+export class YieldController {
+  private readonly _estimator: DisturbanceEstimator;
+  private readonly _budget = new EvictionBudget();
+  private readonly _breaches = new Map<string, number>();
+  private readonly _seenReports = new Map<string, number>();
+  private readonly _checkpointAskedAt = new Map<string, number>();
+  private readonly _evictedAt = new Map<string, number>();
+  private readonly _evicting = new Map<string, number>();
+  private _lifecycle: SnapshotFrom<typeof yieldMachine>;
+  private _changedAt = Number.NEGATIVE_INFINITY;
+  private _loweredAt = Number.NEGATIVE_INFINITY;
+  private _raisedAt = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Creates a controller.
+   * @param estimator - Estimates of disturbance on this VM.
+   */
+  constructor(estimator: DisturbanceEstimator) {
+    this._estimator = estimator;
+    [this._lifecycle] = initialTransition(yieldMachine);
+  }
+
+  /** Gives the phase of yielding. */
+  getPhase(): string {
+    return this._lifecycle.value as string;
+  }
+
+  /**
+   * Decides what the tasks on the VM have to do.
+   * @param input - State of the VM.
+   */
+  decide(input: YieldInput): YieldDecision {
+    this._forgetEnded(input);
+    const heat = getHeatYield(
+      input.services.map(({ profile }) => profile),
+      input.heat.level,
+    );
+    const throttles = this._throttle(input);
+    this._countBreaches(input);
+    const ends = heat.evict ? this._endForHeat(input) : this._endForDisturbance(input);
+    const reason = heat.startTasks ? "" : `heat level ${input.heat.level}: ${input.heat.reason}`;
+    return { actions: [...throttles, ...ends], startTasks: heat.startTasks, reason };
+  }
+
+  /**
+   * Tells why a task of a kind must not start on the VM now; undefined where it may. A task that
+   * disturbs too much at all of its processors may start where it fits throttled to the floor.
+   * @param input - State of the VM.
+   * @param kind - Kind of the task.
+   * @param processorsMilli - Processors that it asks for, in thousandths of a core.
+   */
+  findStartRefusal(input: YieldInput, kind: string, processorsMilli: number): string | undefined {
+    const used = input.tasks.reduce((sum, task) => sum + task.processorsMilli, 0);
+    if (used + processorsMilli > getBatchMilli(input)) {
+      return "the processors left by the services' headroom are in use";
+    }
+    if (input.now - (this._evictedAt.get(kind) ?? Number.NEGATIVE_INFINITY) < READMIT_MS) {
+      return `a task of kind ${kind} was evicted here within ${READMIT_MS / 1000} s`;
+    }
+    const unknown = input.services.find(
+      (service) => !this._estimator.isBaseKnown(service.service, getUtilisation(service)),
+    );
+    if (unknown !== undefined) {
+      return `the latency of ${unknown.service} without batch work is not known yet`;
+    }
+    const usedMilli = (processorsMilli * getThrottleFloor(input)) / 100;
+    const share = { kind, share: usedMilli / input.capacityMilli };
+    const mix = [...YieldController._getMix(input), share];
+    const disturbed = input.services.find(
+      (service) =>
+        this._estimator.predictRise(service.service, mix, getUtilisation(service)) >
+        (service.profile.toleratedDisturbancePercent / 100) * ADMIT_MARGIN,
+    );
+    return disturbed === undefined ? undefined : `${disturbed.service} would be disturbed`;
+  }
+
+  private _throttle(input: YieldInput): readonly YieldAction[] {
+    const lower = planThrottle(input, this._estimator, LOWER_MARGIN);
+    const lowered = input.tasks.flatMap((task) => {
+      const percent = roundDown(lower.get(task.task) ?? 100, getThrottleFloor(input));
+      return percent < task.throttlePercent ? [this._createThrottle(input, task, percent)] : [];
+    });
+    if (lowered.length > 0) {
+      this._loweredAt = input.now;
+      this._changedAt = input.now;
+      this._step(this._isFloored(input, lower) ? "FLOORED" : "LOWERED");
+      return lowered;
+    }
+    return this._raise(input);
+  }
+
+  private _raise(input: YieldInput): readonly YieldAction[] {
+    const isCalm = input.now - this._loweredAt >= CALM_MS;
+    if (!isCalm || input.now - this._raisedAt < RAISE_INTERVAL_MS) {
+      return [];
+    }
+    const plan = planThrottle(input, this._estimator, RAISE_MARGIN);
+    const raised = input.tasks.flatMap((task) => {
+      const target = roundDown(plan.get(task.task) ?? 0, getThrottleFloor(input));
+      const percent = Math.min(target, task.throttlePercent + RAISE_STEP_PERCENT);
+      return percent > task.throttlePercent ? [this._createThrottle(input, task, percent)] : [];
+    });
+    if (raised.length > 0) {
+      this._raisedAt = input.now;
+      this._changedAt = input.now;
+      this._step("RAISED");
+    } else if (input.tasks.every(({ throttlePercent }) => throttlePercent === 100)) {
+      this._step("RELEASED");
+    }
+    return raised;
+  }
+
+  private _createThrottle(input: YieldInput, task: YieldTask, percent: number): YieldAction {
+    const word = percent < task.throttlePercent ? "lowered" : "raised";
+    const rises = input.services.map((service) => {
+      const pair = this._estimator.getPair(service.service, task.kind, getUtilisation(service));
+      const { rise } = pair;
+      return `${service.service} rises ${Math.round(rise * 100)}% by all processors of kind ${task.kind}`;
+    });
+    const reason = `${word} from ${task.throttlePercent}% at heat level ${input.heat.level}: ${rises.join(", ")}`;
+    return { kind: "throttle", task: task.task, percent, reason };
+  }
+
+  private _isFloored(input: YieldInput, plan: ReadonlyMap<string, number>): boolean {
+    const floor = getThrottleFloor(input);
+    return input.tasks.every(({ task }) => (plan.get(task) ?? 0) <= floor);
+  }
+
+  private _countBreaches(input: YieldInput): void {
+    input.services.forEach(({ service, profile, report }) => {
+      if (report === undefined || report.measuredAt <= (this._seenReports.get(service) ?? -1)) {
+        return;
+      }
+      this._seenReports.set(service, report.measuredAt);
+      const rise = this._estimator.getMeasuredRise(report) ?? 0;
+      const isBreached =
+        rise > profile.toleratedDisturbancePercent / 100 ||
+        (rise > 0 && report.latencyMs > profile.latencyObjectiveMs);
+      const counts = isBreached && report.measuredAt >= this._changedAt + SETTLE_MS;
+      this._breaches.set(service, counts ? (this._breaches.get(service) ?? 0) + 1 : 0);
+    });
+  }
+
+  private _endForDisturbance(input: YieldInput): readonly YieldAction[] {
+    const breached = input.services.find(
+      ({ service, profile }) =>
+        (this._breaches.get(service) ?? 0) >= BREACHES_BEFORE_EVICTION &&
+        this._hasThrottledAll(input, profile.yieldOrder.includes("throttle")),
+    );
+    const worst = breached && this._findWorst(input, breached);
+    if (breached === undefined || worst === undefined) {
+      return [];
+    }
+    const { service, profile } = breached;
+    const reason = `${service} is disturbed beyond ${profile.toleratedDisturbancePercent}% with ${worst.kind} throttled as far as allowed`;
+    if (!profile.yieldOrder.includes("evict")) {
+      return this._checkpointOnce(input, breached, worst, reason);
+    }
+    if (!this._budget.allows(service, profile.maxEvictionsPerMinute, input.now)) {
+      return [];
+    }
+    const ended = this._end(input, [breached], worst, reason);
+    if (ended.some(({ kind }) => kind === "evict")) {
+      this._budget.note(service, input.now);
+      this._breaches.clear();
+    }
+    return ended;
+  }
+
+  private _endForHeat(input: YieldInput): readonly YieldAction[] {
+    const reason = `heat level ${input.heat.level}: ${input.heat.reason}`;
+    return input.tasks.flatMap((task) => this._end(input, input.services, task, reason));
+  }
+
+  /** Takes a checkpoint first where the profiles say so, and waits for it within bounds. */
+  private _end(
+    input: YieldInput,
+    services: readonly YieldService[],
+    task: YieldTask,
+    reason: string,
+  ): readonly YieldAction[] {
+    const orderedAt = this._evicting.get(task.task) ?? Number.NEGATIVE_INFINITY;
+    if (input.now - orderedAt < EVICTION_RETRY_MS) {
+      return [];
+    }
+    const checkpoint = services.some(({ profile }) => profile.yieldOrder.includes("checkpoint"));
+    if (checkpoint && !this._isCheckpointDone(input, task)) {
+      return this._askCheckpoint(input, task, reason);
+    }
+    this._evicting.set(task.task, input.now);
+    this._evictedAt.set(task.kind, input.now);
+    this._changedAt = input.now;
+    return [{ kind: "evict", task: task.task, checkpoint, reason }];
+  }
+
+  private _checkpointOnce(
+    input: YieldInput,
+    breached: YieldService,
+    task: YieldTask,
+    reason: string,
+  ): readonly YieldAction[] {
+    const wanted = breached.profile.yieldOrder.includes("checkpoint");
+    return wanted ? this._askCheckpoint(input, task, reason) : [];
+  }
+
+  private _askCheckpoint(
+    input: YieldInput,
+    task: YieldTask,
+    reason: string,
+  ): readonly YieldAction[] {
+    if (this._checkpointAskedAt.has(task.task)) {
+      return [];
+    }
+    this._checkpointAskedAt.set(task.task, input.now);
+    return [{ kind: "checkpoint", task: task.task, reason }];
+  }
+
+  private _isCheckpointDone(input: YieldInput, task: YieldTask): boolean {
+    const askedAt = this._checkpointAskedAt.get(task.task);
+    if (askedAt === undefined) {
+      return false;
+    }
+    const isTaken = task.checkpointedAt !== undefined && task.checkpointedAt >= askedAt;
+    return isTaken || input.now - askedAt >= CHECKPOINT_WAIT_MS;
+  }
+
+  private _hasThrottledAll(input: YieldInput, throttles: boolean): boolean {
+    const floor = getThrottleFloor(input);
+    return (
+      !throttles ||
+      this._lifecycle.matches("floored") ||
+      input.tasks.every(({ throttlePercent }) => throttlePercent <= floor)
+    );
+  }
+
+  private _findWorst(input: YieldInput, service: YieldService): YieldTask | undefined {
+    const utilisation = getUtilisation(service);
+    const loads = input.tasks.map((task) => ({
+      task,
+      load:
+        this._estimator.getPair(service.service, task.kind, utilisation).rise *
+        task.processorsMilli,
+    }));
+    return loads.toSorted((a, b) => b.load - a.load || b.task.startedAt - a.task.startedAt)[0]
+      ?.task;
+  }
+
+  private _forgetEnded(input: YieldInput): void {
+    const running = new Set(input.tasks.map(({ task }) => task));
+    [...this._checkpointAskedAt.keys()]
+      .filter((task) => !running.has(task))
+      .forEach((task) => this._checkpointAskedAt.delete(task));
+    [...this._evicting.keys()]
+      .filter((task) => !running.has(task))
+      .forEach((task) => this._evicting.delete(task));
+    [...this._evictedAt]
+      .filter(([, at]) => input.now - at >= READMIT_MS)
+      .forEach(([kind]) => this._evictedAt.delete(kind));
+  }
+
+  private _step(type: YieldEvent["type"]): void {
+    [this._lifecycle] = transition(yieldMachine, this._lifecycle, { type });
+  }
+
+  private static _getMix(input: YieldInput): readonly KindShare[] {
+    return input.tasks.map((task) => ({
+      kind: task.kind,
+      share: (task.processorsMilli * task.throttlePercent) / 100 / input.capacityMilli,
+    }));
+  }
+}
+
+/** Rounds to steps, so that small shifts of estimates cause no orders, but not below the floor. */
+function roundDown(percent: number, floor: number): number {
+  const rounded = Math.floor(percent / STEP_PERCENT + 1e-9) * STEP_PERCENT;
+  return Math.max(Math.min(floor, percent), rounded);
+}
--- /dev/null
+++ b/src/coordination/disturbance/planThrottle.ts
@@ -0,0 +1,115 @@
+/**
+ * Plans by how much the batch tasks of a VM are throttled so that the predicted rise in latency
+ * stays within what each service tolerates and the processors that services keep free stay free.
+ * The tasks that disturb most for the processors they use are lowered first, the newest of them
+ * before the others.
+ */
+import type { DisturbanceEstimator } from "./DisturbanceEstimator.ts";
+import { getHeatYield } from "./heatYield.ts";
+import { getUtilisation, type YieldInput, type YieldTask } from "./YieldInput.ts";
+
+/** A bound on a weighted sum over tasks. */
+interface Constraint {
+  readonly budget: number;
+  /** Gives the load of a task at all of its processors. */
+  readonly getLoad: (task: YieldTask) => number;
+}
+
+/** Planned share of its processors for each task, in percent. */
+export type ThrottlePlan = ReadonlyMap<string, number>;
+
+/**
+ * Plans the throttling.
+ * @param input - State of the VM.
+ * @param estimator - Estimates of disturbance.
+ * @param margin - Share of the tolerated disturbance that may be used up.
+ */
+export function planThrottle(
+  input: YieldInput,
+  estimator: DisturbanceEstimator,
+  margin: number,
+): ThrottlePlan {
+  const ceiling = getHeatYield(getProfiles(input), input.heat.level).throttlePercent;
+  const floor = Math.min(ceiling, getThrottleFloor(input));
+  const start: ThrottlePlan = new Map(input.tasks.map(({ task }) => [task, ceiling]));
+  return getConstraints(input, estimator, margin).reduce(
+    (plan, constraint) => lowerToBudget(plan, constraint, input.tasks, floor),
+    start,
+  );
+}
+
+/**
+ * Gives the lowest share to which tasks on a VM are throttled, in percent.
+ * @param input - State of the VM.
+ */
+export function getThrottleFloor(input: YieldInput): number {
+  return Math.max(0, ...getProfiles(input).map((profile) => profile.throttleFloorPercent));
+}
+
+/**
+ * Gives the processors that the services of a VM leave to batch work, in thousandths of a core.
+ * @param input - State of the VM.
+ */
+export function getBatchMilli(input: YieldInput): number {
+  const kept = getProfiles(input).reduce((sum, { headroomProcessorsMilli }) => {
+    return sum + headroomProcessorsMilli;
+  }, 0);
+  return Math.max(0, input.capacityMilli - kept);
+}
+
+function getProfiles(input: YieldInput): readonly YieldInput["services"][number]["profile"][] {
+  return input.services.map(({ profile }) => profile);
+}
+
+function getConstraints(
+  input: YieldInput,
+  estimator: DisturbanceEstimator,
+  margin: number,
+): readonly Constraint[] {
+  const throttling = input.services.filter(({ profile }) =>
+    profile.yieldOrder.includes("throttle"),
+  );
+  const disturbance = throttling.map((service): Constraint => {
+    const utilisation = getUtilisation(service);
+    return {
+      budget: (service.profile.toleratedDisturbancePercent / 100) * margin,
+      getLoad: ({ kind, processorsMilli }) => {
+        const { rise } = estimator.getPair(service.service, kind, utilisation);
+        return (rise * processorsMilli) / input.capacityMilli;
+      },
+    };
+  });
+  const headroom: Constraint = {
+    budget: getBatchMilli(input),
+    getLoad: ({ processorsMilli }) => processorsMilli,
+  };
+  return [...disturbance, headroom];
+}
+
+function lowerToBudget(
+  plan: ThrottlePlan,
+  constraint: Constraint,
+  tasks: readonly YieldTask[],
+  floor: number,
+): ThrottlePlan {
+  const loads = tasks.map((task) => ({ task, load: constraint.getLoad(task) }));
+  const worstFirst = loads.toSorted(
+    (a, b) =>
+      b.load / b.task.processorsMilli - a.load / a.task.processorsMilli ||
+      b.task.startedAt - a.task.startedAt,
+  );
+  const used = loads.reduce((sum, { task, load }) => sum + load * getShare(plan, task), 0);
+  let excess = used - constraint.budget;
+  const lowered = worstFirst.map(({ task, load }) => {
+    const percent = plan.get(task.task) ?? 0;
+    const wanted = excess > 0 && load > 0 ? percent - (100 * excess) / load : percent;
+    const next = Math.min(percent, Math.max(floor, wanted));
+    excess -= ((percent - next) / 100) * load;
+    return [task.task, next] as const;
+  });
+  return new Map(lowered);
+}
+
+function getShare(plan: ThrottlePlan, task: YieldTask): number {
+  return (plan.get(task.task) ?? 0) / 100;
+}
