--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -7,7 +7,7 @@
 import { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
 import { DEFAULT_BATCH_SETTINGS } from "../../coordination/batch/BatchSettings.ts";
 import { FairSharePlacer } from "../../coordination/placement/FairSharePlacer.ts";
-import { TwoChoicesLatencyPicker } from "../../coordination/requests/pickers/TwoChoicesLatencyPicker.ts";
+import { LeastLatencyPicker } from "../../coordination/requests/pickers/LeastLatencyPicker.ts";
 import { RequestRouter } from "../../coordination/requests/RequestRouter.ts";
 import { ServerTable } from "../../coordination/requests/ServerTable.ts";
 import type { ListenError } from "../../protocol/errors/errors.ts";
@@ -177,7 +177,8 @@
       router: new RequestRouter({
         clock: this._clock,
         table: this._table,
-        picker: new TwoChoicesLatencyPicker(this._random),
+        picker: new LeastLatencyPicker(this._random),
+        random: this._random,
         zone: entry.zone,
         retryPercent: requests.retryBudgetPercent,
       }),
@@ -190,6 +191,9 @@
       },
       hasConfig: () => this._keeper.getSnapshot() !== undefined,
       isKnownService: (service) => this._isKnownService(service),
+      onRefuse: (code) => {
+        this._metrics.count("fireflylb_requests_refused_total", { code });
+      },
       onEnd: (trace) => {
         this._noteEnd(trace);
       },
@@ -255,9 +259,9 @@
     const { tenant, requestClass, service, verdict, outcome } = trace;
     this._traces.add(trace);
     this._histograms.record({ tenant, requestClass, service }, trace.latencyMs);
-    this._metrics.add("fireflylb_requests_total", { service, verdict, outcome });
+    this._metrics.count("fireflylb_requests_total", { service, verdict, code: outcome });
     if (trace.attempts.length > 1) {
-      this._metrics.add("fireflylb_retries_total", { service }, trace.attempts.length - 1);
+      this._metrics.add("fireflylb_retries_total", trace.attempts.length - 1, { service });
     }
   }
 
