--- a/src/coordination/batch/PartitionOwner.ts
+++ b/src/coordination/batch/PartitionOwner.ts
@@ -169,8 +169,8 @@
       return;
     }
     this.runner.tick();
-    if (this._log.isFailing) {
-      // A write shows whether the store is back; the ends that wait are written first.
+    if (this._log.isFailing || !this.mayGrant) {
+      // A write shows whether the store is back and whether this entry still owns the partition.
       this._probe();
       return;
     }
--- /dev/null
+++ b/tests/coordination/batch/batchHistoryTests.ts
@@ -0,0 +1,105 @@
+import test, { type ExecutionContext } from "ava";
+import fc from "fast-check";
+import { getTaskId } from "../../../src/state/batch/BatchIds.ts";
+import { BatchWorld } from "./BatchWorld.ts";
+import { OPERATION_KINDS, type Operation, type OperationKind } from "./operations.ts";
+
+const SEED = 20_261_203;
+const RUNS = Number(process.env.FIREFLYLB_RUNS ?? 150);
+
+/** Operations that keep the work going are drawn more often than others. */
+const FREQUENT: readonly OperationKind[] = [
+  "take-over",
+  "take-over",
+  "submit",
+  "submit",
+  "resume",
+  "store-back",
+  "thaw",
+  "reconnect",
+  "advance",
+  "learn-owner",
+];
+
+const operation: fc.Arbitrary<Operation> = fc.record({
+  kind: fc.constantFrom(...OPERATION_KINDS, ...FREQUENT),
+  entry: fc.nat(2),
+  agent: fc.nat(2),
+  pick: fc.nat(99),
+});
+
+/** Gives what is wrong with a finished world; nothing where all is well. */
+function findFaults(world: BatchWorld): readonly string[] {
+  const { owner, agents } = world;
+  const attempts = agents.history.map((run) => `${run.task}#${run.attempt}`);
+  const doubled = attempts.filter((attempt, index) => attempts.indexOf(attempt) !== index);
+  const lost = [...world.accepted].filter((id) => owner?.ledger.getJob(id) === undefined);
+  const open = [...world.accepted].filter((id) => owner?.ledger.isFinished(id) !== true);
+  // A start recorded before the cancellation may reach its agent after it; it must not stay.
+  const restarted = [...world.cancelled].flatMap(([id, attempts]) =>
+    agents.history.filter((run) =>
+      attempts.some((attempt, index) => run.task === getTaskId(id, index) && run.attempt > attempt),
+    ),
+  );
+  const running = agents.getRunning().filter((run) => world.cancelled.has(run.task.slice(0, -2)));
+  const resumedWrong = agents.history.filter((run) => {
+    const before = agents.history.findLast(
+      (other) => other.task === run.task && other.attempt < run.attempt,
+    );
+    const wanted = before?.checkpoint ?? "";
+    // A VM that was replaced or went silent may take its last checkpoint with it.
+    return (
+      before?.phase === "stopped" && !before.gone && run.from !== wanted && run.from !== before.from
+    );
+  });
+  const repeated = agents.history.filter((run) => {
+    const after = agents.history.find(
+      (other) => other.task === run.task && other.attempt > run.attempt,
+    );
+    return run.phase === "completed" && !run.gone && after !== undefined && wasRecorded(world, run);
+  });
+  return [
+    ...agents.violations,
+    ...doubled.map((attempt) => `two runs of ${attempt}`),
+    ...lost.map((id) => `lost ${id}`),
+    ...open.map((id) => `not ended ${id}`),
+    ...restarted.map((run) => `started after cancellation: ${run.task}#${run.attempt}`),
+    ...running.map((run) => `runs after cancellation: ${run.task}#${run.attempt}`),
+    ...resumedWrong.map((run) => `resumed from ${run.from}: ${run.task}#${run.attempt}`),
+    ...repeated.map((run) => `run again after completion: ${run.task}#${run.attempt}`),
+  ];
+}
+
+function wasRecorded(world: BatchWorld, run: { task: string; attempt: number }): boolean {
+  const entry = world.owner?.ledger.getTask(run.task);
+  return entry?.phase === "completed" && entry.attempt === run.attempt;
+}
+
+async function checkHistories(t: ExecutionContext, runs: number): Promise<void> {
+  t.log(`seed ${SEED}, ${runs} histories`);
+  let starts = 0;
+  await fc.assert(
+    fc.asyncProperty(fc.array(operation, { minLength: 20, maxLength: 80 }), async (operations) => {
+      const world = new BatchWorld();
+      await world.run({ kind: "take-over", entry: 0, agent: 0, pick: 1 });
+      await world.run({ kind: "submit", entry: 0, agent: 0, pick: 0 });
+      for (const next of operations) {
+        await world.run(next);
+      }
+      await world.heal();
+      starts += world.agents.history.length;
+      const faults = findFaults(world);
+      if (faults.length > 0) {
+        throw new Error(faults.join("; "));
+      }
+    }),
+    { seed: SEED, numRuns: runs, includeErrorInReport: true },
+  );
+  t.log(`${starts} starts`);
+  t.true(starts >= runs);
+}
+
+test("PartitionOwner runs no task twice and loses none, whatever fails", async (t) => {
+  t.timeout(120_000);
+  await checkHistories(t, RUNS);
+});
--- a/tests/coordination/batch/partitionOwnerTests.ts
+++ b/tests/coordination/batch/partitionOwnerTests.ts
@@ -183,6 +183,41 @@
   t.is(second.ledger.getTask(task)?.phase, "waiting");
 });
 
+test("PartitionOwner does not take its own grant as the last one before the agent knows its epoch", async (t) => {
+  const { clock, agents, takeOver, submit, start } = createScene();
+  const first = await takeOver();
+  const id = await submit(first, createSpec("a"));
+  const task = getTaskId(id, 0);
+  await start(first, task, "vm-0");
+  const second = await takeOver();
+  // The agent never hears of the new owner's grant and takes a later one of the former owner.
+  agents.report("vm-0", second, true);
+  await clock.advance(CFG.taskLeaseMs / 2);
+  agents.report("vm-0", first);
+  await clock.advance(CFG.taskLeaseMs - 1_000);
+  second.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  t.is(agents.getRunning().length, 1);
+  t.is(second.ledger.getTask(task)?.phase, "held");
+});
+
+test("PartitionOwner asks the agent before it gives up a task that late reports lack", async (t) => {
+  const { clock, agents, takeOver, submit, start } = createScene();
+  const owner = await takeOver();
+  const id = await submit(owner, createSpec("a"));
+  const task = getTaskId(id, 0);
+  const late = [agents.composeReport("vm-0", owner), agents.composeReport("vm-0", owner)];
+  await start(owner, task, "vm-0");
+  agents.getFaults("vm-0").cut = true;
+  late.forEach((deliver) => {
+    deliver(false);
+  });
+  owner.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  t.is(agents.getRunning().length, 1);
+  t.is(owner.ledger.getTask(task)?.phase, "held");
+});
+
 test("PartitionOwner stops owning at its next record when another has taken over", async (t) => {
   const { takeOver, submit } = createScene();
   const first = await takeOver();
--- /dev/null
+++ b/tests/support/PausableProcess.ts
@@ -0,0 +1,171 @@
+/**
+ * A process that can be paused, for tests: while it is paused its timers do not fire and the
+ * answers of the store and of agents do not reach it, though they have taken effect.
+ */
+import { ResultAsync, type Result } from "neverthrow";
+import {
+  AgentGateway,
+  type StartOrder,
+  type StartOutcome,
+  type StopOrder,
+  type StopOutcome,
+} from "../../src/coordination/batch/AgentGateway.ts";
+import { Clock, type Timer } from "../../src/protocol/platform/Clock.ts";
+import {
+  Store,
+  type StoreChanges,
+  type StoreEntry,
+  type StoreFailure,
+  type StoreListing,
+  type StoreWrite,
+  type WriteResult,
+} from "../../src/protocol/platform/Store.ts";
+
+/** A process with its clock, its store and its gateway. */
+export class PausableProcess {
+  readonly clock: Clock;
+  readonly store: Store;
+  readonly gateway: AgentGateway;
+  private _resumed: Promise<void> = Promise.resolve();
+  private _resume: (() => void) | undefined;
+
+  /**
+   * Creates a running process.
+   * @param clock - Real time.
+   * @param store - The store.
+   * @param gateway - The agents.
+   */
+  constructor(clock: Clock, store: Store, gateway: AgentGateway) {
+    const pass = (): Promise<void> => this._resumed;
+    this.clock = new PausableClock(clock, pass);
+    this.store = new PausableStore(store, pass);
+    this.gateway = new PausableGateway(gateway, pass);
+  }
+
+  /** Whether the process is paused. */
+  get isPaused(): boolean {
+    return this._resume !== undefined;
+  }
+
+  /** Pauses the process. */
+  pause(): void {
+    if (this._resume === undefined) {
+      this._resumed = new Promise((resolve) => {
+        this._resume = resolve;
+      });
+    }
+  }
+
+  /** Lets the process run on. */
+  resume(): void {
+    this._resume?.();
+    this._resume = undefined;
+  }
+}
+
+class PausableClock extends Clock {
+  private readonly _clock: Clock;
+  private readonly _pass: () => Promise<void>;
+
+  constructor(clock: Clock, pass: () => Promise<void>) {
+    super();
+    this._clock = clock;
+    this._pass = pass;
+  }
+
+  override now(): number {
+    return this._clock.now();
+  }
+
+  override after(delayMs: number, callback: () => void): Timer {
+    let cancelled = false;
+    const timer = this._clock.after(delayMs, () => {
+      void this._pass().then(() => {
+        if (!cancelled) {
+          callback();
+        }
+      });
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        timer.cancel();
+      },
+    };
+  }
+}
+
+class PausableStore extends Store {
+  private readonly _store: Store;
+  private readonly _pass: () => Promise<void>;
+
+  constructor(store: Store, pass: () => Promise<void>) {
+    super();
+    this._store = store;
+    this._pass = pass;
+  }
+
+  override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
+    return this._hold(this._store.read(key));
+  }
+
+  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
+    return this._hold(this._store.list(prefix));
+  }
+
+  override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
+    return this._hold(this._store.write(write));
+  }
+
+  override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
+    return this._hold(this._store.remove(key, expected));
+  }
+
+  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+    return this._hold(this._store.watch(prefix, after));
+  }
+
+  override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
+    return this._hold(this._store.grantLease(ttlMs));
+  }
+
+  override renewLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._hold(this._store.renewLease(lease));
+  }
+
+  override revokeLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._hold(this._store.revokeLease(lease));
+  }
+
+  private _hold<T>(answer: ResultAsync<T, StoreFailure>): ResultAsync<T, StoreFailure> {
+    const pass = async (): Promise<Result<T, StoreFailure>> => {
+      const result = await answer;
+      await this._pass();
+      return result;
+    };
+    return new ResultAsync(pass());
+  }
+}
+
+class PausableGateway extends AgentGateway {
+  private readonly _gateway: AgentGateway;
+  private readonly _pass: () => Promise<void>;
+
+  constructor(gateway: AgentGateway, pass: () => Promise<void>) {
+    super();
+    this._gateway = gateway;
+    this._pass = pass;
+  }
+
+  override async startTask(controlAddress: string, order: StartOrder): Promise<StartOutcome> {
+    const outcome = await this._gateway.startTask(controlAddress, order);
+    await this._pass();
+    return outcome;
+  }
+
+  override async stopTask(controlAddress: string, order: StopOrder): Promise<StopOutcome> {
+    const outcome = await this._gateway.stopTask(controlAddress, order);
+    await this._pass();
+    return outcome;
+  }
+}
