Feed every metric: store calls, batch records, operators' requests, commitments

Store calls are counted by a store that passes calls on; starts, ends and cancellations by the records that were committed; operators' requests by route and status; levels are read when the metrics are. An entry's metrics live in a class of their own, so that its process stays small.

--- a/src/coordination/batch/PartitionLog.ts
+++ b/src/coordination/batch/PartitionLog.ts
@@ -37,6 +37,8 @@
   readonly commitIntervalMs: number;
   /** Called once when another owner is found. */
   readonly onDeposed: () => void;
+  /** Called with the records of each commit. */
+  readonly onCommitted?: ((records: readonly BatchRecord[]) => void) | undefined;
 }
 
 /** Counters of a log. */
@@ -290,11 +292,11 @@
 
   private _apply(batch: readonly Pending[]): void {
     const sequence = this._next - 1;
-    batch
-      .flatMap((pending) => pending.records)
-      .forEach((record) => {
-        this.ledger.apply(record, this._epoch, sequence);
-      });
+    const records = batch.flatMap((pending) => pending.records);
+    records.forEach((record) => {
+      this.ledger.apply(record, this._epoch, sequence);
+    });
+    this._parts.onCommitted?.(records);
     const due =
       sequence - this._snapshots.sequence >= SNAPSHOT_AFTER_VALUES ||
       this._bytesSinceSnapshot > Math.max(SNAPSHOT_AFTER_BYTES, 2 * this._snapshots.bytes);
--- a/src/coordination/batch/PartitionOwner.ts
+++ b/src/coordination/batch/PartitionOwner.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { Store } from "../../protocol/platform/Store.ts";
+import type { BatchRecord } from "../../state/batch/BatchRecord.ts";
 import type { PartitionLedger } from "../../state/batch/PartitionLedger.ts";
 import type { FleetView } from "../../state/FleetView.ts";
 import type { AgentGateway } from "./AgentGateway.ts";
@@ -40,6 +41,8 @@
   readonly onOutcome: (note: Omit<AttemptNote, "now">) => void;
   /** Called once when another owner was found. */
   readonly onDeposed: () => void;
+  /** Called with the records of each commit. */
+  readonly onCommitted?: ((records: readonly BatchRecord[]) => void) | undefined;
 }
 
 /** Owner of one partition. */
@@ -82,13 +85,13 @@
     if (image.isErr()) {
       return err("unavailable");
     }
-    const { store, clock, partition, writer, cfg } = parts;
+    const { store, clock, partition, writer, cfg, onCommitted } = parts;
     const { commitIntervalMs } = cfg;
     const owner = new PartitionOwner(
       parts,
       (onDeposed) =>
         new PartitionLog(
-          { store, clock, partition, writer, commitIntervalMs, onDeposed },
+          { store, clock, partition, writer, commitIntervalMs, onDeposed, onCommitted },
           image.value,
         ),
     );
--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -259,12 +259,23 @@
     return new ApiServer({
       setting,
       routes,
-      renderMetrics: () => this._metrics.render(),
+      renderMetrics: () => this._renderMetrics(),
       findUnready: () => this._findUnready(),
       log: this._log,
     });
   }
 
+  private _renderMetrics(): Promise<string> {
+    const { processorsMilli, memoryBytes, accelerators } = this._tasks.getCommitted();
+    this._metrics.set("fireflylb_requests_in_flight", this._admission.getOpenRequests());
+    this._metrics.set("fireflylb_config_revision", this._keeper.getRevision() ?? 0);
+    this._metrics.set("fireflylb_tasks", this._tasks.getTasks().length, { state: "held" });
+    this._metrics.set("fireflylb_committed_processors_milli", processorsMilli);
+    this._metrics.set("fireflylb_committed_memory_bytes", memoryBytes);
+    this._metrics.set("fireflylb_committed_accelerators", accelerators);
+    return this._metrics.render();
+  }
+
   private _findUnready(): readonly string[] {
     return [
       ...(this._draining ? ["the agent drains"] : []),
--- /dev/null
+++ b/src/transport/entry/EntryMetrics.ts
@@ -0,0 +1,124 @@
+/**
+ * Metrics of an entry: counts as they happen, and levels when the metrics are read.
+ */
+import type { PartitionOwner } from "../../coordination/batch/PartitionOwner.ts";
+import type { ServerTable } from "../../coordination/requests/ServerTable.ts";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { RefusalCode } from "../../protocol/Refusal.ts";
+import type { BatchRecord } from "../../state/batch/BatchRecord.ts";
+import { countRecords } from "../../state/batch/countRecords.ts";
+import type { TaskPhase } from "../../state/batch/JobEntry.ts";
+import type { FleetView } from "../../state/FleetView.ts";
+import type { Counters } from "../../state/metrics/Counters.ts";
+import { RequestHistograms } from "../../state/metrics/RequestHistograms.ts";
+import type { RequestTrace } from "../../state/RequestTraces.ts";
+import { PromMetrics } from "../http/PromMetrics.ts";
+
+const TASK_PHASES: readonly TaskPhase[] = ["waiting", "held", "completed", "failed", "cancelled"];
+
+/** Where the levels are read. */
+export interface EntryLevels {
+  readonly clock: Clock;
+  readonly fleet: FleetView;
+  readonly table: ServerTable;
+  readonly getInFlight: () => number;
+  readonly getConfigRevision: () => number;
+  readonly getOwned: () => readonly PartitionOwner[];
+}
+
+/** Metrics of one entry. */
+export class EntryMetrics {
+  private readonly _histograms: RequestHistograms;
+  private readonly _metrics: PromMetrics;
+
+  /**
+   * Creates the metrics.
+   * @param clock - Clock of the histograms' windows.
+   */
+  constructor(clock: Clock) {
+    this._histograms = new RequestHistograms(clock);
+    this._metrics = new PromMetrics(this._histograms);
+  }
+
+  /** Receiver of counts. */
+  get counters(): Counters {
+    return this._metrics;
+  }
+
+  /**
+   * Notes a request that has ended.
+   * @param trace - The request.
+   */
+  noteEnd(trace: RequestTrace): void {
+    const { tenant, requestClass, service, verdict, outcome } = trace;
+    this._histograms.record({ tenant, requestClass, service }, trace.latencyMs);
+    this._metrics.count("fireflylb_requests_total", { service, verdict, code: outcome });
+    if (trace.attempts.length > 1) {
+      this._metrics.add("fireflylb_retries_total", trace.attempts.length - 1, { service });
+    }
+  }
+
+  /**
+   * Notes a request that was refused before it was routed.
+   * @param code - Code of the refusal.
+   */
+  noteRefusal(code: RefusalCode): void {
+    this._metrics.count("fireflylb_requests_refused_total", { code });
+  }
+
+  /**
+   * Notes an answer to an operator.
+   * @param method - Method of the request.
+   * @param path - Path of the route.
+   * @param status - Status of the answer.
+   */
+  noteReply(method: string, path: string, status: number): void {
+    const labels = { method, path, status: String(status) };
+    this._metrics.count("fireflylb_api_requests_total", labels);
+  }
+
+  /**
+   * Notes records of batch work that were committed.
+   * @param records - The records.
+   */
+  noteCommitted(records: readonly BatchRecord[]): void {
+    countRecords(this._metrics, records);
+  }
+
+  /**
+   * Gives all metrics as text.
+   * @param levels - Where the levels are read.
+   */
+  async render(levels: EntryLevels): Promise<string> {
+    this._metrics.set("fireflylb_requests_in_flight", levels.getInFlight());
+    this._metrics.set("fireflylb_vms", levels.fleet.getVms().length);
+    this._metrics.set("fireflylb_config_revision", levels.getConfigRevision());
+    this._setServers(levels);
+    this._setTasks(levels.getOwned());
+    return this._metrics.render();
+  }
+
+  private _setServers({ clock, table }: EntryLevels): void {
+    table.getServices().forEach((service) => {
+      const servers = table.getServers(service);
+      const ejected = servers.filter((server) => !server.ejector.isAvailable(clock.now()));
+      this._metrics.set("fireflylb_servers", servers.length, { service });
+      this._metrics.set("fireflylb_servers_ejected", ejected.length, { service });
+    });
+  }
+
+  private _setTasks(owned: readonly PartitionOwner[]): void {
+    this._metrics.set("fireflylb_partitions_owned", owned.length);
+    const counts = new Map(TASK_PHASES.map((state) => [state, 0]));
+    owned
+      .flatMap((owner) => owner.ledger.getJobs())
+      .forEach((job) => {
+        job.tasks.forEach(({ phase }) => {
+          counts.set(phase, (counts.get(phase) ?? 0) + 1);
+        });
+      });
+    counts.forEach((count, state) => {
+      this._metrics.set("fireflylb_tasks", count, { state });
+    });
+  }
+}
--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -12,9 +12,9 @@
 import { ServerTable } from "../../coordination/requests/ServerTable.ts";
 import type { ListenError } from "../../protocol/errors/errors.ts";
 import { EntryControl } from "../../protocol/generated/fireflylb/v1/control_pb.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
 import type { EntrySettings } from "../../protocol/settings/EntrySettings.ts";
 import { FleetView } from "../../state/FleetView.ts";
-import { RequestHistograms } from "../../state/metrics/RequestHistograms.ts";
 import { RequestTraces, type RequestTrace } from "../../state/RequestTraces.ts";
 import { ConfigRoutes } from "../config/ConfigRoutes.ts";
 import { ConfigWatcher } from "../config/ConfigWatcher.ts";
@@ -22,13 +22,14 @@
 import { ControlServer } from "../control/ControlServer.ts";
 import { EntryClients } from "../control/EntryClients.ts";
 import { ApiServer } from "../http/ApiServer.ts";
-import { PromMetrics } from "../http/PromMetrics.ts";
 import { PinoLog } from "../log/PinoLog.ts";
 import { runProcess } from "../runProcess.ts";
 import { SystemClock } from "../platform/SystemClock.ts";
 import { SystemRandom } from "../platform/SystemRandom.ts";
+import { CountingStore } from "../store/CountingStore.ts";
 import { HttpStore } from "../store/HttpStore.ts";
 import { BatchService } from "./batch/BatchService.ts";
+import { EntryMetrics } from "./EntryMetrics.ts";
 import { EntryRoutes } from "./EntryRoutes.ts";
 import { FleetService, type EntryPeer } from "./FleetService.ts";
 import { PeerConfigs } from "./PeerConfigs.ts";
@@ -44,15 +45,14 @@
   private readonly _log: PinoLog;
   private readonly _clock = new SystemClock();
   private readonly _random = new SystemRandom();
-  private readonly _histograms = new RequestHistograms(this._clock);
-  private readonly _metrics = new PromMetrics(this._histograms);
+  private readonly _metrics = new EntryMetrics(this._clock);
   private readonly _traces = new RequestTraces();
   private readonly _fleet = new FleetView();
   private readonly _table = new ServerTable();
   private readonly _keeper = new ConfigKeeper();
   private readonly _clients = new EntryClients();
   private readonly _connections = new AgentConnections();
-  private readonly _store: HttpStore;
+  private readonly _store: Store;
   private readonly _watcher: ConfigWatcher;
   private readonly _batch: BatchService;
   private readonly _fleetService: FleetService;
@@ -69,10 +69,8 @@
   constructor(settings: EntrySettings, log: PinoLog) {
     this._settings = settings;
     this._log = log;
-    this._store = new HttpStore({
-      address: settings.store.address,
-      timeoutMs: settings.store.timeoutMs,
-    });
+    const { address, timeoutMs } = settings.store;
+    this._store = new CountingStore(new HttpStore({ address, timeoutMs }), this._metrics.counters);
     this._watcher = this._createWatcher();
     this._batch = this._createBatch();
     this._fleetService = this._createFleetService();
@@ -140,6 +138,9 @@
       fleet: this._fleet,
       placer: new FairSharePlacer({ random: this._random }),
       getConfig: () => this._keeper.getSnapshot(),
+      onCommitted: (records) => {
+        this._metrics.noteCommitted(records);
+      },
       createAgentClient: (address) => this._connections.getControl(address),
     });
   }
@@ -192,7 +193,7 @@
       hasConfig: () => this._keeper.getSnapshot() !== undefined,
       isKnownService: (service) => this._isKnownService(service),
       onRefuse: (code) => {
-        this._metrics.count("fireflylb_requests_refused_total", { code });
+        this._metrics.noteRefusal(code);
       },
       onEnd: (trace) => {
         this._noteEnd(trace);
@@ -238,6 +239,9 @@
       renderMetrics: () => this._renderMetrics(),
       findUnready: () => this._findUnready(),
       log: this._log,
+      onReply: (method, path, status) => {
+        this._metrics.noteReply(method, path, status);
+      },
     });
   }
 
@@ -256,26 +260,19 @@
   }
 
   private _noteEnd(trace: RequestTrace): void {
-    const { tenant, requestClass, service, verdict, outcome } = trace;
     this._traces.add(trace);
-    this._histograms.record({ tenant, requestClass, service }, trace.latencyMs);
-    this._metrics.count("fireflylb_requests_total", { service, verdict, code: outcome });
-    if (trace.attempts.length > 1) {
-      this._metrics.add("fireflylb_retries_total", trace.attempts.length - 1, { service });
-    }
+    this._metrics.noteEnd(trace);
   }
 
-  private async _renderMetrics(): Promise<string> {
-    this._metrics.set("fireflylb_requests_in_flight", this._requests.inFlight);
-    this._metrics.set("fireflylb_vms", this._fleet.getVms().length);
-    this._metrics.set("fireflylb_config_revision", this._keeper.getRevision() ?? 0);
-    this._table.getServices().forEach((service) => {
-      const servers = this._table.getServers(service);
-      const ejected = servers.filter((server) => !server.ejector.isAvailable(this._clock.now()));
-      this._metrics.set("fireflylb_servers", servers.length, { service });
-      this._metrics.set("fireflylb_servers_ejected", ejected.length, { service });
+  private _renderMetrics(): Promise<string> {
+    return this._metrics.render({
+      clock: this._clock,
+      fleet: this._fleet,
+      table: this._table,
+      getInFlight: () => this._requests.inFlight,
+      getConfigRevision: () => this._keeper.getRevision() ?? 0,
+      getOwned: () => this._batch.getOwnedPartitions(),
     });
-    return this._metrics.render();
   }
 
   private _findUnready(): readonly string[] {
--- a/src/transport/entry/batch/BatchService.ts
+++ b/src/transport/entry/batch/BatchService.ts
@@ -25,6 +25,7 @@
 import type { Log } from "../../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../../protocol/platform/RandomSource.ts";
 import type { Store } from "../../../protocol/platform/Store.ts";
+import type { BatchRecord } from "../../../state/batch/BatchRecord.ts";
 import type { FleetView } from "../../../state/FleetView.ts";
 import type { ApiRoute } from "../../http/ApiRoute.ts";
 import { ConnectAgentGateway, type AgentControlClient } from "./ConnectAgentGateway.ts";
@@ -45,6 +46,8 @@
   readonly fleet: FleetView;
   readonly placer: Placer;
   readonly getConfig: () => ConfigSnapshot | undefined;
+  /** Called with the records of each commit. */
+  readonly onCommitted?: (records: readonly BatchRecord[]) => void;
   readonly createAgentClient: (controlAddress: string) => AgentControlClient;
 }
 
@@ -202,6 +205,7 @@
       log,
       fleet,
       gateway: this._gateway,
+      onCommitted: this._parts.onCommitted,
       onOutcome: (note) => {
         placer.noteAttempt({ ...note, now: clock.now() });
       },
--- a/src/transport/http/ApiServer.ts
+++ b/src/transport/http/ApiServer.ts
@@ -31,6 +31,8 @@
   /** Gives the reasons for which the process is not ready; none where it is. */
   readonly findUnready: () => readonly string[];
   readonly log: Log & LeveledLog;
+  /** Called with each answer of a route: method, path of the route and status. */
+  readonly onReply?: (method: string, path: string, status: number) => void;
   readonly maxBodyBytes?: number;
   readonly maxHeaderBytes?: number;
 }
@@ -130,6 +132,7 @@
         this._fail(res, match.route.path, err);
       },
     );
+    this._options.onReply?.(match.route.method, match.route.path, res.statusCode);
   }
 
   private async _serveMetrics(res: ServerResponse): Promise<void> {
--- /dev/null
+++ b/src/transport/store/CountingStore.ts
@@ -0,0 +1,79 @@
+/**
+ * A store that counts the calls that pass through it, by operation and outcome.
+ */
+import type { ResultAsync } from "neverthrow";
+import {
+  Store,
+  type StoreChanges,
+  type StoreEntry,
+  type StoreFailure,
+  type StoreListing,
+  type StoreWrite,
+  type WriteResult,
+} from "../../protocol/platform/Store.ts";
+import type { Counters } from "../../state/metrics/Counters.ts";
+
+/** Counts calls and passes them on. */
+export class CountingStore extends Store {
+  private readonly _store: Store;
+  private readonly _counters: Counters;
+
+  /**
+   * Creates the store.
+   * @param store - Store that does the work.
+   * @param counters - Receiver of the counts.
+   */
+  constructor(store: Store, counters: Counters) {
+    super();
+    this._store = store;
+    this._counters = counters;
+  }
+
+  override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
+    return this._count("read", this._store.read(key));
+  }
+
+  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
+    return this._count("list", this._store.list(prefix));
+  }
+
+  override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
+    return this._count("write", this._store.write(write));
+  }
+
+  override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
+    return this._count("remove", this._store.remove(key, expected));
+  }
+
+  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+    return this._count("watch", this._store.watch(prefix, after));
+  }
+
+  override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
+    return this._count("grant-lease", this._store.grantLease(ttlMs));
+  }
+
+  override renewLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._count("renew-lease", this._store.renewLease(lease));
+  }
+
+  override revokeLease(lease: string): ResultAsync<void, StoreFailure> {
+    return this._count("revoke-lease", this._store.revokeLease(lease));
+  }
+
+  private _count<T>(
+    operation: string,
+    call: ResultAsync<T, StoreFailure>,
+  ): ResultAsync<T, StoreFailure> {
+    return call
+      .map((value) => {
+        this._counters.count("fireflylb_store_calls_total", { operation, outcome: "done" });
+        return value;
+      })
+      .mapErr((failure) => {
+        const outcome = failure.kind;
+        this._counters.count("fireflylb_store_calls_total", { operation, outcome });
+        return failure;
+      });
+  }
+}
--- a/tests/process/badInputTests.ts
+++ b/tests/process/badInputTests.ts
@@ -190,6 +190,10 @@
     t.true(metrics.includes(`fireflylb_requests_refused_total{code="${refused}"} 1`), refused);
   });
   t.regex(metrics, /requests_total\{service="rota-desk",verdict="not-run",code="no-server"\} 1/);
+  const change = 'method="POST",path="/v1/config/changes"';
+  t.true(metrics.includes(`fireflylb_api_requests_total{${change},status="422"} 1`));
+  t.regex(metrics, /fireflylb_store_calls_total\{operation="write",outcome="done"\} [1-9]/);
+  t.regex(metrics, /fireflylb_partitions_owned \d/);
   entry.signal("SIGTERM");
   const { code, out } = await entry.waitForEnd();
   t.is(code, 0);
