--- a/bench/report/FigureChart.ts
+++ b/bench/report/FigureChart.ts
@@ -9,6 +9,8 @@
 const CHART_WIDTH = 640;
 const BAR_STEP = 18;
 const PERCENTILE_HEIGHT = 260;
+/** Most series that one chart shows legibly. */
+const MAX_SERIES = 8;
 
 /** A figure of one of the runs that are compared. */
 export interface ComparedLine {
@@ -74,13 +76,37 @@
   }
 }
 
+/** Gives the labels of a figure besides its percentile. */
+function getLabels(line: ResultLine): readonly (readonly [string, string])[] {
+  return Object.entries(line.labels).filter(([name]) => name !== PERCENTILE_LABEL);
+}
+
+function formatLabels(labels: readonly (readonly [string, string])[]): string {
+  return labels.map(([name, value]) => `${name}=${value}`).join(" ");
+}
+
 /**
  * Gives the labels of a figure besides its percentile, as one text.
  * @param line - The figure.
  */
 export function getSeries(line: ResultLine): string {
-  const labels = Object.entries(line.labels).filter(([name]) => name !== PERCENTILE_LABEL);
-  return labels.length === 0 ? line.name : labels.map(([k, v]) => `${k}=${v}`).join(" ");
+  const labels = getLabels(line);
+  return labels.length === 0 ? line.name : formatLabels(labels);
+}
+
+/**
+ * Divides figures with many series into charts: one for each value of all labels but the last.
+ * @param lines - Figures of one name and unit.
+ * @returns Figures of each chart by the labels that they share.
+ */
+export function divideSeries(
+  lines: readonly ComparedLine[],
+): ReadonlyMap<string, readonly ComparedLine[]> {
+  const series = new Set(lines.map(({ line }) => getSeries(line)));
+  if (series.size <= MAX_SERIES) {
+    return new Map([["", lines]]);
+  }
+  return Map.groupBy(lines, ({ line }) => formatLabels(getLabels(line).slice(0, -1)));
 }
 
 function toRow({ run, line }: ComparedLine): Readonly<Record<string, string | number>> {
--- a/bench/report/Report.ts
+++ b/bench/report/Report.ts
@@ -2,7 +2,7 @@
  * A page that lays the figures of one run or several side by side, with charts and a table.
  */
 import type { ResultLine } from "../ResultLine.ts";
-import { FigureChart, getSeries, type ComparedLine } from "./FigureChart.ts";
+import { divideSeries, FigureChart, getSeries, type ComparedLine } from "./FigureChart.ts";
 
 const ESCAPES: Readonly<Record<string, string>> = {
   "&": "&amp;",
@@ -46,8 +46,14 @@
   private async _draw(group: readonly ComparedLine[]): Promise<string> {
     const first = group[0]?.line;
     const heading = `${first?.title ?? ""}: ${first?.name ?? ""} (${first?.unit ?? ""})`;
-    const svg = await new FigureChart(group).toSvg();
-    return `<h2>${escapeHtml(heading)}</h2>\n${svg}\n${this._createTable(group)}`;
+    const charts = await Promise.all(
+      [...divideSeries(group)].map(async ([labels, lines]) => {
+        const svg = await new FigureChart(lines).toSvg();
+        return `<h3>${escapeHtml(labels)}</h3>\n${svg}`;
+      }),
+    );
+    const table = this._createTable(group);
+    return `<h2>${escapeHtml(heading)}</h2>\n${charts.join("\n")}\n${table}`;
   }
 
   private _createTable(group: readonly ComparedLine[]): string {
--- a/tests/bench/reportTests.ts
+++ b/tests/bench/reportTests.ts
@@ -38,3 +38,15 @@
   const html = await new Report([[line("aaa", "throughput", 5)], []]).toHtml();
   t.regex(html, /<td>picker=p2c<\/td><td>5<\/td><td><\/td>/);
 });
+
+test("Report divides many series into charts by all labels but the last", async (t) => {
+  const figures = ["a", "b", "c"].flatMap((service) =>
+    ["1", "2", "3"].map((vms) => ({
+      ...line("aaa", "throughput", 5),
+      labels: { service, vms },
+    })),
+  );
+  const html = await new Report([figures]).toHtml();
+  t.is(html.match(/<svg /g)?.length, 3);
+  t.regex(html, /<h3>service=c<\/h3>/);
+});
