--- a/scripts/reference/sections.ts
+++ b/scripts/reference/sections.ts
@@ -34,7 +34,7 @@
   const rows = Object.entries(schema).flatMap(([section, settings]) =>
     Object.entries(settings).map(([key, setting]) => [
       `\`[${section}] ${key}\``,
-      setting.info.defaultText === undefined ? "required" : `\`${setting.info.defaultText}\``,
+      writeDefault(setting.info.defaultText),
       setting.getAllowed(),
       setting.info.doc,
     ]),
@@ -42,6 +42,13 @@
   return writeTable(["Setting", "Default", "Allowed", "Meaning"], rows);
 }
 
+function writeDefault(text: string | undefined): string {
+  if (text === undefined) {
+    return "required";
+  }
+  return text === "" ? "nothing" : `\`${text}\``;
+}
+
 function writeMetrics(): string {
   const rows = Object.entries(METRICS).map(([name, { kind, labels, help }]) => [
     `\`${name}\``,
