Add the demo

Cause: a new user should see requests and jobs go through separate processes with two commands. Change: scripts/demo.ts starts 3 entries and 11 VMs, applies examples/collective.ini, sends requests and jobs, heats a zone, takes one VM out and kills another, and checks the histories. Left: the heat level changes nothing until the yield decisions are wired in.

--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,207 @@
+/**
+ * Shows fireflylb on this machine: 3 entries and 11 VMs, each with an agent, a worker and a backend
+ * server, as separate processes. It sends requests and jobs, makes a zone hot and takes a VM away,
+ * prints what happened and checks that nothing was lost or doubled. With --stay it stays up.
+ */
+import { once } from "node:events";
+import { join } from "node:path";
+import { CallerLoad } from "../standins/callers/CallerLoad.ts";
+import type { CallKind, CallOutcome } from "../standins/callers/CallerLoad.ts";
+import { Cluster } from "../standins/cluster/Cluster.ts";
+import { waitUntil } from "../standins/cluster/waitUntil.ts";
+import { findRequestViolations } from "../standins/history/requestHistory.ts";
+import { findTaskViolations } from "../standins/history/taskHistory.ts";
+import { MachineClock } from "../standins/support/MachineClock.ts";
+import { SeededRandom } from "../tests/support/SeededRandom.ts";
+import { DemoCommands } from "./demo/DemoCommands.ts";
+import { DemoJobs } from "./demo/DemoJobs.ts";
+import type { DemoJob, FinishedJob } from "./demo/DemoJobs.ts";
+import { formatLatencies, formatVerdicts } from "./demo/report.ts";
+
+const SEED = 20_261_203;
+const SERVICE = "rota-desk";
+const HOT_ZONE = "gujarat-b";
+const REPOSITORY = join(import.meta.dirname, "..");
+const BINARY = join(REPOSITORY, "dist", "fireflylb");
+const CONFIGURATION = "examples/collective.ini";
+const REQUESTS_PER_PHASE = 1_000;
+/** Lines of each process's log that are shown when the demo fails. */
+const LOG_LINES = 3;
+const PHASE_TIMEOUT_MS = 60_000;
+
+const KINDS: readonly CallKind[] = [
+  { method: "GET", name: "check", requestClass: "urgent", tenant: "paper-ahmedabad" },
+  { method: "GET", name: "check", requestClass: "urgent", tenant: "paper-surat" },
+  { method: "POST", name: "swap", requestClass: "normal", tenant: "paper-vadodara" },
+  { method: "GET", name: "rota", requestClass: "background", tenant: "paper-night" },
+];
+
+const JOBS: readonly DemoJob[] = [
+  {
+    tenant: "paper-ahmedabad",
+    kind: "rebuild",
+    tasks: 24,
+    cores: 4,
+    command: "run 20000",
+    urgent: false,
+  },
+  {
+    tenant: "paper-surat",
+    kind: "coverage",
+    tasks: 20,
+    cores: 2,
+    command: "run 10000",
+    urgent: false,
+  },
+  {
+    tenant: "paper-vadodara",
+    kind: "certificate",
+    tasks: 6,
+    cores: 1,
+    command: "run 500",
+    urgent: true,
+  },
+];
+
+/** The demo over one running deployment. */
+class Demo {
+  private readonly _cluster: Cluster;
+  private readonly _commands: DemoCommands;
+  private readonly _load: CallerLoad;
+
+  /**
+   * Creates the demo.
+   * @param cluster - The deployment.
+   */
+  constructor(cluster: Cluster) {
+    const api = cluster.entries.map((entry) => entry.api).join(",");
+    this._cluster = cluster;
+    this._commands = new DemoCommands(BINARY, api);
+    this._load = new CallerLoad({
+      clock: new MachineClock(),
+      random: new SeededRandom(SEED),
+      entries: cluster.entries.map((entry) => entry.listen),
+      service: SERVICE,
+      callers: 24,
+      thinkMs: 60,
+      timeoutMs: 5_000,
+      kinds: KINDS,
+    });
+  }
+
+  /** Runs the demo; gives what must not have happened, one sentence each. */
+  async run(): Promise<readonly string[]> {
+    const jobs = new DemoJobs(this._commands);
+    await this._commands.run("profile", "apply", CONFIGURATION, "--wait");
+    this._load.start();
+    for (const job of JOBS) {
+      await jobs.submit(job);
+    }
+    await this._phase("Requests and jobs run side by side");
+    await this._commands.run("heat", "set", HOT_ZONE, "3", "--wait");
+    await this._phase(`Zone ${HOT_ZONE} runs hot`);
+    await this._commands.run("heat", "set", HOT_ZONE, "0", "--wait");
+    const leaving = this._cluster.getVm(4);
+    await leaving.server?.process.stop();
+    await leaving.agent.process.stop();
+    await this._phase(`VM ${leaving.name} was taken out of service, its tasks checkpointed`);
+    const dying = this._cluster.getVm(0);
+    [dying.agent, dying.worker, dying.server].forEach((part) => {
+      part?.process.signal("SIGKILL");
+    });
+    await this._phase(`VM ${dying.name} died with its agent, worker and backend server`);
+    const finished = await jobs.finish();
+    const outcomes = await this._load.stop();
+    this._report(outcomes, finished);
+    return this._findViolations(outcomes, finished);
+  }
+
+  /** Prints how to try the deployment by hand, and waits for an interrupt. */
+  async stay(): Promise<void> {
+    this._cluster.processes.forEach((part) => {
+      part.start();
+    });
+    const entry = this._cluster.getEntry();
+    console.log("\nThe deployment stays up until Ctrl-C. Try:");
+    this._cluster.entries.forEach(({ name, listen, api }) => {
+      console.log(`  ${name}: requests ${listen}, operators ${api}`);
+    });
+    console.log(`  curl -i -H 'fireflylb-service: ${SERVICE}' http://${entry.listen}/check/1`);
+    console.log(`  dist/fireflylb status --api ${entry.api}`);
+    await Promise.race([once(process, "SIGINT"), once(process, "SIGTERM")]);
+  }
+
+  private async _phase(title: string): Promise<void> {
+    const from = this._load.outcomes.length;
+    await waitUntil(`phase "${title}"`, PHASE_TIMEOUT_MS, () =>
+      Promise.resolve(this._load.outcomes.length >= from + REQUESTS_PER_PHASE),
+    );
+    console.log(`\n${title}.`);
+    formatLatencies(this._load.outcomes.slice(from)).forEach((line) => {
+      console.log(line);
+    });
+  }
+
+  private _report(outcomes: readonly CallOutcome[], jobs: readonly FinishedJob[]): void {
+    const ends = this._cluster.readWorkerEvents().filter((event) => event.event === "end");
+    const evictions = ends.filter((event) => event.phase === "stopped").length;
+    const resumed = this._cluster
+      .readWorkerEvents()
+      .filter((event) => event.event === "start" && event.workFromMs > 0).length;
+    console.log(`\n${outcomes.length} requests in all, by how they ended:`);
+    formatVerdicts(outcomes).forEach((line) => {
+      console.log(line);
+    });
+    console.log("\nJobs:");
+    jobs.forEach(({ job, state, completedTasks }) => {
+      console.log(`  ${job.kind.padEnd(12)}${state}, ${completedTasks} of ${job.tasks} tasks`);
+    });
+    console.log(`  evictions: ${evictions}; attempts resumed from a checkpoint: ${resumed}`);
+  }
+
+  private _findViolations(
+    outcomes: readonly CallOutcome[],
+    jobs: readonly FinishedJob[],
+  ): readonly string[] {
+    return [
+      ...findRequestViolations(outcomes, this._cluster.readServerEvents()),
+      ...findTaskViolations(this._cluster.readWorkerEvents()),
+      ...jobs
+        .filter(({ job, completedTasks }) => completedTasks !== job.tasks)
+        .map(({ job, id, state }) => `job ${id} of kind ${job.kind} is ${state}`),
+    ];
+  }
+}
+
+const startedAt = performance.now();
+console.log("Starting 3 entries and 11 VMs as separate processes.");
+const cluster = await Cluster.start({
+  entries: 3,
+  zones: ["gujarat-a", "gujarat-b", "gujarat-c"],
+  services: [
+    { service: SERVICE, vms: 11, serviceTimes: "lognormal 8 0.5", slots: 8, connections: 64 },
+  ],
+  processorsMilli: 32_000,
+  memoryBytes: 125_000_000_000,
+  seed: SEED,
+});
+try {
+  const demo = new Demo(cluster);
+  const violations = await demo.run();
+  violations.forEach((violation) => {
+    console.log(`VIOLATION: ${violation}`);
+  });
+  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+  console.log(
+    `\nNothing lost or doubled: ${violations.length === 0 ? "yes" : "no"}. ${seconds} s.`,
+  );
+  process.exitCode = violations.length === 0 ? 0 : 1;
+  if (process.argv.includes("--stay")) {
+    await demo.stay();
+  }
+} catch (err) {
+  console.error(cluster.collectLogs(LOG_LINES));
+  throw err;
+} finally {
+  await cluster.stop();
+}
--- /dev/null
+++ b/scripts/demo/DemoCommands.ts
@@ -0,0 +1,82 @@
+/**
+ * Runs operator commands of the built binary for the demo and shows them as an operator types them.
+ */
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { waitUntil } from "../../standins/cluster/waitUntil.ts";
+
+/** Status of a command that no entry could serve now; nothing was changed. */
+const STATUS_NOT_SERVED = 6;
+const SERVED_TIMEOUT_MS = 30_000;
+
+/** What a command printed and how it ended. */
+export interface CommandResult {
+  readonly status: number;
+  readonly output: string;
+}
+
+/** Operator commands of the demo. */
+export class DemoCommands {
+  private readonly _binary: string;
+  private readonly _api: string;
+
+  /**
+   * Creates the commands.
+   * @param binary - Path of the binary.
+   * @param api - Operators' addresses of the entries, separated by commas.
+   */
+  constructor(binary: string, api: string) {
+    this._binary = binary;
+    this._api = api;
+  }
+
+  /**
+   * Runs a command and shows it; throws where it fails.
+   * @param args - Words of the command.
+   */
+  async run(...args: readonly string[]): Promise<string> {
+    console.log(`$ fireflylb ${args.map(quote).join(" ")}`);
+    return getOutput(args, await this.read(...args));
+  }
+
+  /**
+   * Runs a command that is safe to repeat, again while no entry can serve it, and shows it.
+   * @param args - Words of the command.
+   */
+  async runUntilServed(...args: readonly string[]): Promise<string> {
+    console.log(`$ fireflylb ${args.map(quote).join(" ")}`);
+    let result: CommandResult = { status: STATUS_NOT_SERVED, output: "" };
+    await waitUntil(`fireflylb ${args.join(" ")} is served`, SERVED_TIMEOUT_MS, async () => {
+      result = await this.read(...args);
+      return result.status !== STATUS_NOT_SERVED;
+    });
+    return getOutput(args, result);
+  }
+
+  /**
+   * Runs a command without showing it.
+   * @param args - Words of the command.
+   */
+  async read(...args: readonly string[]): Promise<CommandResult> {
+    const child = spawn(this._binary, [...args, "--api", this._api], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    const outputs = [child.stdout, child.stderr].map(async (stream) => {
+      const chunks = (await stream.toArray()) as readonly Buffer[];
+      return Buffer.concat(chunks).toString();
+    });
+    const [status] = (await once(child, "close")) as [number | null];
+    return { status: status ?? 1, output: (await Promise.all(outputs)).join("") };
+  }
+}
+
+function getOutput(args: readonly string[], result: CommandResult): string {
+  if (result.status !== 0) {
+    throw new Error(`fireflylb ${args.join(" ")}: status ${result.status}\n${result.output}`);
+  }
+  return result.output;
+}
+
+function quote(arg: string): string {
+  return arg.includes(" ") ? `"${arg}"` : arg;
+}
--- /dev/null
+++ b/scripts/demo/DemoJobs.ts
@@ -0,0 +1,77 @@
+/**
+ * Batch jobs of the demo.
+ */
+import { z } from "zod";
+import { waitUntil } from "../../standins/cluster/waitUntil.ts";
+import type { DemoCommands } from "./DemoCommands.ts";
+
+const JOB_TIMEOUT_MS = 90_000;
+
+const Submitted = z.object({ id: z.string() });
+const Job = z.object({ state: z.string(), tasks: z.record(z.string(), z.number()) });
+
+/** A job that the demo submits. */
+export interface DemoJob {
+  readonly tenant: string;
+  readonly kind: string;
+  readonly tasks: number;
+  readonly cores: number;
+  readonly command: string;
+  readonly urgent: boolean;
+}
+
+/** A job as it ended. */
+export interface FinishedJob {
+  readonly job: DemoJob;
+  readonly id: string;
+  readonly state: string;
+  readonly completedTasks: number;
+}
+
+/** Jobs of the demo. */
+export class DemoJobs {
+  private readonly _commands: DemoCommands;
+  private readonly _ids = new Map<string, DemoJob>();
+
+  /**
+   * Creates the jobs.
+   * @param commands - Operator commands.
+   */
+  constructor(commands: DemoCommands) {
+    this._commands = commands;
+  }
+
+  /**
+   * Submits a job.
+   * @param job - The job.
+   */
+  async submit(job: DemoJob): Promise<void> {
+    const { tenant, kind, tasks, cores, command, urgent } = job;
+    const args = [
+      ...["job", "submit", "--tenant", tenant, "--kind", kind, "--key", `demo-${kind}`],
+      ...["--tasks", tasks, "--processors", cores, "--memory-mib", 1_024].map(String),
+      ...["--command", command, "--json", ...(urgent ? ["--urgent"] : [])],
+    ];
+    const output = await this._commands.runUntilServed(...args);
+    this._ids.set(Submitted.parse(JSON.parse(output)).id, job);
+  }
+
+  /** Waits until every job has ended. */
+  async finish(): Promise<readonly FinishedJob[]> {
+    await waitUntil("all jobs have ended", JOB_TIMEOUT_MS, async () => {
+      const jobs = await this._read();
+      return jobs.every(({ state }) => state === "completed" || state === "failed");
+    });
+    return this._read();
+  }
+
+  private async _read(): Promise<readonly FinishedJob[]> {
+    return Promise.all(
+      [...this._ids].map(async ([id, job]) => {
+        const { output } = await this._commands.read("job", "status", id, "--json");
+        const { state, tasks } = Job.parse(JSON.parse(output));
+        return { job, id, state, completedTasks: tasks.completed ?? 0 };
+      }),
+    );
+  }
+}
