--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -48,7 +48,8 @@
   private readonly _log: PinoLog;
   private readonly _clock = new SystemClock();
   private readonly _incarnation = crypto.randomUUID();
-  private readonly _metrics = new PromMetrics(new RequestHistograms(this._clock));
+  private readonly _histograms = new RequestHistograms(this._clock);
+  private readonly _metrics = new PromMetrics(this._histograms);
   private readonly _keeper = new ConfigKeeper();
   private readonly _clients = new EntryClients();
   private readonly _owners = new Map<number, PartitionOwner>();
@@ -83,6 +84,9 @@
       clock: this._clock,
       maxBodyBytes: settings.requests.maxBodyBytes,
       isReady: () => this._tasks.isReady(),
+      onFinished: ({ tenant, requestClass, service }, latencyMs) => {
+        this._histograms.record({ tenant, requestClass, service }, latencyMs);
+      },
     });
     this._heartbeats = this._createHeartbeats();
     this._control = new ControlServer((router) => {
--- a/src/transport/agent/requests/AgentRequestServer.ts
+++ b/src/transport/agent/requests/AgentRequestServer.ts
@@ -37,6 +37,7 @@
   private readonly _clock: Clock;
   private readonly _maxBodyBytes: number;
   private readonly _isReady: () => boolean;
+  private readonly _onFinished: (head: RequestHead, latencyMs: number) => void;
   private readonly _pools = new Map<string, Pool>();
   private readonly _server: Server;
 
@@ -49,11 +50,14 @@
     readonly clock: Clock;
     readonly maxBodyBytes: number;
     readonly isReady: () => boolean;
+    /** Called with each whole answer of a backend server. */
+    readonly onFinished: (head: RequestHead, latencyMs: number) => void;
   }) {
     this._admission = parts.admission;
     this._clock = parts.clock;
     this._maxBodyBytes = parts.maxBodyBytes;
     this._isReady = parts.isReady;
+    this._onFinished = parts.onFinished;
     this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (req, res) => {
       void this._handle(req, res);
     });
@@ -149,6 +153,9 @@
       now: () => this._clock.now(),
       onDone: (end) => {
         this._admission.noteEnded(server, open.key, end);
+        if (end === "finished") {
+          this._onFinished(head, this._clock.now() - arrivedAt);
+        }
       },
     });
     this._getPool(server).dispatch(
--- a/tests/process/commandPageTests.ts
+++ b/tests/process/operatorTests.ts
@@ -1,15 +1,17 @@
 /**
- * Tests that the examples on the page of the command line run as they stand, against a small
- * deployment of separate processes.
+ * Tests of what operators use, against a small deployment of separate processes: the examples on
+ * the page of the command line as they stand, and the metrics of both roles.
  */
 import { execFile } from "node:child_process";
 import { copyFileSync, readFileSync, symlinkSync } from "node:fs";
 import { join, resolve } from "node:path";
 import { promisify } from "node:util";
-import test from "ava";
+import anyTest, { type TestFn } from "ava";
 import { z } from "zod";
 import { Cluster } from "../../standins/cluster/Cluster.ts";
 
+const test = anyTest as TestFn<{ readonly cluster: Cluster }>;
+
 const PAGE = "docs/CLI.md";
 const SHELL_BLOCK = /```sh\n([^]*?)```/g;
 const PAGE_ADDRESS = "127.0.0.1:8082";
@@ -45,9 +47,43 @@
   }
 }
 
-test("the page of the command line has examples that run as they stand", async (t) => {
+test.before(async (t) => {
   const cluster = await Cluster.start({ entries: 1, zones: ["gujarat-a"] });
-  t.teardown(() => cluster.stop());
+  t.context = { cluster };
+});
+
+test.after.always(async (t) => {
+  await t.context.cluster.stop();
+});
+
+async function readMetrics(address: string): Promise<string> {
+  return (await fetch(`http://${address}/metrics`)).text();
+}
+
+test("the metrics have histograms for each tenant, class and service in both roles", async (t) => {
+  const { cluster } = t.context;
+  const { api, listen } = cluster.getEntry();
+  const headers = {
+    "fireflylb-service": "rota-desk",
+    "fireflylb-tenant": "paper-surat",
+    "fireflylb-class": "urgent",
+  };
+  const res = await fetch(`http://${listen}/`, { headers });
+  t.is(res.status, 200);
+  await res.text();
+  const series = 'tenant="paper-surat",class="urgent",service="rota-desk"';
+  const entry = await readMetrics(api);
+  t.true(entry.includes(`fireflylb_request_latency_requests_total{${series}} 1`));
+  t.true(entry.includes(`fireflylb_request_latency_seconds{${series},quantile="0.99"}`));
+  t.regex(entry, /requests_total\{service="rota-desk",verdict="ran",code="[a-z-]*"\} [1-9]/);
+  const agents = await Promise.all(cluster.vms.map((vm) => readMetrics(vm.agent.admin)));
+  const recorded = `fireflylb_request_latency_requests_total{${series}} 1`;
+  t.is(agents.filter((text) => text.includes(recorded)).length, 1);
+  t.true(agents.every((text) => text.includes("fireflylb_committed_processors_milli")));
+});
+
+test("the page of the command line has examples that run as they stand", async (t) => {
+  const { cluster } = t.context;
   const { api, listen } = cluster.getEntry();
   const { folder } = cluster.files;
   copyFileSync(join(folder, "entry-1.ini"), join(folder, "entry.ini"));
