Make the agent's batch work yield by profile, heat and disturbance

Starts are held back where heat, the headroom or the estimates say so; a service without reports is waited for within bounds.

--- /dev/null
+++ b/src/coordination/disturbance/LatencyWindow.ts
@@ -0,0 +1,66 @@
+/**
+ * Gathers the report windows of a service until they hold enough requests for a useful percentile.
+ */
+import type { LatencyReport } from "./DisturbanceEstimator.ts";
+
+/** A report window of one backend server. */
+export interface ServerWindow {
+  readonly service: string;
+  readonly slots: number;
+  readonly slotsInUse: number;
+  readonly p99Us: number;
+  readonly requests: number;
+}
+
+/** Fewest requests of a report. */
+export const MIN_REPORT_REQUESTS = 30;
+const MAX_WINDOW_MS = 10_000;
+const US_PER_MS = 1000;
+
+interface OpenWindow {
+  readonly openedAt: number;
+  readonly requests: number;
+  /** Sum of the percentile, weighted by requests. */
+  readonly weightedMs: number;
+  /** Sum of the share of slots in use, weighted by requests. */
+  readonly weightedUse: number;
+}
+
+/** Windows of the services on one VM. */
+export class LatencyWindow {
+  private readonly _open = new Map<string, OpenWindow>();
+
+  /**
+   * Adds a window.
+   * @param window - The window.
+   * @param now - End of the window, in milliseconds.
+   * @returns A report once enough requests are gathered.
+   */
+  add(window: ServerWindow, now: number): LatencyReport | undefined {
+    const { service, requests } = window;
+    const known = this._open.get(service);
+    const isStale = known !== undefined && now - known.openedAt > MAX_WINDOW_MS;
+    const open =
+      known === undefined || isStale
+        ? { openedAt: now, requests: 0, weightedMs: 0, weightedUse: 0 }
+        : known;
+    const use = window.slots === 0 ? 0 : Math.min(1, window.slotsInUse / window.slots);
+    const sum = {
+      openedAt: open.openedAt,
+      requests: open.requests + requests,
+      weightedMs: open.weightedMs + (window.p99Us / US_PER_MS) * requests,
+      weightedUse: open.weightedUse + use * requests,
+    };
+    if (sum.requests < MIN_REPORT_REQUESTS) {
+      this._open.set(service, sum);
+      return undefined;
+    }
+    this._open.delete(service);
+    return {
+      service,
+      measuredAt: now,
+      latencyMs: sum.weightedMs / sum.requests,
+      utilisation: sum.weightedUse / sum.requests,
+    };
+  }
+}
--- a/src/coordination/disturbance/YieldController.ts
+++ b/src/coordination/disturbance/YieldController.ts
@@ -30,6 +30,8 @@
 const SETTLE_MS = 1000;
 const BREACHES_BEFORE_EVICTION = 2;
 const CHECKPOINT_WAIT_MS = 5000;
+const FIRST_REPORT_WAIT_MS = 6000;
+const BASE_WAIT_MS = 30_000;
 const READMIT_MS = 60_000;
 const EVICTION_RETRY_MS = 10_000;
 
@@ -42,6 +44,7 @@
   private readonly _checkpointAskedAt = new Map<string, number>();
   private readonly _evictedAt = new Map<string, number>();
   private readonly _evicting = new Map<string, number>();
+  private readonly _firstSeen = new Map<string, number>();
   private _lifecycle: SnapshotFrom<typeof yieldMachine>;
   private _changedAt = Number.NEGATIVE_INFINITY;
   private _loweredAt = Number.NEGATIVE_INFINITY;
@@ -67,6 +70,7 @@
    */
   decide(input: YieldInput): YieldDecision {
     this._forgetEnded(input);
+    input.services.forEach(({ service }) => this._noteFirstSeen(service, input.now));
     const heat = getHeatYield(
       input.services.map(({ profile }) => profile),
       input.heat.level,
@@ -93,9 +97,7 @@
     if (input.now - (this._evictedAt.get(kind) ?? Number.NEGATIVE_INFINITY) < READMIT_MS) {
       return `a task of kind ${kind} was evicted here within ${READMIT_MS / 1000} s`;
     }
-    const unknown = input.services.find(
-      (service) => !this._estimator.isBaseKnown(service.service, getUtilisation(service)),
-    );
+    const unknown = input.services.find((service) => this._isBaseAwaited(service, input.now));
     if (unknown !== undefined) {
       return `the latency of ${unknown.service} without batch work is not known yet`;
     }
@@ -110,6 +112,22 @@
     return disturbed === undefined ? undefined : `${disturbed.service} would be disturbed`;
   }
 
+  /** Reports are waited for within bounds, since a service may have few requests or none. */
+  private _isBaseAwaited(service: YieldService, now: number): boolean {
+    const { report } = service;
+    if (report !== undefined && this._estimator.isBaseKnown(service.service, report.utilisation)) {
+      return false;
+    }
+    const sinceMs = now - this._noteFirstSeen(service.service, now);
+    return sinceMs < (report === undefined ? FIRST_REPORT_WAIT_MS : BASE_WAIT_MS);
+  }
+
+  private _noteFirstSeen(service: string, now: number): number {
+    const seenAt = this._firstSeen.get(service) ?? now;
+    this._firstSeen.set(service, seenAt);
+    return seenAt;
+  }
+
   private _throttle(input: YieldInput): readonly YieldAction[] {
     const lower = planThrottle(input, this._estimator, LOWER_MARGIN);
     const lowered = input.tasks.flatMap((task) => {
--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -36,6 +36,7 @@
 import { HeartbeatSender } from "./HeartbeatSender.ts";
 import { AgentRequestServer } from "./requests/AgentRequestServer.ts";
 import { TaskService } from "./tasks/TaskService.ts";
+import { YieldService } from "./yielding/YieldService.ts";
 
 const CONFIG_TIMEOUT_MS = 2_000;
 const WORKER_TIMEOUT_MS = 2_000;
@@ -54,6 +55,7 @@
   private readonly _owners = new Map<number, PartitionOwner>();
   private readonly _admission: AgentAdmission;
   private readonly _tasks: TaskService;
+  private readonly _yielding: YieldService;
   private readonly _requests: AgentRequestServer;
   private readonly _heartbeats: HeartbeatSender;
   private readonly _control: ControlServer;
@@ -78,6 +80,7 @@
       getConfig: () => this._keeper.getSnapshot()?.document,
     });
     this._tasks = this._createTasks();
+    this._yielding = this._createYielding();
     this._requests = new AgentRequestServer({
       admission: this._admission,
       clock: this._clock,
@@ -114,6 +117,7 @@
       return err(failed.error);
     }
     this._tasks.start();
+    this._yielding.start();
     this._heartbeats.start();
     this._log.info("Agent started.", { name: agent.name, zone: agent.zone });
     return ok(undefined);
@@ -127,6 +131,7 @@
     this._log.info("Agent drains.", { requests: this._admission.getOpenRequests() });
     await this._heartbeats.sendNow();
     await Promise.all([this._waitForRequests(deadline), this._tasks.stop()]);
+    this._yielding.stop();
     this._heartbeats.stop();
     this._announcements.stop();
     await Promise.race([
@@ -154,11 +159,24 @@
       createEntryClient: (address) => this._clients.getClient(address),
       getOwner: (partition) => this._getOwner(partition),
       getConfig: () => this._keeper.getSnapshot(),
+      getStartHold: (kind, resources) => this._yielding.findStartHold(kind, resources),
       pollMs: worker.pollMs,
       drainTimeoutMs: agent.drainTimeoutMs,
     });
   }
 
+  private _createYielding(): YieldService {
+    const { name, zone } = this._settings.agent;
+    return new YieldService({
+      vm: name,
+      zone,
+      clock: this._clock,
+      log: this._log.part("yielding"),
+      tasks: this._tasks,
+      getConfig: () => this._keeper.getSnapshot(),
+    });
+  }
+
   private _createHeartbeats(): HeartbeatSender {
     return new HeartbeatSender({
       clock: this._clock,
@@ -179,6 +197,8 @@
   private _createHeartbeat(sequence: bigint): HeartbeatRequest {
     const { agent } = this._settings;
     const heatLevel = this._tasks.getHeatLevel();
+    const servers = this._admission.getServers().map((server) => server.takeReport());
+    this._yielding.noteServers(servers);
     return create(HeartbeatRequestSchema, {
       agent: agent.name,
       incarnation: this._incarnation,
@@ -191,7 +211,7 @@
       capacity: { ...this._tasks.getCapacity() },
       committed: { ...this._tasks.getCommitted() },
       used: { ...this._tasks.getUsed() },
-      servers: this._admission.getServers().map((server) => writeServer(server.takeReport())),
+      servers: servers.map(writeServer),
       draining: this._draining || !this._tasks.isReady(),
       configRevision: BigInt(this._keeper.getRevision() ?? 0),
       tasks: this._tasks.getTasks().length,
--- a/src/transport/agent/tasks/TaskService.ts
+++ b/src/transport/agent/tasks/TaskService.ts
@@ -6,6 +6,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
 import { CapacityBook } from "../../../coordination/tasks/CapacityBook.ts";
+import type { HeatReport } from "../../../coordination/disturbance/HeatTracker.ts";
 import type { ReservationState } from "../../../coordination/tasks/Reservation.ts";
 import type { TaskKey } from "../../../coordination/tasks/TaskKey.ts";
 import { formatTaskKey } from "../../../coordination/tasks/TaskKey.ts";
@@ -172,6 +173,19 @@
     await this._stopper.stop(key);
   }
 
+  /**
+   * Takes a checkpoint of a running task, which goes on.
+   * @param key - The attempt.
+   * @returns Whether the worker did so.
+   */
+  async checkpoint(key: TaskKey): Promise<boolean> {
+    const result = await this._options.worker.checkpoint(key.task, key.attempt);
+    if (result.isOk()) {
+      this._table.noteCheckpoint(key, result.value);
+    }
+    return result.isOk();
+  }
+
   /**
    * Reserves what a backend server needs. Tasks yield where it does not fit beside them.
    * @param id - Id of the backend server.
@@ -212,6 +226,11 @@
     return this._poller.getHeatLevel();
   }
 
+  /** Gives the last heat report of the worker; undefined before the first report. */
+  getHeatReport(): HeatReport | undefined {
+    return this._poller.getHeatReport();
+  }
+
   /** Gives all tasks that are known, ended ones until their owners have recorded them. */
   getTasks(): readonly TaskRecord[] {
     return this._table.getAll();
--- a/src/transport/agent/tasks/TaskServiceOptions.ts
+++ b/src/transport/agent/tasks/TaskServiceOptions.ts
@@ -6,6 +6,7 @@
 import type { EntryControl } from "../../../protocol/generated/fireflylb/v1/control_pb.ts";
 import type { Clock } from "../../../protocol/platform/Clock.ts";
 import type { Log } from "../../../protocol/platform/Log.ts";
+import type { Resources } from "../../../protocol/Resources.ts";
 import type { Worker } from "../../../protocol/platform/Worker.ts";
 
 /** Control interface of an entry. */
@@ -31,8 +32,8 @@
   readonly getOwner: (partition: number) => OwnerAddress | undefined;
   /** Gives the configuration; undefined until the agent has one. */
   readonly getConfig: () => ConfigSnapshot | undefined;
-  /** Why no task may start now, as for a hot zone; undefined where tasks may start. */
-  readonly getStartHold?: () => string | undefined;
+  /** Why a task of a kind may not start now, as in a hot zone; undefined where it may. */
+  readonly getStartHold?: (kind: string, resources: Resources) => string | undefined;
   /** Time between two polls of the worker, in milliseconds. */
   readonly pollMs: number;
   /** Time for which starts are held back after the agent's start, in milliseconds. */
--- a/src/transport/agent/tasks/TaskStarter.ts
+++ b/src/transport/agent/tasks/TaskStarter.ts
@@ -55,7 +55,7 @@
     if (known !== undefined) {
       return TaskStarter._answerRepeat(known, order.epoch);
     }
-    if (this._options.getStartHold?.() !== undefined) {
+    if (this._options.getStartHold?.(order.kind, order.resources) !== undefined) {
       this._table.forbid(order);
       return refuse("held-back");
     }
--- a/src/transport/agent/tasks/WorkerPoller.ts
+++ b/src/transport/agent/tasks/WorkerPoller.ts
@@ -9,6 +9,7 @@
   WorkerReconciler,
   type ThrottleOrder,
 } from "../../../coordination/tasks/WorkerReconciler.ts";
+import type { HeatReport } from "../../../coordination/disturbance/HeatTracker.ts";
 import type { WorkerReport } from "../../../protocol/platform/Worker.ts";
 import { NO_RESOURCES, type Resources } from "../../../protocol/Resources.ts";
 import type { TaskServiceOptions } from "./TaskServiceOptions.ts";
@@ -21,6 +22,7 @@
   private readonly _table: TaskTable;
   private readonly _reconciler: WorkerReconciler;
   private _report: WorkerReport | undefined;
+  private _reportedAt = 0;
   private _beganAt = 0;
   private _underWay = false;
 
@@ -51,6 +53,13 @@
     return this._report?.heatLevel;
   }
 
+  /** Gives the last heat report of the worker; undefined before the first report. */
+  getHeatReport(): HeatReport | undefined {
+    return this._report === undefined
+      ? undefined
+      : { receivedAt: this._reportedAt, level: this._report.heatLevel };
+  }
+
   /** Asks the worker once, unless it is being asked. */
   async poll(): Promise<void> {
     if (this._underWay) {
@@ -77,6 +86,7 @@
       this._options.log.info("Tasks may start.", { tasks: this._table.getAll().length });
     }
     this._report = report;
+    this._reportedAt = askedAt;
   }
 
   private async _throttle(order: ThrottleOrder): Promise<void> {
