Verify the ownership by a record after an owner key was away

Cause: an owner whose lease had lapsed wrote its owner key again once its successor had died, took it for a proof of ownership, and answered for an old state of the partition; its renewals also counted as confirmations after a takeover. Found by killing an owner on a loaded machine. Now a key that was away counts only with a record written after it, and a new owner counts the former owner's horizon from when its own key is written.

--- a/src/coordination/batch/OwnershipManager.ts
+++ b/src/coordination/batch/OwnershipManager.ts
@@ -108,11 +108,12 @@
       return;
     }
     this._noteRenewal(sentAt);
-    await this._reclaim();
     // A takeover may wait long for the store; the renewals must not wait for it.
-    this._rebalancing ??= this._rebalance().finally(() => {
-      this._rebalancing = undefined;
-    });
+    this._rebalancing ??= this._reclaim()
+      .then(() => this._rebalance())
+      .finally(() => {
+        this._rebalancing = undefined;
+      });
   }
 
   private _noteRenewal(sentAt: number): void {
@@ -130,18 +131,26 @@
     const lost = this.owned.filter(
       (owner) => this._claims.get(owner.partition) !== membership.lease,
     );
-    for (const owner of lost) {
-      await this._claim(owner);
-    }
+    await Promise.all(lost.map((owner) => this._reclaimOne(owner)));
   }
 
-  private async _claim(owner: PartitionOwner): Promise<void> {
+  /**
+   * Another entry may have taken the partition over while the key was away, and may have died
+   * since, so that the key alone proves nothing: only a record written after it does.
+   */
+  private async _reclaimOne(owner: PartitionOwner): Promise<void> {
     const lease = await this._parts.membership.claim(owner.partition, owner.epoch);
-    if (lease !== undefined) {
-      this._claims.set(owner.partition, lease);
+    const isOwner = await owner.probe();
+    if (lease !== undefined && isOwner) {
+      this._noteClaimed(owner, lease);
     }
   }
 
+  private _noteClaimed(owner: PartitionOwner, lease: string): void {
+    this._claims.set(owner.partition, lease);
+    owner.noteClaimed();
+  }
+
   private async _rebalance(): Promise<void> {
     const { membership, entry, partitions } = this._parts;
     const plan = planOwnership({
@@ -162,7 +171,8 @@
 
   private async _acquire(partition: number): Promise<void> {
     const { membership, takeOver } = this._parts;
-    if (this._stopped || (await membership.claim(partition, 0)) === undefined) {
+    const lease = this._stopped ? undefined : await membership.claim(partition, 0);
+    if (lease === undefined) {
       return;
     }
     const owner = await takeOver(partition);
@@ -171,7 +181,10 @@
       return;
     }
     this._owned.set(partition, owner);
-    await this._claim(owner);
+    // Held under one lease before and after the takeover, the key was never away.
+    if ((await membership.claim(partition, owner.epoch)) === lease) {
+      this._noteClaimed(owner, lease);
+    }
   }
 
   /** Owners by partition; keys that outlived their ownership count as free or as another's. */
--- a/src/coordination/batch/PartitionOwner.ts
+++ b/src/coordination/batch/PartitionOwner.ts
@@ -53,6 +53,8 @@
   private _state: OwnerState = "recovering";
   private _renewedAt = Number.NEGATIVE_INFINITY;
   private _nextProbeAt = 0;
+  private _takeoverWaitMs = 0;
+  private _isClaimed = false;
 
   private constructor(
     parts: PartitionOwnerParts,
@@ -101,6 +103,11 @@
     return this._parts.partition;
   }
 
+  /** Name of the owning entry. */
+  get entry(): string {
+    return this._parts.entry;
+  }
+
   /** Epoch of this owner. */
   get epoch(): number {
     return this._log.epoch;
@@ -146,6 +153,33 @@
     this._renewedAt = Math.max(this._renewedAt, sentAt);
   }
 
+  /**
+   * Notes that the owner key named this entry after the takeover. A former owner that takes its
+   * renewed key for a confirmation has stopped doing so by now; its horizon counts from here.
+   */
+  noteClaimed(): void {
+    if (this._isClaimed) {
+      return;
+    }
+    this._isClaimed = true;
+    const lapsesAt = this._parts.clock.now() + this._takeoverWaitMs;
+    this._book
+      .getAll()
+      .filter((active) => active.lapsesAt === Number.POSITIVE_INFINITY)
+      .filter((active) => active.state !== "recording")
+      .forEach((active) => {
+        this._book.replaceGrant(active.task, lapsesAt);
+      });
+  }
+
+  /**
+   * Writes an empty record.
+   * @returns Whether this entry owned the partition when it was written.
+   */
+  async probe(): Promise<boolean> {
+    return (await this._log.append([])).isOk();
+  }
+
   /**
    * Takes in a report of an agent.
    * @param agent - Name of the agent.
@@ -190,7 +224,7 @@
   }
 
   private async _claim(): Promise<Result<void, AppendFailure>> {
-    const { cfg, clock, entry, log, partition } = this._parts;
+    const { cfg, entry, log, partition } = this._parts;
     const former = this.ledger.epochs;
     const { taskLeaseMs: leaseMs, takeoverHorizonMs: horizonMs } = cfg;
     const claimed = await this._log.append(
@@ -201,7 +235,8 @@
       this._log.close();
       return err(claimed.error);
     }
-    const lapsesAt = clock.now() + getTakeoverWaitMs(cfg, former);
+    this._takeoverWaitMs = getTakeoverWaitMs(cfg, former);
+    const lapsesAt = Number.POSITIVE_INFINITY;
     this.ledger.held.forEach((task) => {
       const { attempt, agent, checkpoint } = this.ledger.getTask(task) ?? {};
       if (attempt !== undefined && agent !== undefined && checkpoint !== undefined) {
--- a/src/transport/entry/batch/JobRoutes.ts
+++ b/src/transport/entry/batch/JobRoutes.ts
@@ -90,10 +90,10 @@
     const { getOwned, getOwner } = this._parts;
     const { method, path, partition } = target;
     const owned = getOwned(partition);
-    if (owned !== undefined) {
+    const owner = getOwner(partition);
+    if (owned !== undefined && owned.epoch >= (owner?.epoch ?? 0)) {
       return handler(owned, req);
     }
-    const owner = getOwner(partition);
     if (owner === undefined || owner.epoch === 0 || isForwarded(req)) {
       const detail = `partition ${partition} has no owner at the moment`;
       const retryAfterSeconds = RETRY_AFTER_SECONDS;
--- a/src/transport/entry/batch/jobViews.ts
+++ b/src/transport/entry/batch/jobViews.ts
@@ -7,7 +7,6 @@
 import type { JobEntry, TaskEntry, TaskPhase } from "../../../state/batch/JobEntry.ts";
 
 const MAX_TASKS_SHOWN = 200;
-const PHASES: readonly TaskPhase[] = ["waiting", "held", "completed", "failed", "cancelled"];
 
 /** State of a job as a whole. */
 export type JobState = "waiting" | "running" | "cancelling" | "completed" | "failed" | "cancelled";
@@ -53,8 +52,7 @@
   }));
   return {
     ...getSummary(job),
-    partition: owner.partition,
-    epoch: owner.epoch,
+    ...getOwnerView(owner),
     spec: job.spec,
     taskList: shown,
   };
@@ -80,7 +78,12 @@
       ...getTaskView(task),
       why: explain(id, owner, scheduler),
     }));
-  return { ...getSummary(job), partition: owner.partition, epoch: owner.epoch, open };
+  return { ...getSummary(job), ...getOwnerView(owner), open };
+}
+
+function getOwnerView(owner: PartitionOwner): object {
+  const { partition, epoch, entry } = owner;
+  return { partition, epoch, owner: entry };
 }
 
 function explain(task: string, owner: PartitionOwner, scheduler: BatchScheduler): string {
@@ -114,11 +117,3 @@
   }
   return counts.failed > 0 ? "failed" : "completed";
 }
-
-/**
- * Reads the phase that a caller filters by.
- * @param text - Text of the query.
- */
-export function getPhase(text: string | undefined): TaskPhase | undefined {
-  return PHASES.find((phase) => phase === text);
-}
--- a/tests/coordination/batch/BatchWorld.ts
+++ b/tests/coordination/batch/BatchWorld.ts
@@ -305,6 +305,7 @@
     void taken.then((owner) => {
       entry.isTakingOver = false;
       entry.owner = owner.unwrapOr(entry.owner);
+      entry.owner?.noteClaimed();
     });
   }
 
--- a/tests/coordination/batch/partitionOwnerTests.ts
+++ b/tests/coordination/batch/partitionOwnerTests.ts
@@ -28,7 +28,7 @@
   const beat = (): void => {
     agents.names.forEach((name) => fleet.apply(agents.getVm(name)));
   };
-  const takeOver = async (through: MemoryStore = store): Promise<PartitionOwner> => {
+  const takeOver = async (isClaimed = true): Promise<PartitionOwner> => {
     writers += 1;
     const writer = `w${writers}`;
     const taken = PartitionOwner.takeOver({
@@ -36,7 +36,7 @@
       partition: 0,
       entry: writer,
       writer,
-      store: through,
+      store,
       clock,
       log,
       fleet,
@@ -45,7 +45,11 @@
       onDeposed: () => undefined,
     });
     await clock.advance(1_000);
-    return (await taken)._unsafeUnwrap();
+    const owner = (await taken)._unsafeUnwrap();
+    if (isClaimed) {
+      owner.noteClaimed();
+    }
+    return owner;
   };
   const submit = async (owner: PartitionOwner, spec: JobSpec): Promise<string> => {
     const id = getJobId(spec.tenant, spec.key, CFG.partitions);
@@ -183,6 +187,26 @@
   t.is(second.ledger.getTask(task)?.phase, "waiting");
 });
 
+test("PartitionOwner gives up no task of a former owner before its owner key is written", async (t) => {
+  const { clock, takeOver, submit, start } = createScene();
+  const first = await takeOver();
+  const id = await submit(first, createSpec("a"));
+  const task = getTaskId(id, 0);
+  await start(first, task, "vm-0");
+  const second = await takeOver(false);
+  await clock.advance(2 * TAKEOVER_MS);
+  second.tick();
+  t.is(second.getActiveTask(task)?.state, "unconfirmed");
+  second.noteClaimed();
+  await clock.advance(TAKEOVER_MS);
+  second.tick();
+  t.is(second.getActiveTask(task)?.state, "unconfirmed");
+  await clock.advance(TAKEOVER_MS);
+  second.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  t.is(second.ledger.getTask(task)?.phase, "waiting");
+});
+
 test("PartitionOwner does not take its own grant as the last one before the agent knows its epoch", async (t) => {
   const { clock, agents, takeOver, submit, start } = createScene();
   const first = await takeOver();
--- /dev/null
+++ b/tests/support/taskRuns.ts
@@ -0,0 +1,72 @@
+/**
+ * Runs of tasks as the workers recorded them, with the checks that batch work must pass.
+ */
+import type { WorkerEvent } from "../../standins/worker/WorkerJournal.ts";
+
+/** One run of an attempt on one VM; times are milliseconds of the machine's monotonic clock. */
+export interface TaskRun {
+  readonly task: string;
+  readonly attempt: number;
+  readonly vm: string;
+  readonly from: number;
+  /** End, or the last sign of life where the worker died with it. */
+  readonly to: number;
+  readonly workFromMs: number;
+  readonly workToMs: number;
+  readonly phase: "running" | "stopped" | "completed" | "failed";
+}
+
+/**
+ * Gives the runs of all tasks in the order of their starts.
+ * @param events - What the workers recorded, in the order of time.
+ */
+export function getRuns(events: readonly WorkerEvent[]): readonly TaskRun[] {
+  const runs = new Map<string, TaskRun>();
+  const change = (key: string, more: Partial<TaskRun>): void => {
+    const run = runs.get(key);
+    if (run !== undefined) {
+      runs.set(key, { ...run, ...more });
+    }
+  };
+  events.forEach((event) => {
+    if (event.event === "start") {
+      const { task, attempt, vm, at, workFromMs } = event;
+      const shared = {
+        task,
+        attempt,
+        vm,
+        workFromMs,
+        workToMs: workFromMs,
+        phase: "running" as const,
+      };
+      runs.set(`${vm} ${task}#${attempt}`, { ...shared, from: at, to: at });
+    } else if (event.event === "step") {
+      event.steps.forEach(({ task, attempt, workToMs }) => {
+        change(`${event.vm} ${task}#${attempt}`, { to: event.at, workToMs });
+      });
+    } else if (event.event === "end") {
+      const { task, attempt, vm, at, phase, workMs } = event;
+      change(`${vm} ${task}#${attempt}`, { to: at, phase, workToMs: workMs });
+    }
+  });
+  return [...runs.values()];
+}
+
+/**
+ * Finds runs of one task that overlap in time, and tasks that completed more than once.
+ * @param runs - The runs.
+ */
+export function findDoubleRuns(runs: readonly TaskRun[]): readonly string[] {
+  const byTask = Map.groupBy(runs, (run) => run.task);
+  return [...byTask].flatMap(([task, ofTask]) => {
+    const ordered = ofTask.toSorted((a, b) => a.from - b.from);
+    const overlaps = ordered.filter((run, index) =>
+      ordered.slice(0, index).some((before) => before.to > run.from),
+    );
+    const completed = ordered.filter((run) => run.phase === "completed");
+    return [
+      ...overlaps.map((run) => `${task}#${run.attempt} on ${run.vm} began before another ended`),
+      ...(completed.length > 1 ? [`${task} completed ${completed.length} times`] : []),
+    ];
+  });
+}
--- a/tests/transport/entry/batch/batchServiceTests.ts
+++ b/tests/transport/entry/batch/batchServiceTests.ts
@@ -48,11 +48,11 @@
       },
     });
   });
-  const createService = (name: string): BatchService =>
+  const createService = (name: string, through: MemoryStore): BatchService =>
     new BatchService({
       cfg: CFG,
       entry: { name, zone: "z", region: "r", control: `${name}:1`, api: `${name}:2` },
-      store,
+      store: through,
       clock,
       random: new SeededRandom(name.length + name.charCodeAt(0)),
       log: new MemoryLog(),
@@ -61,8 +61,8 @@
       getConfig: () => ({ revision: 1, document: EMPTY_DOCUMENT }),
       createAgentClient: () => createClient(AgentControl, transport),
     });
-  const startService = async (name: string): Promise<BatchService> => {
-    const service = createService(name);
+  const startService = async (name: string, through = store): Promise<BatchService> => {
+    const service = createService(name, through);
     const started = service.start();
     await clock.advance(ROUND_MS);
     await started;
@@ -177,3 +177,23 @@
   );
   t.is((await store.list("partition-owner/"))._unsafeUnwrap().entries.length, 8);
 });
+
+test("BatchService finds out that it was deposed although its owner key is free again", async (t) => {
+  const { clock, store, startService, advance } = createScene();
+  const own = [0, 1].map(() => new MemoryStore(clock, store.model));
+  const first = await startService("e1", own[0]);
+  own[0]?.startOutage();
+  await advance(ROUND_MS * 2);
+  const second = await startService("e2", own[1]);
+  await advance(ROUND_MS);
+  t.is(second.getOwnedPartitions().length, 8);
+  const submitted = call(second, "POST", "/v1/jobs", { body: BODY });
+  await advance(1_000);
+  const { id } = (await submitted).body as { readonly id: string };
+  own[1]?.startOutage();
+  own[0]?.endOutage();
+  await advance(ROUND_MS * 3);
+  const found = await call(first, "GET", "/v1/jobs/:id", { params: { id } });
+  t.is(found.status, 200);
+  t.true(first.getOwners().every((owner) => owner.epoch >= 3n));
+});
