--- a/src/transport/agent/tasks/TaskStarter.ts
+++ b/src/transport/agent/tasks/TaskStarter.ts
@@ -6,7 +6,7 @@
 import { Code, ConnectError } from "@connectrpc/connect";
 import { formatTaskKey } from "../../../coordination/tasks/TaskKey.ts";
 import type { StartRefusal } from "../../../coordination/tasks/StartOrder.ts";
-import { isEndPhase, type TaskRecord } from "../../../coordination/tasks/TaskRecord.ts";
+import type { TaskRecord } from "../../../coordination/tasks/TaskRecord.ts";
 import type { TaskTable } from "../../../coordination/tasks/TaskTable.ts";
 import {
   StartTaskReplySchema,
@@ -55,6 +55,10 @@
     if (known !== undefined) {
       return TaskStarter._answerRepeat(known, order.epoch);
     }
+    if (!this._table.isReady() && order.incarnation !== this._options.incarnation) {
+      // An earlier incarnation may have started it, and the worker has not told yet.
+      throw new ConnectError("agent-not-ready", Code.Unavailable);
+    }
     if (this._options.getStartHold?.() !== undefined) {
       this._table.forbid(order);
       return refuse("held-back");
@@ -105,14 +109,11 @@
     throw new ConnectError("start-outcome-unknown", Code.Unknown);
   }
 
-  /** A repeated order of a task that runs is accepted; one whose outcome is open stays open. */
+  /** A repeated order of a task that runs is accepted; of any other task the report tells. */
   private static _answerRepeat(known: TaskRecord, epoch: number): StartTaskReply {
     if (known.phase === "running" && epoch === known.epoch) {
       return create(StartTaskReplySchema, { accepted: true });
     }
-    if (isEndPhase(known.phase)) {
-      return refuse("stale-attempt");
-    }
     throw new ConnectError("start-outcome-unknown", Code.Unknown);
   }
 }
--- a/tests/support/FakeWorker.ts
+++ b/tests/support/FakeWorker.ts
@@ -39,6 +39,8 @@
   /** What the VM has. */
   capacity: Resources;
   heatLevel: number | undefined;
+  /** Called when a task has started. */
+  onStarted: (task: string) => void = () => undefined;
   private readonly _clock: Clock;
   private readonly _tasks = new Map<string, RunningTask>();
   private readonly _highest = new Map<string, number>();
@@ -141,6 +143,11 @@
     });
   }
 
+  /** Drops all held calls, as where the caller has died. */
+  dropHeld(): void {
+    this._held.clear();
+  }
+
   override report(): ResultAsync<WorkerReport, WorkerFailure> {
     return this._call("report", () => {
       this._expire();
@@ -171,6 +178,7 @@
         leaseUntil: this._clock.now() + leaseMs,
       });
       this._note("started", start.task, start.attempt);
+      this.onStarted(start.task);
       return okAsync(undefined);
     });
   }
--- /dev/null
+++ b/tests/support/ProcessClock.ts
@@ -0,0 +1,53 @@
+/**
+ * Clock of one process of several that share a manual clock.
+ */
+import { Clock, type Timer } from "../../src/protocol/platform/Clock.ts";
+import type { ManualClock } from "./ManualClock.ts";
+
+/** Clock of one process: it can die, and it can be paused while the others go on. */
+export class ProcessClock extends Clock {
+  private readonly _base: ManualClock;
+  private _deferred: (() => void)[] = [];
+  private _state: "alive" | "paused" | "dead" = "alive";
+
+  constructor(base: ManualClock) {
+    super();
+    this._base = base;
+  }
+
+  override now(): number {
+    return this._base.now();
+  }
+
+  override after(delayMs: number, callback: () => void): Timer {
+    return this._base.after(delayMs, () => {
+      this.run(callback);
+    });
+  }
+
+  /** Runs something in the process now, after its pause, or never. */
+  run(callback: () => void): void {
+    if (this._state === "alive") {
+      callback();
+    } else if (this._state === "paused") {
+      this._deferred.push(callback);
+    }
+  }
+
+  pause(): void {
+    this._state = this._state === "alive" ? "paused" : this._state;
+  }
+
+  resume(): void {
+    const deferred = this._deferred;
+    this._deferred = [];
+    this._state = this._state === "paused" ? "alive" : this._state;
+    deferred.forEach((callback) => {
+      callback();
+    });
+  }
+
+  die(): void {
+    this._state = "dead";
+  }
+}
