Call a request unsent only where the connection failed, not by the code of its error

Cause: EHOSTUNREACH and ENETUNREACH also end connections on which a request has left; the store adapter, the owner's forwarder and the operators' client then said that nothing was done. Change: isUnsent looks at the system call of the error; all three use it.

--- a/src/commands/ApiClient.ts
+++ b/src/commands/ApiClient.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, ResultAsync, type Result } from "neverthrow";
 import { request } from "undici";
+import { isUnsent } from "../transport/http/isUnsent.ts";
 import type { CommandFailure, CommandInput, FlagSpecs } from "./Command.ts";
 import { ExitCode, type ExitCodeValue } from "./ExitCode.ts";
 
@@ -14,14 +15,6 @@
 const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
 const OUTCOME_UNKNOWN = "outcome-unknown";
-const NOT_SENT_ERRORS: readonly string[] = [
-  "ECONNREFUSED",
-  "ENOTFOUND",
-  "EAI_AGAIN",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
 
 /** Flags of all commands that call an entry. */
 export const API_FLAGS: FlagSpecs = {
@@ -174,7 +167,7 @@
   } catch (cause) {
     const code = (cause as NodeJS.ErrnoException).code ?? "";
     const reason = cause instanceof Error && cause.message !== "" ? cause.message : code;
-    const mayHaveActed = call.method !== "GET" && !NOT_SENT_ERRORS.includes(code);
+    const mayHaveActed = call.method !== "GET" && !isUnsent(cause);
     return err({ mayHaveActed, detail: `${address}: ${reason}` });
   }
 }
--- a/src/transport/entry/batch/OwnerForwarder.ts
+++ b/src/transport/entry/batch/OwnerForwarder.ts
@@ -4,11 +4,11 @@
 import { request } from "undici";
 import { getStatus, type Refusal } from "../../../protocol/Refusal.ts";
 import type { ApiReply, ApiRequest, ApiRoute } from "../../http/ApiRoute.ts";
+import { isUnsent } from "../../http/isUnsent.ts";
 
 const TIMEOUT_MS = 5_000;
 /** Marks a request that was passed on once; it is not passed on again. */
 const FORWARDED = "forwarded";
-const UNSENT_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH"]);
 
 /** A request with where it goes. */
 export interface ForwardTarget {
@@ -63,8 +63,7 @@
 }
 
 function getRefusal(err: unknown, target: ForwardTarget): Refusal {
-  const code = err instanceof Error && "code" in err ? String(err.code) : "";
-  if (UNSENT_CODES.has(code) || target.method === "GET") {
+  if (isUnsent(err) || target.method === "GET") {
     const detail = "the owner of the job's partition cannot be reached";
     return { code: "no-owner", verdict: "not-run", detail, retryAfterSeconds: 1 };
   }
--- a/src/transport/http/JsonClient.ts
+++ b/src/transport/http/JsonClient.ts
@@ -4,16 +4,7 @@
  */
 import { ResultAsync } from "neverthrow";
 import { Pool } from "undici";
-
-/** Errors of a connection that was never made: no byte of the call has left. */
-const NOT_CONNECTED_CODES: readonly string[] = [
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENETDOWN",
-  "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
-];
+import { isUnsent } from "./isUnsent.ts";
 
 /** A call. */
 export interface JsonCall {
@@ -94,6 +85,6 @@
     return { kind: "timeout", mayHaveArrived: true, detail: "no answer in time" };
   }
   const code = "code" in error ? String(error.code) : "";
-  const mayHaveArrived = !NOT_CONNECTED_CODES.includes(code);
-  return { kind: "unavailable", mayHaveArrived, detail: `${code} ${error.message}`.trim() };
+  const detail = `${code} ${error.message}`.trim();
+  return { kind: "unavailable", mayHaveArrived: !isUnsent(cause), detail };
 }
