--- a/bench/batchBench.ts
+++ b/bench/batchBench.ts
@@ -22,6 +22,7 @@
 import { FairSharePlacer } from "../src/coordination/placement/FairSharePlacer.ts";
 import { EMPTY_DOCUMENT } from "../src/protocol/config/ConfigDocument.ts";
 import { jobSpecSchema, type JobSpec } from "../src/protocol/jobs/JobSpec.ts";
+import { addResources, NO_RESOURCES, type Resources } from "../src/protocol/Resources.ts";
 import { Log } from "../src/protocol/platform/Log.ts";
 import { getJobId, getPartition } from "../src/state/batch/BatchIds.ts";
 import { FleetView } from "../src/state/FleetView.ts";
@@ -44,7 +45,8 @@
 const RECOVERY_REPEATS = 5;
 const HEARTBEAT_MS = 500;
 const ROUND_MS = 200;
-const CAPACITY = { processorsMilli: 64_000_000, memoryBytes: 1e15, accelerators: 0 };
+const CAPACITY = { processorsMilli: 32_000, memoryBytes: 125e9, accelerators: 0 };
+const TASK_SIZE = { processorsMilli: 100, memoryBytes: 100e6, accelerators: 0 };
 
 /** Log that drops everything. */
 class SilentLog extends Log {
@@ -67,15 +69,15 @@
 
 /** Agents that accept every order at once. */
 class InstantAgents extends AgentGateway {
-  private readonly _onStart: (order: StartOrder) => void;
+  private readonly _onStart: (agent: string, order: StartOrder) => void;
 
-  constructor(onStart: (order: StartOrder) => void) {
+  constructor(onStart: (agent: string, order: StartOrder) => void) {
     super();
     this._onStart = onStart;
   }
 
-  override startTask(_address: string, order: StartOrder): Promise<StartOutcome> {
-    this._onStart(order);
+  override startTask(controlAddress: string, order: StartOrder): Promise<StartOutcome> {
+    this._onStart(controlAddress, order);
     return Promise.resolve({ kind: "accepted" });
   }
 
@@ -95,6 +97,7 @@
   private readonly _placer: Placer;
   private readonly _agents: InstantAgents;
   private readonly _scheduler: BatchScheduler;
+  private readonly _held = new Map<string, Resources>();
   private readonly _waiters = new Map<string, () => void>();
   private _ended = false;
 
@@ -102,7 +105,9 @@
     this._cfg = { ...DEFAULT_BATCH_SETTINGS, partitions };
     this._placer = placer;
     this.store.faults.delayMs = STORE_DELAY_MS;
-    this._agents = new InstantAgents((order) => {
+    this._agents = new InstantAgents((agent, order) => {
+      const held = this._held.get(agent) ?? NO_RESOURCES;
+      this._held.set(agent, addResources(held, order.resources));
       this.startedAt.set(order.task, this.clock.now());
       this._waiters.get(order.task)?.();
     });
@@ -186,8 +191,8 @@
         requestAddress: "",
         controlAddress: agent,
         capacity: CAPACITY,
-        committed: { processorsMilli: 0, memoryBytes: 0, accelerators: 0 },
-        used: { processorsMilli: 0, memoryBytes: 0, accelerators: 0 },
+        committed: this._held.get(agent) ?? NO_RESOURCES,
+        used: NO_RESOURCES,
         servers: [],
         draining: false,
         configRevision: 1,
@@ -210,8 +215,8 @@
 }
 
 function createSpec(key: string, more: Partial<JobSpec>): JobSpec {
-  const resources = { processorsMilli: 1_000, memoryBytes: 1_000_000, accelerators: 0 };
-  return jobSpecSchema.parse({ key, tenant: "t", kind: "k", resources, command: "run", ...more });
+  const spec = { key, tenant: "t", kind: "k", resources: TASK_SIZE, command: "run", ...more };
+  return jobSpecSchema.parse(spec);
 }
 
 /** Measures owners, log and recovery. */
