--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -36,6 +36,7 @@
 import { HeartbeatSender } from "./HeartbeatSender.ts";
 import { AgentRequestServer } from "./requests/AgentRequestServer.ts";
 import { TaskService } from "./tasks/TaskService.ts";
+import { YieldService } from "./yielding/YieldService.ts";
 
 const CONFIG_TIMEOUT_MS = 2_000;
 const WORKER_TIMEOUT_MS = 2_000;
@@ -48,12 +49,14 @@
   private readonly _log: PinoLog;
   private readonly _clock = new SystemClock();
   private readonly _incarnation = crypto.randomUUID();
-  private readonly _metrics = new PromMetrics(new RequestHistograms(this._clock));
+  private readonly _histograms = new RequestHistograms(this._clock);
+  private readonly _metrics = new PromMetrics(this._histograms);
   private readonly _keeper = new ConfigKeeper();
   private readonly _clients = new EntryClients();
   private readonly _owners = new Map<number, PartitionOwner>();
   private readonly _admission: AgentAdmission;
   private readonly _tasks: TaskService;
+  private readonly _yielding: YieldService;
   private readonly _requests: AgentRequestServer;
   private readonly _heartbeats: HeartbeatSender;
   private readonly _control: ControlServer;
@@ -78,11 +81,15 @@
       getConfig: () => this._keeper.getSnapshot()?.document,
     });
     this._tasks = this._createTasks();
+    this._yielding = this._createYielding();
     this._requests = new AgentRequestServer({
       admission: this._admission,
       clock: this._clock,
       maxBodyBytes: settings.requests.maxBodyBytes,
       isReady: () => this._tasks.isReady(),
+      onFinished: ({ tenant, requestClass, service }, latencyMs) => {
+        this._histograms.record({ tenant, requestClass, service }, latencyMs);
+      },
     });
     this._heartbeats = this._createHeartbeats();
     this._control = new ControlServer((router) => {
@@ -114,6 +121,7 @@
       return err(failed.error);
     }
     this._tasks.start();
+    this._yielding.start();
     this._heartbeats.start();
     this._log.info("Agent started.", { name: agent.name, zone: agent.zone });
     return ok(undefined);
@@ -127,6 +135,7 @@
     this._log.info("Agent drains.", { requests: this._admission.getOpenRequests() });
     await this._heartbeats.sendNow();
     await Promise.all([this._waitForRequests(deadline), this._tasks.stop()]);
+    this._yielding.stop();
     this._heartbeats.stop();
     this._announcements.stop();
     await Promise.race([
@@ -154,11 +163,24 @@
       createEntryClient: (address) => this._clients.getClient(address),
       getOwner: (partition) => this._getOwner(partition),
       getConfig: () => this._keeper.getSnapshot(),
+      getStartHold: (kind, resources) => this._yielding.findStartHold(kind, resources),
       pollMs: worker.pollMs,
       drainTimeoutMs: agent.drainTimeoutMs,
     });
   }
 
+  private _createYielding(): YieldService {
+    const { name, zone } = this._settings.agent;
+    return new YieldService({
+      vm: name,
+      zone,
+      clock: this._clock,
+      log: this._log.part("yielding"),
+      tasks: this._tasks,
+      getConfig: () => this._keeper.getSnapshot(),
+    });
+  }
+
   private _createHeartbeats(): HeartbeatSender {
     return new HeartbeatSender({
       clock: this._clock,
@@ -179,6 +201,8 @@
   private _createHeartbeat(sequence: bigint): HeartbeatRequest {
     const { agent } = this._settings;
     const heatLevel = this._tasks.getHeatLevel();
+    const servers = this._admission.getServers().map((server) => server.takeReport());
+    this._yielding.noteServers(servers);
     return create(HeartbeatRequestSchema, {
       agent: agent.name,
       incarnation: this._incarnation,
@@ -186,12 +210,12 @@
       region: agent.region,
       zone: agent.zone,
       rack: agent.rack,
-      requestAddress: agent.listen,
-      controlAddress: agent.control,
+      requestAddress: agent.advertise ?? agent.listen,
+      controlAddress: agent.advertiseControl ?? agent.control,
       capacity: { ...this._tasks.getCapacity() },
       committed: { ...this._tasks.getCommitted() },
       used: { ...this._tasks.getUsed() },
-      servers: this._admission.getServers().map((server) => writeServer(server.takeReport())),
+      servers: servers.map(writeServer),
       draining: this._draining || !this._tasks.isReady(),
       configRevision: BigInt(this._keeper.getRevision() ?? 0),
       tasks: this._tasks.getTasks().length,
@@ -259,12 +283,23 @@
     return new ApiServer({
       setting,
       routes,
-      renderMetrics: () => this._metrics.render(),
+      renderMetrics: () => this._renderMetrics(),
       findUnready: () => this._findUnready(),
       log: this._log,
     });
   }
 
+  private _renderMetrics(): Promise<string> {
+    const { processorsMilli, memoryBytes, accelerators } = this._tasks.getCommitted();
+    this._metrics.set("fireflylb_requests_in_flight", this._admission.getOpenRequests());
+    this._metrics.set("fireflylb_config_revision", this._keeper.getRevision() ?? 0);
+    this._metrics.set("fireflylb_tasks", this._tasks.getTasks().length, { state: "held" });
+    this._metrics.set("fireflylb_committed_processors_milli", processorsMilli);
+    this._metrics.set("fireflylb_committed_memory_bytes", memoryBytes);
+    this._metrics.set("fireflylb_committed_accelerators", accelerators);
+    return this._metrics.render();
+  }
+
   private _findUnready(): readonly string[] {
     return [
       ...(this._draining ? ["the agent drains"] : []),
--- /dev/null
+++ b/tests/process/operatorTests.ts
@@ -0,0 +1,110 @@
+/**
+ * Tests of what operators use, against a small deployment of separate processes: the examples on
+ * the page of the command line as they stand, and the metrics of both roles.
+ */
+import { execFile } from "node:child_process";
+import { copyFileSync, readFileSync, symlinkSync } from "node:fs";
+import { join, resolve } from "node:path";
+import { promisify } from "node:util";
+import anyTest, { type TestFn } from "ava";
+import { z } from "zod";
+import { Cluster } from "../../standins/cluster/Cluster.ts";
+
+const test = anyTest as TestFn<{ readonly cluster: Cluster }>;
+
+const PAGE = "docs/CLI.md";
+const SHELL_BLOCK = /```sh\n([^]*?)```/g;
+const PAGE_ADDRESS = "127.0.0.1:8082";
+const BINARY = resolve("dist/fireflylb");
+
+const jobsSchema = z.object({ jobs: z.array(z.object({ id: z.string() })).min(1) });
+
+/** Gives the commands of the page's examples, each on one line. */
+function readCommands(): readonly string[] {
+  const blocks = [...readFileSync(PAGE, "utf8").matchAll(SHELL_BLOCK)].map(([, text = ""]) => text);
+  return blocks
+    .join("")
+    .replaceAll("\\\n", "")
+    .split("\n")
+    .filter((line) => line !== "");
+}
+
+/** A shell in the deployment's folder, in which `fireflylb` is the built binary. */
+class ExampleShell {
+  private readonly _cwd: string;
+  private readonly _env: NodeJS.ProcessEnv;
+
+  constructor(cwd: string, api: string) {
+    this._cwd = cwd;
+    this._env = { ...process.env, FIREFLYLB_API: api, BINARY };
+  }
+
+  async run(command: string): Promise<string> {
+    const script = `fireflylb() { "$BINARY" "$@"; }\n${command}`;
+    const options = { cwd: this._cwd, env: this._env };
+    const { stdout } = await promisify(execFile)("bash", ["-euc", script], options);
+    return stdout;
+  }
+}
+
+test.before(async (t) => {
+  const cluster = await Cluster.start({ entries: 1, zones: ["gujarat-a"] });
+  t.context = { cluster };
+});
+
+test.after.always(async (t) => {
+  await t.context.cluster.stop();
+});
+
+async function readMetrics(address: string): Promise<string> {
+  return (await fetch(`http://${address}/metrics`)).text();
+}
+
+test("the metrics have histograms for each tenant, class and service in both roles", async (t) => {
+  const { cluster } = t.context;
+  const { api, listen } = cluster.getEntry();
+  const headers = {
+    "fireflylb-service": "rota-desk",
+    "fireflylb-tenant": "paper-surat",
+    "fireflylb-class": "urgent",
+  };
+  const res = await fetch(`http://${listen}/`, { headers });
+  t.is(res.status, 200);
+  await res.text();
+  const series = 'tenant="paper-surat",class="urgent",service="rota-desk"';
+  const entry = await readMetrics(api);
+  t.true(entry.includes(`fireflylb_request_latency_requests_total{${series}} 1`));
+  t.true(entry.includes(`fireflylb_request_latency_seconds{${series},quantile="0.99"}`));
+  t.regex(entry, /requests_total\{service="rota-desk",verdict="ran",code="[a-z-]*"\} [1-9]/);
+  const agents = await Promise.all(cluster.vms.map((vm) => readMetrics(vm.agent.admin)));
+  const recorded = `fireflylb_request_latency_requests_total{${series}} 1`;
+  t.is(agents.filter((text) => text.includes(recorded)).length, 1);
+  t.true(agents.every((text) => text.includes("fireflylb_committed_processors_milli")));
+});
+
+test("the page of the command line has examples that run as they stand", async (t) => {
+  const { cluster } = t.context;
+  const { api, listen } = cluster.getEntry();
+  const { folder } = cluster.files;
+  copyFileSync(join(folder, "entry-1.ini"), join(folder, "entry.ini"));
+  symlinkSync(resolve("examples"), join(folder, "examples"));
+  const shell = new ExampleShell(folder, api);
+  const values = new Map([["JOB", ""]]);
+  const res = await fetch(`http://${listen}/`, { headers: { "fireflylb-service": "rota-desk" } });
+  await res.text();
+  values.set("REQUEST", res.headers.get("fireflylb-request-id") ?? "");
+
+  const commands = readCommands();
+  t.true(commands.length > 15);
+  for (const command of commands) {
+    const filled = [...values].reduce(
+      (text, [name, value]) => text.replace(new RegExp(`\\b${name}$`), value),
+      command.replace(PAGE_ADDRESS, api),
+    );
+    await t.notThrowsAsync(shell.run(filled), filled);
+    if (command.startsWith("fireflylb job submit")) {
+      const listed = jobsSchema.parse(JSON.parse(await shell.run("fireflylb job list --json")));
+      values.set("JOB", listed.jobs[0]?.id ?? "");
+    }
+  }
+});
