--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -267,6 +267,7 @@
       stopTask: (req) => this._tasks.stopTask(req),
       throttleTask: (req) => this._tasks.throttleTask(req),
       getConfig: (req) => PeerConfigs.getReply(this._keeper, req),
+      explainVm: () => ({ explanation: JSON.stringify(this._yielding.getExplanation()) }),
     });
   }
 
--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -35,6 +35,7 @@
 import { PeerConfigs } from "./PeerConfigs.ts";
 import { AgentConnections } from "./requests/AgentConnections.ts";
 import { EntryRequestServer } from "./requests/EntryRequestServer.ts";
+import { explainAgent } from "./explainAgent.ts";
 import { RequestSettler } from "./requests/RequestSettler.ts";
 
 const API_CLOSE_TIMEOUT_MS = 2_000;
@@ -227,6 +228,7 @@
       traces: this._traces,
       getPeerRevisions: () => this._fleetService.getPeerRevisions(),
       getInFlight: () => this._requests.inFlight,
+      explainAgent: (address) => explainAgent(this._connections, address),
     });
     const config = new ConfigRoutes({
       keeper: this._keeper,
--- a/src/transport/entry/EntryRoutes.ts
+++ b/src/transport/entry/EntryRoutes.ts
@@ -18,6 +18,8 @@
   readonly traces: RequestTraces;
   readonly getPeerRevisions: () => ReadonlyMap<string, PeerRevision>;
   readonly getInFlight: () => number;
+  /** Asks an agent how batch work yields on its VM; never fails. */
+  readonly explainAgent: (controlAddress: string) => Promise<unknown>;
 }
 
 /** Routes of one entry. */
@@ -44,7 +46,7 @@
       {
         method: "GET",
         path: "/v1/explain/vm/:name",
-        handle: (req) => Promise.resolve(this._explainVm(req.params.name ?? "")),
+        handle: (req) => this._explainVm(req.params.name ?? ""),
       },
     ];
   }
@@ -104,11 +106,14 @@
       : { status: 200, body: trace };
   }
 
-  private _explainVm(name: string): ApiReply {
+  private async _explainVm(name: string): Promise<ApiReply> {
     const vm = this._parts.fleet.getVm(name);
-    return vm === undefined
-      ? notFound(`VM ${name} has not been reported lately`)
-      : { status: 200, body: describeVm(vm, this._parts.clock.now()) };
+    if (vm === undefined) {
+      return notFound(`VM ${name} has not been reported lately`);
+    }
+    const yielding = await this._parts.explainAgent(vm.controlAddress);
+    const known = describeVm(vm, this._parts.clock.now());
+    return { status: 200, body: { ...known, yielding } };
   }
 }
 
