Tell entries which VMs take no batch starts, and place none there

Cause: a hot VM refused starts at the agent only; each refusal cost the owner a committed attempt. Change: heartbeats and digests carry why a VM takes no start (heat, latency base not yet known), placement leaves such VMs out and explain vm shows the reason. Ruled out: counting refusals as failures (they were not).

--- a/src/coordination/disturbance/YieldController.ts
+++ b/src/coordination/disturbance/YieldController.ts
@@ -97,9 +97,9 @@
     if (input.now - (this._evictedAt.get(kind) ?? Number.NEGATIVE_INFINITY) < READMIT_MS) {
       return `a task of kind ${kind} was evicted here within ${READMIT_MS / 1000} s`;
     }
-    const unknown = input.services.find((service) => this._isBaseAwaited(service, input.now));
-    if (unknown !== undefined) {
-      return `the latency of ${unknown.service} without batch work is not known yet`;
+    const hold = this.findHold(input);
+    if (hold !== undefined) {
+      return hold;
     }
     const usedMilli = (processorsMilli * getThrottleFloor(input)) / 100;
     const share = { kind, share: usedMilli / input.capacityMilli };
@@ -112,6 +112,15 @@
     return disturbed === undefined ? undefined : `${disturbed.service} would be disturbed`;
   }
 
+  /**
+   * Tells why no task of any kind may start on the VM now, heat apart; undefined where some may.
+   * @param input - State of the VM.
+   */
+  findHold(input: YieldInput): string | undefined {
+    const unknown = input.services.find((service) => this._isBaseAwaited(service, input.now));
+    return unknown && `the latency of ${unknown.service} without batch work is not known yet`;
+  }
+
   /** Reports are waited for within bounds, since a service may have few requests or none. */
   private _isBaseAwaited(service: YieldService, now: number): boolean {
     const { report } = service;
--- a/src/coordination/placement/FairSharePlacer.ts
+++ b/src/coordination/placement/FairSharePlacer.ts
@@ -67,7 +67,8 @@
 
   override plan(input: PlacementInput): PlacementPlan {
     const usable = input.vms.filter(
-      (vm) => !vm.draining && input.now - vm.reportedAt <= STALE_REPORT_MS,
+      (vm) =>
+        !vm.draining && vm.startHold === undefined && input.now - vm.reportedAt <= STALE_REPORT_MS,
     );
     const round = this._createRound(input, usable);
     const total = input.vms.map((vm) => vm.capacity).reduce(addResources, NO_RESOURCES);
--- a/src/state/FleetView.ts
+++ b/src/state/FleetView.ts
@@ -38,6 +38,8 @@
   readonly tasks: number;
   /** Heat level that the worker reports; undefined where it reports none. */
   readonly heatLevel: number | undefined;
+  /** Why no batch task may start on the VM; absent where tasks may start. */
+  readonly startHold?: string;
   /** When the agent sent the report, on this process's monotonic clock, in milliseconds. */
   readonly reportedAt: number;
 }
--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -219,6 +219,7 @@
       draining: this._draining || !this._tasks.isReady(),
       configRevision: BigInt(this._keeper.getRevision() ?? 0),
       tasks: this._tasks.getTasks().length,
+      startHold: this._yielding.getStartHold(),
       ...(heatLevel === undefined ? {} : { heatLevel }),
     });
   }
--- a/src/transport/agent/yielding/YieldService.ts
+++ b/src/transport/agent/yielding/YieldService.ts
@@ -149,6 +149,15 @@
     return hold;
   }
 
+  /** Tells why no task may start on the VM; empty where some may. */
+  getStartHold(): string {
+    const input = this._createInput();
+    if (input === undefined || this._startHold !== "") {
+      return this._startHold;
+    }
+    return this._controller.findHold(input) ?? "";
+  }
+
   /** Tells what an operator may want to know. */
   getExplanation(): YieldExplanation {
     const now = this._parts.clock.now();
--- a/src/transport/control/fleetMessages.ts
+++ b/src/transport/control/fleetMessages.ts
@@ -67,6 +67,7 @@
     configRevision: Number(message.configRevision),
     tasks: message.tasks,
     heatLevel: message.heatLevel,
+    ...(message.startHold === "" ? {} : { startHold: message.startHold }),
     reportedAt,
   };
 }
@@ -94,6 +95,7 @@
     configRevision: BigInt(vm.configRevision),
     tasks: vm.tasks,
     ageMs: Math.max(0, Math.round(now - vm.reportedAt)),
+    startHold: vm.startHold ?? "",
     ...(vm.heatLevel === undefined ? {} : { heatLevel: vm.heatLevel }),
   });
 }
--- a/tests/integration/configYieldTests.ts
+++ b/tests/integration/configYieldTests.ts
@@ -76,6 +76,11 @@
   }
 }
 
+async function readStartHold(): Promise<string | undefined> {
+  const { body } = await callJson("GET", url("/v1/explain/vm/vm-1"));
+  return (body as { startHold?: string }).startHold;
+}
+
 async function explain(): Promise<YieldExplanation> {
   const { body } = await callJson("GET", url("/v1/explain/vm/vm-1"));
   return (body as { yielding: YieldExplanation }).yielding;
@@ -122,6 +127,7 @@
     t.like(heat, { level: 3, reason: "reported by the worker" });
     const last = decisions.slice(-3).map(({ decision }) => decision.split(" ")[0]);
     t.true(last.includes("checkpoint") && last.includes("evict"), last.join(", "));
+    t.regex((await readStartHold()) ?? "", /heat level 3/);
     t.true(cluster.readWorkerEvents().some((event) => event.event === "checkpoint"));
   },
 );
