--- a/tests/transport/agent/tasks/taskServiceTests.ts
+++ b/tests/transport/agent/tasks/taskServiceTests.ts
@@ -7,6 +7,7 @@
   grant,
   LEASE_MS,
   TASK_SIZE,
+  VM_CAPACITY,
   TaskServiceHarness,
 } from "../../../support/TaskServiceHarness.ts";
 
@@ -270,3 +271,32 @@
   t.true(ended);
   t.is(harness.clock.pendingTimers, 0);
 });
+
+test("TaskService admits nothing until the starts of an earlier incarnation have reached the worker", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  harness.worker.hold("start");
+  const lost = harness.startTask({ resources: VM_CAPACITY });
+  await ManualClock.settle();
+  harness.service = harness.create("i2");
+  harness.service.start();
+  await harness.clock.advance(600);
+  const early = await harness.startTask({ task: "u", incarnation: "i2" });
+  t.is(early.refusal, "agent-not-ready");
+  harness.worker.release("start");
+  await lost;
+  await harness.clock.advance(1_000);
+  t.is((await harness.startTask({ task: "v", incarnation: "i2" })).refusal, "no-room");
+});
+
+test("TaskService corrects the lease of a worker that was told late of a renewal", async (t) => {
+  const harness = await new TaskServiceHarness().open();
+  await harness.startTask();
+  harness.worker.hold("renew");
+  await harness.clock.advance(600);
+  harness.answer = () => Promise.reject(new Error("cut"));
+  const granted = harness.service.getTasks()[0]?.leaseUntil ?? 0;
+  await harness.clock.advance(2_000);
+  harness.worker.release("renew");
+  await harness.clock.advance(600);
+  t.true((harness.worker.getTask("t", 1)?.leaseUntil ?? Infinity) <= granted);
+});
