--- a/src/coordination/batch/PartitionOwner.ts
+++ b/src/coordination/batch/PartitionOwner.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { Store } from "../../protocol/platform/Store.ts";
+import type { BatchRecord } from "../../state/batch/BatchRecord.ts";
 import type { PartitionLedger } from "../../state/batch/PartitionLedger.ts";
 import type { FleetView } from "../../state/FleetView.ts";
 import type { AgentGateway } from "./AgentGateway.ts";
@@ -40,6 +41,8 @@
   readonly onOutcome: (note: Omit<AttemptNote, "now">) => void;
   /** Called once when another owner was found. */
   readonly onDeposed: () => void;
+  /** Called with the records of each commit. */
+  readonly onCommitted?: ((records: readonly BatchRecord[]) => void) | undefined;
 }
 
 /** Owner of one partition. */
@@ -53,6 +56,8 @@
   private _state: OwnerState = "recovering";
   private _renewedAt = Number.NEGATIVE_INFINITY;
   private _nextProbeAt = 0;
+  private _takeoverWaitMs = 0;
+  private _isClaimed = false;
 
   private constructor(
     parts: PartitionOwnerParts,
@@ -82,13 +87,13 @@
     if (image.isErr()) {
       return err("unavailable");
     }
-    const { store, clock, partition, writer, cfg } = parts;
+    const { store, clock, partition, writer, cfg, onCommitted } = parts;
     const { commitIntervalMs } = cfg;
     const owner = new PartitionOwner(
       parts,
       (onDeposed) =>
         new PartitionLog(
-          { store, clock, partition, writer, commitIntervalMs, onDeposed },
+          { store, clock, partition, writer, commitIntervalMs, onDeposed, onCommitted },
           image.value,
         ),
     );
@@ -101,6 +106,11 @@
     return this._parts.partition;
   }
 
+  /** Name of the owning entry. */
+  get entry(): string {
+    return this._parts.entry;
+  }
+
   /** Epoch of this owner. */
   get epoch(): number {
     return this._log.epoch;
@@ -146,6 +156,33 @@
     this._renewedAt = Math.max(this._renewedAt, sentAt);
   }
 
+  /**
+   * Notes that the owner key named this entry after the takeover. A former owner that takes its
+   * renewed key for a confirmation has stopped doing so by now; its horizon counts from here.
+   */
+  noteClaimed(): void {
+    if (this._isClaimed) {
+      return;
+    }
+    this._isClaimed = true;
+    const lapsesAt = this._parts.clock.now() + this._takeoverWaitMs;
+    this._book
+      .getAll()
+      .filter((active) => active.lapsesAt === Number.POSITIVE_INFINITY)
+      .filter((active) => active.state !== "recording")
+      .forEach((active) => {
+        this._book.replaceGrant(active.task, lapsesAt);
+      });
+  }
+
+  /**
+   * Writes an empty record.
+   * @returns Whether this entry owned the partition when it was written.
+   */
+  async probe(): Promise<boolean> {
+    return (await this._log.append([])).isOk();
+  }
+
   /**
    * Takes in a report of an agent.
    * @param agent - Name of the agent.
@@ -170,8 +207,8 @@
       return;
     }
     this.runner.tick();
-    if (this._log.isFailing) {
-      // A write shows whether the store is back; the ends that wait are written first.
+    if (this._log.isFailing || !this.mayGrant) {
+      // A write shows whether the store is back and whether this entry still owns the partition.
       this._probe();
       return;
     }
@@ -190,7 +227,7 @@
   }
 
   private async _claim(): Promise<Result<void, AppendFailure>> {
-    const { cfg, clock, entry, log, partition } = this._parts;
+    const { cfg, entry, log, partition } = this._parts;
     const former = this.ledger.epochs;
     const { taskLeaseMs: leaseMs, takeoverHorizonMs: horizonMs } = cfg;
     const claimed = await this._log.append(
@@ -201,7 +238,8 @@
       this._log.close();
       return err(claimed.error);
     }
-    const lapsesAt = clock.now() + getTakeoverWaitMs(cfg, former);
+    this._takeoverWaitMs = getTakeoverWaitMs(cfg, former);
+    const lapsesAt = Number.POSITIVE_INFINITY;
     this.ledger.held.forEach((task) => {
       const { attempt, agent, checkpoint } = this.ledger.getTask(task) ?? {};
       if (attempt !== undefined && agent !== undefined && checkpoint !== undefined) {
--- a/src/state/metrics/metricDefinitions.ts
+++ b/src/state/metrics/metricDefinitions.ts
@@ -4,17 +4,17 @@
  */
 
 /** What one metric states. */
-export interface MetricDefinition {
+export interface MetricDefinition<L extends readonly string[] = readonly string[]> {
   readonly kind: "counter" | "gauge";
-  readonly labels: readonly string[];
+  readonly labels: L;
   readonly help: string;
 }
 
-function counter(labels: readonly string[], help: string): MetricDefinition {
+function counter<const L extends readonly string[]>(labels: L, help: string): MetricDefinition<L> {
   return { kind: "counter", labels, help };
 }
 
-function gauge(labels: readonly string[], help: string): MetricDefinition {
+function gauge<const L extends readonly string[]>(labels: L, help: string): MetricDefinition<L> {
   return { kind: "gauge", labels, help };
 }
 
@@ -22,29 +22,56 @@
 export const METRICS = {
   fireflylb_requests_total: counter(
     ["service", "verdict", "code"],
-    "Requests by outcome; the code is empty for an answer of the backend server.",
+    "Requests by outcome; the code is that of the refusal, or what else became of the request.",
+  ),
+  fireflylb_requests_refused_total: counter(
+    ["code"],
+    "Requests refused before they were routed, by code.",
   ),
   fireflylb_requests_in_flight: gauge([], "Requests in flight."),
-  fireflylb_requests_queued: gauge(["service"], "Requests that wait for a slot."),
   fireflylb_retries_total: counter(["service"], "Attempts after the first."),
   fireflylb_servers: gauge(["service"], "Backend servers known."),
   fireflylb_servers_ejected: gauge(["service"], "Backend servers that get no requests for now."),
   fireflylb_vms: gauge([], "VMs known."),
-  fireflylb_store_calls_total: counter(["operation", "outcome"], "Calls of the platform's store."),
+  fireflylb_api_requests_total: counter(
+    ["method", "path", "status"],
+    "Requests of operators, changes and jobs among them.",
+  ),
+  fireflylb_store_calls_total: counter(
+    ["operation", "outcome"],
+    "Calls of the platform's store; the outcome is done or the kind of failure.",
+  ),
   fireflylb_config_revision: gauge([], "Revision of the configuration in force here."),
-  fireflylb_config_changes_total: counter(["outcome"], "Changes asked for by operators."),
   fireflylb_partitions_owned: gauge([], "Partitions owned here."),
-  fireflylb_log_commits_total: counter(["outcome"], "Commits to the logs of partitions."),
-  fireflylb_log_records_total: counter([], "Records committed to the logs of partitions."),
-  fireflylb_jobs_total: counter(["outcome"], "Jobs by outcome: submitted, completed, failed."),
-  fireflylb_tasks: gauge(["state"], "Tasks of the partitions owned here, by state."),
-  fireflylb_task_starts_total: counter(["outcome"], "Starts of tasks by outcome."),
-  fireflylb_evictions_total: counter(["reason"], "Evictions of tasks by reason."),
-  fireflylb_heartbeats_total: counter(["outcome"], "Heartbeats sent."),
+  fireflylb_tasks: gauge(
+    ["state"],
+    "Tasks of the partitions owned here, or at an agent those on its VM, by state.",
+  ),
+  fireflylb_log_commits_total: counter([], "Commits to the logs of the partitions owned here."),
+  fireflylb_log_records_total: counter([], "Records in these commits."),
+  fireflylb_jobs_total: counter(["event"], "Jobs submitted and cancelled."),
+  fireflylb_task_starts_total: counter([], "Starts of tasks that were committed."),
+  fireflylb_task_ends_total: counter(
+    ["outcome"],
+    "Ends of attempts: completed, failed, or released by eviction, loss or cancellation.",
+  ),
+  fireflylb_committed_processors_milli: gauge([], "Processors committed on the VM."),
+  fireflylb_committed_memory_bytes: gauge([], "Memory committed on the VM."),
+  fireflylb_committed_accelerators: gauge([], "Accelerators committed on the VM."),
 } as const satisfies Readonly<Record<string, MetricDefinition>>;
 
 export type MetricName = keyof typeof METRICS;
 
+/** Values of all labels of a metric. */
+export type MetricLabels<N extends MetricName = MetricName> = Readonly<
+  Record<(typeof METRICS)[N]["labels"][number], string>
+>;
+
+/** Arguments that give the labels of a metric; none where it has no labels. */
+export type LabelArguments<N extends MetricName> = (typeof METRICS)[N]["labels"] extends readonly []
+  ? readonly []
+  : readonly [labels: MetricLabels<N>];
+
 /** Gives the definition of a metric. */
 export function getMetricDefinition(name: MetricName): MetricDefinition {
   return METRICS[name];
--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -25,6 +25,7 @@
 import { EntryClients } from "../control/EntryClients.ts";
 import { writeServer } from "../control/fleetMessages.ts";
 import { PeerConfigs } from "../entry/PeerConfigs.ts";
+import type { ApiRoute } from "../http/ApiRoute.ts";
 import { ApiServer } from "../http/ApiServer.ts";
 import { PromMetrics } from "../http/PromMetrics.ts";
 import { PinoLog } from "../log/PinoLog.ts";
@@ -35,6 +36,7 @@
 import { HeartbeatSender } from "./HeartbeatSender.ts";
 import { AgentRequestServer } from "./requests/AgentRequestServer.ts";
 import { TaskService } from "./tasks/TaskService.ts";
+import { YieldService } from "./yielding/YieldService.ts";
 
 const CONFIG_TIMEOUT_MS = 2_000;
 const WORKER_TIMEOUT_MS = 2_000;
@@ -47,15 +49,18 @@
   private readonly _log: PinoLog;
   private readonly _clock = new SystemClock();
   private readonly _incarnation = crypto.randomUUID();
-  private readonly _metrics = new PromMetrics(new RequestHistograms(this._clock));
+  private readonly _histograms = new RequestHistograms(this._clock);
+  private readonly _metrics = new PromMetrics(this._histograms);
   private readonly _keeper = new ConfigKeeper();
   private readonly _clients = new EntryClients();
   private readonly _owners = new Map<number, PartitionOwner>();
   private readonly _admission: AgentAdmission;
   private readonly _tasks: TaskService;
+  private readonly _yielding: YieldService;
   private readonly _requests: AgentRequestServer;
   private readonly _heartbeats: HeartbeatSender;
   private readonly _control: ControlServer;
+  private readonly _announcements: AnnouncementRoutes;
   private readonly _local: ApiServer;
   private readonly _admin: ApiServer;
   private _pulling = false;
@@ -76,17 +81,21 @@
       getConfig: () => this._keeper.getSnapshot()?.document,
     });
     this._tasks = this._createTasks();
+    this._yielding = this._createYielding();
     this._requests = new AgentRequestServer({
       admission: this._admission,
       clock: this._clock,
       maxBodyBytes: settings.requests.maxBodyBytes,
       isReady: () => this._tasks.isReady(),
+      onFinished: ({ tenant, requestClass, service }, latencyMs) => {
+        this._histograms.record({ tenant, requestClass, service }, latencyMs);
+      },
     });
     this._heartbeats = this._createHeartbeats();
     this._control = new ControlServer((router) => {
       this._registerControl(router);
     });
-    const announcements = new AnnouncementRoutes({
+    this._announcements = new AnnouncementRoutes({
       clock: this._clock,
       log: log.part("servers"),
       admission: this._admission,
@@ -94,8 +103,8 @@
       expiryMs: settings.fleet.announcementExpiryMs,
       onChange: () => void this._heartbeats.sendNow(),
     });
-    this._local = this._createApi("[agent] local", announcements);
-    this._admin = this._createApi("[agent] admin", undefined);
+    this._local = this._createApi("[agent] local", this._announcements.getRoutes());
+    this._admin = this._createApi("[agent] admin", []);
   }
 
   /** Starts to listen and to report. */
@@ -112,6 +121,7 @@
       return err(failed.error);
     }
     this._tasks.start();
+    this._yielding.start();
     this._heartbeats.start();
     this._log.info("Agent started.", { name: agent.name, zone: agent.zone });
     return ok(undefined);
@@ -125,7 +135,9 @@
     this._log.info("Agent drains.", { requests: this._admission.getOpenRequests() });
     await this._heartbeats.sendNow();
     await Promise.all([this._waitForRequests(deadline), this._tasks.stop()]);
+    this._yielding.stop();
     this._heartbeats.stop();
+    this._announcements.stop();
     await Promise.race([
       Promise.all([this._requests.close(), this._control.close()]),
       this._clock.sleep(CLOSE_TIMEOUT_MS),
@@ -151,11 +163,24 @@
       createEntryClient: (address) => this._clients.getClient(address),
       getOwner: (partition) => this._getOwner(partition),
       getConfig: () => this._keeper.getSnapshot(),
+      getStartHold: (kind, resources) => this._yielding.findStartHold(kind, resources),
       pollMs: worker.pollMs,
       drainTimeoutMs: agent.drainTimeoutMs,
     });
   }
 
+  private _createYielding(): YieldService {
+    const { name, zone } = this._settings.agent;
+    return new YieldService({
+      vm: name,
+      zone,
+      clock: this._clock,
+      log: this._log.part("yielding"),
+      tasks: this._tasks,
+      getConfig: () => this._keeper.getSnapshot(),
+    });
+  }
+
   private _createHeartbeats(): HeartbeatSender {
     return new HeartbeatSender({
       clock: this._clock,
@@ -176,6 +201,8 @@
   private _createHeartbeat(sequence: bigint): HeartbeatRequest {
     const { agent } = this._settings;
     const heatLevel = this._tasks.getHeatLevel();
+    const servers = this._admission.getServers().map((server) => server.takeReport());
+    this._yielding.noteServers(servers);
     return create(HeartbeatRequestSchema, {
       agent: agent.name,
       incarnation: this._incarnation,
@@ -183,12 +210,12 @@
       region: agent.region,
       zone: agent.zone,
       rack: agent.rack,
-      requestAddress: agent.listen,
-      controlAddress: agent.control,
+      requestAddress: agent.advertise ?? agent.listen,
+      controlAddress: agent.advertiseControl ?? agent.control,
       capacity: { ...this._tasks.getCapacity() },
       committed: { ...this._tasks.getCommitted() },
       used: { ...this._tasks.getUsed() },
-      servers: this._admission.getServers().map((server) => writeServer(server.takeReport())),
+      servers: servers.map(writeServer),
       draining: this._draining || !this._tasks.isReady(),
       configRevision: BigInt(this._keeper.getRevision() ?? 0),
       tasks: this._tasks.getTasks().length,
@@ -252,16 +279,27 @@
     return create(SettleRequestReplySchema, { verdict });
   }
 
-  private _createApi(setting: string, announcements: AnnouncementRoutes | undefined): ApiServer {
+  private _createApi(setting: string, routes: readonly ApiRoute[]): ApiServer {
     return new ApiServer({
       setting,
-      routes: announcements?.getRoutes() ?? [],
-      renderMetrics: () => this._metrics.render(),
+      routes,
+      renderMetrics: () => this._renderMetrics(),
       findUnready: () => this._findUnready(),
       log: this._log,
     });
   }
 
+  private _renderMetrics(): Promise<string> {
+    const { processorsMilli, memoryBytes, accelerators } = this._tasks.getCommitted();
+    this._metrics.set("fireflylb_requests_in_flight", this._admission.getOpenRequests());
+    this._metrics.set("fireflylb_config_revision", this._keeper.getRevision() ?? 0);
+    this._metrics.set("fireflylb_tasks", this._tasks.getTasks().length, { state: "held" });
+    this._metrics.set("fireflylb_committed_processors_milli", processorsMilli);
+    this._metrics.set("fireflylb_committed_memory_bytes", memoryBytes);
+    this._metrics.set("fireflylb_committed_accelerators", accelerators);
+    return this._metrics.render();
+  }
+
   private _findUnready(): readonly string[] {
     return [
       ...(this._draining ? ["the agent drains"] : []),
