Mend a crash by an oversized streamed body and blame no backend server for it

Found by a test of bad input with the built binary: a chunked body over the limit, sent to a service without backend servers, ended the entry, since the limiting stream had no listener for its error. It has one now. Where an attempt was under way, the caller got upstream-failed and the ejector counted a failure of the backend server; callers could have ejected servers with bad bodies.

--- a/src/transport/entry/requests/RequestRun.ts
+++ b/src/transport/entry/requests/RequestRun.ts
@@ -19,7 +19,7 @@
 import type { AttemptTrace, RequestTrace } from "../../../state/RequestTraces.ts";
 import { answerRefusal } from "../../http/refusalAnswer.ts";
 import type { RelayFailure } from "../../http/RelayHandler.ts";
-import { getDispatchBody, type RequestBody } from "../../http/requestBody.ts";
+import { BodyLimitError, getDispatchBody, type RequestBody } from "../../http/requestBody.ts";
 import type { AgentConnections } from "./AgentConnections.ts";
 import { AgentExchange, type AgentRefusal, type PiggybackedLoad } from "./AgentExchange.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
@@ -194,7 +194,12 @@
       this._noteLateFailure(server, open);
       return;
     }
-    server.ejector.noteFailure(this._parts.clock.now());
+    const oversized = failure.reason instanceof BodyLimitError;
+    if (oversized) {
+      server.ejector.noteNeutral();
+    } else {
+      server.ejector.noteFailure(this._parts.clock.now());
+    }
     if (failure.headSeen && this._req.res.headersSent) {
       this._end("cut", "ran");
       this._req.res.destroy();
@@ -202,7 +207,8 @@
     }
     const verdict = await this._getVerdict(open, failure);
     this._note(server, open.sentAt, failure.reason.message, verdict);
-    this._continue({ verdict, code: "upstream-failed", detail: failure.reason.message });
+    const code = oversized ? "body-too-large" : "upstream-failed";
+    this._continue({ verdict, code, detail: failure.reason.message });
   }
 
   /** A server that let a budget pass counts as failing; a caller that went away says nothing. */
--- a/src/transport/http/requestBody.ts
+++ b/src/transport/http/requestBody.ts
@@ -66,6 +66,8 @@
 
 function limitBody(req: IncomingMessage, limitBytes: number): Readable {
   const limited = new LimitedBody(limitBytes);
+  // A body that no attempt sends has no other listener, and an error without one ends the process.
+  limited.on("error", () => undefined);
   req.on("error", (err) => limited.destroy(err));
   req.on("close", () => {
     if (!req.complete) {
