Take a partition over again whose key names this entry although it owns nothing

Cause: where a takeover failed and the answer to the removal of the owner key was lost, the key went on naming the entry, the plan counted the partition as owned, and nobody took it over while the entry lived: a submission was refused for 60 s (batchFailureTests, a store that loses answers, on a loaded machine: 2 of 7 runs). Ruled out: a lost lease, since the renewals went on. Change: the plan counts what the entry really owns; a key of its own without an ownership counts as free. The function for it stood there unused. Test: OwnershipManager takes a partition over whose key names it; failed before.

--- a/src/coordination/batch/OwnershipManager.ts
+++ b/src/coordination/batch/OwnershipManager.ts
@@ -157,7 +157,7 @@
       partitions,
       entry,
       entries: membership.entries.map((other) => other.name),
-      owners: new Map([...membership.owners].map(([partition, owner]) => [partition, owner.entry])),
+      owners: this._getOwnerNames(),
     });
     const wanted = plan.acquire.filter((partition) => !this._owned.has(partition));
     for (let first = 0; first < wanted.length; first += MAX_TAKEOVERS_AT_ONCE) {
