--- /dev/null
+++ b/bench/slopes/fitLine.ts
@@ -0,0 +1,22 @@
+/**
+ * A straight line through measured points.
+ */
+
+/** Line with its value at zero. */
+export interface Line {
+  readonly base: number;
+  readonly slope: number;
+}
+
+/**
+ * Fits a line by least squares.
+ * @param points - Points as pairs of size and value.
+ */
+export function fitLine(points: readonly (readonly [number, number])[]): Line {
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+  const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+  const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+  const slope = covariance / variance;
+  return { slope, base: meanY - slope * meanX };
+}
