--- a/scripts/demo/DemoCommands.ts
+++ b/scripts/demo/DemoCommands.ts
@@ -5,8 +5,8 @@
 import { once } from "node:events";
 import { waitUntil } from "../../standins/cluster/waitUntil.ts";
 
-/** Status of a command that no entry could serve now; nothing was changed. */
-const STATUS_NOT_SERVED = 6;
+/** Statuses of a command whose outcome is unknown, and of one that no entry could serve now. */
+const REPEATABLE_STATUSES: readonly number[] = [5, 6];
 const SERVED_TIMEOUT_MS = 30_000;
 
 /** What a command printed and how it ended. */
@@ -40,15 +40,16 @@
   }
 
   /**
-   * Runs a command that is safe to repeat, again while no entry can serve it, and shows it.
+   * Runs a command that is safe to repeat, again until its outcome is known, and shows
+   * it.
    * @param args - Words of the command.
    */
   async runUntilServed(...args: readonly string[]): Promise<string> {
     console.log(`$ fireflylb ${args.map(quote).join(" ")}`);
-    let result: CommandResult = { status: STATUS_NOT_SERVED, output: "" };
+    let result: CommandResult = { status: 1, output: "" };
     await waitUntil(`fireflylb ${args.join(" ")} is served`, SERVED_TIMEOUT_MS, async () => {
       result = await this.read(...args);
-      return result.status !== STATUS_NOT_SERVED;
+      return !REPEATABLE_STATUSES.includes(result.status);
     });
     return getOutput(args, result);
   }
--- /dev/null
+++ b/tests/transport/store/httpStoreLinkTests.ts
@@ -0,0 +1,105 @@
+/**
+ * Tests of the store adapter over a link that fails in ways that the store itself does not see.
+ */
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { FaultProxy } from "../../../standins/proxy/FaultProxy.ts";
+import { StoreProcess } from "../../../standins/store/StoreProcess.ts";
+import { findFreeAddresses } from "../../../standins/support/freePorts.ts";
+import { MachineClock } from "../../../standins/support/MachineClock.ts";
+import type { StoreFailure } from "../../../src/protocol/platform/Store.ts";
+import { HttpStore } from "../../../src/transport/store/HttpStore.ts";
+
+const TIMEOUT_MS = 1_000;
+const WRITE = { key: "a/1", value: "x", expected: 0 };
+
+interface Bench {
+  /** Store behind the proxy. */
+  readonly store: HttpStore;
+  /** Store without the proxy. */
+  readonly direct: HttpStore;
+  readonly proxy: FaultProxy;
+  readonly process: StoreProcess;
+}
+
+async function createBench(t: ExecutionContext): Promise<Bench> {
+  const clock = new MachineClock();
+  const [listen = "", control = "", proxied = ""] = await findFreeAddresses(3);
+  const process = new StoreProcess(clock, listen, control);
+  const proxy = new FaultProxy(clock, proxied, listen);
+  await process.start();
+  await proxy.start();
+  const store = new HttpStore({ address: proxied, timeoutMs: TIMEOUT_MS });
+  const direct = new HttpStore({ address: listen, timeoutMs: TIMEOUT_MS });
+  t.teardown(async () => {
+    await Promise.all([store.close(), direct.close()]);
+    await proxy.stop();
+    await process.stop();
+  });
+  return { store, direct, proxy, process };
+}
+
+function summary(failure: StoreFailure): readonly [string, boolean] {
+  return [failure.kind, failure.mayHaveWritten];
+}
+
+test("HttpStore says that a write held back on the link may still be made, and it is", async (t) => {
+  const { store, direct, proxy } = await createBench(t);
+  await store.read("a/1");
+  await proxy.setFaults({ hold: "up" });
+  const watch = direct.watch("a/", 0);
+  t.deepEqual(summary((await store.write(WRITE))._unsafeUnwrapErr()), ["timeout", true]);
+  t.is((await direct.read("a/1"))._unsafeUnwrap(), undefined);
+  await proxy.heal();
+  t.is((await watch)._unsafeUnwrap().changes.at(0)?.value, "x");
+});
+
+test("HttpStore says that a write whose answer is thrown away may have been made", async (t) => {
+  const { store, direct, proxy } = await createBench(t);
+  await store.read("a/1");
+  await proxy.setFaults({ drop: "down" });
+  t.deepEqual(summary((await store.write(WRITE))._unsafeUnwrapErr()), ["timeout", true]);
+  t.is((await direct.read("a/1"))._unsafeUnwrap()?.value, "x");
+});
+
+test("HttpStore says that a write cut before its answer may have been made", async (t) => {
+  const { store, direct, proxy } = await createBench(t);
+  await proxy.setFaults({ cutAfterDownBytes: 0 });
+  t.deepEqual(summary((await store.write(WRITE))._unsafeUnwrapErr()), ["unavailable", true]);
+  t.is((await direct.read("a/1"))._unsafeUnwrap()?.value, "x");
+  await proxy.heal();
+  t.is((await store.read("a/1"))._unsafeUnwrap()?.value, "x");
+});
+
+test("HttpStore takes no answer that is cut short for a whole one", async (t) => {
+  const { store, direct, proxy } = await createBench(t);
+  await direct.write({ ...WRITE, value: "x".repeat(10_000) });
+  await proxy.setFaults({ cutAfterDownBytes: 5_000 });
+  t.deepEqual(summary((await store.read("a/1"))._unsafeUnwrapErr()), ["unavailable", false]);
+});
+
+test("HttpStore makes a write once when the store closed the idle connection before it", async (t) => {
+  const { store, direct, process } = await createBench(t);
+  await store.read("a/1");
+  await process.stop();
+  await process.start();
+  const write = await store.write(WRITE);
+  const known = write.isOk() || write.error.mayHaveWritten || !(await hasKey(direct));
+  t.true(known);
+  t.true((await store.write({ ...WRITE, key: "a/2" })).isOk());
+});
+
+test("HttpStore ends a watch on a silent link within its wait and its time-out", async (t) => {
+  const { store, proxy } = await createBench(t);
+  await store.read("a/1");
+  await proxy.setFaults({ hold: "both" });
+  const startedAt = performance.now();
+  t.deepEqual(summary((await store.watch("a/", 0))._unsafeUnwrapErr()), ["timeout", false]);
+  t.true(performance.now() - startedAt < 4_000);
+  await proxy.heal();
+  t.true((await store.watch("a/", 0)).isOk());
+});
+
+async function hasKey(store: HttpStore): Promise<boolean> {
+  return (await store.read(WRITE.key))._unsafeUnwrap() !== undefined;
+}
