--- a/standins/cluster/ClusterFiles.ts
+++ b/standins/cluster/ClusterFiles.ts
@@ -53,7 +53,10 @@
     if (!existsSync(path)) {
       return [];
     }
-    return readFileSync(path, "utf8")
+    const text = readFileSync(path, "utf8");
+    // A line that is being written has no end yet.
+    return text
+      .slice(0, text.lastIndexOf("\n") + 1)
       .split("\n")
       .filter((line) => line !== "")
       .map((line) => JSON.parse(line) as unknown);
--- a/tests/integration/jobPathTests.ts
+++ b/tests/integration/jobPathTests.ts
@@ -13,6 +13,10 @@
 const Submitted = z.object({ id: z.string() });
 const Job = z.object({ state: z.string(), tasks: z.record(z.string(), z.number()) });
 
+const SHORT_LEASES = {
+  batch: { owner_lease_ms: 1_000, task_lease_ms: 3_000, takeover_horizon_ms: 4_000 },
+};
+
 const SPEC = {
   key: "rebuild-1",
   tenant: "paper-surat",
@@ -31,6 +35,25 @@
   return Submitted.parse(body).id;
 }
 
+/** Submits a job again, with its key, until the answer says what became of it. */
+async function submitUntilKnown(cluster: Cluster, spec: object): Promise<string> {
+  let id = "";
+  await waitUntil("the job is accepted", JOB_TIMEOUT_MS, async () => {
+    id = await submit(cluster, spec);
+    return true;
+  });
+  return id;
+}
+
+function countStarts(cluster: Cluster): number {
+  return cluster.readWorkerEvents().filter((event) => event.event === "start").length;
+}
+
+function getBusyVms(cluster: Cluster): ReadonlySet<string> {
+  const starts = cluster.readWorkerEvents().filter((event) => event.event === "start");
+  return new Set(starts.map((event) => event.vm));
+}
+
 async function getJob(cluster: Cluster, id: string): Promise<z.infer<typeof Job>> {
   const { body } = await callJson("GET", `http://${cluster.getEntry().api}/v1/jobs/${id}`);
   return Job.parse(body);
@@ -60,16 +83,13 @@
 test.serial("a batch job survives the death of a worker's VM and of its owner", async (t) => {
   const cluster = await Cluster.start({
     entries: 3,
-    entrySettings: {
-      batch: { owner_lease_ms: 1_000, task_lease_ms: 3_000, takeover_horizon_ms: 4_000 },
-    },
+    entrySettings: SHORT_LEASES,
   });
   t.teardown(() => cluster.stop());
   const id = await submit(cluster, { ...SPEC, command: "run 4000" });
-  await waitUntil("tasks run on both VMs", JOB_TIMEOUT_MS, () => {
-    const starts = cluster.readWorkerEvents().filter((event) => event.event === "start");
-    return Promise.resolve(new Set(starts.map((event) => event.vm)).size === 2);
-  });
+  await waitUntil("tasks run on both VMs", JOB_TIMEOUT_MS, () =>
+    Promise.resolve(getBusyVms(cluster).size === 2),
+  );
   const dying = cluster.getVm(0);
   await Promise.all([
     dying.worker.process.kill(),
@@ -82,3 +102,72 @@
   t.is((await getJob(cluster, id)).tasks.completed, SPEC.tasks);
   t.deepEqual(findTaskViolations(cluster.readWorkerEvents()), []);
 });
+
+test.serial("a batch job is neither lost nor doubled while the store loses answers", async (t) => {
+  const cluster = await Cluster.start({ entries: 2, entrySettings: SHORT_LEASES });
+  t.teardown(() => cluster.stop());
+  await cluster.setStoreFaults({ lostAnswerShare: 0.1, seed: 20_261_203 });
+  const ids = await Promise.all(
+    [1, 2, 3, 4].map(async (index) =>
+      submitUntilKnown(cluster, { ...SPEC, key: `rebuild-${index}` }),
+    ),
+  );
+  t.is(new Set(ids).size, ids.length);
+  await Promise.all(ids.map((id) => waitForState(cluster, id, "completed")));
+  const jobs = await Promise.all(ids.map((id) => getJob(cluster, id)));
+  t.true(jobs.every((job) => job.tasks.completed === SPEC.tasks));
+  t.deepEqual(findTaskViolations(cluster.readWorkerEvents()), []);
+});
+
+test.serial("a store outage refuses new jobs at once and lets running tasks go on", async (t) => {
+  const cluster = await Cluster.start({ entries: 1 });
+  t.teardown(() => cluster.stop());
+  const id = await submit(cluster, { ...SPEC, command: "run 6000" });
+  await waitUntil("all tasks run", JOB_TIMEOUT_MS, () =>
+    Promise.resolve(countStarts(cluster) === SPEC.tasks),
+  );
+  await cluster.setStoreFaults({ outage: "hang" });
+  const askedAt = performance.now();
+  const api = cluster.getEntry().api;
+  const refused = await callJson("POST", `http://${api}/v1/jobs`, { ...SPEC, key: "late" });
+  t.true(refused.status >= 500, JSON.stringify(refused));
+  t.true(performance.now() - askedAt < 10_000);
+  await waitUntil("all tasks have ended", JOB_TIMEOUT_MS, () => {
+    const ends = cluster.readWorkerEvents().filter((event) => event.event === "end");
+    return Promise.resolve(ends.length === SPEC.tasks);
+  });
+  await cluster.setStoreFaults({ outage: "none" });
+  await waitForState(cluster, id, "completed");
+  t.is((await getJob(cluster, id)).tasks.completed, SPEC.tasks);
+  t.is(countStarts(cluster), SPEC.tasks, "no task ran again");
+  t.deepEqual(findTaskViolations(cluster.readWorkerEvents()), []);
+});
+
+test.serial(
+  "an owner and a worker that were paused past their leases double no task",
+  async (t) => {
+    const cluster = await Cluster.start({ entries: 2, entrySettings: SHORT_LEASES });
+    t.teardown(() => cluster.stop());
+    const id = await submit(cluster, { ...SPEC, command: "run 5000" });
+    await waitUntil("tasks run on both VMs", JOB_TIMEOUT_MS, () =>
+      Promise.resolve(getBusyVms(cluster).size === 2),
+    );
+    const paused = [
+      cluster.getEntry(1).process,
+      cluster.getVm(0).worker.process,
+      cluster.getVm(0).agent.process,
+    ];
+    paused.forEach((process) => {
+      process.freeze();
+    });
+    await waitUntil("a task runs again elsewhere", JOB_TIMEOUT_MS, () =>
+      Promise.resolve(countStarts(cluster) > SPEC.tasks),
+    );
+    paused.forEach((process) => {
+      process.thaw();
+    });
+    await waitForState(cluster, id, "completed");
+    t.is((await getJob(cluster, id)).tasks.completed, SPEC.tasks);
+    t.deepEqual(findTaskViolations(cluster.readWorkerEvents()), []);
+  },
+);
--- a/tests/integration/pathTests.ts
+++ b/tests/integration/pathTests.ts
@@ -8,6 +8,7 @@
 import type { CallerLoadOptions } from "../../standins/callers/CallerLoad.ts";
 import { Cluster } from "../../standins/cluster/Cluster.ts";
 import { waitUntil } from "../../standins/cluster/waitUntil.ts";
+import type { FaultProxy } from "../../standins/proxy/FaultProxy.ts";
 import { findRequestViolations } from "../../standins/history/requestHistory.ts";
 import { MachineClock } from "../../standins/support/MachineClock.ts";
 import { SeededRandom } from "../support/SeededRandom.ts";
@@ -123,3 +124,43 @@
   t.log(`${outcomes.length} requests, ${failed.length} without an answer of the service`);
   t.true(failed.every((outcome) => outcome.kind.method === "POST"));
 });
+
+test.serial("requests stay correct over links that are cut before the answer", async (t) => {
+  const random = SeededRandom.announce(20_261_204, (text) => {
+    t.log(text);
+  });
+  const cluster = await Cluster.start({ entries: 1, proxyRequests: true });
+  t.teardown(() => cluster.stop());
+  const proxies = cluster.vms
+    .map((vm) => vm.agent.proxy)
+    .filter((proxy): proxy is FaultProxy => proxy !== undefined);
+  t.is(proxies.length, cluster.vms.length);
+  const load = createLoad(cluster, random);
+  load.start();
+  await waitForOutcomes(load, 200);
+  await Promise.all(
+    proxies.map((proxy) => proxy.setFaults({ cutAfterDownBytes: 2_000, cutShare: 0.5 })),
+  );
+  await waitForOutcomes(load, 300);
+  await Promise.all(proxies.map((proxy) => proxy.heal()));
+  await waitForOutcomes(load, 200);
+  const outcomes = await load.stop();
+  t.true(proxies.some((proxy) => proxy.counts.cut > 0));
+  t.deepEqual(findRequestViolations(outcomes, cluster.readServerEvents()), []);
+  const failed = outcomes.filter((outcome) => outcome.status !== 200);
+  t.log(`${outcomes.length} requests, ${failed.length} without an answer of the service`);
+});
+
+test.serial("requests need no store", async (t) => {
+  const cluster = await Cluster.start({ entries: 1 });
+  t.teardown(() => cluster.stop());
+  await cluster.setStoreFaults({ outage: "refuse" });
+  const load = createLoad(cluster, new SeededRandom(1));
+  load.start();
+  await waitForOutcomes(load, 500);
+  const outcomes = await load.stop();
+  t.deepEqual(
+    outcomes.filter((outcome) => outcome.status !== 200),
+    [],
+  );
+});
