Blame no backend server for requests that callers broke

All streamed bodies pass the limit, so that a broken one has its own error. The stand-in for a backend server ended on the path //; it answers now. Quantile labels are rounded.

--- a/src/transport/agent/requests/BackendExchange.ts
+++ b/src/transport/agent/requests/BackendExchange.ts
@@ -7,6 +7,7 @@
 import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
 import { getAnswerHeaders } from "../../http/forwardHeaders.ts";
 import { answerRefusal } from "../../http/refusalAnswer.ts";
+import { getRequestFault } from "../../http/requestFault.ts";
 import { RelayHandler, type RelayFailure } from "../../http/RelayHandler.ts";
 
 const FIRST_SERVER_ERROR_STATUS = 500;
@@ -74,13 +75,15 @@
 
   protected override onFailure(failure: RelayFailure): void {
     const { res, server, arrivedAt, now } = this._parts;
-    if (!failure.headSeen) {
+    const fault = getRequestFault(failure.reason);
+    if (!failure.headSeen && fault === undefined) {
       server.noteAnswer(now() - arrivedAt, true);
     }
+    const code = failure.sent ? "upstream-failed" : "no-server";
     answerRefusal(
       res,
       {
-        code: failure.sent ? "upstream-failed" : "no-server",
+        code: fault ?? code,
         verdict: failure.sent ? "may-have-run" : "not-run",
         detail: `backend server ${server.announcement.id}: ${failure.reason.message}`,
       },
--- a/src/transport/entry/requests/RequestRun.ts
+++ b/src/transport/entry/requests/RequestRun.ts
@@ -19,7 +19,8 @@
 import type { AttemptTrace, RequestTrace } from "../../../state/RequestTraces.ts";
 import { answerRefusal } from "../../http/refusalAnswer.ts";
 import type { RelayFailure } from "../../http/RelayHandler.ts";
-import { BodyLimitError, getDispatchBody, type RequestBody } from "../../http/requestBody.ts";
+import { getDispatchBody, type RequestBody } from "../../http/requestBody.ts";
+import { getRequestFault } from "../../http/requestFault.ts";
 import type { AgentConnections } from "./AgentConnections.ts";
 import { AgentExchange, type AgentRefusal, type PiggybackedLoad } from "./AgentExchange.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
@@ -194,11 +195,11 @@
       this._noteLateFailure(server, open);
       return;
     }
-    const oversized = failure.reason instanceof BodyLimitError;
-    if (oversized) {
-      server.ejector.noteNeutral();
-    } else {
+    const fault = getRequestFault(failure.reason);
+    if (fault === undefined) {
       server.ejector.noteFailure(this._parts.clock.now());
+    } else {
+      server.ejector.noteNeutral();
     }
     if (failure.headSeen && this._req.res.headersSent) {
       this._end("cut", "ran");
@@ -207,8 +208,12 @@
     }
     const verdict = await this._getVerdict(open, failure);
     this._note(server, open.sentAt, failure.reason.message, verdict);
-    const code = oversized ? "body-too-large" : "upstream-failed";
-    this._continue({ verdict, code, detail: failure.reason.message });
+    const refusal = { verdict, code: fault ?? "upstream-failed", detail: failure.reason.message };
+    if (fault === undefined) {
+      this._continue(refusal);
+    } else {
+      this._answer(refusal);
+    }
   }
 
   /** A server that let a budget pass counts as failing; a caller that went away says nothing. */
--- a/src/transport/http/PromMetrics.ts
+++ b/src/transport/http/PromMetrics.ts
@@ -12,6 +12,7 @@
 import type { RequestHistograms, SeriesSummary } from "../../state/metrics/RequestHistograms.ts";
 
 const PERCENT = 100;
+const QUANTILE_DIGITS = 6;
 const MS_PER_SECOND = 1000;
 const DEFAULT_MAX_SERIES = 1000;
 const OTHER = "other";
@@ -127,7 +128,7 @@
   private _writeSeries(series: SeriesSummary): void {
     const labels = { tenant: series.tenant, class: series.requestClass, service: series.service };
     series.percentilesMs.forEach((valueMs, percentile) => {
-      const quantile = String(percentile / PERCENT);
+      const quantile = String(Number((percentile / PERCENT).toFixed(QUANTILE_DIGITS)));
       this._latency.set({ ...labels, quantile }, valueMs / MS_PER_SECOND);
     });
     this._requests.inc(labels, series.count);
--- a/src/transport/http/requestBody.ts
+++ b/src/transport/http/requestBody.ts
@@ -20,6 +20,9 @@
 /** Ends a streamed body that exceeds its limit. */
 export class BodyLimitError extends Error {}
 
+/** Ends a streamed body that the caller broke off or mangled. */
+export class BrokenBodyError extends Error {}
+
 /** Passes a body through up to a limit. */
 class LimitedBody extends Transform {
   private _left: number;
@@ -61,19 +64,22 @@
   if (length === 0) {
     return { kind: "none" };
   }
-  return length <= MAX_COLLECTED_BYTES ? collect(req) : { kind: "streamed", stream: req };
+  return length <= MAX_COLLECTED_BYTES
+    ? collect(req)
+    : { kind: "streamed", stream: limitBody(req, limitBytes) };
 }
 
 function limitBody(req: IncomingMessage, limitBytes: number): Readable {
   const limited = new LimitedBody(limitBytes);
   // A body that no attempt sends has no other listener, and an error without one ends the process.
   limited.on("error", () => undefined);
-  req.on("error", (err) => limited.destroy(err));
-  req.on("close", () => {
+  const breakOff = (): void => {
     if (!req.complete) {
-      limited.destroy(new Error("the caller broke off its body"));
+      limited.destroy(new BrokenBodyError("the caller broke off its body"));
     }
-  });
+  };
+  req.on("error", breakOff);
+  req.on("close", breakOff);
   return req.pipe(limited);
 }
 
--- /dev/null
+++ b/src/transport/http/requestFault.ts
@@ -0,0 +1,20 @@
+/**
+ * Tells failures that the request itself has caused from those of the next hop, so that a caller's
+ * broken requests count against no backend server.
+ */
+import { errors } from "undici";
+import type { RefusalCode } from "../../protocol/Refusal.ts";
+import { BodyLimitError, BrokenBodyError } from "./requestBody.ts";
+
+/**
+ * Gives the code of a failure that the request itself has caused; undefined for any other.
+ * @param reason - Why the exchange failed.
+ */
+export function getRequestFault(reason: Error): RefusalCode | undefined {
+  if (reason instanceof BodyLimitError) {
+    return "body-too-large";
+  }
+  const unsendable =
+    reason instanceof errors.InvalidArgumentError || reason instanceof errors.NotSupportedError;
+  return unsendable || reason instanceof BrokenBodyError ? "bad-request" : undefined;
+}
--- a/standins/backend/BackendProcess.ts
+++ b/standins/backend/BackendProcess.ts
@@ -24,6 +24,9 @@
 import { ServiceTimes } from "./ServiceTimes.ts";
 import { createPatternStream } from "./streams.ts";
 
+/** Stands in for the host of paths that are relative, as those of requests are. */
+const BASE_URL = "http://backend";
+
 /** What the backend server is. */
 export interface BackendOptions {
   readonly listen: string;
@@ -157,7 +160,7 @@
     const run: Run = {
       req,
       res,
-      url: new URL(req.url ?? "/", "http://backend"),
+      url: URL.parse(req.url ?? "/", BASE_URL) ?? new URL(BASE_URL),
       requestId: getHeader(req, RequestHeaders.requestId),
       attempt: getHeader(req, RequestHeaders.attempt),
     };
--- a/tests/process/operatorTests.ts
+++ b/tests/process/operatorTests.ts
@@ -8,6 +8,9 @@
 import { promisify } from "node:util";
 import anyTest, { type TestFn } from "ava";
 import { z } from "zod";
+import { sendBrokenRequest } from "../support/brokenRequests.ts";
+import { SeededRandom } from "../support/SeededRandom.ts";
+import { waitUntil } from "../../standins/cluster/waitUntil.ts";
 import { Cluster } from "../../standins/cluster/Cluster.ts";
 
 const test = anyTest as TestFn<{ readonly cluster: Cluster }>;
@@ -15,6 +18,7 @@
 const PAGE = "docs/CLI.md";
 const SHELL_BLOCK = /```sh\n([^]*?)```/g;
 const PAGE_ADDRESS = "127.0.0.1:8082";
+const BROKEN_SEED = 20_268;
 const BINARY = resolve("dist/fireflylb");
 
 const jobsSchema = z.object({ jobs: z.array(z.object({ id: z.string() })).min(1) });
@@ -75,7 +79,7 @@
   const series = 'tenant="paper-surat",class="urgent",service="rota-desk"';
   const entry = await readMetrics(api);
   t.true(entry.includes(`fireflylb_request_latency_requests_total{${series}} 1`));
-  t.true(entry.includes(`fireflylb_request_latency_seconds{${series},quantile="0.99"}`));
+  t.true(entry.includes(`fireflylb_request_latency_seconds{${series},quantile="0.999"}`));
   t.regex(entry, /requests_total\{service="rota-desk",verdict="ran",code="[a-z-]*"\} [1-9]/);
   const agents = await Promise.all(cluster.vms.map((vm) => readMetrics(vm.agent.admin)));
   const recorded = `fireflylb_request_latency_requests_total{${series}} 1`;
@@ -98,6 +102,27 @@
   t.is(small.status, 200);
 });
 
+test("an entry survives broken requests and blames no backend server for them", async (t) => {
+  const { listen, api } = t.context.cluster.getEntry();
+  const random = new SeededRandom(BROKEN_SEED);
+  t.log(`seed ${BROKEN_SEED}`);
+  const rounds = Array.from({ length: 15 }, () => 20);
+  await rounds.reduce(async (previous, count) => {
+    await previous;
+    await Promise.all(Array.from({ length: count }, () => sendBrokenRequest(listen, random)));
+  }, Promise.resolve());
+  const headers = { "fireflylb-service": "rota-desk" };
+  const res = await fetch(`http://${listen}/`, { headers });
+  t.is(res.status, 200);
+  await res.text();
+  const metrics = await readMetrics(api);
+  t.true(metrics.includes('fireflylb_servers_ejected{service="rota-desk"} 0\n'));
+  t.notRegex(metrics, /code="upstream-/);
+  await waitUntil("no request is in flight", 5_000, async () =>
+    (await readMetrics(api)).includes("fireflylb_requests_in_flight 0\n"),
+  );
+});
+
 test("the page of the command line has examples that run as they stand", async (t) => {
   const { cluster } = t.context;
   const { api, listen } = cluster.getEntry();
