Wait for owned partitions before the page's examples; state settings of batch work as they act

A run of the whole suite showed that a job submitted right after the start may be refused with no-owner while partitions are being taken over; the test of the examples now waits for all of them. takeover_horizon_ms was described as the wait of a new owner; it bounds how long an owner may renew without the store.

--- a/src/protocol/settings/EntrySettings.ts
+++ b/src/protocol/settings/EntrySettings.ts
@@ -48,13 +48,18 @@
     retry_budget_percent: percent(10, "Most retries, as a share of first attempts."),
   },
   batch: {
-    partitions: count("partitions", 8, "Partitions of the jobs; the same in all entries.", 1024),
-    owner_lease_ms: milliseconds(5000, "Lease of a partition's owner."),
+    partitions: count(
+      "partitions",
+      8,
+      "Partitions of the jobs; the same in all entries, and never changed while there are jobs.",
+      1024,
+    ),
+    owner_lease_ms: milliseconds(5000, "Lease in the store by which an entry owns partitions."),
     task_lease_ms: milliseconds(15_000, "Lease of a running task."),
     commit_interval_ms: milliseconds(50, "Time over which log records are gathered into a commit."),
     takeover_horizon_ms: milliseconds(
       20_000,
-      "Wait of a new owner before it reassigns tasks whose agents are silent.",
+      "How long an owner may renew tasks after its last confirmed call of the store.",
     ),
   },
   fleet: {
--- a/tests/process/operatorTests.ts
+++ b/tests/process/operatorTests.ts
@@ -130,6 +130,9 @@
   copyFileSync(join(folder, "entry-1.ini"), join(folder, "entry.ini"));
   symlinkSync(resolve("examples"), join(folder, "examples"));
   const shell = new ExampleShell(folder, api);
+  await waitUntil("all partitions are owned", 20_000, async () =>
+    (await readMetrics(api)).includes("fireflylb_partitions_owned 8\n"),
+  );
   const values = new Map([["JOB", ""]]);
   const res = await fetch(`http://${listen}/`, { headers: { "fireflylb-service": "rota-desk" } });
   await res.text();
