--- a/src/coordination/batch/PartitionLog.ts
+++ b/src/coordination/batch/PartitionLog.ts
@@ -16,8 +16,9 @@
 const MAX_VALUE_BYTES = 900_000;
 const RETRY_MIN_MS = 50;
 const RETRY_MAX_MS = 2_000;
-/** Urgent records wait this many times shorter than others. */
+/** Urgent records wait this many times shorter than others, yet not below the bound. */
 const URGENT_SPEEDUP = 5;
+const URGENT_INTERVAL_MS = 25;
 const SNAPSHOT_AFTER_VALUES = LOG_SLOTS / 2;
 const SNAPSHOT_AFTER_BYTES = 8_000_000;
 
@@ -153,7 +154,8 @@
       return;
     }
     const { clock, commitIntervalMs } = this._parts;
-    const interval = this._urgent ? commitIntervalMs / URGENT_SPEEDUP : commitIntervalMs;
+    const urgentMs = Math.max(commitIntervalMs / URGENT_SPEEDUP, URGENT_INTERVAL_MS);
+    const interval = this._urgent ? Math.min(urgentMs, commitIntervalMs) : commitIntervalMs;
     this._timer?.cancel();
     const delay = Math.max(0, this._lastWriteAt + interval - clock.now());
     this._timer = clock.after(delay, () => {
--- a/src/transport/entry/batch/BatchService.ts
+++ b/src/transport/entry/batch/BatchService.ts
@@ -11,7 +11,7 @@
 } from "../../../coordination/batch/EntryMembership.ts";
 import { OwnershipManager } from "../../../coordination/batch/OwnershipManager.ts";
 import { PartitionOwner } from "../../../coordination/batch/PartitionOwner.ts";
-import type { Placer } from "../../../coordination/batch/Placer.ts";
+import type { HeldTask, Placer } from "../../../coordination/batch/Placer.ts";
 import type { ReportedPhase } from "../../../coordination/batch/ReportHandler.ts";
 import type { ConfigSnapshot } from "../../../protocol/config/ConfigDocument.ts";
 import {
@@ -30,6 +30,7 @@
 import type { ApiRoute } from "../../http/ApiRoute.ts";
 import { ConnectAgentGateway, type AgentControlClient } from "./ConnectAgentGateway.ts";
 import { JobRoutes } from "./JobRoutes.ts";
+import { PeerUsage } from "./PeerUsage.ts";
 
 const TICK_INTERVAL_MS = 1_000;
 const URGENT_ROUND_DELAY_MS = 10;
@@ -58,6 +59,7 @@
   private readonly _gateway: ConnectAgentGateway;
   private readonly _membership: EntryMembership;
   private readonly _manager: OwnershipManager;
+  private readonly _peers: PeerUsage;
   private readonly _scheduler: BatchScheduler;
   private readonly _routes: JobRoutes;
   private readonly _timers = new Map<string, Timer>();
@@ -91,7 +93,8 @@
       takeOver: (partition) => this._takeOver(partition),
     });
     const getOwners = (): readonly PartitionOwner[] => this._manager.owned;
-    const getPeerTasks = (): readonly never[] => [];
+    this._peers = new PeerUsage(clock, getOwners);
+    const getPeerTasks = (): readonly HeldTask[] => this._peers.getTasks();
     this._scheduler = new BatchScheduler({
       clock,
       fleet,
@@ -114,6 +117,7 @@
       this._manager.owned.forEach((owner) => {
         owner.tick();
       });
+      void this._peers.refresh(this._getPeerApis());
     });
   }
 
@@ -128,7 +132,7 @@
 
   /** Gives the routes of the jobs' interface. */
   getRoutes(): readonly ApiRoute[] {
-    return this._routes.getRoutes();
+    return [...this._routes.getRoutes(), this._peers.getRoute()];
   }
 
   /** Gives the live entries, this one included, as far as known. */
@@ -217,7 +221,7 @@
   }
 
   private _createRoutes(): JobRoutes {
-    const { clock, cfg, entry } = this._parts;
+    const { clock, cfg } = this._parts;
     return new JobRoutes({
       clock,
       partitions: cfg.partitions,
@@ -225,10 +229,7 @@
       getOwned: (partition) => this._manager.getOwned(partition),
       getAllOwned: () => this._manager.owned,
       getOwner: (partition) => this._membership.owners.get(partition),
-      getPeerApis: () =>
-        this._membership.entries
-          .filter((other) => other.name !== entry.name)
-          .map((other) => other.api),
+      getPeerApis: () => this._getPeerApis(),
       onUrgent: () => {
         this._schedule("urgent", URGENT_ROUND_DELAY_MS, () => {
           this._scheduler.runRound();
@@ -237,6 +238,12 @@
     });
   }
 
+  private _getPeerApis(): readonly string[] {
+    return this._membership.entries
+      .filter((other) => other.name !== this._parts.entry.name)
+      .map((other) => other.api);
+  }
+
   private _repeat(name: string, intervalMs: number, action: () => void): void {
     this._schedule(name, intervalMs, () => {
       action();
--- /dev/null
+++ b/src/transport/entry/batch/PeerUsage.ts
@@ -0,0 +1,108 @@
+/**
+ * What the tenants' tasks hold in the partitions of the other entries, so that quotas and fair
+ * shares hold over the whole fleet. Each entry asks the others regularly; what an entry held last
+ * counts until it answers again or is silent for long.
+ */
+import { request } from "undici";
+import { z } from "zod";
+import type { PartitionOwner } from "../../../coordination/batch/PartitionOwner.ts";
+import type { HeldTask } from "../../../coordination/batch/Placer.ts";
+import type { Clock } from "../../../protocol/platform/Clock.ts";
+import { addResources, NO_RESOURCES, type Resources } from "../../../protocol/Resources.ts";
+import type { ApiRoute } from "../../http/ApiRoute.ts";
+
+const PATH = "/v1/batch/usage";
+const TIMEOUT_MS = 1_000;
+const MAX_AGE_MS = 15_000;
+
+const usageSchema = z.object({
+  tenants: z.record(
+    z.string(),
+    z.object({
+      processorsMilli: z.number(),
+      memoryBytes: z.number(),
+      accelerators: z.number(),
+    }),
+  ),
+});
+
+interface Usage {
+  readonly tasks: readonly HeldTask[];
+  readonly at: number;
+}
+
+/** Usage of the other entries' partitions. */
+export class PeerUsage {
+  private readonly _clock: Clock;
+  private readonly _getOwners: () => readonly PartitionOwner[];
+  private readonly _usages = new Map<string, Usage>();
+
+  /**
+   * Creates a view without any usage.
+   * @param clock - Monotonic clock.
+   * @param getOwners - Gives the partitions of this entry.
+   */
+  constructor(clock: Clock, getOwners: () => readonly PartitionOwner[]) {
+    this._clock = clock;
+    this._getOwners = getOwners;
+  }
+
+  /** Gives the route by which the other entries ask. */
+  getRoute(): ApiRoute {
+    const handle = (): Promise<{ status: number; body: object }> =>
+      Promise.resolve({ status: 200, body: { tenants: this._getOwnUsage() } });
+    return { method: "GET", path: PATH, handle };
+  }
+
+  /** Gives what is held elsewhere, one entry for each tenant and entry. */
+  getTasks(): readonly HeldTask[] {
+    const oldest = this._clock.now() - MAX_AGE_MS;
+    return [...this._usages.values()]
+      .filter((usage) => usage.at >= oldest)
+      .flatMap((usage) => usage.tasks);
+  }
+
+  /**
+   * Asks the other entries.
+   * @param apis - Addresses of their interfaces.
+   */
+  async refresh(apis: readonly string[]): Promise<void> {
+    const known = new Set(apis);
+    [...this._usages.keys()]
+      .filter((api) => !known.has(api))
+      .forEach((api) => this._usages.delete(api));
+    await Promise.all(apis.map((api) => this._ask(api)));
+  }
+
+  private async _ask(api: string): Promise<void> {
+    const at = this._clock.now();
+    try {
+      const signal = AbortSignal.timeout(TIMEOUT_MS);
+      const res = await request(`http://${api}${PATH}`, { signal });
+      const { tenants } = usageSchema.parse(await res.body.json());
+      const tasks = Object.entries(tenants).map(([tenant, resources]) => ({
+        task: `${api}/${tenant}`,
+        tenant,
+        kind: "",
+        agent: "",
+        resources,
+        urgent: false,
+      }));
+      this._usages.set(api, { tasks, at });
+    } catch {
+      // A silent entry counts with its last answer until that is too old.
+    }
+  }
+
+  private _getOwnUsage(): Readonly<Record<string, Resources>> {
+    const usage = new Map<string, Resources>();
+    this._getOwners()
+      .flatMap((owner) => owner.activeTasks.map((active) => owner.ledger.getJobOf(active.task)))
+      .filter((job) => job !== undefined)
+      .forEach(({ spec }) => {
+        const sum = usage.get(spec.tenant) ?? NO_RESOURCES;
+        usage.set(spec.tenant, addResources(sum, spec.resources));
+      });
+    return Object.fromEntries(usage);
+  }
+}
