--- a/standins/cluster/ClusterFiles.ts
+++ b/standins/cluster/ClusterFiles.ts
@@ -45,7 +45,8 @@
   }
 
   /**
-   * Reads a journal; a process that wrote none has an empty one.
+   * Reads a journal; a process that wrote none has an empty one. A last line that is still being
+   * written is left out.
    * @param name - Name of the process.
    */
   readJournal(name: string): readonly unknown[] {
@@ -55,7 +56,7 @@
     }
     return readFileSync(path, "utf8")
       .split("\n")
-      .filter((line) => line !== "")
+      .slice(0, -1)
       .map((line) => JSON.parse(line) as unknown);
   }
 
--- /dev/null
+++ b/tests/integration/capacityTests.ts
@@ -0,0 +1,166 @@
+/**
+ * Capacity and leases of real agents while entries race for room and agents are killed, frozen and
+ * drained, checked against the journals of the workers.
+ */
+import test, { type ExecutionContext } from "ava";
+import { z } from "zod";
+import { Cluster } from "../../standins/cluster/Cluster.ts";
+import type { ClusterOptions } from "../../standins/cluster/ClusterOptions.ts";
+import { callJson } from "../../standins/cluster/httpJson.ts";
+import { waitUntil } from "../../standins/cluster/waitUntil.ts";
+import { findTaskViolations } from "../../standins/history/taskHistory.ts";
+import { findDoubleRuns, getRuns, type TaskRun } from "../support/taskRuns.ts";
+
+const TIMEOUT_MS = 60_000;
+const TASK_LEASE_MS = 4_000;
+const OPTIONS: Partial<ClusterOptions> = {
+  services: [],
+  plainVms: 2,
+  processorsMilli: 4_000,
+  memoryBytes: 8_000_000_000,
+  entrySettings: {
+    batch: {
+      partitions: 6,
+      owner_lease_ms: 1_000,
+      task_lease_ms: TASK_LEASE_MS,
+      takeover_horizon_ms: 4_000,
+    },
+  },
+};
+
+async function startCluster(t: ExecutionContext, entries: number): Promise<Cluster> {
+  const cluster = await Cluster.start({ ...OPTIONS, entries });
+  t.teardown(async () => {
+    if (!t.passed) {
+      t.log(cluster.collectLogs());
+    }
+    await cluster.stop();
+  });
+  return cluster;
+}
+
+/** Submits a job by its key until the answer says that it is taken. */
+async function submit(
+  cluster: Cluster,
+  change: { readonly key: string; readonly tasks: number; readonly command: string },
+): Promise<string> {
+  const entry = cluster.getEntry(
+    Number(/\d+$/.exec(change.key)?.[0] ?? 0) % cluster.entries.length,
+  );
+  const resources = { processorsMilli: 1_500, memoryBytes: 1_000_000_000 };
+  const spec = { tenant: "academy", kind: "transcode", resources, ...change };
+  let id = "";
+  await waitUntil("the job is taken", TIMEOUT_MS, async () => {
+    const { status, body } = await callJson("POST", `http://${entry.api}/v1/jobs`, spec);
+    id = status < 300 ? z.object({ id: z.string() }).parse(body).id : "";
+    return id !== "";
+  });
+  return id;
+}
+
+async function waitForCompletion(cluster: Cluster, id: string): Promise<void> {
+  await waitUntil(`job ${id} is completed`, TIMEOUT_MS, async () => {
+    const { body } = await callJson("GET", `http://${cluster.getEntry().api}/v1/jobs/${id}`);
+    return z.object({ state: z.string() }).parse(body).state === "completed";
+  });
+}
+
+async function waitForRuns(cluster: Cluster, count: number): Promise<readonly TaskRun[]> {
+  await waitUntil(`${count} runs`, TIMEOUT_MS, () =>
+    Promise.resolve(getRuns(cluster.readWorkerEvents()).length >= count),
+  );
+  return getRuns(cluster.readWorkerEvents());
+}
+
+function assertSound(t: ExecutionContext, cluster: Cluster, tasks: number): readonly TaskRun[] {
+  const events = cluster.readWorkerEvents();
+  const runs = getRuns(events);
+  t.deepEqual(findTaskViolations(events), []);
+  t.deepEqual(findDoubleRuns(runs), []);
+  t.is(runs.filter((run) => run.phase === "completed").length, tasks);
+  return runs;
+}
+
+test.serial("an agent commits its VM never beyond its capacity while entries race", async (t) => {
+  const cluster = await startCluster(t, 3);
+  const ids = await Promise.all(
+    Array.from({ length: 12 }, (_, number) =>
+      submit(cluster, { key: `race-${number}`, tasks: 4, command: "run 300" }),
+    ),
+  );
+  await Promise.all(ids.map((id) => waitForCompletion(cluster, id)));
+  const runs = assertSound(t, cluster, 48);
+  const overlaps = runs.filter((run) =>
+    runs.some(
+      (other) => other !== run && other.vm === run.vm && other.from < run.to && run.from < other.to,
+    ),
+  );
+  t.true(overlaps.length > 0, "no VM ran two tasks at once, so nothing was contended");
+});
+
+test.serial("an agent that is killed finds its tasks running and goes on with them", async (t) => {
+  const cluster = await startCluster(t, 1);
+  const id = await submit(cluster, { key: "restart-0", tasks: 4, command: "run 8000" });
+  await waitForRuns(cluster, 4);
+  const { process } = cluster.getVm(0).agent;
+  await process.kill();
+  process.start();
+  const second = await submit(cluster, { key: "second-0", tasks: 4, command: "run 500" });
+  await waitForCompletion(cluster, id);
+  await waitForCompletion(cluster, second);
+  const runs = assertSound(t, cluster, 8);
+  t.is(runs.length, 8, "a task was started again although its worker ran it");
+});
+
+test.serial("an agent killed while entries race for its room is not over-committed", async (t) => {
+  const cluster = await startCluster(t, 3);
+  const ids = await Promise.all(
+    Array.from({ length: 9 }, (_, number) =>
+      submit(cluster, { key: `kill-${number}`, tasks: 4, command: "run 700" }),
+    ),
+  );
+  await waitForRuns(cluster, 6);
+  const [first, second] = cluster.vms;
+  await first?.agent.process.kill();
+  first?.agent.process.start();
+  await waitForRuns(cluster, 10);
+  await second?.agent.process.kill();
+  second?.agent.process.start();
+  await Promise.all(ids.map((id) => waitForCompletion(cluster, id)));
+  assertSound(t, cluster, 36);
+});
+
+test.serial(
+  "an agent that is frozen past its leases stops nothing late and starts nothing late",
+  async (t) => {
+    const cluster = await startCluster(t, 1);
+    // The work outlasts a lease, so that no task can end unseen while its agent is frozen.
+    const id = await submit(cluster, { key: "freeze-0", tasks: 4, command: "run 6000" });
+    const before = await waitForRuns(cluster, 4);
+    const { name, agent } = cluster.getVm(0);
+    agent.process.freeze();
+    const held = before.filter((run) => run.vm === name).length;
+    t.true(held > 0);
+    await waitForRuns(cluster, 4 + held);
+    agent.process.thaw();
+    await waitForCompletion(cluster, id);
+    assertSound(t, cluster, 4);
+  },
+);
+
+test.serial(
+  "an agent that drains stops its tasks with checkpoints and they resume elsewhere",
+  async (t) => {
+    const cluster = await startCluster(t, 1);
+    const id = await submit(cluster, { key: "drain-0", tasks: 2, command: "run 4000" });
+    await waitForRuns(cluster, 2);
+    const runsOn = getRuns(cluster.readWorkerEvents())[0]?.vm;
+    const vm = cluster.vms.find((candidate) => candidate.name === runsOn);
+    await vm?.agent.process.stop();
+    await waitForCompletion(cluster, id);
+    const runs = assertSound(t, cluster, 2);
+    const resumed = runs.filter((run) => run.attempt > 1);
+    t.true(resumed.length > 0);
+    t.true(resumed.every((run) => run.workFromMs > 0));
+  },
+);
