--- a/src/transport/agent/tasks/TaskService.ts
+++ b/src/transport/agent/tasks/TaskService.ts
@@ -242,15 +242,16 @@
     }
     this._headroom.apply();
     this._stopLapsed();
-    void this._poller.poll();
-    void this._stopper.stopAll();
-    void this._reportAndRenew();
+    void this._pollAndReport();
     this._timer = this._options.clock.after(this._options.pollMs, () => {
       this._tick();
     });
   }
 
-  private async _reportAndRenew(): Promise<void> {
+  /** A poll that is under way from an earlier tick holds nothing up. */
+  private async _pollAndReport(): Promise<void> {
+    await this._poller.poll();
+    void this._stopper.stopAll();
     await this._reporter.reportDue();
     await this._renewer.renew(this._table.getAll());
   }
