Sample the event loop's delay once a second

Cause: an idle agent took 2.55% of a core, of which the sampling of the event loop every 10 ms was a part.

--- a/src/transport/http/PromMetrics.ts
+++ b/src/transport/http/PromMetrics.ts
@@ -56,7 +56,7 @@
     super();
     this._histograms = histograms;
     this._maxSeries = maxSeries;
-    collectDefaultMetrics({ register: this._registry });
+    collectDefaultMetrics({ register: this._registry, eventLoopMonitoringPrecision: 1000 });
   }
 
   override add<N extends MetricName>(name: N, amount: number, ...labels: LabelArguments<N>): void {
