--- a/src/coordination/disturbance/DisturbanceEstimator.ts
+++ b/src/coordination/disturbance/DisturbanceEstimator.ts
@@ -43,12 +43,15 @@
 const BASE_CURVE_PRIOR: VariablePrior = { mean: 0, variance: 0.5, decayMs: BASE_DECAY_MS };
 const KNOWN_BASE_VARIANCE = 0.0008;
 const REPORT_VARIANCE = 0.01;
+const OUTLIER_DEVIATIONS = 3;
+const NOISE_WEIGHT = 0.05;
 const MAX_VARIABLES = 48;
 const MAX_HISTORY_MS = 60_000;
 
 /** Estimator of disturbance on one VM, or over several with one mix history each. */
 export class DisturbanceEstimator {
   private readonly _states = new Map<string, GaussianState>();
+  private readonly _noises = new Map<string, number>();
   private readonly _firstLogs = new Map<string, number>();
   private readonly _mixes = new MixHistory(MAX_HISTORY_MS);
 
@@ -97,8 +100,20 @@
         { name: loadName(part.kind), prior: LOAD_PRIOR, weight: loadWeight },
       ];
     });
-    const expected = getSum(state, base) + Math.log(1 + rise);
-    state.observe(report.measuredAt, [...base, ...terms], logLatency - expected, REPORT_VARIANCE);
+    const error = logLatency - getSum(state, base) - Math.log(1 + rise);
+    const noise = this._getNoise(report.service);
+    const bound = OUTLIER_DEVIATIONS * Math.sqrt(noise);
+    const bounded = Math.max(-bound, Math.min(bound, error));
+    state.observe(report.measuredAt, [...base, ...terms], bounded, noise);
+    this._noises.set(report.service, noise + NOISE_WEIGHT * (bounded ** 2 - noise));
+  }
+
+  /**
+   * Gives by how much reports of a service scatter more than is usual, as a share of the latency.
+   * @param service - The service.
+   */
+  getExcessNoise(service: string): number {
+    return Math.sqrt(this._getNoise(service) - REPORT_VARIANCE);
   }
 
   /**
@@ -154,6 +169,10 @@
     return variance !== undefined && variance <= KNOWN_BASE_VARIANCE;
   }
 
+  private _getNoise(service: string): number {
+    return Math.max(REPORT_VARIANCE, this._noises.get(service) ?? REPORT_VARIANCE);
+  }
+
   private _getState(service: string): GaussianState {
     const known = this._states.get(service);
     if (known !== undefined) {
--- a/src/coordination/disturbance/LatencyWindow.ts
+++ b/src/coordination/disturbance/LatencyWindow.ts
@@ -13,7 +13,7 @@
 }
 
 /** Fewest requests of a report. */
-export const MIN_REPORT_REQUESTS = 30;
+export const MIN_REPORT_REQUESTS = 100;
 const MAX_WINDOW_MS = 10_000;
 const US_PER_MS = 1000;
 
--- a/src/coordination/disturbance/YieldController.ts
+++ b/src/coordination/disturbance/YieldController.ts
@@ -196,9 +196,10 @@
       }
       this._seenReports.set(service, report.measuredAt);
       const rise = this._estimator.getMeasuredRise(report) ?? 0;
+      const noise = this._estimator.getExcessNoise(service);
       const isBreached =
-        rise > profile.toleratedDisturbancePercent / 100 ||
-        (rise > 0 && report.latencyMs > profile.latencyObjectiveMs);
+        rise > profile.toleratedDisturbancePercent / 100 + noise ||
+        (rise > noise && report.latencyMs > profile.latencyObjectiveMs);
       const counts = isBreached && report.measuredAt >= this._changedAt + SETTLE_MS;
       this._breaches.set(service, counts ? (this._breaches.get(service) ?? 0) + 1 : 0);
     });
