--- a/src/transport/entry/requests/RequestRun.ts
+++ b/src/transport/entry/requests/RequestRun.ts
@@ -20,6 +20,7 @@
 import { answerRefusal } from "../../http/refusalAnswer.ts";
 import type { RelayFailure } from "../../http/RelayHandler.ts";
 import { getDispatchBody, type RequestBody } from "../../http/requestBody.ts";
+import { getRequestFault } from "../../http/requestFault.ts";
 import type { AgentConnections } from "./AgentConnections.ts";
 import { AgentExchange, type AgentRefusal, type PiggybackedLoad } from "./AgentExchange.ts";
 import type { CallerRequest } from "./CallerRequest.ts";
@@ -194,7 +195,12 @@
       this._noteLateFailure(server, open);
       return;
     }
-    server.ejector.noteFailure(this._parts.clock.now());
+    const fault = getRequestFault(failure.reason);
+    if (fault === undefined) {
+      server.ejector.noteFailure(this._parts.clock.now());
+    } else {
+      server.ejector.noteNeutral();
+    }
     if (failure.headSeen && this._req.res.headersSent) {
       this._end("cut", "ran");
       this._req.res.destroy();
@@ -202,7 +208,12 @@
     }
     const verdict = await this._getVerdict(open, failure);
     this._note(server, open.sentAt, failure.reason.message, verdict);
-    this._continue({ verdict, code: "upstream-failed", detail: failure.reason.message });
+    const refusal = { verdict, code: fault ?? "upstream-failed", detail: failure.reason.message };
+    if (fault === undefined) {
+      this._continue(refusal);
+    } else {
+      this._answer(refusal);
+    }
   }
 
   /** A server that let a budget pass counts as failing; a caller that went away says nothing. */
