--- a/tests/integration/batchFailureTests.ts
+++ b/tests/integration/batchFailureTests.ts
@@ -13,18 +13,14 @@
 const TIMEOUT_MS = 60_000;
 const TASK_LEASE_MS = 3_000;
 const URGENT_START_TARGET_MS = 4_900;
-const OPTIONS: Partial<ClusterOptions> = {
-  services: [],
-  plainVms: 3,
-  entrySettings: {
-    batch: {
-      partitions: 4,
-      owner_lease_ms: 2_000,
-      task_lease_ms: TASK_LEASE_MS,
-      takeover_horizon_ms: 4_000,
-    },
-  },
+const LONG_TASK_LEASE_MS = 9_000;
+const BATCH_SETTINGS = {
+  partitions: 4,
+  owner_lease_ms: 2_000,
+  task_lease_ms: TASK_LEASE_MS,
+  takeover_horizon_ms: 4_000,
 };
+const OPTIONS: Partial<ClusterOptions> = { services: [], plainVms: 3 };
 const SPEC = {
   key: "transcode-1",
   tenant: "academy",
@@ -37,8 +33,13 @@
 const Job = z.object({ state: z.string(), owner: z.string() });
 const Refused = z.object({ code: z.string(), verdict: z.string() });
 
-async function startCluster(t: ExecutionContext, entries: number): Promise<Cluster> {
-  const cluster = await Cluster.start({ ...OPTIONS, entries });
+async function startCluster(
+  t: ExecutionContext,
+  entries: number,
+  leaseMs = TASK_LEASE_MS,
+): Promise<Cluster> {
+  const batch = { ...BATCH_SETTINGS, task_lease_ms: leaseMs };
+  const cluster = await Cluster.start({ ...OPTIONS, entries, entrySettings: { batch } });
   t.teardown(async () => {
     if (!t.passed) {
       t.log(cluster.collectLogs());
@@ -142,6 +143,32 @@
   assertSound(t, cluster, SPEC.tasks);
 });
 
+test.serial("a new owner waits for the leases of agents that are silent", async (t) => {
+  const cluster = await startCluster(t, 2, LONG_TASK_LEASE_MS);
+  // Each task fills a VM, so that a task that is given up can only start on the free one.
+  const resources = { ...SPEC.resources, processorsMilli: 10_000 };
+  const id = await submit(cluster, { ...SPEC, resources, tasks: 2, command: "run 30000" });
+  const runs = await waitForRuns(cluster, 2);
+  const frozen = cluster.vms.filter((vm) => runs.some((run) => run.vm === vm.name));
+  frozen.forEach((vm) => {
+    vm.agent.process.freeze();
+  });
+  const owner = await findOwner(cluster, id);
+  await owner.process.kill();
+  await waitUntil("a task runs elsewhere", TIMEOUT_MS, () => {
+    const later = getRuns(cluster.readWorkerEvents()).filter((run) => run.attempt > 1);
+    return Promise.resolve(later.length > 0);
+  });
+  frozen.forEach((vm) => {
+    vm.agent.process.thaw();
+  });
+  const other = cluster.entries.findIndex((entry) => entry !== owner);
+  const url = `http://${cluster.getEntry(other).api}/v1/jobs/${id}`;
+  t.is((await callJson("DELETE", url)).status, 200);
+  await waitForState(cluster, id, "cancelled", other);
+  t.deepEqual(findDoubleRuns(getRuns(cluster.readWorkerEvents())), []);
+});
+
 test.serial("a store that is out refuses jobs promptly and stops no running task", async (t) => {
   const cluster = await startCluster(t, 1);
   const id = await submit(cluster, { ...SPEC, command: "run 2000" });
