--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -219,6 +219,7 @@
       draining: this._draining || !this._tasks.isReady(),
       configRevision: BigInt(this._keeper.getRevision() ?? 0),
       tasks: this._tasks.getTasks().length,
+      startHold: this._yielding.getStartHold(),
       ...(heatLevel === undefined ? {} : { heatLevel }),
     });
   }
@@ -271,6 +272,7 @@
       stopTask: (req) => this._tasks.stopTask(req),
       throttleTask: (req) => this._tasks.throttleTask(req),
       getConfig: (req) => PeerConfigs.getReply(this._keeper, req),
+      explainVm: () => ({ explanation: JSON.stringify(this._yielding.getExplanation()) }),
     });
   }
 
--- a/standins/cluster/ClusterFiles.ts
+++ b/standins/cluster/ClusterFiles.ts
@@ -45,7 +45,8 @@
   }
 
   /**
-   * Reads a journal; a process that wrote none has an empty one.
+   * Reads a journal; a process that wrote none has an empty one. A last line that is still being
+   * written is left out.
    * @param name - Name of the process.
    */
   readJournal(name: string): readonly unknown[] {
@@ -53,9 +54,12 @@
     if (!existsSync(path)) {
       return [];
     }
-    return readFileSync(path, "utf8")
+    const text = readFileSync(path, "utf8");
+    // A line that is being written has no end yet.
+    return text
+      .slice(0, text.lastIndexOf("\n") + 1)
       .split("\n")
-      .filter((line) => line !== "")
+      .slice(0, -1)
       .map((line) => JSON.parse(line) as unknown);
   }
 
