--- a/tests/integration/capacityTests.ts
+++ b/tests/integration/capacityTests.ts
@@ -112,6 +112,31 @@
   t.is(runs.length, 8, "a task was started again although its worker ran it");
 });
 
+test.serial(
+  "an agent that restarts beside a frozen worker starts nothing until it has read it",
+  async (t) => {
+    const cluster = await startCluster(t, 1);
+    const id = await submit(cluster, { key: "blind-0", tasks: 4, command: "run 2000" });
+    await waitForRuns(cluster, 4);
+    const { name, agent, worker } = cluster.getVm(0);
+    await agent.process.kill();
+    worker.process.freeze();
+    agent.process.start();
+    const second = await submit(cluster, { key: "second-0", tasks: 4, command: "run 500" });
+    await waitUntil("the agent tells that it takes no tasks", TIMEOUT_MS, async () => {
+      const { body } = await callJson("GET", `http://${cluster.getEntry().api}/v1/status`);
+      const vms = z.object({
+        vms: z.array(z.object({ agent: z.string(), draining: z.boolean() })),
+      });
+      return vms.parse(body).vms.some((vm) => vm.agent === name && vm.draining);
+    });
+    worker.process.thaw();
+    await waitForCompletion(cluster, id);
+    await waitForCompletion(cluster, second);
+    t.deepEqual(findTaskViolations(cluster.readWorkerEvents()), []);
+  },
+);
+
 test.serial("an agent killed while entries race for its room is not over-committed", async (t) => {
   const cluster = await startCluster(t, 3);
   const ids = await Promise.all(
