--- a/standins/cluster/ClusterFiles.ts
+++ b/standins/cluster/ClusterFiles.ts
@@ -54,7 +54,10 @@
     if (!existsSync(path)) {
       return [];
     }
-    return readFileSync(path, "utf8")
+    const text = readFileSync(path, "utf8");
+    // A line that is being written has no end yet.
+    return text
+      .slice(0, text.lastIndexOf("\n") + 1)
       .split("\n")
       .slice(0, -1)
       .map((line) => JSON.parse(line) as unknown);
