Make the demo heat the zone while tasks run there, and shorten it

Cause: tasks now start one by one while an agent learns what they disturb, so the zone was heated before any ran: no eviction was shown and the run took 105 s. Change: the demo waits for 6 running tasks, takes the busiest VM out and kills the next, and has fewer tasks.

--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -8,6 +8,7 @@
 import { CallerLoad } from "../standins/callers/CallerLoad.ts";
 import type { CallKind, CallOutcome } from "../standins/callers/CallerLoad.ts";
 import { Cluster } from "../standins/cluster/Cluster.ts";
+import type { ClusterVm } from "../standins/cluster/ClusterVm.ts";
 import { waitUntil } from "../standins/cluster/waitUntil.ts";
 import { findRequestViolations } from "../standins/history/requestHistory.ts";
 import { findTaskViolations } from "../standins/history/taskHistory.ts";
@@ -25,8 +26,12 @@
 const BINARY = join(REPOSITORY, "dist", "fireflylb");
 const CONFIGURATION = "examples/collective.ini";
 const REQUESTS_PER_PHASE = 1_000;
+/** Tasks that run before the zone is made hot. */
+const RUNNING_TASKS = 6;
 /** Lines of each process's log that are shown when the demo fails. */
 const LOG_LINES = 3;
+/** Lease of a task; the work of a VM that dies starts again elsewhere after it. */
+const TASK_LEASE_MS = 6_000;
 const PHASE_TIMEOUT_MS = 60_000;
 
 const KINDS: readonly CallKind[] = [
@@ -40,17 +45,17 @@
   {
     tenant: "paper-ahmedabad",
     kind: "rebuild",
-    tasks: 24,
-    cores: 4,
-    command: "run 20000",
+    tasks: 16,
+    cores: 2,
+    command: "run 12000",
     urgent: false,
   },
   {
     tenant: "paper-surat",
     kind: "coverage",
-    tasks: 20,
-    cores: 2,
-    command: "run 10000",
+    tasks: 10,
+    cores: 1,
+    command: "run 8000",
     urgent: false,
   },
   {
@@ -97,15 +102,16 @@
     for (const job of JOBS) {
       await jobs.submit(job);
     }
+    await this._waitForTasks(RUNNING_TASKS);
     await this._phase("Requests and jobs run side by side");
     await this._commands.run("heat", "set", HOT_ZONE, "3", "--wait");
     await this._phase(`Zone ${HOT_ZONE} runs hot`);
     await this._commands.run("heat", "set", HOT_ZONE, "0", "--wait");
-    const leaving = this._cluster.getVm(4);
+    const leaving = this._getBusiestVm();
     await leaving.server?.process.stop();
     await leaving.agent.process.stop();
     await this._phase(`VM ${leaving.name} was taken out of service, its tasks checkpointed`);
-    const dying = this._cluster.getVm(0);
+    const dying = this._getBusiestVm();
     [dying.agent, dying.worker, dying.server].forEach((part) => {
       part?.process.signal("SIGKILL");
     });
@@ -131,6 +137,34 @@
     await Promise.race([once(process, "SIGINT"), once(process, "SIGTERM")]);
   }
 
+  private async _waitForTasks(count: number): Promise<void> {
+    await waitUntil(`${count} tasks run`, PHASE_TIMEOUT_MS, () =>
+      Promise.resolve([...this._countRunning().values()].reduce((a, b) => a + b, 0) >= count),
+    );
+  }
+
+  /** Counts the running tasks of each VM that is up. */
+  private _countRunning(): ReadonlyMap<string, number> {
+    const up = this._cluster.vms.filter((vm) => vm.agent.process.pid !== undefined);
+    const counts = new Map(up.map((vm) => [vm.name, 0]));
+    this._cluster.readWorkerEvents().forEach((event) => {
+      const count = counts.get(event.vm);
+      if (count !== undefined && (event.event === "start" || event.event === "end")) {
+        counts.set(event.vm, count + (event.event === "start" ? 1 : -1));
+      }
+    });
+    return counts;
+  }
+
+  private _getBusiestVm(): ClusterVm {
+    const counts = this._countRunning();
+    const busiest = this._cluster.vms
+      .filter((vm) => counts.has(vm.name))
+      .toSorted((a, b) => (counts.get(b.name) ?? 0) - (counts.get(a.name) ?? 0))
+      .at(0);
+    return busiest ?? this._cluster.getVm();
+  }
+
   private async _phase(title: string): Promise<void> {
     const from = this._load.outcomes.length;
     await waitUntil(`phase "${title}"`, PHASE_TIMEOUT_MS, () =>
@@ -183,6 +217,7 @@
   ],
   processorsMilli: 32_000,
   memoryBytes: 125_000_000_000,
+  entrySettings: { batch: { task_lease_ms: TASK_LEASE_MS } },
   seed: SEED,
 });
 try {
--- a/scripts/demo/DemoJobs.ts
+++ b/scripts/demo/DemoJobs.ts
@@ -5,7 +5,7 @@
 import { waitUntil } from "../../standins/cluster/waitUntil.ts";
 import type { DemoCommands } from "./DemoCommands.ts";
 
-const JOB_TIMEOUT_MS = 90_000;
+const JOB_TIMEOUT_MS = 180_000;
 
 const Submitted = z.object({ id: z.string() });
 const Job = z.object({ state: z.string(), tasks: z.record(z.string(), z.number()) });
