--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -4,6 +4,7 @@
  */
 import type { ConnectRouter } from "@connectrpc/connect";
 import { err, ok, type Result } from "neverthrow";
+import type { EntryRegistration } from "../../coordination/batch/EntryMembership.ts";
 import { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
 import { DEFAULT_BATCH_SETTINGS } from "../../coordination/batch/BatchSettings.ts";
 import { FairSharePlacer } from "../../coordination/placement/FairSharePlacer.ts";
@@ -31,7 +32,7 @@
 import { BatchService } from "./batch/BatchService.ts";
 import { EntryMetrics } from "./EntryMetrics.ts";
 import { EntryRoutes } from "./EntryRoutes.ts";
-import { FleetService, type EntryPeer } from "./FleetService.ts";
+import { FleetService } from "./FleetService.ts";
 import { PeerConfigs } from "./PeerConfigs.ts";
 import { AgentConnections } from "./requests/AgentConnections.ts";
 import { EntryRequestServer } from "./requests/EntryRequestServer.ts";
@@ -247,12 +248,12 @@
     });
   }
 
-  private _getIdentity(): EntryPeer {
+  private _getIdentity(): EntryRegistration {
     const { name, zone, region, control, api } = this._settings.entry;
     return { name, zone, region, control, api };
   }
 
-  private _getEntries(): readonly EntryPeer[] {
+  private _getEntries(): readonly EntryRegistration[] {
     return this._batch.getEntries();
   }
 
--- a/src/transport/entry/EntryRoutes.ts
+++ b/src/transport/entry/EntryRoutes.ts
@@ -1,18 +1,19 @@
 /**
  * Routes of an entry that concern the whole fleet: status, and why a request or a VM got what it got.
  */
+import type { EntryRegistration } from "../../coordination/batch/EntryMembership.ts";
 import type { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
 import type { ProcessRevision } from "../../coordination/config/coverage.ts";
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { FleetView, VmRecord } from "../../state/FleetView.ts";
 import type { RequestTraces } from "../../state/RequestTraces.ts";
 import type { ApiReply, ApiRoute } from "../http/ApiRoute.ts";
-import type { EntryPeer, PeerRevision } from "./FleetService.ts";
+import type { PeerRevision } from "./FleetService.ts";
 
 /** What the routes work with. */
 export interface EntryRoutesParts {
   readonly clock: Clock;
-  readonly entry: EntryPeer;
+  readonly entry: EntryRegistration;
   readonly keeper: ConfigKeeper;
   readonly fleet: FleetView;
   readonly traces: RequestTraces;
--- a/src/transport/entry/FleetService.ts
+++ b/src/transport/entry/FleetService.ts
@@ -3,6 +3,7 @@
  * fleet view and in the table of backend servers.
  */
 import { create } from "@bufbuild/protobuf";
+import type { EntryRegistration } from "../../coordination/batch/EntryMembership.ts";
 import type { ServerTable } from "../../coordination/requests/ServerTable.ts";
 import {
   DigestSchema,
@@ -18,15 +19,6 @@
 import { readVm, writeVm } from "../control/fleetMessages.ts";
 import type { EntryClients } from "../control/EntryClients.ts";
 
-/** Another entry, as the platform's store lists it. */
-export interface EntryPeer {
-  readonly name: string;
-  readonly zone: string;
-  readonly region: string;
-  readonly control: string;
-  readonly api: string;
-}
-
 /** Configuration revision that another entry reported last. */
 export interface PeerRevision {
   readonly revision: number;
@@ -41,7 +33,7 @@
 export interface FleetServiceParts {
   readonly clock: Clock;
   readonly log: Log;
-  readonly entry: EntryPeer;
+  readonly entry: EntryRegistration;
   readonly fleet: FleetView;
   readonly table: ServerTable;
   readonly clients: EntryClients;
@@ -49,7 +41,7 @@
   readonly expiryMs: number;
   readonly getConfigRevision: () => number;
   /** The live entries, this one included. */
-  readonly getEntries: () => readonly EntryPeer[];
+  readonly getEntries: () => readonly EntryRegistration[];
   readonly getOwners: () => readonly PartitionOwner[];
   readonly isDraining: () => boolean;
   /** Called with a revision that another process holds. */
@@ -171,7 +163,7 @@
     await Promise.all(peers.map((peer) => this._sendDigest(peer, digest)));
   }
 
-  private async _sendDigest(peer: EntryPeer, digest: Digest): Promise<void> {
+  private async _sendDigest(peer: EntryRegistration, digest: Digest): Promise<void> {
     const { clients, intervalMs, log } = this._parts;
     try {
       const timeoutMs = Math.max(MIN_TIMEOUT_MS, intervalMs);
--- a/src/transport/entry/PeerConfigs.ts
+++ b/src/transport/entry/PeerConfigs.ts
@@ -3,6 +3,7 @@
  * restarting entry asks them for while the store cannot be reached.
  */
 import { create } from "@bufbuild/protobuf";
+import type { EntryRegistration } from "../../coordination/batch/EntryMembership.ts";
 import type { ConfigKeeper } from "../../coordination/config/ConfigKeeper.ts";
 import { configDocumentSchema, type ConfigSnapshot } from "../../protocol/config/ConfigDocument.ts";
 import {
@@ -12,7 +13,6 @@
 } from "../../protocol/generated/fireflylb/v1/control_pb.ts";
 import type { FleetView } from "../../state/FleetView.ts";
 import type { EntryClients } from "../control/EntryClients.ts";
-import type { EntryPeer } from "./FleetService.ts";
 import type { AgentConnections } from "./requests/AgentConnections.ts";
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -24,7 +24,7 @@
   private readonly _clients: EntryClients;
   private readonly _connections: AgentConnections;
   private readonly _fleet: FleetView;
-  private readonly _getEntries: () => readonly EntryPeer[];
+  private readonly _getEntries: () => readonly EntryRegistration[];
 
   /**
    * Creates it.
@@ -37,7 +37,7 @@
     clients: EntryClients,
     connections: AgentConnections,
     fleet: FleetView,
-    getEntries: () => readonly EntryPeer[],
+    getEntries: () => readonly EntryRegistration[],
   ) {
     this._clients = clients;
     this._connections = connections;
--- a/src/transport/entry/requests/RequestRun.ts
+++ b/src/transport/entry/requests/RequestRun.ts
@@ -3,14 +3,13 @@
  * gives the caller exactly one final answer, at the latest when the budget ends.
  */
 import type { ServerResponse } from "node:http";
-import type {
-  AttemptOutcome,
-  RequestProgress,
+import {
   RequestRouter,
-  RoutedRequest,
-  RouteStep,
+  type AttemptOutcome,
+  type RequestProgress,
+  type RoutedRequest,
+  type RouteStep,
 } from "../../../coordination/requests/RequestRouter.ts";
-import { RequestRouter as Router } from "../../../coordination/requests/RequestRouter.ts";
 import type { ServerState } from "../../../coordination/requests/ServerState.ts";
 import type { Clock, Timer } from "../../../protocol/platform/Clock.ts";
 import { getStatus, type Refusal } from "../../../protocol/Refusal.ts";
@@ -65,7 +64,7 @@
   private readonly _parts: RequestRunParts;
   private readonly _req: ArrivedRequest;
   private readonly _routed: RoutedRequest;
-  private readonly _progress: RequestProgress = Router.begin();
+  private readonly _progress: RequestProgress = RequestRouter.begin();
   private readonly _attempts: AttemptTrace[] = [];
   private _deadlineTimer: Timer | undefined;
   private _exchange: AgentExchange | undefined;
