Tell the backend stand-in its worker, so that tasks disturb it

Cause: the cluster of the tests started backend servers without the address of their worker; they read none, and no task ever slowed a server down. The test of disturbance with real processes could not pass. Ruled out: the load of the machine, to which the red test was put down: it fails the same on a quiet one. Change: the address is passed; the test logs the explanation of the VM when it fails.

--- a/standins/cluster/ClusterVm.ts
+++ b/standins/cluster/ClusterVm.ts
@@ -86,7 +86,9 @@
     const worker = await this._createWorker(name);
     const agent = await this._createAgent(name, zone, index, worker.address);
     const server =
-      service === undefined ? undefined : await this._createServer(name, index, service, agent);
+      service === undefined
+        ? undefined
+        : await this._createServer(name, index, service, { agent, worker });
     return { name, zone, worker, agent, server };
   }
 
@@ -155,7 +157,7 @@
     vm: string,
     index: number,
     service: ServiceOptions,
-    agent: ClusterAgent,
+    beside: { readonly agent: ClusterAgent; readonly worker: ClusterWorker },
   ): Promise<ClusterServer> {
     const { options, files, createStandin } = this._parts;
     const [address = "", control = ""] = await findFreeAddresses(2);
@@ -163,7 +165,8 @@
     const process = createStandin(name, "backend", {
       listen: address,
       control,
-      agent: agent.local,
+      agent: beside.agent.local,
+      worker: beside.worker.address,
       service: service.service,
       id: name,
       slots: service.slots,
--- a/tests/integration/configDisturbanceTests.ts
+++ b/tests/integration/configDisturbanceTests.ts
@@ -35,6 +35,12 @@
   timer = setInterval(() => void call(), CALL_INTERVAL_MS);
 });
 
+test.afterEach.always(async (t) => {
+  if (!t.passed) {
+    t.log(JSON.stringify(await explain()));
+  }
+});
+
 test.after.always(async () => {
   clearInterval(timer);
   await cluster.stop();
