Leave a service's first reports out of its base latency

Cause: the first requests of a server are slower than its usual ones; the base learnt from them was about 20% too high, faded over a week, and hid a true rise of 80% behind an estimate within the tolerated 10%: the noisy task was throttled to its floor but never evicted. Ruled out: the load of the machine, and a faster decay of the base, which would take a lasting disturbance for the usual. Change: the agent leaves the first three reports of each service out. Test: LatencyWindow leaves the first reports out.

--- a/src/coordination/disturbance/LatencyWindow.ts
+++ b/src/coordination/disturbance/LatencyWindow.ts
@@ -29,6 +29,17 @@
 /** Windows of the services on one VM. */
 export class LatencyWindow {
   private readonly _open = new Map<string, OpenWindow>();
+  private readonly _finished = new Map<string, number>();
+  private readonly _warmUpReports: number;
+
+  /**
+   * Creates windows without requests.
+   * @param warmUpReports - First reports of each service that are left out, since the first requests
+   * of a server are slower than its usual ones.
+   */
+  constructor(warmUpReports = 0) {
+    this._warmUpReports = warmUpReports;
+  }
 
   /**
    * Adds a window.
@@ -56,6 +67,11 @@
       return undefined;
     }
     this._open.delete(service);
+    const finished = (this._finished.get(service) ?? 0) + 1;
+    this._finished.set(service, finished);
+    if (finished <= this._warmUpReports) {
+      return undefined;
+    }
     return {
       service,
       measuredAt: now,
--- a/src/transport/agent/yielding/YieldService.ts
+++ b/src/transport/agent/yielding/YieldService.ts
@@ -38,6 +38,8 @@
 const ORDER_TRUST_MS = 5000;
 /** Age from which a service counts as gone from the VM. */
 const SERVICE_EXPIRY_MS = 30_000;
+/** First reports of a service that do not count towards its base latency. */
+const WARM_UP_REPORTS = 3;
 const NO_HEAT: HeatDecision = { level: 0, reason: "nothing known yet", isAssumed: false };
 
 /** What the batch work of a VM offers to yielding. */
@@ -83,7 +85,7 @@
   private readonly _estimator = new DisturbanceEstimator();
   private readonly _controller = new YieldController(this._estimator);
   private readonly _heatTracker = new HeatTracker();
-  private readonly _windows = new LatencyWindow();
+  private readonly _windows = new LatencyWindow(WARM_UP_REPORTS);
   private readonly _decisions = new DecisionLog();
   private readonly _reports = new Map<string, LatencyReport>();
   private readonly _seenAt = new Map<string, number>();
--- a/tests/coordination/disturbance/latencyWindowTests.ts
+++ b/tests/coordination/disturbance/latencyWindowTests.ts
@@ -31,3 +31,11 @@
   t.is(windows.add(window(1, 50_000), 60_000), undefined);
   t.is(windows.add(window(MIN_REPORT_REQUESTS, 50_000), 61_000)?.latencyMs, 50);
 });
+
+test("LatencyWindow leaves the first reports of each service out where it is told to", (t) => {
+  const windows = new LatencyWindow(2);
+  const latencies = [90_000, 50_000, 10_000].map(
+    (p99Us, number) => windows.add(window(MIN_REPORT_REQUESTS, p99Us), number * 1000)?.latencyMs,
+  );
+  t.deepEqual(latencies, [undefined, undefined, 10]);
+});
