Share the clients of control services; drop what nothing uses

Behaviour is as before. Checked: npm run check; 85 tests of placement, requests, protocol, scripts, agent admission and both paths with the built binary passed. The whole suite was not run again on this commit.

--- a/src/protocol/settings/settingKinds.ts
+++ b/src/protocol/settings/settingKinds.ts
@@ -33,11 +33,6 @@
   return new OptionalAddressSetting({ defaultText: "", doc });
 }
 
-/** An address with a default. */
-export function addressOr(defaultText: string, doc: string): AddressSetting {
-  return new AddressSetting({ defaultText, doc });
-}
-
 /** A list of addresses without a default. */
 export function addresses(doc: string): AddressListSetting {
   return new AddressListSetting({ doc });
--- /dev/null
+++ b/src/transport/control/ControlClients.ts
@@ -0,0 +1,43 @@
+/**
+ * Connect clients of one control service, by the address of the process that serves it.
+ */
+import type { DescService } from "@bufbuild/protobuf";
+import { createClient, type Client } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+
+/** Clients of one service. */
+export class ControlClients<T extends DescService> {
+  private readonly _service: T;
+  private readonly _clients = new Map<string, Client<T>>();
+
+  /**
+   * Creates it without clients.
+   * @param service - The service.
+   */
+  constructor(service: T) {
+    this._service = service;
+  }
+
+  /**
+   * Gives the client of a process.
+   * @param address - Control address of the process.
+   */
+  getClient(address: string): Client<T> {
+    const known = this._clients.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const transport = createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "2" });
+    const client = createClient(this._service, transport);
+    this._clients.set(address, client);
+    return client;
+  }
+
+  /**
+   * Forgets the client of a process that is gone.
+   * @param address - Control address of the process.
+   */
+  drop(address: string): void {
+    this._clients.delete(address);
+  }
+}
--- a/src/transport/entry/requests/AgentConnections.ts
+++ b/src/transport/entry/requests/AgentConnections.ts
@@ -1,10 +1,10 @@
 /**
  * Connections of one entry to the agents: HTTP pools for requests and Connect clients for control.
  */
-import { createClient, type Client } from "@connectrpc/connect";
-import { createConnectTransport } from "@connectrpc/connect-node";
+import type { Client } from "@connectrpc/connect";
 import { Pool } from "undici";
 import { AgentControl } from "../../../protocol/generated/fireflylb/v1/control_pb.ts";
+import { ControlClients } from "../../control/ControlClients.ts";
 
 /** Most connections to one agent. */
 const MAX_CONNECTIONS = 128;
@@ -17,7 +17,7 @@
 /** Connections to agents, by address. */
 export class AgentConnections {
   private readonly _pools = new Map<string, Pool>();
-  private readonly _clients = new Map<string, AgentControlClient>();
+  private readonly _clients = new ControlClients(AgentControl);
 
   /**
    * Gives the pool for requests to an agent.
@@ -43,14 +43,7 @@
    * @param address - Control address of the agent.
    */
   getControl(address: string): AgentControlClient {
-    const known = this._clients.get(address);
-    if (known !== undefined) {
-      return known;
-    }
-    const transport = createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "2" });
-    const client = createClient(AgentControl, transport);
-    this._clients.set(address, client);
-    return client;
+    return this._clients.getClient(address);
   }
 
   /**
@@ -61,7 +54,7 @@
   drop(requestAddress: string, controlAddress: string): void {
     const pool = this._pools.get(requestAddress);
     this._pools.delete(requestAddress);
-    this._clients.delete(controlAddress);
+    this._clients.drop(controlAddress);
     void pool?.close();
   }
 
--- a/tests/support/placementFixtures.ts
+++ b/tests/support/placementFixtures.ts
@@ -3,8 +3,9 @@
  */
 import type { HeldTask, PendingTask, PlacementInput } from "../../src/coordination/batch/Placer.ts";
 import { EMPTY_DOCUMENT, type Quota } from "../../src/protocol/config/ConfigDocument.ts";
-import { NO_RESOURCES, type Resources } from "../../src/protocol/Resources.ts";
+import type { Resources } from "../../src/protocol/Resources.ts";
 import type { ServerRecord, VmRecord } from "../../src/state/FleetView.ts";
+import { createVm as createServingVm } from "./createVm.ts";
 
 /** Amount of some cores and as many units of memory. */
 export function cores(count: number, accelerators = 0): Resources {
@@ -13,26 +14,13 @@
 
 /** A VM with eight cores. */
 export function createVm(agent: string, change: Partial<VmRecord> = {}): VmRecord {
-  return {
-    agent,
-    incarnation: "i",
-    sequence: 1,
-    region: "r",
+  return createServingVm(agent, {
     zone: "z",
     rack: "k",
-    requestAddress: "",
-    controlAddress: "",
     capacity: cores(8),
-    committed: NO_RESOURCES,
-    used: NO_RESOURCES,
     servers: [],
-    draining: false,
-    configRevision: 1,
-    tasks: 0,
-    heatLevel: undefined,
-    reportedAt: 0,
     ...change,
-  };
+  });
 }
 
 /** A backend server of a service. */
