--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,6 +26,7 @@
   {
     ignores: [
       "dist",
+      "target",
       "build",
       "node_modules",
       "src/protocol/generated",
--- /dev/null
+++ b/src/coordination/pool/PlacementBoard.ts
@@ -0,0 +1,184 @@
+/**
+ * The workers of a pool in one round of placement: what is free on each, what runs there, and which
+ * one suits a task best. Tasks that serve users are spread; tasks that live on idle processors go
+ * where most are idle; all others fill up the fullest worker that has the room.
+ */
+import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
+import { fits, subtractResources, type Resources } from "../../protocol/Resources.ts";
+import type { Admission } from "../placement/WorkerQuarantine.ts";
+import type { WorkerRecord } from "./WorkerTable.ts";
+
+/** Weight of each serving task of a worker against idle processors, in thousandths of a core. */
+const SERVING_WEIGHT_MILLI = 8_000;
+/** Weight of a worker on which the task has failed before, in thousandths of a core. */
+const FAILED_WEIGHT_MILLI = 100_000;
+/** Weight of a rack away from the data, in thousandths of a core. */
+const DATA_WEIGHT_MILLI = 50_000;
+
+/** A worker with what the round has placed on it. */
+export interface BoardWorker {
+  readonly agent: string;
+  readonly worker: string;
+  readonly rack: string;
+  readonly labels: readonly string[];
+  readonly free: Resources;
+  /** Processors that no task is expected to use, in thousandths; negative where overbooked. */
+  readonly idleMilli: number;
+  /** Tasks that serve users. */
+  readonly serving: number;
+  readonly admission: Admission;
+  /** Tasks by step. */
+  readonly steps: ReadonlyMap<string, number>;
+}
+
+/** A task as it is placed. */
+export interface BoardTask {
+  /** Job, occurrence and step. */
+  readonly stepKey: string;
+  readonly definition: StepDefinition;
+  /** Agents on which the task has failed or has been given up. */
+  readonly avoid: ReadonlySet<string>;
+  /** Rack on which the task must run; undefined for any. */
+  readonly rack: string | undefined;
+}
+
+/** Workers in one round. */
+export class PlacementBoard {
+  private readonly _workers = new Map<string, BoardWorker>();
+
+  /**
+   * Creates a board.
+   * @param records - Workers that may be given runs.
+   * @param getCommitted - Gives what is committed on a worker.
+   * @param admissions - How workers under suspicion may be used.
+   */
+  constructor(
+    records: readonly WorkerRecord[],
+    getCommitted: (worker: string) => Resources,
+    admissions: ReadonlyMap<string, Admission>,
+  ) {
+    records.forEach(({ agent, report }) => {
+      const free = subtractResources(report.capacity, getCommitted(report.worker));
+      this._workers.set(agent, {
+        agent,
+        worker: report.worker,
+        rack: report.rack,
+        labels: report.labels,
+        free,
+        idleMilli: free.processorsMilli,
+        serving: 0,
+        admission: admissions.get(agent) ?? "open",
+        steps: new Map(),
+      });
+    });
+  }
+
+  get workers(): readonly BoardWorker[] {
+    return [...this._workers.values()];
+  }
+
+  /**
+   * Notes a run that is on a worker already; its amount is committed.
+   * @param agent - Agent of the worker.
+   * @param stepKey - Step of its task.
+   * @param definition - Definition of the step.
+   */
+  noteRun(agent: string, stepKey: string, definition: StepDefinition): void {
+    const worker = this._workers.get(agent);
+    if (worker !== undefined) {
+      this._workers.set(agent, addTask(worker, stepKey, definition));
+    }
+  }
+
+  /**
+   * Chooses a worker for a task and takes the amount from it.
+   * @param task - The task.
+   * @returns The worker; undefined where none has room.
+   */
+  place(task: BoardTask): BoardWorker | undefined {
+    const wanted = getCommitment(task.definition);
+    const best = this.workers
+      .filter((worker) => fits(wanted, worker.free) && accepts(worker, task))
+      .map((worker) => ({ worker, rating: rate(worker, task) }))
+      .reduce<{ worker: BoardWorker; rating: number } | undefined>(
+        (found, next) => (found === undefined || next.rating > found.rating ? next : found),
+        undefined,
+      )?.worker;
+    if (best !== undefined) {
+      const left = { ...best, free: subtractResources(best.free, wanted) };
+      const committedMilli = wanted.processorsMilli;
+      const placed = addTask(left, task.stepKey, task.definition);
+      this._workers.set(best.agent, {
+        ...placed,
+        idleMilli: placed.idleMilli - committedMilli,
+        admission: best.admission === "probe" ? "closed" : best.admission,
+      });
+    }
+    return best;
+  }
+
+  /**
+   * Puts workers back as they were, for a gang of which not all members found room.
+   * @param workers - Workers as they were.
+   */
+  restore(workers: readonly BoardWorker[]): void {
+    workers.forEach((worker) => this._workers.set(worker.agent, worker));
+  }
+}
+
+/**
+ * Gives what a task holds of a worker: the processors of a task that lives on idle ones are not
+ * counted.
+ * @param definition - Step of the task.
+ */
+export function getCommitment(definition: StepDefinition): Resources {
+  return definition.usesIdleProcessors
+    ? { ...definition.resources, processorsMilli: 0 }
+    : definition.resources;
+}
+
+function addTask(
+  worker: BoardWorker,
+  stepKey: string,
+  definition: StepDefinition,
+): BoardWorker {
+  const usedMilli = definition.usesIdleProcessors ? definition.resources.processorsMilli : 0;
+  return {
+    ...worker,
+    idleMilli: worker.idleMilli - usedMilli,
+    serving: worker.serving + Number(definition.latencyTargetMs !== undefined),
+    steps: new Map([...worker.steps, [stepKey, (worker.steps.get(stepKey) ?? 0) + 1]]),
+  };
+}
+
+function accepts(worker: BoardWorker, task: BoardTask): boolean {
+  const { requiredLabel, maxPerWorker } = task.definition;
+  const count = worker.steps.get(task.stepKey) ?? 0;
+  return (
+    worker.admission !== "closed" &&
+    (requiredLabel === undefined || worker.labels.includes(requiredLabel)) &&
+    (task.rack === undefined || worker.rack === task.rack) &&
+    (maxPerWorker === undefined || count < maxPerWorker)
+  );
+}
+
+/** Rates a worker for a task; higher is better. */
+function rate(worker: BoardWorker, task: BoardTask): number {
+  const { definition, avoid } = task;
+  const { dataRack } = definition;
+  const isAway = dataRack !== undefined && dataRack !== worker.rack;
+  const penalty =
+    (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) + (isAway ? DATA_WEIGHT_MILLI : 0);
+  return rateRoom(worker, definition) - penalty;
+}
+
+function rateRoom(worker: BoardWorker, definition: StepDefinition): number {
+  if (definition.usesIdleProcessors) {
+    return worker.idleMilli - worker.serving * SERVING_WEIGHT_MILLI;
+  }
+  if (definition.latencyTargetMs !== undefined) {
+    return worker.idleMilli - worker.serving * 2 * SERVING_WEIGHT_MILLI;
+  }
+  const leftMilli = worker.idleMilli - definition.resources.processorsMilli;
+  return leftMilli >= 0 ? -leftMilli : leftMilli - SERVING_WEIGHT_MILLI;
+}
--- /dev/null
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -0,0 +1,422 @@
+/**
+ * The scheduler of one pool, from its election to the end of its epoch: it asks the agents, takes
+ * in what they report, places waiting tasks, and has every start and every end recorded before it
+ * is ordered or acknowledged.
+ */
+import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
+import type { CatalogEntry } from "../../state/pool/JobCatalog.ts";
+import { JobState } from "../../state/pool/JobState.ts";
+import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
+import type { AgentRecord, JobPhase, ProgressRecord } from "../../state/pool/records.ts";
+import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
+import { AckTracker } from "./AckTracker.ts";
+import type { AgentChannel, AgentReport, ObserveCall, WorkerReport } from "./AgentChannel.ts";
+import { AgentSession } from "./AgentSession.ts";
+import { CommitQueue } from "./CommitQueue.ts";
+import type { ConfirmationGuard } from "./ConfirmationGuard.ts";
+import { JobUpdater } from "./JobUpdater.ts";
+import { LatencyPacer } from "./LatencyPacer.ts";
+import { OrderSender } from "./OrderSender.ts";
+import { PlacementBoard } from "./PlacementBoard.ts";
+import { PoolState } from "./PoolState.ts";
+import { getTakeoverWaitMs, type PoolTerms } from "./PoolTerms.ts";
+import { ReportReconciler } from "./ReportReconciler.ts";
+import { getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
+import { getStepKey } from "./RunBook.ts";
+import { RunDirector } from "./RunDirector.ts";
+
+/** Delay of a round after what calls for it, so that one round serves several events. */
+const ROUND_DELAY_MS = 3;
+/** Time between looks at what has become due. */
+const TICK_MS = 150;
+
+/** What a scheduler needs. */
+export interface PoolSchedulerParts {
+  readonly pool: string;
+  readonly epoch: number;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly terms: PoolTerms;
+  readonly channel: AgentChannel;
+  readonly guard: ConfirmationGuard;
+  /** Gives the time of day in Unix milliseconds. */
+  readonly getTimeOfDay: () => number;
+  /** When the store last confirmed the election, on the monotonic clock. */
+  readonly getConfirmedAt: () => number;
+  /** Called with progress that was recorded. */
+  readonly onRecorded: (job: string, phase: JobPhase, revision: number) => void;
+  /** Called where another scheduler, or none, is named. */
+  readonly onDeposed: () => void;
+}
+
+/** Progress of a job as it was read after the election. */
+export interface StoredProgress {
+  readonly record: ProgressRecord;
+  readonly revision: number;
+}
+
+/** Scheduler of one pool in one epoch. */
+export class PoolScheduler {
+  private readonly _parts: PoolSchedulerParts;
+  private readonly _state: PoolState;
+  private readonly _commits: CommitQueue;
+  private readonly _orders: OrderSender;
+  private readonly _director: RunDirector;
+  private readonly _updater: JobUpdater;
+  private readonly _quarantine = new WorkerQuarantine();
+  private readonly _pacer = new LatencyPacer();
+  private readonly _acks = new Map<string, AckTracker>();
+  private readonly _sessions = new Map<string, AgentSession>();
+  private _round: Timer | undefined;
+  private _ticker: Timer | undefined;
+  private _isStopped = false;
+
+  /**
+   * Creates the scheduler of an epoch.
+   * @param parts - What it needs.
+   * @param progress - Progress of the pool's jobs as it was read after the election.
+   */
+  constructor(parts: PoolSchedulerParts, progress: ReadonlyMap<string, StoredProgress>) {
+    this._parts = parts;
+    const { pool, terms, clock, log } = parts;
+    this._state = new PoolState(pool, terms);
+    this._commits = this._createCommits(progress);
+    this._orders = this._createOrders();
+    const shared = { state: this._state, clock, log };
+    this._updater = new JobUpdater({
+      ...shared,
+      commits: this._commits,
+      quarantine: this._quarantine,
+      stop: (booked, reason) => {
+        this._director.stop(booked, reason);
+      },
+    });
+    this._director = new RunDirector({
+      ...shared,
+      orders: this._orders,
+      takeoverLapsesAt: clock.now() + getTakeoverWaitMs(terms),
+      onVoid: (booked, reason) => {
+        this._updater.handleVoid(booked, reason);
+        this._roundSoon();
+      },
+      onStalled: (booked) => {
+        this._updater.noteStalled(booked);
+      },
+      onDeposed: () => {
+        this._depose();
+      },
+    });
+  }
+
+  /** What the scheduler knows. */
+  get state(): PoolState {
+    return this._state;
+  }
+
+  /** Begins to look after what becomes due. */
+  start(): void {
+    this._tickLater();
+    this._roundSoon();
+  }
+
+  /** Ends; nothing is ordered or recorded any more. */
+  stop(): void {
+    this._isStopped = true;
+    this._commits.close();
+    this._orders.close();
+    this._sessions.forEach((session) => {
+      session.stop();
+    });
+    this._round?.cancel();
+    this._ticker?.cancel();
+  }
+
+  /**
+   * Takes in an accepted job; one that is known is left alone.
+   * @param entry - The job.
+   * @param progress - What is recorded of it; undefined where nothing is.
+   */
+  addJob(entry: CatalogEntry, progress?: ProgressRecord): void {
+    const { record, id, isCancelled } = entry;
+    if (record === undefined || this._state.getJob(id) !== undefined || this._isStopped) {
+      return;
+    }
+    const job = new JobState(id, record, progress, this._parts.clock.now());
+    this._state.addJob(job);
+    if (isCancelled && !job.isEnded) {
+      this._updater.cancel(job);
+    }
+    this._roundSoon();
+  }
+
+  /**
+   * Ends a job that was cancelled.
+   * @param id - Id of the job.
+   */
+  cancelJob(id: string): void {
+    const job = this._state.getJob(id);
+    if (job !== undefined && !this._isStopped) {
+      this._updater.cancel(job);
+    }
+  }
+
+  /**
+   * Takes in the registration of an agent and begins to ask it.
+   * @param name - Name of the agent.
+   * @param record - The registration.
+   */
+  setAgent(name: string, record: AgentRecord): void {
+    const known = this._state.table.getAgent(name)?.record;
+    this._state.table.setAgent(name, record);
+    if (known !== undefined && known.process !== record.process) {
+      this._parts.channel.reset(known.address);
+    }
+    if (!this._sessions.has(name) && !this._isStopped) {
+      const session = this._createSession(name);
+      this._sessions.set(name, session);
+      session.start();
+    }
+  }
+
+  /**
+   * Stops asking an agent whose worker is of another pool now.
+   * @param name - Name of the agent.
+   */
+  removeAgent(name: string): void {
+    this._sessions.get(name)?.stop();
+    this._sessions.delete(name);
+  }
+
+  private get _mayGrant(): boolean {
+    const { guard, terms, getConfirmedAt } = this._parts;
+    const confirmedAt = Math.max(getConfirmedAt(), this._commits.confirmedAt);
+    return !this._isStopped && guard.isRecent(confirmedAt, terms.grantHorizonMs);
+  }
+
+  private _createCommits(progress: ReadonlyMap<string, StoredProgress>): CommitQueue {
+    const { store, clock, log, pool, epoch, terms, onRecorded } = this._parts;
+    const revisions = new Map([...progress].map(([job, { revision }]) => [job, revision]));
+    const parts = {
+      store,
+      clock,
+      log,
+      schedulerKey: getSchedulerKey(pool),
+      epoch,
+      intervalMs: terms.commitIntervalMs,
+      getKey: (job: string) => formatJobKey({ kind: "progress", pool, job }),
+      getValue: (job: string) => JSON.stringify(this._state.getJob(job)?.toRecord()),
+      onWritten: (job: string, value: string, revision: number) => {
+        onRecorded(job, (JSON.parse(value) as ProgressRecord).phase, revision);
+      },
+      onDeposed: () => {
+        this._depose();
+      },
+    };
+    return new CommitQueue(parts, revisions);
+  }
+
+  private _createOrders(): OrderSender {
+    const { channel, clock, log, epoch } = this._parts;
+    return new OrderSender({
+      channel,
+      clock,
+      log,
+      table: this._state.table,
+      epoch,
+      mayGrant: () => this._mayGrant,
+      onReport: (agent, worker, report) => {
+        this._director.handle(agent, worker, report);
+      },
+      onDeposed: () => {
+        this._depose();
+      },
+    });
+  }
+
+  private _createSession(agent: string): AgentSession {
+    const { channel, clock, log } = this._parts;
+    return new AgentSession({
+      agent,
+      channel,
+      clock,
+      log,
+      getAddress: () => this._state.table.getAgent(agent)?.record.address ?? "",
+      createCall: () => this._createObserve(agent),
+      onReport: (report) => {
+        this._handleReport(agent, report);
+      },
+      onDeposed: () => {
+        this._depose();
+      },
+    });
+  }
+
+  private _createObserve(agent: string): ObserveCall {
+    const { epoch, terms } = this._parts;
+    const { table } = this._state;
+    const worker = table.getWorker(agent)?.report.worker ?? "";
+    return {
+      epoch,
+      worker,
+      leaseUntilMs: this._mayGrant ? table.grant(agent) : undefined,
+      ackedEnd: this._acks.get(worker)?.ackedEnd ?? 0,
+      knownVersion: table.getAgent(agent)?.version ?? 0,
+      waitMs: terms.observeWaitMs,
+    };
+  }
+
+  private _handleReport(agent: string, report: AgentReport): void {
+    const now = this._parts.clock.now();
+    const { table } = this._state;
+    const change = table.apply(agent, report, now);
+    if (change.replaced !== undefined) {
+      const worker = report.worker?.worker;
+      this._parts.log.info("Another worker is in place.", { agent, worker });
+    }
+    if (report.worker !== undefined && change.worker !== undefined) {
+      const { seenEnd } = change.worker;
+      if (!report.worker.answers) {
+        return;
+      }
+      this._reconcile(agent, report.worker, { seenEnd, isNewProcess: change.isNewProcess, now });
+      table.noteEnds(agent, report.worker.ended.at(-1)?.number ?? 0);
+      this._pace(agent, report.worker, now);
+    }
+    this._roundSoon();
+  }
+
+  private _reconcile(
+    agent: string,
+    report: WorkerReport,
+    context: {
+      readonly seenEnd: number;
+      readonly isNewProcess: boolean;
+      readonly now: number;
+    },
+  ): void {
+    const acks = this._acks.get(report.worker) ?? new AckTracker();
+    this._acks.set(report.worker, acks);
+    const { book } = this._state;
+    const reconciler = new ReportReconciler(book, {
+      getTask: (id) => this._state.getTask(id),
+      onEnd: (booked, ended) => {
+        acks.open(ended.number);
+        this._updater.handleEnd(booked, ended, () => {
+          acks.settle(ended.number);
+        });
+      },
+      onIdleEnd: (ended) => {
+        acks.open(ended.number);
+        acks.settle(ended.number);
+      },
+      onVoid: (booked, reason) => {
+        this._updater.handleVoid(booked, reason);
+      },
+      onStray: ({ task, run }) => {
+        this._director.stopStray(agent, report.worker, { task, run });
+      },
+    });
+    reconciler.handle({ agent, report, ...context });
+  }
+
+  /** Slows tasks on idle processors for the sake of the serving tasks beside them. */
+  private _pace(agent: string, report: WorkerReport, now: number): void {
+    const { book } = this._state;
+    const tails = new Map(report.running.map(({ task, run, measure }) => [`${task} ${run}`, measure]));
+    const runs = book.getByAgent(agent).filter(({ active }) => active.worker === report.worker);
+    const measures = runs.flatMap(({ task, active }) => {
+      const targetMs = task.definition.latencyTargetMs;
+      const tailMs = tails.get(`${task.id} ${active.run}`);
+      return targetMs === undefined || tailMs === undefined ? [] : [{ targetMs, tailMs }];
+    });
+    const percent = this._pacer.note(report.worker, measures, now);
+    runs
+      .filter(({ task }) => task.definition.usesIdleProcessors)
+      .filter(({ active }) => active.phase === "running" && active.pacePercent !== percent)
+      .forEach(({ task, active }) => {
+        task.changeRun(active.run, { pacePercent: percent, progressedAt: now });
+        this._orders.pace(agent, report.worker, { task: task.id, run: active.run, percent });
+      });
+  }
+
+  private _roundSoon(): void {
+    if (this._round === undefined && !this._isStopped) {
+      this._round = this._parts.clock.after(ROUND_DELAY_MS, () => {
+        this._round = undefined;
+        this._runRound();
+      });
+    }
+  }
+
+  private _runRound(): void {
+    // While the store takes nothing, no start could be recorded.
+    if (this._isStopped || this._commits.isFailing) {
+      return;
+    }
+    const now = this._parts.clock.now();
+    const steps = getWaitingSteps(this._state.jobs, this._parts.getTimeOfDay());
+    if (steps.length === 0) {
+      return;
+    }
+    const { runs } = planRound(steps, this._createBoard(now));
+    runs.forEach((planned) => {
+      this._record(planned, now);
+    });
+  }
+
+  private _createBoard(now: number): PlacementBoard {
+    const { table, book } = this._state;
+    const usable = table.getUsable(now);
+    const agents = usable.map(({ agent }) => agent);
+    const admissions = this._quarantine.getAdmissions(agents, now);
+    const board = new PlacementBoard(usable, (worker) => table.getCommitted(worker), admissions);
+    book.getAll().forEach(({ task, active }) => {
+      board.noteRun(active.agent, getStepKey(task.address), task.definition);
+    });
+    return board;
+  }
+
+  private _record({ job, task, run, target }: PlannedRun, now: number): void {
+    const { agent, worker } = target;
+    const active = task.addRun({ agent, worker }, now, run);
+    this._state.book.add(task, active);
+    job.refreshPhase();
+    if (target.admission === "probe") {
+      this._quarantine.noteProbe(agent, now);
+    }
+    this._parts.log.debug("Run is placed.", { task: task.id, run, agent });
+    this._commits.enqueue(job.id, () => {
+      this._director.startRecorded(task.id, run);
+    });
+  }
+
+  private _tickLater(): void {
+    this._ticker = this._parts.clock.after(TICK_MS, () => {
+      this._tick();
+      if (!this._isStopped) {
+        this._tickLater();
+      }
+    });
+  }
+
+  private _tick(): void {
+    const timeOfDayMs = this._parts.getTimeOfDay();
+    this._director.tick();
+    this._state.jobs
+      .filter((job) => !job.isEnded && job.openDue(timeOfDayMs))
+      .forEach((job) => {
+        this._commits.enqueue(job.id);
+      });
+    this._roundSoon();
+  }
+
+  private _depose(): void {
+    if (!this._isStopped) {
+      this.stop();
+      this._parts.onDeposed();
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/pool/PoolTerms.ts
@@ -0,0 +1,43 @@
+/**
+ * Times that the scheduling of a pool keeps, as the platform's bounds and this design give them.
+ */
+
+/** Share by which a worker's clock may be slow against others. */
+export const CLOCK_DRIFT = 0.02;
+/** Added to every wait for the end of a lease, for the worker's own delay, in milliseconds. */
+export const LAPSE_MARGIN_MS = 300;
+
+/** Times of a pool's scheduling, in milliseconds. */
+export interface PoolTerms {
+  /** Lease that a worker is given; at most what workers accept. */
+  readonly workerLeaseMs: number;
+  /** Time after its last confirmation in which a scheduler may extend leases. */
+  readonly grantHorizonMs: number;
+  /** Longest wait of an agent's answer for news. */
+  readonly observeWaitMs: number;
+  /** Time after which a call to an agent is given up. */
+  readonly agentTimeoutMs: number;
+  /** Least time between two transactions. */
+  readonly commitIntervalMs: number;
+  /** Time that a worker takes at most to stop a run. */
+  readonly stopMs: number;
+  /** Time to live of the scheduler's lease in the store. */
+  readonly schedulerLeaseMs: number;
+}
+
+/**
+ * Gives the time after which a lease has surely ended.
+ * @param leaseMs - Lease on the worker's clock, in milliseconds.
+ */
+export function getLapseMs(leaseMs: number): number {
+  return leaseMs * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_MS;
+}
+
+/**
+ * Gives the time after a takeover by which every lease of a former scheduler has surely ended: it
+ * may have extended one until its horizon.
+ * @param terms - Times of the pool.
+ */
+export function getTakeoverWaitMs(terms: PoolTerms): number {
+  return terms.grantHorizonMs + getLapseMs(terms.workerLeaseMs);
+}
--- /dev/null
+++ b/src/coordination/pool/RoundPlanner.ts
@@ -0,0 +1,145 @@
+/**
+ * One round of placement for a pool: which waiting tasks start now and on which workers. A gang is
+ * placed whole or not at all.
+ */
+import type { JobState, StepState } from "../../state/pool/JobState.ts";
+import type { TaskState } from "../../state/pool/TaskState.ts";
+import type { BoardTask, BoardWorker, PlacementBoard } from "./PlacementBoard.ts";
+import { getStepKey } from "./RunBook.ts";
+import { compareTurns, getTurn, type Turn } from "./turnOrder.ts";
+
+/** A run to be ordered. */
+export interface PlannedRun {
+  readonly job: JobState;
+  readonly task: TaskState;
+  readonly run: number;
+  readonly target: BoardWorker;
+}
+
+/** A step with tasks that wait for room. */
+export interface WaitingStep {
+  readonly job: JobState;
+  readonly step: StepState;
+  readonly tasks: readonly TaskState[];
+  readonly turn: Turn;
+}
+
+/** Result of a round. */
+export interface RoundPlan {
+  readonly runs: readonly PlannedRun[];
+  /** Steps of which tasks found no room, in their order. */
+  readonly waiting: readonly WaitingStep[];
+}
+
+/**
+ * Gives the steps with tasks that wait, in the order in which they get room.
+ * @param jobs - Jobs of the pool.
+ * @param timeOfDayMs - Time of day in Unix milliseconds.
+ */
+export function getWaitingSteps(
+  jobs: readonly JobState[],
+  timeOfDayMs: number,
+): readonly WaitingStep[] {
+  return jobs
+    .filter((job) => !job.isEnded)
+    .flatMap((job) =>
+      job.getOpenSteps().flatMap((step): readonly WaitingStep[] => {
+        const tasks = getWaitingTasks(step);
+        return tasks.length === 0
+          ? []
+          : [{ job, step, tasks, turn: getTurn(job, step, timeOfDayMs) }];
+      }),
+    )
+    .sort((a, b) => compareTurns(a.turn, b.turn));
+}
+
+/**
+ * Places the tasks of waiting steps.
+ * @param steps - The steps in their order.
+ * @param board - The workers; what is placed is taken from them.
+ */
+export function planRound(steps: readonly WaitingStep[], board: PlacementBoard): RoundPlan {
+  const planned = steps.map((waiting) => ({ waiting, runs: planStep(waiting, board) }));
+  return {
+    runs: planned.flatMap(({ runs }) => runs),
+    waiting: planned
+      .filter(({ waiting, runs }) => runs.length < waiting.tasks.length)
+      .map(({ waiting }) => waiting),
+  };
+}
+
+/** A gang waits until no member runs; its members start together. */
+function getWaitingTasks(step: StepState): readonly TaskState[] {
+  const waiting = step.tasks.filter((task) => !task.isDone && task.active.length === 0);
+  const isWhole = waiting.length === step.tasks.length;
+  return step.definition.gang && !isWhole ? [] : waiting;
+}
+
+function planStep(waiting: WaitingStep, board: PlacementBoard): readonly PlannedRun[] {
+  return waiting.step.definition.gang ? planGang(waiting, board) : planTasks(waiting, board);
+}
+
+function planTasks({ job, tasks }: WaitingStep, board: PlacementBoard): readonly PlannedRun[] {
+  const targets = placeWhileRoom(tasks, board, undefined);
+  return targets.flatMap((target, position): readonly PlannedRun[] => {
+    const task = tasks[position];
+    return task === undefined ? [] : [{ job, task, run: task.lastRun + 1, target }];
+  });
+}
+
+function planGang(waiting: WaitingStep, board: PlacementBoard): readonly PlannedRun[] {
+  const { job, tasks, step } = waiting;
+  const racks = step.definition.sameRack
+    ? [...new Set(board.workers.map(({ rack }) => rack)), undefined]
+    : [undefined];
+  const targets = racks.reduce<readonly BoardWorker[]>(
+    (found, rack) => (found.length > 0 ? found : placeAll(tasks, board, rack)),
+    [],
+  );
+  const run = Math.max(0, ...tasks.map((task) => task.lastRun)) + 1;
+  return targets.flatMap((target, position): readonly PlannedRun[] => {
+    const task = tasks[position];
+    return task === undefined ? [] : [{ job, task, run, target }];
+  });
+}
+
+/** Places all tasks or none. */
+function placeAll(
+  tasks: readonly TaskState[],
+  board: PlacementBoard,
+  rack: string | undefined,
+): readonly BoardWorker[] {
+  const before = board.workers;
+  const targets = placeWhileRoom(tasks, board, rack);
+  if (targets.length < tasks.length) {
+    board.restore(before);
+    return [];
+  }
+  return targets;
+}
+
+/** Places tasks of one step until one finds no room; the others are of the same size. */
+function placeWhileRoom(
+  tasks: readonly TaskState[],
+  board: PlacementBoard,
+  rack: string | undefined,
+): readonly BoardWorker[] {
+  const targets: BoardWorker[] = [];
+  tasks.every((task) => {
+    const target = board.place(toBoardTask(task, rack));
+    if (target !== undefined) {
+      targets.push(target);
+    }
+    return target !== undefined;
+  });
+  return targets;
+}
+
+function toBoardTask(task: TaskState, rack: string | undefined): BoardTask {
+  return {
+    stepKey: getStepKey(task.address),
+    definition: task.definition,
+    avoid: task.avoid,
+    rack,
+  };
+}
--- /dev/null
+++ b/src/coordination/pool/SchedulerElection.ts
@@ -0,0 +1,255 @@
+/**
+ * Decides which entry schedules a pool: the one that the pool's key in the store names. The key is
+ * bound to a lease, so that it vanishes with its holder; its revision is the scheduler's epoch.
+ * What protects the pool is not the lease but the check of the key in every transaction, and the
+ * epoch in every order.
+ */
+import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
+import type { Store, StoreChange, StoreEntry } from "../../protocol/platform/Store.ts";
+import { getSchedulerKey } from "../../state/pool/PoolKeys.ts";
+import { readSchedulerRecord, type SchedulerRecord } from "../../state/pool/records.ts";
+
+/** Renewals of the lease within its time to live, so that two may be lost. */
+const RENEWALS_PER_LEASE = 4;
+/** Longest random delay of a claim, so that entries seldom collide, in milliseconds. */
+const CLAIM_SPREAD_MS = 30;
+/** Wait after a claim that failed, in milliseconds. */
+const RETRY_MS = 200;
+
+/** What an election needs. */
+export interface SchedulerElectionParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly pool: string;
+  readonly identity: SchedulerRecord;
+  /** Time to live of the lease, in milliseconds. */
+  readonly leaseMs: number;
+  /** Called when this entry is named; the epoch is the revision of the key. */
+  readonly onElected: (epoch: number) => void;
+  /** Called when this entry is no longer named. */
+  readonly onDeposed: () => void;
+}
+
+/** What the key says. */
+interface Holder {
+  readonly record: SchedulerRecord | undefined;
+  readonly revision: number;
+}
+
+/** Election of one pool's scheduler, as one entry takes part. */
+export class SchedulerElection {
+  private readonly _parts: SchedulerElectionParts;
+  private readonly _key: string;
+  private _holder: Holder | undefined;
+  private _epoch: number | undefined;
+  private _lease: string | undefined;
+  private _confirmedAt = Number.NEGATIVE_INFINITY;
+  private _isClaiming = false;
+  private _isStopped = false;
+  private _timer: Timer | undefined;
+
+  /**
+   * Creates it; it takes part once what the store names is known.
+   * @param parts - What it needs.
+   */
+  constructor(parts: SchedulerElectionParts) {
+    this._parts = parts;
+    this._key = getSchedulerKey(parts.pool);
+  }
+
+  /** Epoch of this entry's scheduler; undefined where it is not named. */
+  get epoch(): number | undefined {
+    return this._epoch;
+  }
+
+  /** Name of the entry that is named; undefined where none is known. */
+  get holder(): string | undefined {
+    return this._holder?.record?.entry;
+  }
+
+  /** When the store last confirmed that this entry is named, on the monotonic clock. */
+  get confirmedAt(): number {
+    return this._confirmedAt;
+  }
+
+  /**
+   * Takes in the key as it is, or that it does not exist.
+   * @param change - The key; undefined where a listing does not have it.
+   */
+  note(change: StoreChange | undefined): void {
+    const revision = change?.revision ?? 0;
+    if (change !== undefined && revision <= (this._holder?.revision ?? 0)) {
+      return;
+    }
+    const text = change?.value;
+    const record = text === undefined ? undefined : readSchedulerRecord(text).unwrapOr(undefined);
+    this._holder = { record, revision: Math.max(revision, this._holder?.revision ?? 0) };
+    this._follow(record, revision);
+  }
+
+  /** Gives the key up, so that another entry can take it at once. */
+  async stop(): Promise<void> {
+    this._isStopped = true;
+    this._timer?.cancel();
+    if (this._lease !== undefined) {
+      await this._parts.store.revokeLease(this._lease);
+    }
+  }
+
+  /** Notes that a transaction was refused because this entry is not named any more. */
+  noteDeposed(): void {
+    this._depose();
+    void this._refresh();
+  }
+
+  private _follow(record: SchedulerRecord | undefined, revision: number): void {
+    const isOwn = record?.process === this._parts.identity.process;
+    if (this._epoch !== undefined && (!isOwn || revision !== this._epoch)) {
+      this._depose();
+    }
+    if (isOwn && this._epoch === undefined && !this._isStopped) {
+      // A claim whose answer was lost.
+      this._elect(revision, this._parts.clock.now());
+    }
+    const isPredecessor = !isOwn && record?.entry === this._parts.identity.entry;
+    if (record === undefined || isPredecessor) {
+      this._claimSoon(CLAIM_SPREAD_MS * this._parts.random.next());
+    }
+  }
+
+  private _claimSoon(delayMs: number): void {
+    if (this._isClaiming || this._isStopped) {
+      return;
+    }
+    this._isClaiming = true;
+    this._parts.clock.after(delayMs, () => {
+      void this._claim();
+    });
+  }
+
+  private async _claim(): Promise<void> {
+    const sentAt = this._parts.clock.now();
+    const isSettled = this._isStopped || (await this._write(sentAt));
+    this._isClaiming = false;
+    if (!isSettled && !this._isStopped) {
+      this._parts.clock.after(RETRY_MS, () => void this._refresh());
+    }
+  }
+
+  /** Writes the key; tells whether what it names is known afterwards. */
+  private async _write(sentAt: number): Promise<boolean> {
+    const { store, identity, leaseMs } = this._parts;
+    const lease = this._lease ?? (await store.grantLease(leaseMs)).unwrapOr(undefined);
+    this._lease = lease;
+    if (lease === undefined || !this._isClaimable()) {
+      return false;
+    }
+    const expected = this._holder?.record === undefined ? 0 : this._holder.revision;
+    const value = JSON.stringify(identity);
+    const written = await store.write({ key: this._key, value, expected, lease });
+    if (written.isErr()) {
+      this._lease = written.error.kind === "lease-lost" ? undefined : lease;
+      return false;
+    }
+    if (written.value.kind === "conflict") {
+      this._noteEntry(written.value.current);
+      return true;
+    }
+    this._holder = { record: identity, revision: written.value.revision };
+    this._elect(written.value.revision, sentAt);
+    return true;
+  }
+
+  private _isClaimable(): boolean {
+    const record = this._holder?.record;
+    return record === undefined || record.entry === this._parts.identity.entry;
+  }
+
+  /** Reads the key, and claims it again where that is due. */
+  private async _refresh(): Promise<void> {
+    const read = await this._parts.store.read(this._key);
+    if (this._isStopped) {
+      return;
+    }
+    if (read.isErr()) {
+      this._parts.clock.after(RETRY_MS, () => void this._refresh());
+      return;
+    }
+    this._noteEntry(read.value);
+  }
+
+  /** Takes in what a read gave, which is newer than all that is known. */
+  private _noteEntry(entry: StoreEntry | undefined): void {
+    if (entry === undefined) {
+      this._holder = { record: undefined, revision: this._holder?.revision ?? 0 };
+      this._follow(undefined, 0);
+      return;
+    }
+    if (entry.revision > (this._holder?.revision ?? 0)) {
+      this.note(entry);
+      return;
+    }
+    this._follow(readSchedulerRecord(entry.value).unwrapOr(undefined), entry.revision);
+  }
+
+  private _elect(epoch: number, sentAt: number): void {
+    const { log, pool, onElected } = this._parts;
+    this._epoch = epoch;
+    this._confirmedAt = sentAt;
+    log.info("This entry schedules a pool now.", { pool, epoch });
+    this._renewLater();
+    onElected(epoch);
+  }
+
+  private _depose(): void {
+    if (this._epoch === undefined) {
+      return;
+    }
+    const { log, pool, onDeposed } = this._parts;
+    log.warn("This entry no longer schedules a pool.", { pool, epoch: this._epoch });
+    this._epoch = undefined;
+    this._timer?.cancel();
+    onDeposed();
+  }
+
+  private _renewLater(): void {
+    this._timer?.cancel();
+    this._timer = this._parts.clock.after(this._parts.leaseMs / RENEWALS_PER_LEASE, () => {
+      void this._renew();
+    });
+  }
+
+  /** Renews the lease and reads the key: a lease may live on after its key was taken away. */
+  private async _renew(): Promise<void> {
+    const { store, clock } = this._parts;
+    const epoch = this._epoch;
+    const sentAt = clock.now();
+    const [, read] = await Promise.all([this._renewLease(), store.read(this._key)]);
+    if (this._epoch !== epoch || this._isStopped) {
+      return;
+    }
+    if (read.isOk() && read.value?.revision === epoch) {
+      this._confirmedAt = Math.max(this._confirmedAt, sentAt);
+    } else if (read.isOk()) {
+      this._depose();
+      this._noteEntry(read.value);
+      return;
+    }
+    this._renewLater();
+  }
+
+  private async _renewLease(): Promise<void> {
+    const lease = this._lease;
+    if (lease === undefined) {
+      return;
+    }
+    const renewed = await this._parts.store.renewLease(lease);
+    if (renewed.isErr() && renewed.error.kind === "lease-lost" && this._lease === lease) {
+      this._lease = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/pool/StoreFollower.ts
@@ -0,0 +1,131 @@
+/**
+ * Follows the keys under a prefix of the store: lists them, then waits for changes. It lists again
+ * where the store has dropped the changes in between, and goes on after every failure.
+ */
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
+import type { Store, StoreChange, StoreFailure } from "../../protocol/platform/Store.ts";
+
+/** First wait after a failed call, in milliseconds; doubles up to the longest. */
+const FIRST_RETRY_MS = 50;
+/** Longest wait after a failed call; below the two seconds in which a returned store must count. */
+const LONGEST_RETRY_MS = 500;
+
+/** What a follower needs. */
+export interface StoreFollowerParts {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly prefix: string;
+  /** Least time between two waits, so that changes arrive in groups; 0 for no delay. */
+  readonly paceMs: number;
+  /** Receives all keys; those that are not among them do not exist. */
+  readonly onListing: (entries: readonly StoreChange[]) => void;
+  /** Receives changes in their order; some may be known from a listing already. */
+  readonly onChanges: (changes: readonly StoreChange[]) => void;
+}
+
+/** Follows one prefix. */
+export class StoreFollower {
+  private readonly _parts: StoreFollowerParts;
+  private _after: number | undefined;
+  private _retryMs = FIRST_RETRY_MS;
+  private _isStopped = false;
+  private _isReachable = true;
+  private _answeredAt = Number.NEGATIVE_INFINITY;
+
+  /**
+   * Creates a follower; it does nothing before it is started.
+   * @param parts - What it needs.
+   */
+  constructor(parts: StoreFollowerParts) {
+    this._parts = parts;
+  }
+
+  /** Whether all keys have been received once. */
+  get isCurrent(): boolean {
+    return this._after !== undefined;
+  }
+
+  /** When the store last answered, on the monotonic clock, in milliseconds. */
+  get answeredAt(): number {
+    return this._answeredAt;
+  }
+
+  /** Begins to follow. */
+  start(): void {
+    void this._run();
+  }
+
+  /** Stops; an answer under way is ignored. */
+  stop(): void {
+    this._isStopped = true;
+  }
+
+  private async _run(): Promise<void> {
+    while (!this._isStopped) {
+      const startedAt = this._parts.clock.now();
+      const failure = this._after === undefined ? await this._list() : await this._watch();
+      await this._pause(failure, startedAt);
+    }
+  }
+
+  private async _pause(failure: StoreFailure | undefined, startedAt: number): Promise<void> {
+    const { clock, random, paceMs } = this._parts;
+    this._noteReachable(failure);
+    if (failure === undefined) {
+      this._retryMs = FIRST_RETRY_MS;
+      const leftMs = startedAt + paceMs - clock.now();
+      await (leftMs > 0 ? clock.sleep(leftMs) : undefined);
+      return;
+    }
+    if (failure.kind === "compacted") {
+      this._after = undefined;
+      return;
+    }
+    await clock.sleep(this._retryMs * (0.5 + random.next() / 2));
+    this._retryMs = Math.min(2 * this._retryMs, LONGEST_RETRY_MS);
+  }
+
+  private async _list(): Promise<StoreFailure | undefined> {
+    const listing = await this._parts.store.list(this._parts.prefix);
+    if (listing.isErr()) {
+      return listing.error;
+    }
+    if (!this._isStopped) {
+      this._answeredAt = this._parts.clock.now();
+      this._parts.onListing(listing.value.entries);
+      this._after = listing.value.revision;
+    }
+    return undefined;
+  }
+
+  private async _watch(): Promise<StoreFailure | undefined> {
+    const changes = await this._parts.store.watch(this._parts.prefix, this._after ?? 0);
+    if (changes.isErr()) {
+      return changes.error;
+    }
+    if (!this._isStopped) {
+      this._answeredAt = this._parts.clock.now();
+      this._after = changes.value.revision;
+      this._parts.onChanges(changes.value.changes);
+    }
+    return undefined;
+  }
+
+  private _noteReachable(failure: StoreFailure | undefined): void {
+    const isReachable = failure === undefined || failure.kind === "compacted";
+    if (isReachable === this._isReachable) {
+      return;
+    }
+    this._isReachable = isReachable;
+    const { log, prefix } = this._parts;
+    if (isReachable) {
+      log.info("The store answers again.", { prefix });
+    } else {
+      log.warn("The store does not answer.", { prefix, reason: failure?.detail });
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/pool/WorkerKeeper.ts
@@ -0,0 +1,383 @@
+/**
+ * The agent of one worker: it passes leases, acknowledgements and orders of the highest epoch on,
+ * and reports what the worker lists. It keeps nothing of its own, so that a new process of the
+ * agent goes on where the former one ended.
+ */
+import type { ResultAsync } from "neverthrow";
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type {
+  PoolWorker,
+  RunCall,
+  WorkerAnnouncement,
+  WorkerCallFailure,
+  WorkerLists,
+} from "../../protocol/platform/PoolWorker.ts";
+import type {
+  AgentOutcome,
+  AgentReport,
+  ObserveCall,
+  OrderCall,
+  OrderReport,
+  RunOrder,
+  RunResult,
+  WorkerReport,
+} from "./AgentChannel.ts";
+import { getIncarnation } from "./RunWatch.ts";
+
+/** Wait of a call for lists, in milliseconds; bounds the age of the worker's clock and lease. */
+const LIST_WAIT_MS = 400;
+/** Time between two calls for lists while ends wait for their acknowledgement, in milliseconds. */
+const ACK_WAIT_MS = 60;
+/** Wait after a call for lists without an answer, in milliseconds. */
+const RETRY_MS = 150;
+/** Tries of an order whose outcome is unknown. */
+const ORDER_TRIES = 2;
+
+/** What a keeper needs. */
+export interface WorkerKeeperParts {
+  readonly worker: PoolWorker;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Identity of the process; never used by another one. */
+  readonly process: string;
+}
+
+/** Lists with the number of the call that made them. */
+interface NumberedLists extends WorkerLists {
+  readonly callNumber: number;
+}
+
+/** Agent of one worker. */
+export class WorkerKeeper {
+  private readonly _parts: WorkerKeeperParts;
+  private _announced: WorkerAnnouncement | undefined;
+  private _lists: NumberedLists | undefined;
+  private _epoch = 0;
+  private _isFenced = false;
+  private _answers = false;
+  private _leaseUntilMs: number | undefined;
+  private _ackedEnd = 0;
+  private _callNumber = 0;
+  private _version = 1;
+  private _isStopped = false;
+  private readonly _waiters = new Set<() => void>();
+  private _wakeLoop: (() => void) | undefined;
+
+  /**
+   * Creates a keeper; it does nothing before it is started.
+   * @param parts - What it needs.
+   */
+  constructor(parts: WorkerKeeperParts) {
+    this._parts = parts;
+  }
+
+  /** Begins to follow the worker. */
+  start(): void {
+    void this._follow();
+  }
+
+  /** Stops following the worker. */
+  stop(): void {
+    this._isStopped = true;
+    this._wakeLoop?.();
+    this._notify();
+  }
+
+  /** Incarnation of the worker; undefined where none has announced itself. */
+  get incarnation(): string | undefined {
+    return this._announced && getIncarnation(this._announced.id, this._announced.bornAtMs);
+  }
+
+  /**
+   * Takes in an announcement of the worker; one that is older than what is known is left alone.
+   * @param announcement - The announcement.
+   */
+  announce(announcement: WorkerAnnouncement): void {
+    const known = this._announced;
+    if (known !== undefined && !replaces(announcement, known)) {
+      return;
+    }
+    const isSame = known?.id === announcement.id && known.bornAtMs === announcement.bornAtMs;
+    this._announced = announcement;
+    if (!isSame) {
+      this._beginIncarnation();
+    }
+    if (!isSame || known.draining !== announcement.draining) {
+      const { id: worker, draining } = announcement;
+      this._parts.log.info("Worker announced itself.", { worker, draining });
+      this._notify();
+    }
+    this._wakeLoop?.();
+  }
+
+  /**
+   * Answers the scheduler's standing question.
+   * @param call - The question.
+   */
+  async observe(call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
+    if (!this._accept(call.epoch)) {
+      return { kind: "deposed" };
+    }
+    if (call.worker === this.incarnation) {
+      this._extend(call.leaseUntilMs);
+      this._acknowledge(call.ackedEnd);
+    }
+    if (call.knownVersion === this._version) {
+      await this._waitForNews(call.waitMs);
+    }
+    return this._epoch > call.epoch || this._isFenced
+      ? { kind: "deposed" }
+      : { kind: "answered", value: this._createReport() };
+  }
+
+  /**
+   * Carries out orders.
+   * @param call - The orders.
+   */
+  async order(call: OrderCall): Promise<AgentOutcome<OrderReport>> {
+    if (!this._accept(call.epoch)) {
+      return { kind: "deposed" };
+    }
+    if (call.worker === this.incarnation && call.leaseUntilMs > 0) {
+      this._extend(call.leaseUntilMs);
+    }
+    const stops = call.stops.map((order) => this._stop(call, order));
+    call.paces.forEach((pace) => {
+      void this._carryOut(call, pace, (run) => this._parts.worker.pace(run, pace.percent));
+    });
+    const starts = call.starts.map((order) =>
+      this._start(call, order, () =>
+        this._parts.worker.start({
+          ...order,
+          worker: this._announced?.id ?? "",
+          fencingToken: call.epoch,
+          leaseUntilMs: call.leaseUntilMs,
+        }),
+      ),
+    );
+    const results = { stops: await Promise.all(stops), starts: await Promise.all(starts) };
+    return { kind: "answered", value: { callNumber: this._callNumber, ...results } };
+  }
+
+  private async _start(
+    call: OrderCall,
+    order: RunOrder,
+    send: () => ResultAsync<void, WorkerCallFailure>,
+  ): Promise<RunResult> {
+    const { task, run } = order;
+    return this._announced?.draining === true
+      ? { task, run, failure: "draining" }
+      : this._carryOut(call, order, send);
+  }
+
+  private async _stop(call: OrderCall, order: RunOrder): Promise<RunResult> {
+    return this._carryOut(call, order, (run) => this._parts.worker.stop(run));
+  }
+
+  /** Sends an order until its outcome is known, or the tries are used up. */
+  private async _carryOut(
+    call: OrderCall,
+    { task, run }: RunOrder,
+    send: (run: RunCall) => ResultAsync<void, WorkerCallFailure>,
+    triesLeft = ORDER_TRIES,
+    isRepeated = false,
+  ): Promise<RunResult> {
+    const worker = this._announced?.id;
+    if (worker === undefined || call.worker !== this.incarnation) {
+      return { task, run, failure: isRepeated ? "unknown" : "wrong-worker" };
+    }
+    const result = await send({ worker, fencingToken: call.epoch, task, run });
+    const failure = result.isErr() ? result.error.kind : undefined;
+    if (failure === "unknown" && triesLeft > 1) {
+      return this._carryOut(call, { task, run }, send, triesLeft - 1, true);
+    }
+    // An earlier try may still be carried out, whatever a later one was answered.
+    return { task, run, failure: failure !== undefined && isRepeated ? "unknown" : failure };
+  }
+
+  /** Follows the highest epoch; tells whether an epoch is that one. */
+  private _accept(epoch: number): boolean {
+    if (epoch < this._epoch) {
+      return false;
+    }
+    if (epoch > this._epoch) {
+      this._epoch = epoch;
+      this._isFenced = false;
+      // What was listed before does not show what a former scheduler's orders still do.
+      this._answers = false;
+      this._lists = undefined;
+      this._parts.log.info("A scheduler of a later epoch is heard.", { epoch });
+      void this._list(0);
+      this._wakeLoop?.();
+    }
+    return true;
+  }
+
+  private _beginIncarnation(): void {
+    this._lists = undefined;
+    this._answers = false;
+    this._leaseUntilMs = undefined;
+    this._ackedEnd = 0;
+  }
+
+  private _extend(leaseUntilMs: number | undefined): void {
+    if (leaseUntilMs !== undefined) {
+      this._leaseUntilMs = Math.max(this._leaseUntilMs ?? 0, leaseUntilMs);
+    }
+  }
+
+  private _acknowledge(ackedEnd: number): void {
+    if (ackedEnd > this._ackedEnd) {
+      this._ackedEnd = ackedEnd;
+      this._wakeLoop?.();
+    }
+  }
+
+  private async _follow(): Promise<void> {
+    while (!this._isStopped) {
+      if (this._announced === undefined || this._epoch === 0) {
+        await this._waitForWake(undefined);
+      } else if (await this._list(LIST_WAIT_MS)) {
+        const hasOpenEnds = this._lists?.ended.some(({ number }) => number > this._ackedEnd);
+        await (hasOpenEnds === true ? this._waitForWake(ACK_WAIT_MS) : undefined);
+      } else {
+        await this._waitForWake(RETRY_MS);
+      }
+    }
+  }
+
+  /** Asks the worker for its lists; tells whether it answered. */
+  private async _list(waitMs: number): Promise<boolean> {
+    const announced = this._announced;
+    if (announced === undefined) {
+      return false;
+    }
+    this._callNumber += 1;
+    const callNumber = this._callNumber;
+    const epoch = this._epoch;
+    const result = await this._parts.worker.hold({
+      worker: announced.id,
+      fencingToken: epoch,
+      leaseUntilMs: this._leaseUntilMs,
+      ackedEnd: this._ackedEnd,
+      waitMs,
+    });
+    const isCurrent = this._epoch === epoch && this._announced?.bornAtMs === announced.bornAtMs;
+    if (!isCurrent || this._isStopped) {
+      return result.isOk();
+    }
+    if (result.isErr()) {
+      this._noteSilence(result.error);
+      return false;
+    }
+    const lists = result.value;
+    if ((lists.bornAtMs ?? announced.bornAtMs) !== announced.bornAtMs) {
+      // Another incarnation answers that has not announced itself yet.
+      this._noteSilence({ kind: "wrong-worker", detail: "another incarnation answered" });
+      return false;
+    }
+    this._applyLists({ ...lists, callNumber });
+    return true;
+  }
+
+  private _applyLists(lists: NumberedLists): void {
+    const known = this._lists;
+    if (known !== undefined && lists.callNumber < known.callNumber) {
+      return;
+    }
+    this._lists = lists;
+    const isNews = !this._answers || known === undefined || describe(known) !== describe(lists);
+    this._answers = true;
+    if (isNews) {
+      this._notify();
+    }
+  }
+
+  private _noteSilence(failure: WorkerCallFailure): void {
+    if (failure.kind === "fenced") {
+      this._isFenced = true;
+    }
+    if (this._answers) {
+      const { kind, detail } = failure;
+      this._parts.log.warn("Worker does not answer.", { kind, detail });
+      this._answers = false;
+      this._notify();
+    }
+  }
+
+  private _createReport(): AgentReport {
+    return { process: this._parts.process, version: this._version, worker: this._createWorker() };
+  }
+
+  private _createWorker(): WorkerReport | undefined {
+    const announced = this._announced;
+    if (announced === undefined) {
+      return undefined;
+    }
+    const { pool, zone, rack, draining, capacity, labels } = announced;
+    return {
+      worker: this.incarnation ?? "",
+      pool,
+      zone,
+      rack,
+      draining,
+      drainRemainingMs: announced.drainRemainingMs ?? 0,
+      capacity,
+      labels,
+      clockMs: this._lists?.clockMs ?? 0,
+      callNumber: this._lists?.callNumber ?? 0,
+      answers: this._answers && this._lists !== undefined,
+      running: this._lists?.running ?? [],
+      ended: this._lists?.ended ?? [],
+    };
+  }
+
+  private _notify(): void {
+    this._version += 1;
+    [...this._waiters].forEach((wake) => {
+      wake();
+    });
+  }
+
+  private async _waitForNews(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        timer.cancel();
+        this._waiters.delete(wake);
+        resolve();
+      };
+      const timer = this._parts.clock.after(waitMs, wake);
+      this._waiters.add(wake);
+    });
+  }
+
+  private async _waitForWake(limitMs: number | undefined): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer =
+        limitMs === undefined
+          ? undefined
+          : this._parts.clock.after(limitMs, () => {
+              this._wakeLoop?.();
+            });
+      this._wakeLoop = () => {
+        this._wakeLoop = undefined;
+        timer?.cancel();
+        resolve();
+      };
+    });
+  }
+}
+
+/** Whether an announcement is newer than what is known. */
+function replaces(next: WorkerAnnouncement, known: WorkerAnnouncement): boolean {
+  return next.bornAtMs !== known.bornAtMs
+    ? next.bornAtMs > known.bornAtMs
+    : next.sequence > known.sequence;
+}
+
+/** Text that differs where runs have come or gone. */
+function describe({ running, ended }: WorkerLists): string {
+  const runs = running.map(({ task, run }) => `${task}:${run}`).join(",");
+  return `${runs};${ended.at(-1)?.number ?? 0}`;
+}
--- /dev/null
+++ b/src/coordination/pool/turnOrder.ts
@@ -0,0 +1,69 @@
+/**
+ * The order in which waiting tasks get room. Lower priority numbers go first. Within a priority,
+ * jobs that can still meet their time objective go before those that cannot, those before the ones
+ * that nobody waits for any more, and among equals the one that must start soonest.
+ */
+import type { JobState, StepState } from "../../state/pool/JobState.ts";
+
+/** Multiple of the objective after which a job no longer counts as late but as missed. */
+const MISSED_MULTIPLE = 3;
+const MS_PER_SECOND = 1_000;
+
+/** Place of a step in the order. */
+export interface Turn {
+  readonly priority: number;
+  /** 0 where the objective can be met, 1 where the job will be late, 2 where it is missed. */
+  readonly lateness: number;
+  /** Latest start that meets the objective, in Unix milliseconds. */
+  readonly latestStartMs: number;
+}
+
+/**
+ * Gives the place of a step in the order.
+ * @param job - The job.
+ * @param step - The step.
+ * @param timeOfDayMs - Time of day in Unix milliseconds.
+ */
+export function getTurn(job: JobState, step: StepState, timeOfDayMs: number): Turn {
+  const { record } = job;
+  const beginsAtMs = getBegin(job, step);
+  const objectiveMs = record.stretch * job.longestChainMs + record.latencyTargetMs;
+  const leftMs = job.getChainMs(step.step);
+  const latestStartMs = beginsAtMs + objectiveMs - leftMs;
+  const latestLateMs = beginsAtMs + MISSED_MULTIPLE * objectiveMs - leftMs;
+  const lateness = Number(timeOfDayMs > latestStartMs) + Number(timeOfDayMs > latestLateMs);
+  return { priority: record.priority, lateness: getLateness(step, lateness), latestStartMs };
+}
+
+/**
+ * Compares two places; negative where the first one goes first.
+ * @param a - One place.
+ * @param b - The other place.
+ */
+export function compareTurns(a: Turn, b: Turn): number {
+  return (
+    a.priority - b.priority || a.lateness - b.lateness || a.latestStartMs - b.latestStartMs
+  );
+}
+
+/** When the time objective of a step's occurrence begins, in Unix milliseconds. */
+function getBegin(job: JobState, step: StepState): number {
+  const { schedule, acceptedAtMs } = job.record;
+  return schedule === undefined
+    ? acceptedAtMs
+    : schedule.firstRunAtMs + step.occurrence * schedule.intervalMs;
+}
+
+/** Long-running tasks have no end that could be late. */
+function getLateness(step: StepState, lateness: number): number {
+  return step.definition.longRunning ? 0 : lateness;
+}
+
+/**
+ * Gives a short text of a place, for logs.
+ * @param turn - The place.
+ */
+export function describeTurn(turn: Turn): string {
+  const at = (turn.latestStartMs / MS_PER_SECOND).toFixed(1);
+  return `priority ${turn.priority}, lateness ${turn.lateness}, latest start ${at} s`;
+}
--- a/src/protocol/platform/Store.ts
+++ b/src/protocol/platform/Store.ts
@@ -54,6 +54,27 @@
   readonly lease?: string;
 }
 
+/** A key that must have a revision for a transaction to be carried out; 0 means absent. */
+export interface StoreCheck {
+  readonly key: string;
+  readonly expected: number;
+}
+
+/** Writes that are carried out together or not at all, where all checks hold as well. */
+export interface StoreTransaction {
+  /** Checks beside those that the writes bring. */
+  readonly checks: readonly StoreCheck[];
+  readonly writes: readonly StoreWrite[];
+}
+
+/** Result of a transaction that reached the store; a conflict gives the keys as they are. */
+export type TransactionResult =
+  | { readonly kind: "written"; readonly revision: number }
+  | { readonly kind: "conflict"; readonly current: readonly StoreEntry[] };
+
+/** Most checks and writes of one transaction, the checks that writes bring counted too. */
+export const MAX_TRANSACTION_ROWS = 32;
+
 /** The platform's key-value service. */
 export abstract class Store {
   /**
@@ -74,6 +95,12 @@
    */
   abstract write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure>;
 
+  /**
+   * Carries out several writes together where all their conditions hold.
+   * @param transaction - Checks and writes; at most MAX_TRANSACTION_ROWS.
+   */
+  abstract transact(transaction: StoreTransaction): ResultAsync<TransactionResult, StoreFailure>;
+
   /**
    * Deletes a key where it has the expected revision; an absent key counts as deleted.
    * @param key - The key.
--- /dev/null
+++ b/src/protocol/settings/PoolAgentSettings.ts
@@ -0,0 +1,46 @@
+/**
+ * Settings of the role `agent` where its worker belongs to a pool.
+ */
+import type { Result } from "neverthrow";
+import type { SettingError } from "../errors/errors.ts";
+import { LOG_LEVELS } from "./LogLevel.ts";
+import { address, choice, milliseconds, name } from "./settingKinds.ts";
+import { SettingsReader } from "./SettingsReader.ts";
+import type { SettingsValues } from "./SettingsSchema.ts";
+
+/** Schema of the settings file. */
+export const POOL_AGENT_SCHEMA = {
+  agent: {
+    name: name("Name of this agent and its VM; unique in the fleet."),
+    zone: name("Availability zone of this VM."),
+    pool: name("Pool of the worker of this VM."),
+    control: address("Where the schedulers of pools send questions and orders."),
+    announcements: address("Where the worker of this VM announces itself."),
+  },
+  worker: {
+    address: address("Address of the worker of this VM."),
+    timeout_ms: milliseconds(400, "Time after which a call of the worker is given up."),
+  },
+  store: {
+    address: address("Address of the platform's store."),
+    timeout_ms: milliseconds(1_000, "Time after which a call of the store is given up."),
+  },
+  log: {
+    level: choice(LOG_LEVELS, "info", "Least severe level that is written."),
+  },
+} as const;
+
+/** Settings of an agent whose worker belongs to a pool. */
+export type PoolAgentSettings = SettingsValues<typeof POOL_AGENT_SCHEMA>;
+
+/**
+ * Reads the settings file.
+ * @param file - Name of the file, for errors.
+ * @param text - Its text.
+ */
+export function readPoolAgentSettings(
+  file: string,
+  text: string,
+): Result<PoolAgentSettings, readonly SettingError[]> {
+  return new SettingsReader(POOL_AGENT_SCHEMA).read(file, text);
+}
--- /dev/null
+++ b/src/state/pool/JobState.ts
@@ -0,0 +1,211 @@
+/**
+ * One job as the scheduler of its pool follows it: its tasks by occurrence and step, which steps
+ * have their turn, and the phase that its submitter sees.
+ */
+import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
+import { formatPlace, type TaskPlace } from "../../protocol/pool/TaskId.ts";
+import type { JobPhase, JobRecord, ProgressRecord, TaskRecord } from "./records.ts";
+import { TaskState } from "./TaskState.ts";
+
+/** The tasks of a step in one occurrence. */
+export interface StepState {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly definition: StepDefinition;
+  readonly tasks: readonly TaskState[];
+}
+
+/** A job. */
+export class JobState {
+  readonly id: string;
+  readonly record: JobRecord;
+  private readonly _tasks = new Map<string, TaskState>();
+  private readonly _steps: StepState[] = [];
+  private readonly _chains: readonly number[];
+  private _phase: JobPhase = "queued";
+  private _isCancelled = false;
+
+  /**
+   * Creates a job.
+   * @param id - Id of the job.
+   * @param record - The job as it was accepted.
+   * @param progress - What is recorded of it; undefined where nothing is.
+   * @param now - Monotonic time in milliseconds.
+   */
+  constructor(id: string, record: JobRecord, progress: ProgressRecord | undefined, now: number) {
+    this.id = id;
+    this.record = record;
+    this._chains = getChains(record.steps);
+    this._phase = progress?.phase ?? "queued";
+    const recorded = Object.entries(progress?.tasks ?? {});
+    const lastOccurrence = recorded
+      .map(([place]) => Number(place.split(".")[0]))
+      .reduce((a, b) => Math.max(a, b), record.schedule === undefined ? 0 : -1);
+    this._openOccurrences(lastOccurrence);
+    recorded.forEach(([place, task]) => this._tasks.get(place)?.restore(task, now));
+  }
+
+  get phase(): JobPhase {
+    return this._phase;
+  }
+
+  /** Whether the submitter has cancelled the job. */
+  get isCancelled(): boolean {
+    return this._isCancelled;
+  }
+
+  /** Whether the job has ended, so that nothing of it may start. */
+  get isEnded(): boolean {
+    return this._phase === "completed" || this._phase === "failed" || this._phase === "cancelled";
+  }
+
+  /** All tasks of the occurrences that are open. */
+  get tasks(): IterableIterator<TaskState> {
+    return this._tasks.values();
+  }
+
+  get steps(): readonly StepState[] {
+    return this._steps;
+  }
+
+  /**
+   * Gives a task.
+   * @param place - Its place.
+   */
+  getTask(place: TaskPlace): TaskState | undefined {
+    return this._tasks.get(formatPlace(place));
+  }
+
+  /**
+   * Gives the tasks of a step.
+   * @param occurrence - Occurrence.
+   * @param step - Position of the step.
+   */
+  getStep(occurrence: number, step: number): StepState | undefined {
+    return this._steps.find((state) => state.occurrence === occurrence && state.step === step);
+  }
+
+  /**
+   * Opens the occurrences that are due.
+   * @param timeOfDayMs - Time of day in Unix milliseconds.
+   * @returns Whether one was opened.
+   */
+  openDue(timeOfDayMs: number): boolean {
+    const { schedule } = this.record;
+    if (schedule === undefined) {
+      return false;
+    }
+    const { firstRunAtMs, intervalMs, runCount } = schedule;
+    const passed = Math.floor((timeOfDayMs - firstRunAtMs) / Math.max(1, intervalMs));
+    const before = this._steps.length;
+    this._openOccurrences(Math.min(passed, runCount - 1));
+    return this._steps.length > before;
+  }
+
+  /** Gives the steps that have their turn and are not done. */
+  getOpenSteps(): readonly StepState[] {
+    return this._steps.filter(
+      (state) =>
+        !isStepDone(state) &&
+        state.definition.after.every((earlier) => this._isDone(state.occurrence, earlier)),
+    );
+  }
+
+  /**
+   * Gives the estimated time from the start of a step to the end of the job's longest chain.
+   * @param step - Position of the step.
+   */
+  getChainMs(step: number): number {
+    return this._chains[step] ?? 0;
+  }
+
+  /** Estimated time of the longest chain of the job, in milliseconds. */
+  get longestChainMs(): number {
+    return Math.max(0, ...this._chains);
+  }
+
+  /** Notes that the submitter cancelled the job. */
+  cancel(): void {
+    this._isCancelled = true;
+    this._phase = this.isEnded ? this._phase : "cancelled";
+  }
+
+  /** Notes that the job cannot be done. */
+  fail(): void {
+    this._phase = this.isEnded ? this._phase : "failed";
+  }
+
+  /** Follows from the tasks whether the job runs or is completed. */
+  refreshPhase(): void {
+    if (this.isEnded) {
+      return;
+    }
+    if (this._isComplete()) {
+      this._phase = "completed";
+    } else if (this._phase === "queued" && [...this.tasks].some((task) => task.lastRun > 0)) {
+      this._phase = "running";
+    }
+  }
+
+  /** Gives the progress as it is to be stored. */
+  toRecord(): ProgressRecord {
+    const tasks = [...this.tasks].flatMap((task): readonly [string, TaskRecord][] => {
+      const record = task.toRecord();
+      return record === undefined ? [] : [[task.place, record]];
+    });
+    return { phase: this._phase, tasks: Object.fromEntries(tasks) };
+  }
+
+  private _isComplete(): boolean {
+    const occurrences = this.record.schedule?.runCount ?? 1;
+    return (
+      this._steps.length === occurrences * this.record.steps.length && this._steps.every(isStepDone)
+    );
+  }
+
+  private _isDone(occurrence: number, step: number): boolean {
+    const state = this.getStep(occurrence, step);
+    return state !== undefined && isStepDone(state);
+  }
+
+  private _openOccurrences(last: number): void {
+    const width = this.record.steps.length;
+    const first = width === 0 ? last + 1 : this._steps.length / width;
+    Array.from({ length: Math.max(0, last - first + 1) }, (_, offset) => first + offset).forEach(
+      (occurrence) => {
+        this._steps.push(
+          ...this.record.steps.map((definition, step) =>
+            this._createStep(occurrence, step, definition),
+          ),
+        );
+      },
+    );
+  }
+
+  private _createStep(occurrence: number, step: number, definition: StepDefinition): StepState {
+    const tasks = Array.from(
+      { length: definition.taskCount },
+      (_, index) => new TaskState({ job: this.id, occurrence, step, index }, definition),
+    );
+    tasks.forEach((task) => this._tasks.set(task.place, task));
+    return { occurrence, step, definition, tasks };
+  }
+}
+
+/** Whether all tasks of a step are done. */
+function isStepDone(state: StepState): boolean {
+  return state.tasks.every((task) => task.isDone);
+}
+
+/** Gives, for each step, the estimated time from its start to the end of the longest chain. */
+function getChains(steps: readonly StepDefinition[]): readonly number[] {
+  const chains = steps.map(() => 0);
+  steps.forEach((_, offset) => {
+    const position = steps.length - 1 - offset;
+    const later = steps
+      .map((step, other) => (step.after.includes(position) ? (chains[other] ?? 0) : 0))
+      .reduce((a, b) => Math.max(a, b), 0);
+    chains[position] = (steps[position]?.estimateMs ?? 0) + later;
+  });
+  return chains;
+}
--- /dev/null
+++ b/src/state/pool/records.ts
@@ -0,0 +1,175 @@
+/**
+ * Values of the keys of worker pools, as they are stored: JSON, checked when read. Members that
+ * hold their usual value are left out of the progress of tasks, since it is written often.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
+
+const ResourcesRecord = z.object({
+  processorsMilli: z.number(),
+  memoryBytes: z.number(),
+  accelerators: z.number(),
+});
+
+const StepRecord = z.object({
+  taskCount: z.number(),
+  resources: ResourcesRecord,
+  estimateMs: z.number(),
+  after: z.array(z.number()),
+  checkpoints: z.boolean(),
+  gang: z.boolean(),
+  sameRack: z.boolean(),
+  requiredLabel: z.string().optional(),
+  dataRack: z.string().optional(),
+  maxPerWorker: z.number().optional(),
+  speculative: z.boolean(),
+  longRunning: z.boolean(),
+  image: z.string(),
+  latencyTargetMs: z.number().optional(),
+  usesIdleProcessors: z.boolean(),
+  maxUnavailable: z.number().optional(),
+});
+
+const JobRecordShape = z.object({
+  queue: z.string(),
+  priority: z.number(),
+  maxAttempts: z.number(),
+  stretch: z.number(),
+  latencyTargetMs: z.number(),
+  acceptedAtMs: z.number(),
+  payload: z.string(),
+  steps: z.array(StepRecord),
+  schedule: z
+    .object({ firstRunAtMs: z.number(), intervalMs: z.number(), runCount: z.number() })
+    .optional(),
+});
+
+/** A job as it was accepted, with what its queue said then. */
+export interface JobRecord extends JobDefinition {
+  readonly queue: string;
+  readonly priority: number;
+  readonly maxAttempts: number;
+  readonly stretch: number;
+  readonly latencyTargetMs: number;
+  /** Time of day of the entry that accepted it, in Unix milliseconds. */
+  readonly acceptedAtMs: number;
+}
+
+/** State of a job as its submitter sees it. */
+export type JobPhase = "queued" | "running" | "completed" | "failed" | "cancelled";
+
+/** A run that was ordered and is not known to have ended. */
+export interface ActiveRunRecord {
+  readonly run: number;
+  readonly agent: string;
+  /** Incarnation of the worker. */
+  readonly worker: string;
+}
+
+/** Progress of one task; absent members are 0, false or empty. */
+export interface TaskRecord {
+  /** Number of the last run ordered. */
+  readonly run?: number | undefined;
+  readonly done?: boolean | undefined;
+  /** Runs that failed. */
+  readonly failures?: number | undefined;
+  readonly checkpoint?: string | undefined;
+  readonly active?: readonly ActiveRunRecord[] | undefined;
+}
+
+/** Progress of a job; tasks by their place, those never ordered left out. */
+export interface ProgressRecord {
+  readonly phase: JobPhase;
+  readonly tasks: Readonly<Record<string, TaskRecord>>;
+}
+
+const ProgressRecordShape = z.object({
+  phase: z.enum(["queued", "running", "completed", "failed", "cancelled"]),
+  tasks: z.record(
+    z.string(),
+    z.object({
+      run: z.number().optional(),
+      done: z.boolean().optional(),
+      failures: z.number().optional(),
+      checkpoint: z.string().optional(),
+      active: z
+        .array(z.object({ run: z.number(), agent: z.string(), worker: z.string() }))
+        .optional(),
+    }),
+  ),
+});
+
+/** Value of the key that names the scheduler of a pool. */
+export interface SchedulerRecord {
+  readonly entry: string;
+  /** Identity of the process; never used by another one. */
+  readonly process: string;
+}
+
+const SchedulerRecordShape = z.object({ entry: z.string(), process: z.string() });
+
+/** Registration of an agent. */
+export interface AgentRecord {
+  readonly address: string;
+  readonly zone: string;
+  /** Pool of its worker. */
+  readonly pool: string;
+  /** Identity of the process; never used by another one. */
+  readonly process: string;
+}
+
+const AgentRecordShape = z.object({
+  address: z.string(),
+  zone: z.string(),
+  pool: z.string(),
+  process: z.string(),
+});
+
+/** A stored value that cannot be read, with the reason. */
+export interface UnreadableRecord {
+  readonly detail: string;
+}
+
+/**
+ * Reads an accepted job.
+ * @param value - Value as stored.
+ */
+export function readJobRecord(value: string): Result<JobRecord, UnreadableRecord> {
+  return readRecord(value, JobRecordShape) as Result<JobRecord, UnreadableRecord>;
+}
+
+/**
+ * Reads the progress of a job.
+ * @param value - Value as stored.
+ */
+export function readProgressRecord(value: string): Result<ProgressRecord, UnreadableRecord> {
+  return readRecord(value, ProgressRecordShape);
+}
+
+/**
+ * Reads who schedules a pool.
+ * @param value - Value as stored.
+ */
+export function readSchedulerRecord(value: string): Result<SchedulerRecord, UnreadableRecord> {
+  return readRecord(value, SchedulerRecordShape);
+}
+
+/**
+ * Reads the registration of an agent.
+ * @param value - Value as stored.
+ */
+export function readAgentRecord(value: string): Result<AgentRecord, UnreadableRecord> {
+  return readRecord(value, AgentRecordShape);
+}
+
+function readRecord<T>(value: string, shape: z.ZodType<T>): Result<T, UnreadableRecord> {
+  try {
+    const parsed = shape.safeParse(JSON.parse(value));
+    return parsed.success
+      ? ok(parsed.data)
+      : err({ detail: z.prettifyError(parsed.error) });
+  } catch (cause) {
+    return err({ detail: cause instanceof Error ? cause.message : String(cause) });
+  }
+}
--- a/src/transport/http/JsonClient.ts
+++ b/src/transport/http/JsonClient.ts
@@ -8,8 +8,10 @@
 
 /** A call. */
 export interface JsonCall {
-  readonly method: "GET" | "POST";
+  readonly method: "GET" | "POST" | "DELETE";
   readonly path: string;
+  /** Headers beside the type of the body. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** Body, sent as JSON; undefined for none. */
   readonly body: unknown;
   /** Time after which the call is given up, in milliseconds. */
@@ -63,7 +65,7 @@
     const { statusCode, body } = await this._pool.request({
       method: call.method,
       path: call.path,
-      headers: { "content-type": "application/json" },
+      headers: { "content-type": "application/json", ...call.headers },
       body: call.body === undefined ? null : JSON.stringify(call.body),
       signal: AbortSignal.timeout(call.timeoutMs),
     });
--- /dev/null
+++ b/src/transport/pool/PoolAgentProcess.ts
@@ -0,0 +1,118 @@
+/**
+ * The role `agent` where its worker belongs to a pool: it registers in the store, listens for the
+ * worker's announcements, and answers the scheduler of the pool.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { WorkerKeeper } from "../../coordination/pool/WorkerKeeper.ts";
+import type { ListenError } from "../../protocol/errors/errors.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { PoolWorker } from "../../protocol/platform/PoolWorker.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
+import type { PoolAgentSettings } from "../../protocol/settings/PoolAgentSettings.ts";
+import { getAgentKey } from "../../state/pool/PoolKeys.ts";
+import type { AgentRecord } from "../../state/pool/records.ts";
+import { ControlServer } from "../control/ControlServer.ts";
+import { SystemClock } from "../platform/SystemClock.ts";
+import { registerPoolAgent } from "./poolAgentService.ts";
+
+/** Wait before the registration is tried again, in milliseconds. */
+const REGISTER_RETRY_MS = 200;
+const CLOSE_TIMEOUT_MS = 300;
+
+/** Where the worker announces itself; each platform has its own. */
+export abstract class AnnouncementListener {
+  /** Starts to listen. */
+  abstract listen(): Promise<Result<void, ListenError>>;
+
+  /** Stops listening. */
+  abstract close(): Promise<void>;
+}
+
+/** What the process takes from the platform's adapter. */
+export interface PoolAgentParts {
+  readonly settings: PoolAgentSettings;
+  readonly log: Log;
+  readonly store: Store;
+  readonly worker: PoolWorker;
+  readonly createListener: (keeper: WorkerKeeper, log: Log) => AnnouncementListener;
+}
+
+/** One agent. */
+export class PoolAgentProcess {
+  private readonly _parts: PoolAgentParts;
+  private readonly _clock = new SystemClock();
+  private readonly _process = crypto.randomUUID();
+  private readonly _keeper: WorkerKeeper;
+  private readonly _control: ControlServer;
+  private readonly _listener: AnnouncementListener;
+  private _isStopped = false;
+
+  /**
+   * Creates the agent; it does nothing before it is started.
+   * @param parts - What it takes from the platform's adapter.
+   */
+  constructor(parts: PoolAgentParts) {
+    this._parts = parts;
+    const { worker, log } = parts;
+    const clock = this._clock;
+    this._keeper = new WorkerKeeper({
+      worker,
+      clock,
+      log: log.part("worker"),
+      process: this._process,
+    });
+    this._control = new ControlServer((router) => {
+      registerPoolAgent(router, this._keeper);
+    });
+    this._listener = parts.createListener(this._keeper, log.part("announcements"));
+  }
+
+  /** Starts to listen and registers. */
+  async start(): Promise<Result<void, ListenError>> {
+    const { settings, log } = this._parts;
+    const control = await this._control.listen(settings.agent.control, "[agent] control");
+    const announcements = await this._listener.listen();
+    const failed = [control, announcements].find((result) => result.isErr());
+    if (failed?.isErr() === true) {
+      return err(failed.error);
+    }
+    this._keeper.start();
+    void this._register();
+    const { name, zone, pool } = settings.agent;
+    log.info("Agent started.", { name, zone, pool });
+    return ok(undefined);
+  }
+
+  /** Stops; leases and runs of the worker go on for the next process. */
+  async stop(): Promise<void> {
+    this._isStopped = true;
+    this._keeper.stop();
+    const closed = Promise.all([this._listener.close(), this._control.close()]);
+    await Promise.race([closed, this._clock.sleep(CLOSE_TIMEOUT_MS)]);
+    this._parts.log.info("Agent ended.");
+  }
+
+  /** Writes the registration, whatever an earlier process has written, until it is there. */
+  private async _register(): Promise<void> {
+    const { settings, store, log } = this._parts;
+    const { name, zone, pool, control: address } = settings.agent;
+    const record: AgentRecord = { address, zone, pool, process: this._process };
+    const key = getAgentKey(name);
+    while (!this._isStopped) {
+      const read = await store.read(key);
+      const expected = read.isOk() ? (read.value?.revision ?? 0) : undefined;
+      const value = JSON.stringify(record);
+      const isThere = read.isOk() && read.value?.value === value;
+      if (isThere) {
+        log.info("Agent is registered.", { key });
+        return;
+      }
+      const written =
+        expected === undefined ? undefined : await store.write({ key, value, expected });
+      if (written?.isOk() !== true) {
+        log.warn("The registration is not written yet.", { key });
+        await this._clock.sleep(REGISTER_RETRY_MS);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -0,0 +1,168 @@
+/**
+ * The role `entry` where it schedules pools of workers: it takes jobs in for every pool, and
+ * schedules those pools that it is elected for.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { PoolCoordinator } from "../../coordination/pool/PoolCoordinator.ts";
+import type { PoolTerms } from "../../coordination/pool/PoolTerms.ts";
+import { QueueKeeper } from "../../coordination/pool/QueueKeeper.ts";
+import { StoreFollower } from "../../coordination/pool/StoreFollower.ts";
+import { SubmissionDesk } from "../../coordination/pool/SubmissionDesk.ts";
+import type { ListenError } from "../../protocol/errors/errors.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
+import type { QueueDecoder } from "../../protocol/pool/QueueDecoder.ts";
+import type { PoolEntrySettings } from "../../protocol/settings/PoolEntrySettings.ts";
+import { SystemClock } from "../platform/SystemClock.ts";
+import { SystemRandom } from "../platform/SystemRandom.ts";
+import { ConnectAgentChannel } from "./ConnectAgentChannel.ts";
+
+/** Longest lease given to a worker: it bounds how long lost work waits. */
+const WORKER_LEASE_MS = 6_000;
+/** Time in which a scheduler without the store goes on extending leases. */
+const GRANT_HORIZON_MS = 10_000;
+const OBSERVE_WAIT_MS = 400;
+/** Time that an agent may take to answer, beyond the wait asked for. */
+const AGENT_TIMEOUT_MS = 1_000;
+/** Time without an answer of the store after which the entry is not ready. */
+const STORE_SILENCE_MS = 4_000;
+
+/** Interface to submitters; each platform has its own. */
+export abstract class SubmissionFrontend {
+  /** Starts to listen. */
+  abstract listen(): Promise<Result<void, ListenError>>;
+
+  /** Asks submitters to go elsewhere; requests are still taken. */
+  abstract drain(): void;
+
+  /** Stops listening and lets the requests in flight end. */
+  abstract close(): Promise<void>;
+}
+
+/** What the frontend works with. */
+export interface FrontendParts {
+  readonly desk: SubmissionDesk;
+  readonly queues: QueueKeeper;
+  readonly clock: SystemClock;
+  readonly log: Log;
+  readonly isReady: () => boolean;
+}
+
+/** What the process takes from the platform's adapter. */
+export interface PoolEntryParts {
+  readonly settings: PoolEntrySettings;
+  readonly log: Log;
+  readonly store: Store;
+  readonly decoder: QueueDecoder;
+  readonly createFrontend: (parts: FrontendParts) => SubmissionFrontend;
+}
+
+/** One entry. */
+export class PoolEntryProcess {
+  private readonly _parts: PoolEntryParts;
+  private readonly _clock = new SystemClock();
+  private readonly _channel = new ConnectAgentChannel(AGENT_TIMEOUT_MS);
+  private readonly _coordinator: PoolCoordinator;
+  private readonly _queues: QueueKeeper;
+  private readonly _configFollower: StoreFollower;
+  private readonly _frontend: SubmissionFrontend;
+  private _isDraining = false;
+
+  /**
+   * Creates the entry; it does nothing before it is started.
+   * @param parts - What it takes from the platform's adapter.
+   */
+  constructor(parts: PoolEntryParts) {
+    this._parts = parts;
+    const { settings, store, log, decoder } = parts;
+    const random = new SystemRandom();
+    const shared = { store, clock: this._clock, random };
+    const identity = { entry: settings.entry.name, process: crypto.randomUUID() };
+    this._coordinator = new PoolCoordinator({
+      ...shared,
+      identity,
+      log: log.part("pool"),
+      terms: getTerms(settings),
+      channel: this._channel,
+      getTimeOfDay: Date.now,
+    });
+    this._queues = new QueueKeeper(decoder, log.part("queues"), ({ pools }) => {
+      this._coordinator.setPools(pools.map((pool) => pool.name));
+    });
+    const apply = this._queues.apply.bind(this._queues);
+    this._configFollower = new StoreFollower({
+      ...shared,
+      log: log.part("queues"),
+      prefix: decoder.key,
+      paceMs: 0,
+      onListing: apply,
+      onChanges: apply,
+    });
+    this._frontend = parts.createFrontend({
+      desk: this._createDesk(),
+      queues: this._queues,
+      clock: this._clock,
+      log: log.part("submissions"),
+      isReady: () => this._isReady(),
+    });
+  }
+
+  /** Starts to listen and to take part in the scheduling. */
+  async start(): Promise<Result<void, ListenError>> {
+    const { settings, log } = this._parts;
+    const listening = await this._frontend.listen();
+    if (listening.isErr()) {
+      return err(listening.error);
+    }
+    this._configFollower.start();
+    this._coordinator.start();
+    const { name, zone } = settings.entry;
+    log.info("Entry started.", { name, zone });
+    return ok(undefined);
+  }
+
+  /** Hands over what it schedules, lets the requests in flight end, then closes. */
+  async stop(): Promise<void> {
+    const { drainMs, drainTimeoutMs } = this._parts.settings.entry;
+    this._isDraining = true;
+    this._frontend.drain();
+    await Promise.all([this._coordinator.stop(), this._clock.sleep(drainMs)]);
+    await Promise.race([this._frontend.close(), this._clock.sleep(drainTimeoutMs - drainMs)]);
+    this._configFollower.stop();
+    this._channel.close();
+    this._parts.log.info("Entry ended.");
+  }
+
+  private _createDesk(): SubmissionDesk {
+    const { store, log } = this._parts;
+    return new SubmissionDesk({
+      store,
+      clock: this._clock,
+      log: log.part("submissions"),
+      catalog: this._coordinator.catalog,
+      getTimeOfDay: Date.now,
+    });
+  }
+
+  private _isReady(): boolean {
+    const silentMs = this._clock.now() - this._configFollower.answeredAt;
+    return (
+      !this._isDraining &&
+      this._queues.inForce !== undefined &&
+      this._coordinator.isCurrent &&
+      silentMs < STORE_SILENCE_MS
+    );
+  }
+}
+
+function getTerms({ pool }: PoolEntrySettings): PoolTerms {
+  return {
+    workerLeaseMs: Math.min(pool.maxWorkerLeaseMs, WORKER_LEASE_MS),
+    grantHorizonMs: GRANT_HORIZON_MS,
+    observeWaitMs: OBSERVE_WAIT_MS,
+    agentTimeoutMs: AGENT_TIMEOUT_MS,
+    commitIntervalMs: pool.commitIntervalMs,
+    stopMs: pool.stopMs,
+    schedulerLeaseMs: pool.schedulerLeaseMs,
+  };
+}
--- /dev/null
+++ b/src/transport/pool/agentMessages.ts
@@ -0,0 +1,148 @@
+/**
+ * Translates between the messages of the agents' control service and the types of the scheduling.
+ */
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type {
+  AgentReport,
+  ObserveCall,
+  OrderCall,
+  OrderReport,
+  RunResult,
+  WorkerReport,
+} from "../../coordination/pool/AgentChannel.ts";
+import {
+  ObserveReplySchema,
+  ObserveRequestSchema,
+  OrderReplySchema,
+  OrderRequestSchema,
+  type ObserveReply,
+  type ObserveRequest,
+  type OrderReply,
+  type OrderRequest,
+  type PoolRunResult,
+  type PoolWorkerState,
+  type PoolWorkerStateSchema,
+} from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
+import type { RunOutcome, WorkerCallFailure } from "../../protocol/platform/PoolWorker.ts";
+
+/** Writes a question. */
+export function writeObserve(call: ObserveCall): ObserveRequest {
+  const { leaseUntilMs, epoch, ...others } = call;
+  return create(ObserveRequestSchema, {
+    ...others,
+    epoch: BigInt(epoch),
+    leaseUntilMs: leaseUntilMs ?? 0,
+  });
+}
+
+/** Reads a question. */
+export function readObserve(req: ObserveRequest): ObserveCall {
+  const { worker, ackedEnd, knownVersion, waitMs } = req;
+  const leaseUntilMs = req.leaseUntilMs > 0 ? req.leaseUntilMs : undefined;
+  return { epoch: Number(req.epoch), worker, leaseUntilMs, ackedEnd, knownVersion, waitMs };
+}
+
+/** Writes the state of an agent. */
+export function writeReport(report: AgentReport): ObserveReply {
+  const { worker, version, process: agentIncarnation } = report;
+  return create(ObserveReplySchema, {
+    agentIncarnation,
+    version,
+    ...(worker === undefined ? {} : { worker: writeWorker(worker) }),
+  });
+}
+
+/** Reads the state of an agent. */
+export function readReport(reply: ObserveReply): AgentReport {
+  const { agentIncarnation, version, worker } = reply;
+  return { process: agentIncarnation, version, worker: worker && readWorker(worker) };
+}
+
+/** Writes orders. */
+export function writeOrders(call: OrderCall): OrderRequest {
+  return create(OrderRequestSchema, {
+    epoch: BigInt(call.epoch),
+    worker: call.worker,
+    leaseUntilMs: call.leaseUntilMs,
+    starts: [...call.starts],
+    stops: [...call.stops],
+    paces: [...call.paces],
+  });
+}
+
+/** Reads orders. */
+export function readOrders(req: OrderRequest): OrderCall {
+  const { worker, leaseUntilMs, starts, stops, paces } = req;
+  return { epoch: Number(req.epoch), worker, leaseUntilMs, starts, stops, paces };
+}
+
+/** Writes what became of orders. */
+export function writeResults(report: OrderReport): OrderReply {
+  const write = ({ task, run, failure }: RunResult): MessageInitShapeOfResult => ({
+    task,
+    run,
+    failure: failure ?? "",
+  });
+  return create(OrderReplySchema, {
+    callNumber: report.callNumber,
+    starts: report.starts.map(write),
+    stops: report.stops.map(write),
+  });
+}
+
+/** Reads what became of orders. */
+export function readResults(reply: OrderReply): OrderReport {
+  return {
+    callNumber: reply.callNumber,
+    starts: reply.starts.map(readResult),
+    stops: reply.stops.map(readResult),
+  };
+}
+
+interface MessageInitShapeOfResult {
+  readonly task: string;
+  readonly run: number;
+  readonly failure: string;
+}
+
+function readResult({ task, run, failure }: PoolRunResult): RunResult {
+  const kind = failure === "" ? undefined : (failure as WorkerCallFailure["kind"]);
+  return { task, run, failure: kind };
+}
+
+function writeWorker(report: WorkerReport): MessageInitShape<typeof PoolWorkerStateSchema> {
+  const { capacity, labels, running, ended, ...others } = report;
+  return {
+    ...others,
+    labels: [...labels],
+    processorsMilli: BigInt(capacity.processorsMilli),
+    memoryBytes: BigInt(capacity.memoryBytes),
+    accelerators: capacity.accelerators,
+    running: [...running],
+    ended: [...ended],
+  };
+}
+
+function readWorker(state: PoolWorkerState): WorkerReport {
+  const { worker, pool, zone, rack, draining, drainRemainingMs, labels } = state;
+  const { clockMs, callNumber, answers, running } = state;
+  return {
+    worker,
+    pool,
+    zone,
+    rack,
+    draining,
+    drainRemainingMs,
+    labels,
+    clockMs,
+    callNumber,
+    answers,
+    running,
+    capacity: {
+      processorsMilli: Number(state.processorsMilli),
+      memoryBytes: Number(state.memoryBytes),
+      accelerators: state.accelerators,
+    },
+    ended: state.ended.map((ended) => ({ ...ended, outcome: ended.outcome as RunOutcome })),
+  };
+}
--- a/src/transport/store/CountingStore.ts
+++ b/src/transport/store/CountingStore.ts
@@ -8,7 +8,9 @@
   type StoreEntry,
   type StoreFailure,
   type StoreListing,
+  type StoreTransaction,
   type StoreWrite,
+  type TransactionResult,
   type WriteResult,
 } from "../../protocol/platform/Store.ts";
 import type { Counters } from "../../state/metrics/Counters.ts";
@@ -41,6 +43,12 @@
     return this._count("write", this._store.write(write));
   }
 
+  override transact(
+    transaction: StoreTransaction,
+  ): ResultAsync<TransactionResult, StoreFailure> {
+    return this._count("transact", this._store.transact(transaction));
+  }
+
   override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
     return this._count("remove", this._store.remove(key, expected));
   }
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -10,7 +10,9 @@
   StoreEntry,
   StoreFailure,
   StoreListing,
+  StoreTransaction,
   StoreWrite,
+  TransactionResult,
   WriteResult,
 } from "../../protocol/platform/Store.ts";
 import { JsonClient } from "../http/JsonClient.ts";
@@ -26,6 +28,10 @@
   z.object({ kind: z.literal("written"), revision: z.number() }),
   z.object({ kind: z.literal("conflict"), current: EntryReply.optional() }),
 ]);
+const TransactReply = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("written"), revision: z.number() }),
+  z.object({ kind: z.literal("conflict"), current: z.array(EntryReply) }),
+]);
 const ChangesReply = z.object({
   changes: z.array(
     z.object({ key: z.string(), value: z.string().optional(), revision: z.number() }),
@@ -83,6 +89,12 @@
     return this._write("/v1/write", write, WriteReply).map(toWriteResult);
   }
 
+  override transact(
+    transaction: StoreTransaction,
+  ): ResultAsync<TransactionResult, StoreFailure> {
+    return this._write("/v1/transact", transaction, TransactReply);
+  }
+
   override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
     return this._write("/v1/remove", { key, expected }, WriteReply).map(toWriteResult);
   }
--- a/standins/store/MemoryStore.ts
+++ b/standins/store/MemoryStore.ts
@@ -11,7 +11,9 @@
   StoreEntry,
   StoreFailure,
   StoreListing,
+  StoreTransaction,
   StoreWrite,
+  TransactionResult,
   WriteResult,
 } from "../../src/protocol/platform/Store.ts";
 import { MAX_VALUE_BYTES, StoreModel } from "./StoreModel.ts";
@@ -112,6 +114,15 @@
     });
   }
 
+  override transact(
+    transaction: StoreTransaction,
+  ): ResultAsync<TransactionResult, StoreFailure> {
+    return this._write(() => {
+      const result = this.model.transact(transaction);
+      return result.kind === "lease-lost" ? err(leaseLost(undefined)) : ok(result);
+    });
+  }
+
   override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
     return this._write(() => ok(this.model.remove(key, expected)));
   }
--- a/standins/store/StoreModel.ts
+++ b/standins/store/StoreModel.ts
@@ -8,7 +8,9 @@
   StoreChanges,
   StoreEntry,
   StoreListing,
+  StoreTransaction,
   StoreWrite,
+  TransactionResult,
   WriteResult,
 } from "../../src/protocol/platform/Store.ts";
 
@@ -21,6 +23,9 @@
 /** Outcome of a write: its result, or that its lease has ended. */
 export type ModelWriteResult = WriteResult | { readonly kind: "lease-lost" };
 
+/** Outcome of a transaction: its result, or that a lease has ended. */
+export type ModelTransactionResult = TransactionResult | { readonly kind: "lease-lost" };
+
 /** Outcome of a watch: the changes, or that the log no longer goes back so far. */
 export type ModelWatchResult =
   ({ readonly kind: "changes" } & StoreChanges) | { readonly kind: "compacted" };
@@ -116,10 +121,32 @@
     if ((current?.revision ?? 0) !== write.expected) {
       return { kind: "conflict", current };
     }
+    this._put(write);
+    this._wakeWaiters();
+    return { kind: "written", revision: this._revision };
+  }
+
+  /**
+   * Carries out several writes where all keys have the revisions expected; they share one revision.
+   * @param transaction - Checks and writes.
+   */
+  transact(transaction: StoreTransaction): ModelTransactionResult {
+    this._expireLeases();
+    const { checks, writes } = transaction;
+    const leases = writes.flatMap((write) => write.lease ?? []);
+    if (leases.some((lease) => !this._leases.has(lease))) {
+      return { kind: "lease-lost" };
+    }
+    const conditions = [...checks, ...writes];
+    const getRevision = (key: string): number => this._rows.get(key)?.entry.revision ?? 0;
+    if (conditions.some(({ key, expected }) => getRevision(key) !== expected)) {
+      const current = conditions.flatMap(({ key }) => this._rows.get(key)?.entry ?? []);
+      return { kind: "conflict", current };
+    }
     const revision = this._revision + 1;
-    const entry = { key: write.key, value: write.value, revision };
-    this._rows.set(write.key, { entry, lease: write.lease });
-    this._record({ key: write.key, value: write.value, revision });
+    writes.forEach((write) => {
+      this._put(write, revision);
+    });
     this._wakeWaiters();
     return { kind: "written", revision };
   }
@@ -246,6 +273,12 @@
       });
   }
 
+  private _put(write: StoreWrite, revision = this._revision + 1): void {
+    const entry = { key: write.key, value: write.value, revision };
+    this._rows.set(write.key, { entry, lease: write.lease });
+    this._record({ key: write.key, value: write.value, revision });
+  }
+
   private _delete(key: string): void {
     this._rows.delete(key);
     this._record({ key, value: undefined, revision: this._revision + 1 });
@@ -284,9 +317,9 @@
     if (waiter.after < this._compacted) {
       return { kind: "compacted" };
     }
-    // Each change takes one revision, so the position in the log follows from the revision.
+    const first = this._log.findLastIndex((change) => change.revision <= waiter.after) + 1;
     const changes = this._log
-      .slice(Math.max(0, waiter.after - this._compacted))
+      .slice(first)
       .filter((change) => change.key.startsWith(waiter.prefix));
     return { kind: "changes", changes, revision: this._revision };
   }
--- a/standins/store/StoreProcess.ts
+++ b/standins/store/StoreProcess.ts
@@ -4,6 +4,7 @@
  */
 import { z } from "zod";
 import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import type { StoreWrite } from "../../src/protocol/platform/Store.ts";
 import { SeededRandom } from "../../tests/support/SeededRandom.ts";
 import { answer, JsonServer } from "../support/JsonServer.ts";
 import type { JsonReply, JsonRequest } from "../support/JsonServer.ts";
@@ -22,6 +23,10 @@
   expected: z.number(),
   lease: z.string().optional(),
 });
+const TransactCall = z.object({
+  checks: z.array(z.object({ key: z.string(), expected: z.number() })),
+  writes: z.array(WriteCall),
+});
 const RemoveCall = z.object({ key: z.string(), expected: z.number() });
 const WatchCall = z.object({ prefix: z.string(), after: z.number(), waitMs: z.number() });
 const GrantCall = z.object({ ttlMs: z.number() });
@@ -129,6 +134,7 @@
       "POST /v1/list": { kind: "read", run: (req) => this._list(req) },
       "POST /v1/watch": { kind: "read", run: (req) => this._watch(req) },
       "POST /v1/write": { kind: "write", run: (req) => this._write(req) },
+      "POST /v1/transact": { kind: "write", run: (req) => this._transact(req) },
       "POST /v1/remove": { kind: "write", run: (req) => this._remove(req) },
       "POST /v1/lease/grant": { kind: "write", run: (req) => this._grant(req) },
       "POST /v1/lease/renew": { kind: "write", run: (req) => this._renew(req) },
@@ -164,8 +170,13 @@
     if (Buffer.byteLength(call.value) > MAX_VALUE_BYTES) {
       return answer({ error: "value-too-large" }, 413);
     }
-    const { lease, ...write } = call;
-    const result = this._model.write(lease === undefined ? write : { ...write, lease });
+    const result = this._model.write(toStoreWrite(call));
+    return result.kind === "lease-lost" ? LEASE_LOST : answer(result);
+  }
+
+  private _transact(req: JsonRequest): JsonReply {
+    const { checks, writes } = TransactCall.parse(req.body);
+    const result = this._model.transact({ checks, writes: writes.map(toStoreWrite) });
     return result.kind === "lease-lost" ? LEASE_LOST : answer(result);
   }
 
@@ -223,3 +234,8 @@
     return this._faults;
   }
 }
+
+function toStoreWrite(call: z.infer<typeof WriteCall>): StoreWrite {
+  const { lease, ...write } = call;
+  return lease === undefined ? write : { ...write, lease };
+}
--- a/tests/support/PausableProcess.ts
+++ b/tests/support/PausableProcess.ts
@@ -17,7 +17,9 @@
   type StoreEntry,
   type StoreFailure,
   type StoreListing,
+  type StoreTransaction,
   type StoreWrite,
+  type TransactionResult,
   type WriteResult,
 } from "../../src/protocol/platform/Store.ts";
 
@@ -117,6 +119,12 @@
     return this._hold(this._store.write(write));
   }
 
+  override transact(
+    transaction: StoreTransaction,
+  ): ResultAsync<TransactionResult, StoreFailure> {
+    return this._hold(this._store.transact(transaction));
+  }
+
   override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
     return this._hold(this._store.remove(key, expected));
   }
