Tell a run to stop again while its worker lists it; pace by learnt pressure

Also: serving tasks are kept together, and runs on idle processors are slowed by the pressure learnt for each image instead of all alike; to be measured.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -2,7 +2,11 @@
  * What the scheduler of a pool and an agent tell each other. The scheduler calls; the transport
  * behind the channel is one adapter.
  */
-import type { EndedRun, RunningRun, WorkerCallFailure } from "../../protocol/platform/PoolWorker.ts";
+import type {
+  EndedRun,
+  RunningRun,
+  WorkerCallFailure,
+} from "../../protocol/platform/PoolWorker.ts";
 import type { Resources } from "../../protocol/Resources.ts";
 
 /** Question for the state of a worker; it also extends the lease and acknowledges ends. */
--- a/src/coordination/pool/AgentSession.ts
+++ b/src/coordination/pool/AgentSession.ts
@@ -53,7 +53,7 @@
     const { channel, createCall, getAddress, onReport, onDeposed } = this._parts;
     while (!this._isStopped) {
       const outcome = await channel.observe(getAddress(), createCall());
-      if (this._isStopped) {
+      if (this._hasEnded()) {
         return;
       }
       if (outcome.kind === "deposed") {
@@ -69,6 +69,11 @@
     }
   }
 
+  /** The session may be stopped during a call. */
+  private _hasEnded(): boolean {
+    return this._isStopped;
+  }
+
   private _noteAnswer(): void {
     if (this._silent > 0) {
       this._parts.log.info("Agent answers again.", { agent: this._parts.agent });
--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -51,7 +51,13 @@
       return;
     }
     const { outcome, number } = ended;
-    log.info("Run ended.", { task: task.id, run: active.run, agent: active.agent, outcome, number });
+    log.info("Run ended.", {
+      task: task.id,
+      run: active.run,
+      agent: active.agent,
+      outcome,
+      number,
+    });
     this._noteOutcome(job, booked, outcome);
     this._noteCheckpoint(job, task, ended.checkpoint);
     if (outcome === "done") {
@@ -154,8 +160,7 @@
   }
 
   private _noteOutcome(job: JobState, { active }: BookedRun, outcome: RunOutcome): void {
-    const result =
-      outcome === "done" ? "completed" : outcome === "failed" ? "failed" : undefined;
+    const result = outcome === "done" ? "completed" : outcome === "failed" ? "failed" : undefined;
     if (result !== undefined) {
       const { agent } = active;
       const kind = job.record.queue;
--- a/src/coordination/pool/OrderSender.ts
+++ b/src/coordination/pool/OrderSender.ts
@@ -6,6 +6,7 @@
 import type { Log } from "../../protocol/platform/Log.ts";
 import type {
   AgentChannel,
+  AgentOutcome,
   OrderCall,
   OrderReport,
   PaceOrder,
@@ -100,7 +101,7 @@
   private async _flush(agent: string, key: string): Promise<void> {
     const outbox = this._outboxes.get(key);
     this._outboxes.delete(key);
-    const { table, channel, epoch, log } = this._parts;
+    const { table, channel, epoch } = this._parts;
     const address = table.getAgent(agent)?.record.address;
     if (outbox === undefined || address === undefined || this._isClosed) {
       return;
@@ -111,15 +112,19 @@
     const starts = leaseUntilMs === undefined ? [] : outbox.starts;
     const call: OrderCall = { epoch, ...outbox, leaseUntilMs: leaseUntilMs ?? 0, starts };
     const outcome = await channel.order(address, call);
+    this._settle(agent, outbox.worker, outcome);
+  }
+
+  private _settle(agent: string, worker: string, outcome: AgentOutcome<OrderReport>): void {
     if (this._isClosed) {
       return;
     }
     if (outcome.kind === "answered") {
-      this._parts.onReport(agent, outbox.worker, outcome.value);
+      this._parts.onReport(agent, worker, outcome.value);
     } else if (outcome.kind === "deposed") {
       this._parts.onDeposed();
     } else {
-      log.warn("No answer to orders.", { agent, reason: outcome.detail });
+      this._parts.log.warn("No answer to orders.", { agent, reason: outcome.detail });
     }
   }
 }
--- a/src/coordination/pool/PlacementBoard.ts
+++ b/src/coordination/pool/PlacementBoard.ts
@@ -1,15 +1,22 @@
 /**
  * The workers of a pool in one round of placement: what is free on each, what runs there, and which
- * one suits a task best. Tasks that serve users are spread; tasks that live on idle processors go
- * where most are idle; all others fill up the fullest worker that has the room.
+ * one suits a task best. Tasks that serve users are kept together; tasks that live on idle processors go
+ * where most are idle and nobody is disturbed; all others fill up the fullest worker that has the
+ * room.
  */
 import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
 import { fits, subtractResources, type Resources } from "../../protocol/Resources.ts";
 import type { Admission } from "../placement/WorkerQuarantine.ts";
 import type { WorkerRecord } from "./WorkerTable.ts";
 
-/** Weight of each serving task of a worker against idle processors, in thousandths of a core. */
-const SERVING_WEIGHT_MILLI = 8_000;
+/** Weight of each serving task of a worker for one more of them, in thousandths of a core. */
+const SERVING_WEIGHT_MILLI = 2_000;
+/** Weight of a worker whose idle processors others use already, in thousandths of a core. */
+const CRAMPED_MILLI = 8_000;
+/** Share of a latency target up to which one more run beside a serving task is harmless. */
+const HARMLESS_RATIO = 0.6;
+/** Weight of the excess over that share, in thousandths of a core. */
+const HARM_WEIGHT_MILLI = 60_000;
 /** Weight of a worker on which the task has failed before, in thousandths of a core. */
 const FAILED_WEIGHT_MILLI = 100_000;
 /** Weight of a rack away from the data, in thousandths of a core. */
@@ -42,21 +49,29 @@
   readonly rack: string | undefined;
 }
 
+/** What a board is told of workers beside their reports. */
+export interface BoardContext {
+  /** How workers under suspicion may be used. */
+  readonly admissions: ReadonlyMap<string, Admission>;
+  /** Gives what is committed on a worker. */
+  readonly getCommitted: (worker: string) => Resources;
+  /** Predicts how close a serving task would come to its target beside one more run. */
+  readonly predictRatio: (agent: string, definition: StepDefinition) => number;
+}
+
 /** Workers in one round. */
 export class PlacementBoard {
+  private readonly _context: BoardContext;
   private readonly _workers = new Map<string, BoardWorker>();
 
   /**
    * Creates a board.
    * @param records - Workers that may be given runs.
-   * @param getCommitted - Gives what is committed on a worker.
-   * @param admissions - How workers under suspicion may be used.
+   * @param context - What else is known of them.
    */
-  constructor(
-    records: readonly WorkerRecord[],
-    getCommitted: (worker: string) => Resources,
-    admissions: ReadonlyMap<string, Admission>,
-  ) {
+  constructor(records: readonly WorkerRecord[], context: BoardContext) {
+    this._context = context;
+    const { admissions, getCommitted } = context;
     records.forEach(({ agent, report }) => {
       const free = subtractResources(report.capacity, getCommitted(report.worker));
       this._workers.set(agent, {
@@ -99,7 +114,7 @@
     const wanted = getCommitment(task.definition);
     const best = this.workers
       .filter((worker) => fits(wanted, worker.free) && accepts(worker, task))
-      .map((worker) => ({ worker, rating: rate(worker, task) }))
+      .map((worker) => ({ worker, rating: this._rate(worker, task) }))
       .reduce<{ worker: BoardWorker; rating: number } | undefined>(
         (found, next) => (found === undefined || next.rating > found.rating ? next : found),
         undefined,
@@ -117,6 +132,18 @@
     return best;
   }
 
+  /** Rates a worker for a task; higher is better. */
+  private _rate(worker: BoardWorker, { definition, avoid }: BoardTask): number {
+    const { dataRack, usesIdleProcessors } = definition;
+    const isAway = dataRack !== undefined && dataRack !== worker.rack;
+    const ratio = usesIdleProcessors ? this._context.predictRatio(worker.agent, definition) : 0;
+    const penalty =
+      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) +
+      (isAway ? DATA_WEIGHT_MILLI : 0) +
+      Math.max(0, ratio - HARMLESS_RATIO) * HARM_WEIGHT_MILLI;
+    return rateRoom(worker, definition) - penalty;
+  }
+
   /**
    * Puts workers back as they were, for a gang of which not all members found room.
    * @param workers - Workers as they were.
@@ -137,11 +164,7 @@
     : definition.resources;
 }
 
-function addTask(
-  worker: BoardWorker,
-  stepKey: string,
-  definition: StepDefinition,
-): BoardWorker {
+function addTask(worker: BoardWorker, stepKey: string, definition: StepDefinition): BoardWorker {
   const usedMilli = definition.usesIdleProcessors ? definition.resources.processorsMilli : 0;
   return {
     ...worker,
@@ -162,23 +185,15 @@
   );
 }
 
-/** Rates a worker for a task; higher is better. */
-function rate(worker: BoardWorker, task: BoardTask): number {
-  const { definition, avoid } = task;
-  const { dataRack } = definition;
-  const isAway = dataRack !== undefined && dataRack !== worker.rack;
-  const penalty =
-    (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) + (isAway ? DATA_WEIGHT_MILLI : 0);
-  return rateRoom(worker, definition) - penalty;
-}
-
+/** Rates a worker by its room for a task; higher is better. */
 function rateRoom(worker: BoardWorker, definition: StepDefinition): number {
   if (definition.usesIdleProcessors) {
-    return worker.idleMilli - worker.serving * SERVING_WEIGHT_MILLI;
-  }
-  if (definition.latencyTargetMs !== undefined) {
-    return worker.idleMilli - worker.serving * 2 * SERVING_WEIGHT_MILLI;
+    return worker.idleMilli;
   }
-  const leftMilli = worker.idleMilli - definition.resources.processorsMilli;
-  return leftMilli >= 0 ? -leftMilli : leftMilli - SERVING_WEIGHT_MILLI;
+  // Serving tasks are kept together, which leaves whole workers to tasks that would press on them.
+  const servingMilli =
+    definition.latencyTargetMs === undefined ? 0 : worker.serving * SERVING_WEIGHT_MILLI;
+  const leftMilli = worker.free.processorsMilli - definition.resources.processorsMilli;
+  const crampedMilli = worker.idleMilli < definition.resources.processorsMilli ? CRAMPED_MILLI : 0;
+  return servingMilli - leftMilli - crampedMilli;
 }
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -11,18 +11,17 @@
 import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
 import type { AgentRecord, JobPhase, ProgressRecord } from "../../state/pool/records.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
-import { AckTracker } from "./AckTracker.ts";
-import type { AgentChannel, AgentReport, ObserveCall, WorkerReport } from "./AgentChannel.ts";
+import type { AgentChannel } from "./AgentChannel.ts";
 import { AgentSession } from "./AgentSession.ts";
 import { CommitQueue } from "./CommitQueue.ts";
 import type { ConfirmationGuard } from "./ConfirmationGuard.ts";
 import { JobUpdater } from "./JobUpdater.ts";
-import { LatencyPacer } from "./LatencyPacer.ts";
 import { OrderSender } from "./OrderSender.ts";
+import { PaceDirector } from "./PaceDirector.ts";
 import { PlacementBoard } from "./PlacementBoard.ts";
 import { PoolState } from "./PoolState.ts";
 import { getTakeoverWaitMs, type PoolTerms } from "./PoolTerms.ts";
-import { ReportReconciler } from "./ReportReconciler.ts";
+import { ReportIntake } from "./ReportIntake.ts";
 import { getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
 import { getStepKey } from "./RunBook.ts";
 import { RunDirector } from "./RunDirector.ts";
@@ -66,9 +65,9 @@
   private readonly _orders: OrderSender;
   private readonly _director: RunDirector;
   private readonly _updater: JobUpdater;
+  private readonly _reports: ReportIntake;
   private readonly _quarantine = new WorkerQuarantine();
-  private readonly _pacer = new LatencyPacer();
-  private readonly _acks = new Map<string, AckTracker>();
+  private readonly _paces: PaceDirector;
   private readonly _sessions = new Map<string, AgentSession>();
   private _round: Timer | undefined;
   private _ticker: Timer | undefined;
@@ -86,6 +85,7 @@
     this._commits = this._createCommits(progress);
     this._orders = this._createOrders();
     const shared = { state: this._state, clock, log };
+    this._paces = new PaceDirector({ book: this._state.book, orders: this._orders, log });
     this._updater = new JobUpdater({
       ...shared,
       commits: this._commits,
@@ -109,6 +109,15 @@
         this._depose();
       },
     });
+    this._reports = new ReportIntake({
+      ...shared,
+      epoch: parts.epoch,
+      observeWaitMs: terms.observeWaitMs,
+      updater: this._updater,
+      director: this._director,
+      paces: this._paces,
+      mayGrant: () => this._mayGrant,
+    });
   }
 
   /** What the scheduler knows. */
@@ -244,9 +253,10 @@
       clock,
       log,
       getAddress: () => this._state.table.getAgent(agent)?.record.address ?? "",
-      createCall: () => this._createObserve(agent),
+      createCall: () => this._reports.createObserve(agent),
       onReport: (report) => {
-        this._handleReport(agent, report);
+        this._reports.handle(agent, report);
+        this._roundSoon();
       },
       onDeposed: () => {
         this._depose();
@@ -254,94 +264,6 @@
     });
   }
 
-  private _createObserve(agent: string): ObserveCall {
-    const { epoch, terms } = this._parts;
-    const { table } = this._state;
-    const worker = table.getWorker(agent)?.report.worker ?? "";
-    return {
-      epoch,
-      worker,
-      leaseUntilMs: this._mayGrant ? table.grant(agent) : undefined,
-      ackedEnd: this._acks.get(worker)?.ackedEnd ?? 0,
-      knownVersion: table.getAgent(agent)?.version ?? 0,
-      waitMs: terms.observeWaitMs,
-    };
-  }
-
-  private _handleReport(agent: string, report: AgentReport): void {
-    const now = this._parts.clock.now();
-    const { table } = this._state;
-    const change = table.apply(agent, report, now);
-    if (change.replaced !== undefined) {
-      const worker = report.worker?.worker;
-      this._parts.log.info("Another worker is in place.", { agent, worker });
-    }
-    if (report.worker !== undefined && change.worker !== undefined) {
-      const { seenEnd } = change.worker;
-      if (!report.worker.answers) {
-        return;
-      }
-      this._reconcile(agent, report.worker, { seenEnd, isNewProcess: change.isNewProcess, now });
-      table.noteEnds(agent, report.worker.ended.at(-1)?.number ?? 0);
-      this._pace(agent, report.worker, now);
-    }
-    this._roundSoon();
-  }
-
-  private _reconcile(
-    agent: string,
-    report: WorkerReport,
-    context: {
-      readonly seenEnd: number;
-      readonly isNewProcess: boolean;
-      readonly now: number;
-    },
-  ): void {
-    const acks = this._acks.get(report.worker) ?? new AckTracker();
-    this._acks.set(report.worker, acks);
-    const { book } = this._state;
-    const reconciler = new ReportReconciler(book, {
-      getTask: (id) => this._state.getTask(id),
-      onEnd: (booked, ended) => {
-        acks.open(ended.number);
-        this._updater.handleEnd(booked, ended, () => {
-          acks.settle(ended.number);
-        });
-      },
-      onIdleEnd: (ended) => {
-        acks.open(ended.number);
-        acks.settle(ended.number);
-      },
-      onVoid: (booked, reason) => {
-        this._updater.handleVoid(booked, reason);
-      },
-      onStray: ({ task, run }) => {
-        this._director.stopStray(agent, report.worker, { task, run });
-      },
-    });
-    reconciler.handle({ agent, report, ...context });
-  }
-
-  /** Slows tasks on idle processors for the sake of the serving tasks beside them. */
-  private _pace(agent: string, report: WorkerReport, now: number): void {
-    const { book } = this._state;
-    const tails = new Map(report.running.map(({ task, run, measure }) => [`${task} ${run}`, measure]));
-    const runs = book.getByAgent(agent).filter(({ active }) => active.worker === report.worker);
-    const measures = runs.flatMap(({ task, active }) => {
-      const targetMs = task.definition.latencyTargetMs;
-      const tailMs = tails.get(`${task.id} ${active.run}`);
-      return targetMs === undefined || tailMs === undefined ? [] : [{ targetMs, tailMs }];
-    });
-    const percent = this._pacer.note(report.worker, measures, now);
-    runs
-      .filter(({ task }) => task.definition.usesIdleProcessors)
-      .filter(({ active }) => active.phase === "running" && active.pacePercent !== percent)
-      .forEach(({ task, active }) => {
-        task.changeRun(active.run, { pacePercent: percent, progressedAt: now });
-        this._orders.pace(agent, report.worker, { task: task.id, run: active.run, percent });
-      });
-  }
-
   private _roundSoon(): void {
     if (this._round === undefined && !this._isStopped) {
       this._round = this._parts.clock.after(ROUND_DELAY_MS, () => {
@@ -372,7 +294,11 @@
     const usable = table.getUsable(now);
     const agents = usable.map(({ agent }) => agent);
     const admissions = this._quarantine.getAdmissions(agents, now);
-    const board = new PlacementBoard(usable, (worker) => table.getCommitted(worker), admissions);
+    const board = new PlacementBoard(usable, {
+      admissions,
+      getCommitted: (worker) => table.getCommitted(worker),
+      predictRatio: (agent, definition) => this._paces.predictRatio(agent, definition),
+    });
     book.getAll().forEach(({ task, active }) => {
       board.noteRun(active.agent, getStepKey(task.address), task.definition);
     });
--- a/src/coordination/pool/RunDirector.ts
+++ b/src/coordination/pool/RunDirector.ts
@@ -118,18 +118,14 @@
     });
     report.stops.forEach((result) => {
       const booked = this._find(result.task, result.run);
-      if (booked?.active.worker === worker && booked.active.phase === "stopping") {
-        this._settle(booked, result, report.callNumber);
+      const isStopping = booked?.active.worker === worker && booked.active.phase === "stopping";
+      if (isStopping && result.failure === undefined) {
+        booked.task.changeRun(result.run, { callNumber: report.callNumber });
       }
     });
   }
 
-  private _handleStart(
-    agent: string,
-    worker: string,
-    result: RunResult,
-    callNumber: number,
-  ): void {
+  private _handleStart(agent: string, worker: string, result: RunResult, callNumber: number): void {
     const booked = this._find(result.task, result.run);
     if (booked?.active.worker !== worker || booked.active.phase !== "ordered") {
       return;
--- a/src/coordination/pool/RunWatch.ts
+++ b/src/coordination/pool/RunWatch.ts
@@ -7,6 +7,8 @@
 
 /** Time after which an order without a result is sent again, in milliseconds. */
 const REPEAT_ORDER_MS = 700;
+/** Time after which a run that was told to stop, and is still listed, is told again. */
+const REPEAT_STOP_MS = 2_000;
 /** Orders to start a run after which it is stopped in place of being started. */
 const MAX_START_TRIES = 4;
 /** Time without progress after which a run is taken for stalled, in milliseconds. */
@@ -47,7 +49,8 @@
   if (gone !== undefined && active.phase !== "recording") {
     return { kind: "void", reason: gone };
   }
-  const isDue = active.callNumber === undefined && now - active.since >= REPEAT_ORDER_MS;
+  const passedMs = now - active.since;
+  const isDue = active.callNumber === undefined && passedMs >= REPEAT_ORDER_MS;
   switch (active.phase) {
     case "ordered":
       if (!isDue) {
@@ -57,7 +60,9 @@
         ? { kind: "start" }
         : { kind: "stop", reason: "its start got no answer" };
     case "stopping":
-      return isDue ? { kind: "stop", reason: active.stopReason } : { kind: "none" };
+      return isDue || passedMs >= REPEAT_STOP_MS
+        ? { kind: "stop", reason: active.stopReason }
+        : { kind: "none" };
     case "running":
       return isStalled(booked, now) ? { kind: "stop", reason: "stalled" } : { kind: "none" };
     default:
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -122,10 +122,10 @@
     }
     this._isReachable = isReachable;
     const { log, prefix } = this._parts;
-    if (isReachable) {
+    if (failure === undefined || isReachable) {
       log.info("The store answers again.", { prefix });
     } else {
-      log.warn("The store does not answer.", { prefix, reason: failure?.detail });
+      log.warn("The store does not answer.", { prefix, reason: failure.detail });
     }
   }
 }
--- a/src/coordination/pool/SubmissionDesk.ts
+++ b/src/coordination/pool/SubmissionDesk.ts
@@ -188,7 +188,8 @@
   result: WriteResult,
 ): {
   readonly kind: WriteResult["kind"];
-  readonly change: { readonly key: string; readonly value: string; readonly revision: number } | undefined;
+  readonly change:
+    { readonly key: string; readonly value: string; readonly revision: number } | undefined;
 } {
   return result.kind === "written"
     ? { kind: result.kind, change: { key, value, revision: result.revision } }
--- a/src/coordination/pool/WorkerKeeper.ts
+++ b/src/coordination/pool/WorkerKeeper.ts
@@ -24,6 +24,7 @@
   WorkerReport,
 } from "./AgentChannel.ts";
 import { getIncarnation } from "./RunWatch.ts";
+import { Signal } from "./Signal.ts";
 
 /** Wait of a call for lists, in milliseconds; bounds the age of the worker's clock and lease. */
 const LIST_WAIT_MS = 400;
@@ -61,8 +62,10 @@
   private _callNumber = 0;
   private _version = 1;
   private _isStopped = false;
-  private readonly _waiters = new Set<() => void>();
-  private _wakeLoop: (() => void) | undefined;
+  /** Raised when the report has changed. */
+  private readonly _news: Signal;
+  /** Raised when the worker is to be asked at once. */
+  private readonly _due: Signal;
 
   /**
    * Creates a keeper; it does nothing before it is started.
@@ -70,6 +73,8 @@
    */
   constructor(parts: WorkerKeeperParts) {
     this._parts = parts;
+    this._news = new Signal(parts.clock);
+    this._due = new Signal(parts.clock);
   }
 
   /** Begins to follow the worker. */
@@ -80,7 +85,7 @@
   /** Stops following the worker. */
   stop(): void {
     this._isStopped = true;
-    this._wakeLoop?.();
+    this._due.raise();
     this._notify();
   }
 
@@ -108,7 +113,7 @@
       this._parts.log.info("Worker announced itself.", { worker, draining });
       this._notify();
     }
-    this._wakeLoop?.();
+    this._due.raise();
   }
 
   /**
@@ -124,7 +129,7 @@
       this._acknowledge(call.ackedEnd);
     }
     if (call.knownVersion === this._version) {
-      await this._waitForNews(call.waitMs);
+      await this._news.wait(call.waitMs);
     }
     return this._epoch > call.epoch || this._isFenced
       ? { kind: "deposed" }
@@ -209,7 +214,7 @@
       this._lists = undefined;
       this._parts.log.info("A scheduler of a later epoch is heard.", { epoch });
       void this._list(0);
-      this._wakeLoop?.();
+      this._due.raise();
     }
     return true;
   }
@@ -230,19 +235,19 @@
   private _acknowledge(ackedEnd: number): void {
     if (ackedEnd > this._ackedEnd) {
       this._ackedEnd = ackedEnd;
-      this._wakeLoop?.();
+      this._due.raise();
     }
   }
 
   private async _follow(): Promise<void> {
     while (!this._isStopped) {
       if (this._announced === undefined || this._epoch === 0) {
-        await this._waitForWake(undefined);
+        await this._due.wait();
       } else if (await this._list(LIST_WAIT_MS)) {
         const hasOpenEnds = this._lists?.ended.some(({ number }) => number > this._ackedEnd);
-        await (hasOpenEnds === true ? this._waitForWake(ACK_WAIT_MS) : undefined);
+        await (hasOpenEnds === true ? this._due.wait(ACK_WAIT_MS) : undefined);
       } else {
-        await this._waitForWake(RETRY_MS);
+        await this._due.wait(RETRY_MS);
       }
     }
   }
@@ -335,37 +340,7 @@
 
   private _notify(): void {
     this._version += 1;
-    [...this._waiters].forEach((wake) => {
-      wake();
-    });
-  }
-
-  private async _waitForNews(waitMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const wake = (): void => {
-        timer.cancel();
-        this._waiters.delete(wake);
-        resolve();
-      };
-      const timer = this._parts.clock.after(waitMs, wake);
-      this._waiters.add(wake);
-    });
-  }
-
-  private async _waitForWake(limitMs: number | undefined): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const timer =
-        limitMs === undefined
-          ? undefined
-          : this._parts.clock.after(limitMs, () => {
-              this._wakeLoop?.();
-            });
-      this._wakeLoop = () => {
-        this._wakeLoop = undefined;
-        timer?.cancel();
-        resolve();
-      };
-    });
+    this._news.raise();
   }
 }
 
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -239,10 +239,7 @@
     };
   }
 
-  private _change(
-    agent: string,
-    getChange: (worker: WorkerRecord) => Partial<WorkerRecord>,
-  ): void {
+  private _change(agent: string, getChange: (worker: WorkerRecord) => Partial<WorkerRecord>): void {
     const worker = this._workers.get(agent);
     if (worker !== undefined) {
       this._workers.set(agent, { ...worker, ...getChange(worker) });
--- a/src/coordination/pool/turnOrder.ts
+++ b/src/coordination/pool/turnOrder.ts
@@ -41,9 +41,7 @@
  * @param b - The other place.
  */
 export function compareTurns(a: Turn, b: Turn): number {
-  return (
-    a.priority - b.priority || a.lateness - b.lateness || a.latestStartMs - b.latestStartMs
-  );
+  return a.priority - b.priority || a.lateness - b.lateness || a.latestStartMs - b.latestStartMs;
 }
 
 /** When the time objective of a step's occurrence begins, in Unix milliseconds. */
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -166,9 +166,7 @@
 function readRecord<T>(value: string, shape: z.ZodType<T>): Result<T, UnreadableRecord> {
   try {
     const parsed = shape.safeParse(JSON.parse(value));
-    return parsed.success
-      ? ok(parsed.data)
-      : err({ detail: z.prettifyError(parsed.error) });
+    return parsed.success ? ok(parsed.data) : err({ detail: z.prettifyError(parsed.error) });
   } catch (cause) {
     return err({ detail: cause instanceof Error ? cause.message : String(cause) });
   }
--- a/src/transport/pool/ConnectAgentChannel.ts
+++ b/src/transport/pool/ConnectAgentChannel.ts
@@ -34,10 +34,7 @@
     this._timeoutMs = timeoutMs;
   }
 
-  override async observe(
-    address: string,
-    call: ObserveCall,
-  ): Promise<AgentOutcome<AgentReport>> {
+  override async observe(address: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
     return this._call(async () => {
       const timeoutMs = call.waitMs + this._timeoutMs;
       const reply = await this._connect(address).client.observe(writeObserve(call), { timeoutMs });
@@ -82,7 +79,11 @@
     }
     const baseUrl = `http://${address}`;
     const sessions = new Http2SessionManager(baseUrl, { pingIntervalMs: 2 * this._timeoutMs });
-    const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager: sessions });
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: "2",
+      sessionManager: sessions,
+    });
     const connection = { client: createClient(PoolAgent, transport), sessions };
     this._connections.set(address, connection);
     return connection;
--- a/src/transport/store/CountingStore.ts
+++ b/src/transport/store/CountingStore.ts
@@ -43,9 +43,7 @@
     return this._count("write", this._store.write(write));
   }
 
-  override transact(
-    transaction: StoreTransaction,
-  ): ResultAsync<TransactionResult, StoreFailure> {
+  override transact(transaction: StoreTransaction): ResultAsync<TransactionResult, StoreFailure> {
     return this._count("transact", this._store.transact(transaction));
   }
 
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -89,9 +89,7 @@
     return this._write("/v1/write", write, WriteReply).map(toWriteResult);
   }
 
-  override transact(
-    transaction: StoreTransaction,
-  ): ResultAsync<TransactionResult, StoreFailure> {
+  override transact(transaction: StoreTransaction): ResultAsync<TransactionResult, StoreFailure> {
     return this._write("/v1/transact", transaction, TransactReply);
   }
 
--- a/tests/support/PausableProcess.ts
+++ b/tests/support/PausableProcess.ts
@@ -119,9 +119,7 @@
     return this._hold(this._store.write(write));
   }
 
-  override transact(
-    transaction: StoreTransaction,
-  ): ResultAsync<TransactionResult, StoreFailure> {
+  override transact(transaction: StoreTransaction): ResultAsync<TransactionResult, StoreFailure> {
     return this._hold(this._store.transact(transaction));
   }
 
--- /dev/null
+++ b/tests/support/poolFixtures.ts
@@ -0,0 +1,81 @@
+/**
+ * Jobs, workers and runs for tests of the scheduling of pools.
+ */
+import type { WorkerReport } from "../../src/coordination/pool/AgentChannel.ts";
+import type { StepDefinition } from "../../src/protocol/pool/JobDefinition.ts";
+import type { JobRecord } from "../../src/state/pool/records.ts";
+
+/** Name of the pool of all fixtures. */
+export const POOL = "pool-a";
+
+/**
+ * Creates a step of one small task.
+ * @param change - Members to replace.
+ */
+export function createStep(change: Partial<StepDefinition> = {}): StepDefinition {
+  return {
+    taskCount: 1,
+    resources: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
+    estimateMs: 1_000,
+    after: [],
+    checkpoints: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerWorker: undefined,
+    speculative: false,
+    longRunning: false,
+    image: "",
+    latencyTargetMs: undefined,
+    usesIdleProcessors: false,
+    maxUnavailable: undefined,
+    ...change,
+  };
+}
+
+/**
+ * Creates an accepted job.
+ * @param steps - Its steps; one small step by default.
+ * @param change - Members to replace.
+ */
+export function createJobRecord(
+  steps: readonly StepDefinition[] = [createStep()],
+  change: Partial<JobRecord> = {},
+): JobRecord {
+  return {
+    queue: "queue-a",
+    priority: 0,
+    maxAttempts: 3,
+    stretch: 2,
+    latencyTargetMs: 500,
+    acceptedAtMs: 0,
+    payload: "payload",
+    steps,
+    schedule: undefined,
+    ...change,
+  };
+}
+
+/**
+ * Creates the report of a worker.
+ * @param change - Members to replace.
+ */
+export function createWorkerReport(change: Partial<WorkerReport> = {}): WorkerReport {
+  return {
+    worker: "i-1@100",
+    pool: POOL,
+    zone: "zone-a",
+    rack: "rack-1",
+    draining: false,
+    drainRemainingMs: 0,
+    capacity: { processorsMilli: 16_000, memoryBytes: 64_000, accelerators: 0 },
+    labels: ["kind-a", "rack-1"],
+    clockMs: 1_000,
+    callNumber: 1,
+    answers: true,
+    running: [],
+    ended: [],
+    ...change,
+  };
+}
