--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -105,6 +105,7 @@
   readonly callNumber: number;
   readonly starts: readonly RunResult[];
   readonly stops: readonly RunResult[];
+  readonly paces: readonly RunResult[];
 }
 
 /** Way to the agents. */
--- a/src/coordination/pool/OrderSender.ts
+++ b/src/coordination/pool/OrderSender.ts
@@ -27,6 +27,8 @@
   readonly epoch: number;
   /** Whether the scheduler's confirmation is recent enough to extend leases. */
   readonly mayGrant: () => boolean;
+  /** Called with orders to pace of which nobody knows whether they were carried out. */
+  readonly onPacesLost: (orders: readonly RunOrder[]) => void;
   /** Called with what an agent answered. */
   readonly onReport: (agent: string, worker: string, report: OrderReport) => void;
   /** Called where an agent has seen a later scheduler. */
@@ -112,18 +114,20 @@
     const starts = leaseUntilMs === undefined ? [] : outbox.starts;
     const call: OrderCall = { epoch, ...outbox, leaseUntilMs: leaseUntilMs ?? 0, starts };
     const outcome = await channel.order(address, call);
-    this._settle(agent, outbox.worker, outcome);
+    this._settle(agent, outbox, outcome);
   }
 
-  private _settle(agent: string, worker: string, outcome: AgentOutcome<OrderReport>): void {
+  private _settle(agent: string, outbox: Outbox, outcome: AgentOutcome<OrderReport>): void {
     if (this._isClosed) {
       return;
     }
     if (outcome.kind === "answered") {
-      this._parts.onReport(agent, worker, outcome.value);
+      this._parts.onPacesLost(outcome.value.paces.filter(({ failure }) => failure !== undefined));
+      this._parts.onReport(agent, outbox.worker, outcome.value);
     } else if (outcome.kind === "deposed") {
       this._parts.onDeposed();
     } else {
+      this._parts.onPacesLost(outbox.paces);
       this._parts.log.warn("No answer to orders.", { agent, reason: outcome.detail });
     }
   }
--- a/src/coordination/pool/PaceDirector.ts
+++ b/src/coordination/pool/PaceDirector.ts
@@ -3,36 +3,32 @@
  * workers for placement by what such a run would do to the serving tasks there.
  */
 import type { Log } from "../../protocol/platform/Log.ts";
-import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
-import type { WorkerReport } from "./AgentChannel.ts";
+import type { RunOrder, WorkerReport } from "./AgentChannel.ts";
 import type { OrderSender } from "./OrderSender.ts";
-import { getRatio, getWorst, PacePlanner, type PacedRun } from "./PacePlanner.ts";
+import { DisturbanceGuard, type IdleRun } from "./DisturbanceGuard.ts";
 import { PressureEstimator, type ServingMeasure } from "./PressureEstimator.ts";
-import type { BookedRun, RunBook } from "./RunBook.ts";
+import type { PoolState } from "./PoolState.ts";
+import type { BookedRun } from "./RunBook.ts";
+import { TailFilter } from "./TailFilter.ts";
 
-/** Share of its declared processors that a run is expected to use where it was not measured. */
-const EXPECTED_USE = 0.7;
+/** Least time between two measures that are taken in: each covers half a second. */
+const MEASURE_INTERVAL_MS = 400;
 const FULL_PERCENT = 100;
 
 /** What a director needs. */
 export interface PaceDirectorParts {
-  readonly book: RunBook;
+  readonly state: PoolState;
   readonly orders: OrderSender;
   readonly log: Log;
-}
-
-/** A worker as it was measured last. */
-interface MeasuredWorker {
-  readonly serving: readonly ServingMeasure[];
-  readonly runs: readonly PacedRun[];
+  readonly stop: (booked: BookedRun, reason: string) => void;
 }
 
 /** Paces of one scheduler. */
 export class PaceDirector {
   private readonly _parts: PaceDirectorParts;
-  private readonly _estimator = new PressureEstimator();
-  private readonly _planner = new PacePlanner(this._estimator);
-  private readonly _workers = new Map<string, MeasuredWorker>();
+  private readonly _guard = new DisturbanceGuard(new PressureEstimator());
+  private readonly _filter = new TailFilter();
+  private readonly _measuredAt = new Map<string, number>();
 
   /**
    * Creates a director.
@@ -49,64 +45,82 @@
    * @param now - Monotonic time in milliseconds.
    */
   handle(agent: string, report: WorkerReport, now: number): void {
-    const { book, orders, log } = this._parts;
+    const measuredAt = this._measuredAt.get(agent) ?? Number.NEGATIVE_INFINITY;
+    if (now - measuredAt < MEASURE_INTERVAL_MS) {
+      return;
+    }
     const { worker } = report;
-    const booked = book
+    const booked = this._parts.state.book
       .getByAgent(agent)
       .filter(({ active }) => active.worker === worker && active.phase === "running");
     const measures = new Map(report.running.map((run) => [`${run.task} ${run.run}`, run.measure]));
-    const serving = booked.flatMap((run) => getServing(run, measures.get(getKey(run))));
+    const serving = booked.flatMap((run) => this._getServing(run, measures.get(getKey(run)), now));
     const byKey = new Map(
       booked
         .filter(({ task }) => task.definition.usesIdleProcessors)
         .map((run) => [getKey(run), run]),
     );
-    const runs = [...byKey].map(([key, run]) => toPacedRun(key, run, measures.get(key)));
-    this._workers.set(agent, { serving, runs });
-    this._planner.plan({ worker, serving, runs, now }).forEach(({ key, percent }) => {
+    const runs = [...byKey].map(([key, run]) => toIdleRun(key, run, measures.get(key)));
+    this._measuredAt.set(agent, now);
+    const decision = this._guard.decide({ worker, serving, runs, now });
+    decision.paces.forEach(({ key, percent }) => {
+      this._pace(byKey.get(key), percent, now);
+    });
+    decision.moves.forEach((key) => {
       const run = byKey.get(key);
       if (run !== undefined) {
-        const { task, active } = run;
-        task.changeRun(active.run, { pacePercent: percent, progressedAt: now });
-        orders.pace(agent, worker, { task: task.id, run: active.run, percent });
-        const { image } = task.definition;
-        log.debug("Run is paced.", { task: task.id, run: active.run, agent, image, percent });
+        this._parts.stop(run, "it disturbs tasks that serve users");
       }
     });
   }
 
   /**
-   * Predicts how close a serving task on a worker would come to its target beside one more run.
-   * @param agent - Agent of the worker.
-   * @param definition - Step of the run.
-   * @returns Share of the target; 0 where nothing there serves.
+   * Notes that orders to pace may not have been carried out; the runs count as at full speed.
+   * @param orders - The runs.
    */
-  predictRatio(agent: string, definition: StepDefinition): number {
-    const measured = this._workers.get(agent);
-    const worst = getWorst(measured?.serving ?? []);
-    if (measured === undefined || worst === undefined) {
-      return 0;
+  noteLost(orders: readonly RunOrder[]): void {
+    orders.forEach(({ task, run }) => {
+      this._parts.state.getTask(task)?.changeRun(run, { pacePercent: FULL_PERCENT });
+    });
+  }
+
+  /**
+   * Tells whether an image is known to disturb tasks that serve.
+   * @param serving - Images that serve.
+   * @param image - Image beside them.
+   * @param now - Monotonic time in milliseconds.
+   */
+  isDisturbing(serving: Iterable<string>, image: string, now: number): boolean {
+    return this._guard.isDisturbing(serving, image, now);
+  }
+
+  private _pace(run: BookedRun | undefined, percent: number, now: number): void {
+    if (run === undefined) {
+      return;
     }
-    const { image } = definition;
-    const usedMilli = definition.resources.processorsMilli * EXPECTED_USE;
-    const before = this._estimator.getRise(worst.image, measured.runs);
-    const added = this._estimator.getRise(worst.image, [{ image, usedMilli }]);
-    return (getRatio(worst) * (1 + before + added)) / (1 + before);
+    const { task, active } = run;
+    task.changeRun(active.run, { pacePercent: percent, progressedAt: now });
+    const order = { task: task.id, run: active.run, percent };
+    this._parts.orders.pace(active.agent, active.worker, order);
+    this._parts.log.info("Run is paced.", { ...order, agent: active.agent });
   }
-}
 
-function getServing({ task }: BookedRun, tailMs: number | undefined): readonly ServingMeasure[] {
-  const { latencyTargetMs: targetMs, image } = task.definition;
-  return targetMs === undefined || tailMs === undefined ? [] : [{ image, targetMs, tailMs }];
+  private _getServing(
+    { task, active }: BookedRun,
+    tailMs: number | undefined,
+    now: number,
+  ): readonly ServingMeasure[] {
+    const { latencyTargetMs: targetMs, image } = task.definition;
+    if (targetMs === undefined || tailMs === undefined || active.percent < FULL_PERCENT) {
+      return [];
+    }
+    const currentMs = this._filter.note(getKey({ task, active }), tailMs, now);
+    return [{ image, targetMs, tailMs, currentMs }];
+  }
 }
 
-function toPacedRun(key: string, { task, active }: BookedRun, measure = 0): PacedRun {
-  const { image, resources } = task.definition;
-  const percent = active.pacePercent;
-  const expectedMilli = resources.processorsMilli * EXPECTED_USE;
-  const measuredMilli = percent > 0 ? (measure * FULL_PERCENT) / percent : 0;
-  const fullMilli = Math.min(resources.processorsMilli, Math.max(expectedMilli, measuredMilli));
-  return { key, image, usedMilli: measure, percent, fullMilli };
+function toIdleRun(key: string, { task, active }: BookedRun, usedMilli = 0): IdleRun {
+  return { key, image: task.definition.image, usedMilli, percent: active.pacePercent };
 }
 
 function getKey({ task, active }: BookedRun): string {
--- a/src/coordination/pool/PlacementBoard.ts
+++ b/src/coordination/pool/PlacementBoard.ts
@@ -11,12 +11,10 @@
 
 /** Weight of each serving task of a worker for one more of them, in thousandths of a core. */
 const SERVING_WEIGHT_MILLI = 2_000;
+/** Weight of each other serving image of a worker against it, in thousandths of a core. */
+const MIXED_WEIGHT_MILLI = 40_000;
 /** Weight of a worker whose idle processors others use already, in thousandths of a core. */
 const CRAMPED_MILLI = 8_000;
-/** Share of a latency target up to which one more run beside a serving task is harmless. */
-const HARMLESS_RATIO = 0.6;
-/** Weight of the excess over that share, in thousandths of a core. */
-const HARM_WEIGHT_MILLI = 60_000;
 /** Weight of a worker on which the task has failed before, in thousandths of a core. */
 const FAILED_WEIGHT_MILLI = 100_000;
 /** Weight of a rack away from the data, in thousandths of a core. */
@@ -31,8 +29,8 @@
   readonly free: Resources;
   /** Processors that no task is expected to use, in thousandths; negative where overbooked. */
   readonly idleMilli: number;
-  /** Tasks that serve users. */
-  readonly serving: number;
+  /** Tasks that serve users, by image. */
+  readonly serving: ReadonlyMap<string, number>;
   readonly admission: Admission;
   /** Tasks by step. */
   readonly steps: ReadonlyMap<string, number>;
@@ -55,8 +53,8 @@
   readonly admissions: ReadonlyMap<string, Admission>;
   /** Gives what is committed on a worker. */
   readonly getCommitted: (worker: string) => Resources;
-  /** Predicts how close a serving task would come to its target beside one more run. */
-  readonly predictRatio: (agent: string, definition: StepDefinition) => number;
+  /** Tells whether an image on idle processors is known to disturb images that serve. */
+  readonly isDisturbing: (serving: Iterable<string>, image: string) => boolean;
 }
 
 /** Workers in one round. */
@@ -81,7 +79,7 @@
         labels: report.labels,
         free,
         idleMilli: free.processorsMilli,
-        serving: 0,
+        serving: new Map(),
         admission: admissions.get(agent) ?? "open",
         steps: new Map(),
       });
@@ -114,6 +112,7 @@
     const wanted = getCommitment(task.definition);
     const best = this.workers
       .filter((worker) => fits(wanted, worker.free) && accepts(worker, task))
+      .filter((worker) => !this._isDisturbing(worker, task.definition))
       .map((worker) => ({ worker, rating: this._rate(worker, task) }))
       .reduce<{ worker: BoardWorker; rating: number } | undefined>(
         (found, next) => (found === undefined || next.rating > found.rating ? next : found),
@@ -132,15 +131,19 @@
     return best;
   }
 
+  private _isDisturbing(worker: BoardWorker, definition: StepDefinition): boolean {
+    const { serving } = worker;
+    return (
+      definition.usesIdleProcessors && this._context.isDisturbing(serving.keys(), definition.image)
+    );
+  }
+
   /** Rates a worker for a task; higher is better. */
   private _rate(worker: BoardWorker, { definition, avoid }: BoardTask): number {
-    const { dataRack, usesIdleProcessors } = definition;
+    const { dataRack } = definition;
     const isAway = dataRack !== undefined && dataRack !== worker.rack;
-    const ratio = usesIdleProcessors ? this._context.predictRatio(worker.agent, definition) : 0;
     const penalty =
-      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) +
-      (isAway ? DATA_WEIGHT_MILLI : 0) +
-      Math.max(0, ratio - HARMLESS_RATIO) * HARM_WEIGHT_MILLI;
+      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) + (isAway ? DATA_WEIGHT_MILLI : 0);
     return rateRoom(worker, definition) - penalty;
   }
 
@@ -169,11 +172,20 @@
   return {
     ...worker,
     idleMilli: worker.idleMilli - usedMilli,
-    serving: worker.serving + Number(definition.latencyTargetMs !== undefined),
+    serving: addServing(worker.serving, definition),
     steps: new Map([...worker.steps, [stepKey, (worker.steps.get(stepKey) ?? 0) + 1]]),
   };
 }
 
+function addServing(
+  serving: ReadonlyMap<string, number>,
+  { image, latencyTargetMs }: StepDefinition,
+): ReadonlyMap<string, number> {
+  return latencyTargetMs === undefined
+    ? serving
+    : new Map([...serving, [image, (serving.get(image) ?? 0) + 1]]);
+}
+
 function accepts(worker: BoardWorker, task: BoardTask): boolean {
   const { requiredLabel, maxPerWorker } = task.definition;
   const count = worker.steps.get(task.stepKey) ?? 0;
@@ -190,9 +202,14 @@
   if (definition.usesIdleProcessors) {
     return worker.idleMilli;
   }
-  // Serving tasks are kept together, which leaves whole workers to tasks that would press on them.
+  // Serving tasks are kept together by image: what disturbs one image may leave another alone, and
+  // workers without any are left to what disturbs all.
+  const others = [...worker.serving.keys()].filter((image) => image !== definition.image).length;
+  const same = worker.serving.get(definition.image) ?? 0;
   const servingMilli =
-    definition.latencyTargetMs === undefined ? 0 : worker.serving * SERVING_WEIGHT_MILLI;
+    definition.latencyTargetMs === undefined
+      ? 0
+      : same * SERVING_WEIGHT_MILLI - others * MIXED_WEIGHT_MILLI;
   const leftMilli = worker.free.processorsMilli - definition.resources.processorsMilli;
   const crampedMilli = worker.idleMilli < definition.resources.processorsMilli ? CRAMPED_MILLI : 0;
   return servingMilli - leftMilli - crampedMilli;
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -23,7 +23,7 @@
 import { getTakeoverWaitMs, type PoolTerms } from "./PoolTerms.ts";
 import { ReportIntake } from "./ReportIntake.ts";
 import { getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
-import { getStepKey } from "./RunBook.ts";
+import { getStepKey, type BookedRun } from "./RunBook.ts";
 import { RunDirector } from "./RunDirector.ts";
 
 /** Delay of a round after what calls for it, so that one round serves several events. */
@@ -85,14 +85,15 @@
     this._commits = this._createCommits(progress);
     this._orders = this._createOrders();
     const shared = { state: this._state, clock, log };
-    this._paces = new PaceDirector({ book: this._state.book, orders: this._orders, log });
+    const stop = (booked: BookedRun, reason: string): void => {
+      this._director.stop(booked, reason);
+    };
+    this._paces = new PaceDirector({ state: this._state, orders: this._orders, log, stop });
     this._updater = new JobUpdater({
       ...shared,
       commits: this._commits,
       quarantine: this._quarantine,
-      stop: (booked, reason) => {
-        this._director.stop(booked, reason);
-      },
+      stop,
     });
     this._director = new RunDirector({
       ...shared,
@@ -236,6 +237,9 @@
       table: this._state.table,
       epoch,
       mayGrant: () => this._mayGrant,
+      onPacesLost: (orders) => {
+        this._paces.noteLost(orders);
+      },
       onReport: (agent, worker, report) => {
         this._director.handle(agent, worker, report);
       },
@@ -297,7 +301,7 @@
     const board = new PlacementBoard(usable, {
       admissions,
       getCommitted: (worker) => table.getCommitted(worker),
-      predictRatio: (agent, definition) => this._paces.predictRatio(agent, definition),
+      isDisturbing: (serving, image) => this._paces.isDisturbing(serving, image, now),
     });
     book.getAll().forEach(({ task, active }) => {
       board.noteRun(active.agent, getStepKey(task.address), task.definition);
--- a/src/coordination/pool/WorkerKeeper.ts
+++ b/src/coordination/pool/WorkerKeeper.ts
@@ -148,9 +148,9 @@
       this._extend(call.leaseUntilMs);
     }
     const stops = call.stops.map((order) => this._stop(call, order));
-    call.paces.forEach((pace) => {
-      void this._carryOut(call, pace, (run) => this._parts.worker.pace(run, pace.percent));
-    });
+    const paces = call.paces.map((pace) =>
+      this._carryOut(call, pace, (run) => this._parts.worker.pace(run, pace.percent)),
+    );
     const starts = call.starts.map((order) =>
       this._start(call, order, () =>
         this._parts.worker.start({
@@ -161,7 +161,11 @@
         }),
       ),
     );
-    const results = { stops: await Promise.all(stops), starts: await Promise.all(starts) };
+    const results = {
+      stops: await Promise.all(stops),
+      paces: await Promise.all(paces),
+      starts: await Promise.all(starts),
+    };
     return { kind: "answered", value: { callNumber: this._callNumber, ...results } };
   }
 
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -87,6 +87,7 @@
     callNumber: report.callNumber,
     starts: report.starts.map(write),
     stops: report.stops.map(write),
+    paces: report.paces.map(write),
   });
 }
 
@@ -96,6 +97,7 @@
     callNumber: reply.callNumber,
     starts: reply.starts.map(readResult),
     stops: reply.stops.map(readResult),
+    paces: reply.paces.map(readResult),
   };
 }
 
