--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -10,6 +10,7 @@
 import { JobState } from "../../state/pool/JobState.ts";
 import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
 import type { AgentRecord, JobPhase, ProgressRecord } from "../../state/pool/records.ts";
+import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { AgentSession } from "./AgentSession.ts";
@@ -22,12 +23,19 @@
 import { PoolState } from "./PoolState.ts";
 import { getTakeoverWaitMs, type PoolTerms } from "./PoolTerms.ts";
 import { ReportIntake } from "./ReportIntake.ts";
-import { getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
+import { getSlowCopies, getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
 import { getStepKey, type BookedRun } from "./RunBook.ts";
 import { RunDirector } from "./RunDirector.ts";
+import { getRemainingMs } from "./RunWatch.ts";
 
 /** Delay of a round after what calls for it, so that one round serves several events. */
 const ROUND_DELAY_MS = 3;
+/** Age of a run from which a copy may be made, in milliseconds. */
+const LEAST_COPY_AGE_MS = 500;
+/** Multiple of the estimate that a run must still need for a copy to be made. */
+const COPY_MULTIPLE = 1.5;
+/** Silence of a worker from which copies of its runs are made, in milliseconds. */
+const SILENT_COPY_MS = 1_200;
 /** Time between looks at what has become due. */
 const TICK_MS = 150;
 
@@ -283,7 +291,12 @@
       return;
     }
     const now = this._parts.clock.now();
-    const steps = getWaitingSteps(this._state.jobs, this._parts.getTimeOfDay());
+    const timeOfDayMs = this._parts.getTimeOfDay();
+    const { jobs } = this._state;
+    const isSlow = (task: TaskState, active: ActiveRun): boolean =>
+      this._isSlow({ task, active }, now);
+    const copies = getSlowCopies(jobs, isSlow, timeOfDayMs);
+    const steps = [...getWaitingSteps(jobs, timeOfDayMs), ...copies];
     if (steps.length === 0) {
       return;
     }
@@ -293,6 +306,18 @@
     });
   }
 
+  /** Whether a copy of a run could be expected to end before it. */
+  private _isSlow(booked: BookedRun, now: number): boolean {
+    const { task, active } = booked;
+    const worker = this._state.table.getWorker(active.agent);
+    const silentMs = now - (worker?.reportedAt ?? Number.NEGATIVE_INFINITY);
+    const isLate = now - active.since > LEAST_COPY_AGE_MS;
+    const isSlow =
+      active.phase === "running" &&
+      getRemainingMs(booked, now) > COPY_MULTIPLE * task.definition.estimateMs;
+    return isLate && (isSlow || silentMs > SILENT_COPY_MS);
+  }
+
   private _createBoard(now: number): PlacementBoard {
     const { table, book } = this._state;
     const usable = table.getUsable(now);
--- a/src/coordination/pool/RoundPlanner.ts
+++ b/src/coordination/pool/RoundPlanner.ts
@@ -3,11 +3,14 @@
  * placed whole or not at all.
  */
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
-import type { TaskState } from "../../state/pool/TaskState.ts";
+import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
 import type { BoardTask, BoardWorker, PlacementBoard } from "./PlacementBoard.ts";
 import { getStepKey } from "./RunBook.ts";
 import { compareTurns, getTurn, type Turn } from "./turnOrder.ts";
 
+/** Runs of a task from which on no more copies are made. */
+const MAX_COPIED_RUNS = 4;
+
 /** A run to be ordered. */
 export interface PlannedRun {
   readonly job: JobState;
@@ -53,6 +56,34 @@
     .sort((a, b) => compareTurns(a.turn, b.turn));
 }
 
+/**
+ * Gives the tasks of which a copy may run beside the one that is slow, most urgent jobs first.
+ * @param jobs - Jobs of the pool.
+ * @param isSlow - Whether a run is not expected to end soon.
+ * @param timeOfDayMs - Time of day in Unix milliseconds.
+ */
+export function getSlowCopies(
+  jobs: readonly JobState[],
+  isSlow: (task: TaskState, active: ActiveRun) => boolean,
+  timeOfDayMs: number,
+): readonly WaitingStep[] {
+  return jobs
+    .filter((job) => !job.isEnded)
+    .flatMap((job) =>
+      job.getOpenSteps().flatMap((step): readonly WaitingStep[] => {
+        const tasks = step.definition.speculative
+          ? step.tasks.filter(
+              (task) => mayCopy(task) && task.active.every((run) => isSlow(task, run)),
+            )
+          : [];
+        return tasks.length === 0
+          ? []
+          : [{ job, step, tasks, turn: getTurn(job, step, timeOfDayMs) }];
+      }),
+    )
+    .sort((a, b) => compareTurns(a.turn, b.turn));
+}
+
 /**
  * Places the tasks of waiting steps.
  * @param steps - The steps in their order.
@@ -68,6 +99,10 @@
   };
 }
 
+function mayCopy(task: TaskState): boolean {
+  return !task.isDone && task.active.length === 1 && task.lastRun < MAX_COPIED_RUNS;
+}
+
 /** A gang waits until no member runs; its members start together. */
 function getWaitingTasks(step: StepState): readonly TaskState[] {
   const waiting = step.tasks.filter((task) => !task.isDone && task.active.length === 0);
@@ -139,7 +174,7 @@
   return {
     stepKey: getStepKey(task.address),
     definition: task.definition,
-    avoid: task.avoid,
+    avoid: new Set([...task.avoid, ...task.active.map(({ agent }) => agent)]),
     rack,
   };
 }
--- a/src/coordination/pool/RunDirector.ts
+++ b/src/coordination/pool/RunDirector.ts
@@ -9,7 +9,7 @@
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
 import type { BookedRun } from "./RunBook.ts";
-import { getRunStep } from "./RunWatch.ts";
+import { getRunStep, STALLED } from "./RunWatch.ts";
 
 /** What a director needs. */
 export interface RunDirectorParts {
@@ -65,9 +65,16 @@
     if (active.phase === "recording") {
       task.changeRun(active.run, { stopReason: reason });
     } else if (active.phase !== "stopping") {
+      this._repeatStop(booked, reason);
+    }
+  }
+
+  private _repeatStop(booked: BookedRun, reason: string): void {
+    const { task, active } = booked;
+    if (active.phase !== "stopping") {
       this._parts.log.info("Run is stopped.", { task: task.id, run: active.run, reason });
-      this._stop(booked, reason);
     }
+    this._stop(booked, reason);
   }
 
   /**
@@ -93,10 +100,10 @@
           this._start(booked);
           return;
         case "stop":
-          if (booked.active.phase === "running") {
+          if (step.reason === STALLED) {
             onStalled(booked);
           }
-          this._stop(booked, step.reason);
+          this._repeatStop(booked, step.reason);
           return;
         case "void":
           onVoid(booked, step.reason);
--- a/src/coordination/pool/RunWatch.ts
+++ b/src/coordination/pool/RunWatch.ts
@@ -18,6 +18,8 @@
 /** Share of the estimate without any progress that is taken for stalled. */
 const STALL_ESTIMATE_SHARE = 0.25;
 const FULL_PERCENT = 100;
+/** Reason of a stop because of missing progress. */
+export const STALLED = "it makes no progress";
 
 /** What is to be done about a run. */
 export type RunStep =
@@ -64,7 +66,7 @@
         ? { kind: "stop", reason: active.stopReason }
         : { kind: "none" };
     case "running":
-      return isStalled(booked, now) ? { kind: "stop", reason: "stalled" } : { kind: "none" };
+      return getRunningStep(booked, place.worker, now);
     default:
       return { kind: "none" };
   }
@@ -83,6 +85,29 @@
   return now >= worker.lapsesAt ? "the lease of its worker has ended" : undefined;
 }
 
+function getRunningStep(booked: BookedRun, worker: WorkerRecord | undefined, now: number): RunStep {
+  if (isStalled(booked, now)) {
+    return { kind: "stop", reason: STALLED };
+  }
+  const leavesAt = worker?.leavesAt;
+  const isCutOff =
+    leavesAt !== undefined &&
+    (booked.task.definition.longRunning || now + getRemainingMs(booked, now) > leavesAt);
+  return isCutOff ? { kind: "stop", reason: "its worker leaves" } : { kind: "none" };
+}
+
+/**
+ * Estimates the time that a run still needs, in milliseconds, from its progress so far.
+ * @param booked - The run.
+ * @param now - Monotonic time in milliseconds.
+ */
+export function getRemainingMs({ task, active }: BookedRun, now: number): number {
+  const { percent, since } = active;
+  return percent > 0
+    ? ((now - since) * (FULL_PERCENT - percent)) / percent
+    : task.definition.estimateMs;
+}
+
 /** A task at work that runs without end shows full progress. */
 function isStalled({ task, active }: BookedRun, now: number): boolean {
   const { definition } = task;
--- a/src/coordination/pool/WorkerKeeper.ts
+++ b/src/coordination/pool/WorkerKeeper.ts
@@ -53,6 +53,7 @@
 export class WorkerKeeper {
   private readonly _parts: WorkerKeeperParts;
   private _announced: WorkerAnnouncement | undefined;
+  private _announcedAt = 0;
   private _lists: NumberedLists | undefined;
   private _epoch = 0;
   private _isFenced = false;
@@ -105,6 +106,7 @@
     }
     const isSame = known?.id === announcement.id && known.bornAtMs === announcement.bornAtMs;
     this._announced = announcement;
+    this._announcedAt = this._parts.clock.now();
     if (!isSame) {
       this._beginIncarnation();
     }
@@ -331,7 +333,7 @@
       zone,
       rack,
       draining,
-      drainRemainingMs: announced.drainRemainingMs ?? 0,
+      drainRemainingMs: this._getDrainRemainingMs(announced),
       capacity,
       labels,
       clockMs: this._lists?.clockMs ?? 0,
@@ -342,6 +344,10 @@
     };
   }
 
+  private _getDrainRemainingMs({ drainRemainingMs = 0 }: WorkerAnnouncement): number {
+    return Math.max(0, drainRemainingMs - (this._parts.clock.now() - this._announcedAt));
+  }
+
   private _notify(): void {
     this._version += 1;
     this._news.raise();
