Ask agents as often as their tasks may disturb each other

Change: the wait of a call to an agent and of the agent's call to its worker is 1 s, and 0.42 s only where measures of latency are wanted; ends are reported at once as before.

--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -26,16 +26,10 @@
 import { getSlowCopies, getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
 import { getStepKey, type BookedRun } from "./RunBook.ts";
 import { RunDirector } from "./RunDirector.ts";
-import { getRemainingMs } from "./RunWatch.ts";
+import { mayBeOvertaken } from "./RunWatch.ts";
 
 /** Delay of a round after what calls for it, so that one round serves several events. */
 const ROUND_DELAY_MS = 3;
-/** Age of a run from which a copy may be made, in milliseconds. */
-const LEAST_COPY_AGE_MS = 500;
-/** Multiple of the estimate that a run must still need for a copy to be made. */
-const COPY_MULTIPLE = 1.5;
-/** Silence of a worker from which copies of its runs are made, in milliseconds. */
-const SILENT_COPY_MS = 1_200;
 /** Time between looks at what has become due. */
 const TICK_MS = 150;
 
@@ -121,7 +115,7 @@
     this._reports = new ReportIntake({
       ...shared,
       epoch: parts.epoch,
-      observeWaitMs: terms.observeWaitMs,
+      terms,
       updater: this._updater,
       director: this._director,
       paces: this._paces,
@@ -294,7 +288,7 @@
     const timeOfDayMs = this._parts.getTimeOfDay();
     const { jobs } = this._state;
     const isSlow = (task: TaskState, active: ActiveRun): boolean =>
-      this._isSlow({ task, active }, now);
+      mayBeOvertaken({ task, active }, this._state.table.getWorker(active.agent), now);
     const copies = getSlowCopies(jobs, isSlow, timeOfDayMs);
     const steps = [...getWaitingSteps(jobs, timeOfDayMs), ...copies];
     if (steps.length === 0) {
@@ -306,18 +300,6 @@
     });
   }
 
-  /** Whether a copy of a run could be expected to end before it. */
-  private _isSlow(booked: BookedRun, now: number): boolean {
-    const { task, active } = booked;
-    const worker = this._state.table.getWorker(active.agent);
-    const silentMs = now - (worker?.reportedAt ?? Number.NEGATIVE_INFINITY);
-    const isLate = now - active.since > LEAST_COPY_AGE_MS;
-    const isSlow =
-      active.phase === "running" &&
-      getRemainingMs(booked, now) > COPY_MULTIPLE * task.definition.estimateMs;
-    return isLate && (isSlow || silentMs > SILENT_COPY_MS);
-  }
-
   private _createBoard(now: number): PlacementBoard {
     const { table, book } = this._state;
     const usable = table.getUsable(now);
--- a/src/coordination/pool/PoolTerms.ts
+++ b/src/coordination/pool/PoolTerms.ts
@@ -13,8 +13,10 @@
   readonly workerLeaseMs: number;
   /** Time after its last confirmation in which a scheduler may extend leases. */
   readonly grantHorizonMs: number;
-  /** Longest wait of an agent's answer for news. */
+  /** Longest wait of an agent's answer for news; bounds the age of the worker's clock. */
   readonly observeWaitMs: number;
+  /** The same where measures of tasks that may disturb each other are wanted. */
+  readonly measureWaitMs: number;
   /** Time after which a call to an agent is given up. */
   readonly agentTimeoutMs: number;
   /** Least time between two transactions. */
--- a/src/coordination/pool/ReportIntake.ts
+++ b/src/coordination/pool/ReportIntake.ts
@@ -8,6 +8,7 @@
 import type { AgentReport, ObserveCall, WorkerReport } from "./AgentChannel.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PaceDirector } from "./PaceDirector.ts";
+import type { PoolTerms } from "./PoolTerms.ts";
 import type { PoolState } from "./PoolState.ts";
 import { ReportReconciler, type ReportInput } from "./ReportReconciler.ts";
 import type { RunDirector } from "./RunDirector.ts";
@@ -18,8 +19,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly epoch: number;
-  /** Longest wait of an agent's answer for news, in milliseconds. */
-  readonly observeWaitMs: number;
+  readonly terms: PoolTerms;
   readonly updater: JobUpdater;
   readonly director: RunDirector;
   readonly paces: PaceDirector;
@@ -45,7 +45,7 @@
    * @param agent - Name of the agent.
    */
   createObserve(agent: string): ObserveCall {
-    const { epoch, observeWaitMs: waitMs, mayGrant } = this._parts;
+    const { epoch, mayGrant } = this._parts;
     const { table } = this._parts.state;
     const worker = table.getWorker(agent)?.report.worker ?? "";
     return {
@@ -54,10 +54,20 @@
       leaseUntilMs: mayGrant() ? table.grant(agent) : undefined,
       ackedEnd: this._acks.get(worker)?.ackedEnd ?? 0,
       knownVersion: table.getAgent(agent)?.version ?? 0,
-      waitMs,
+      waitMs: this._getWaitMs(agent),
     };
   }
 
+  /** Where tasks may disturb each other, measures are wanted as often as they change. */
+  private _getWaitMs(agent: string): number {
+    const { state, terms } = this._parts;
+    const definitions = state.book.getByAgent(agent).map(({ task }) => task.definition);
+    const mayDisturb =
+      definitions.some(({ usesIdleProcessors }) => usesIdleProcessors) &&
+      definitions.some(({ latencyTargetMs }) => latencyTargetMs !== undefined);
+    return mayDisturb ? terms.measureWaitMs : terms.observeWaitMs;
+  }
+
   /**
    * Takes a report in.
    * @param agent - Agent that reported.
--- a/src/coordination/pool/RunWatch.ts
+++ b/src/coordination/pool/RunWatch.ts
@@ -17,6 +17,12 @@
 const IDLE_STALL_MS = 5_000;
 /** Share of the estimate without any progress that is taken for stalled. */
 const STALL_ESTIMATE_SHARE = 0.25;
+/** Age of a run from which a copy may be made, in milliseconds. */
+const LEAST_COPY_AGE_MS = 500;
+/** Multiple of the estimate that a run must still need for a copy to be made. */
+const COPY_MULTIPLE = 1.5;
+/** Silence of a worker from which copies of its runs are made, in milliseconds. */
+const SILENT_COPY_MS = 1_800;
 const FULL_PERCENT = 100;
 /** Reason of a stop because of missing progress. */
 export const STALLED = "it makes no progress";
@@ -108,6 +114,25 @@
     : task.definition.estimateMs;
 }
 
+/**
+ * Tells whether a copy of a run could be expected to end before it.
+ * @param booked - The run.
+ * @param worker - The worker that its agent reports now.
+ * @param now - Monotonic time in milliseconds.
+ */
+export function mayBeOvertaken(
+  booked: BookedRun,
+  worker: WorkerRecord | undefined,
+  now: number,
+): boolean {
+  const { task, active } = booked;
+  const silentMs = now - (worker?.reportedAt ?? Number.NEGATIVE_INFINITY);
+  const isSlow =
+    active.phase === "running" &&
+    getRemainingMs(booked, now) > COPY_MULTIPLE * task.definition.estimateMs;
+  return now - active.since > LEAST_COPY_AGE_MS && (isSlow || silentMs > SILENT_COPY_MS);
+}
+
 /** A task at work that runs without end shows full progress. */
 function isStalled({ task, active }: BookedRun, now: number): boolean {
   const { definition } = task;
--- a/src/coordination/pool/WorkerKeeper.ts
+++ b/src/coordination/pool/WorkerKeeper.ts
@@ -26,7 +26,7 @@
 import { getIncarnation } from "./RunWatch.ts";
 import { Signal } from "./Signal.ts";
 
-/** Wait of a call for lists, in milliseconds; bounds the age of the worker's clock and lease. */
+/** Wait of a call for lists where no scheduler has said how long, in milliseconds. */
 const LIST_WAIT_MS = 400;
 /** Time between two calls for lists while ends wait for their acknowledgement, in milliseconds. */
 const ACK_WAIT_MS = 60;
@@ -60,6 +60,7 @@
   private _answers = false;
   private _leaseUntilMs: number | undefined;
   private _ackedEnd = 0;
+  private _listWaitMs = LIST_WAIT_MS;
   private _callNumber = 0;
   private _version = 1;
   private _isStopped = false;
@@ -130,6 +131,7 @@
       this._extend(call.leaseUntilMs);
       this._acknowledge(call.ackedEnd);
     }
+    this._listWaitMs = call.waitMs;
     if (call.knownVersion === this._version) {
       await this._news.wait(call.waitMs);
     }
@@ -249,7 +251,7 @@
     while (!this._isStopped) {
       if (this._announced === undefined || this._epoch === 0) {
         await this._due.wait();
-      } else if (await this._list(LIST_WAIT_MS)) {
+      } else if (await this._list(this._listWaitMs)) {
         const hasOpenEnds = this._lists?.ended.some(({ number }) => number > this._ackedEnd);
         await (hasOpenEnds === true ? this._due.wait(ACK_WAIT_MS) : undefined);
       } else {
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -13,7 +13,7 @@
 import { getLapseMs, type PoolTerms } from "./PoolTerms.ts";
 
 /** Silence after which nothing new is placed on a worker, in milliseconds. */
-const SILENCE_MS = 1_500;
+const SILENCE_MS = 2_000;
 /** Time for which nothing is placed on a worker that refused a start, in milliseconds. */
 const REFUSAL_PAUSE_MS = 300;
 /** Time for which nothing is placed on a worker that said it is unhealthy, in milliseconds. */
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -21,7 +21,10 @@
 const WORKER_LEASE_MS = 6_000;
 /** Time in which a scheduler without the store goes on extending leases. */
 const GRANT_HORIZON_MS = 10_000;
-const OBSERVE_WAIT_MS = 400;
+/** An end is reported at once; this bounds how old progress and the worker's clock may be. */
+const OBSERVE_WAIT_MS = 1_000;
+/** Measures of a worker cover half a second. */
+const MEASURE_WAIT_MS = 420;
 /** Time that an agent may take to answer, beyond the wait asked for. */
 const AGENT_TIMEOUT_MS = 1_000;
 /** Time without an answer of the store after which the entry is not ready. */
@@ -160,6 +163,7 @@
     workerLeaseMs: Math.min(pool.maxWorkerLeaseMs, WORKER_LEASE_MS),
     grantHorizonMs: GRANT_HORIZON_MS,
     observeWaitMs: OBSERVE_WAIT_MS,
+    measureWaitMs: MEASURE_WAIT_MS,
     agentTimeoutMs: AGENT_TIMEOUT_MS,
     commitIntervalMs: pool.commitIntervalMs,
     stopMs: pool.stopMs,
