Find the image that disturbs by a test, one after the other

Change: only what comes near the target counts as pressure; where no image is known to be to blame, all suspects stand still and go on one by one; pairs that are not known yet are avoided where others have room (disturbanceGuardTests, in virtual time).

--- a/src/coordination/pool/PaceDirector.ts
+++ b/src/coordination/pool/PaceDirector.ts
@@ -94,6 +94,16 @@
     return this._guard.isDisturbing(serving, image, now);
   }
 
+  /**
+   * Tells whether an image may disturb tasks that serve, as far as is known.
+   * @param serving - Images that serve.
+   * @param image - Image beside them.
+   * @param now - Monotonic time in milliseconds.
+   */
+  mayDisturb(serving: Iterable<string>, image: string, now: number): boolean {
+    return this._guard.mayDisturb(serving, image, now);
+  }
+
   private _pace(run: BookedRun | undefined, percent: number, now: number): void {
     if (run === undefined) {
       return;
--- a/src/coordination/pool/PlacementBoard.ts
+++ b/src/coordination/pool/PlacementBoard.ts
@@ -15,6 +15,8 @@
 const MIXED_WEIGHT_MILLI = 40_000;
 /** Weight of a worker whose idle processors others use already, in thousandths of a core. */
 const CRAMPED_MILLI = 8_000;
+/** Weight of a worker whose serving tasks a task may disturb, in thousandths of a core. */
+const UNCERTAIN_WEIGHT_MILLI = 12_000;
 /** Weight of a worker on which the task has failed before, in thousandths of a core. */
 const FAILED_WEIGHT_MILLI = 100_000;
 /** Weight of a rack away from the data, in thousandths of a core. */
@@ -55,6 +57,8 @@
   readonly getCommitted: (worker: string) => Resources;
   /** Tells whether an image on idle processors is known to disturb images that serve. */
   readonly isDisturbing: (serving: Iterable<string>, image: string) => boolean;
+  /** Tells whether it may, as far as is known. */
+  readonly mayDisturb: (serving: Iterable<string>, image: string) => boolean;
 }
 
 /** Workers in one round. */
@@ -138,12 +142,20 @@
     );
   }
 
+  private _mayDisturb({ serving }: BoardWorker, definition: StepDefinition): boolean {
+    return (
+      definition.usesIdleProcessors && this._context.mayDisturb(serving.keys(), definition.image)
+    );
+  }
+
   /** Rates a worker for a task; higher is better. */
   private _rate(worker: BoardWorker, { definition, avoid }: BoardTask): number {
     const { dataRack } = definition;
     const isAway = dataRack !== undefined && dataRack !== worker.rack;
     const penalty =
-      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) + (isAway ? DATA_WEIGHT_MILLI : 0);
+      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) +
+      (isAway ? DATA_WEIGHT_MILLI : 0) +
+      (this._mayDisturb(worker, definition) ? UNCERTAIN_WEIGHT_MILLI : 0);
     return rateRoom(worker, definition) - penalty;
   }
 
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -309,6 +309,7 @@
       admissions,
       getCommitted: (worker) => table.getCommitted(worker),
       isDisturbing: (serving, image) => this._paces.isDisturbing(serving, image, now),
+      mayDisturb: (serving, image) => this._paces.mayDisturb(serving, image, now),
     });
     book.getAll().forEach(({ task, active }) => {
       board.noteRun(active.agent, getStepKey(task.address), task.definition);
--- a/src/coordination/pool/PressureEstimator.ts
+++ b/src/coordination/pool/PressureEstimator.ts
@@ -1,7 +1,8 @@
 /**
- * Learns how much each image that lives on idle processors raises the tail latency of each image
- * that serves users. Tails grow the faster the fuller a worker is, so the pressure is counted in
- * the logarithm of the latency, for each core in use. Most pairs are harmless and a few are not:
+ * Learns how much each image that lives on idle processors presses on each image that serves users.
+ * A serving task's own load moves its tail latency as well, so only what comes near the target
+ * counts as pressure; tails grow the faster the fuller a worker is, so it is counted in the
+ * logarithm, for each core in use. Most pairs are harmless and a few are not:
  * an observation moves most the estimates that are least certain, so that a pair that has been seen
  * to be harmless is not blamed for its neighbours.
  */
@@ -14,12 +15,12 @@
 const NOISE_VARIANCE = 0.6;
 /** Growth of an estimate's variance with each observation, so that changes are followed. */
 const DRIFT_VARIANCE = 0.0015;
+/** Variance of an estimate after a trial. */
+const SETTLED_VARIANCE = 0.02;
 /** Time in which an estimate that is not observed falls to a third, so that pairs are tried again. */
-const FORGET_MS = 20_000;
-/** Share of a tail latency without pressure that the base takes over. */
-const BASE_RATE = 0.1;
-/** Share of the target that is taken for the base of an image never seen alone. */
-const UNKNOWN_BASE_SHARE = 0.4;
+const FORGET_MS = 40_000;
+/** Share of its target that a serving task may come to by its own load. */
+const OWN_LOAD_SHARE = 0.65;
 /** Greatest pressure that an observation counts as; measures overshoot. */
 const MAX_PRESSURE = 3;
 const MILLI = 1_000;
@@ -56,7 +57,6 @@
 /** Pressure of images on images. */
 export class PressureEstimator {
   private readonly _pairs = new Map<string, PairState>();
-  private readonly _bases = new Map<string, number>();
 
   /**
    * Takes a measure in.
@@ -65,15 +65,9 @@
    * @param now - Monotonic time in milliseconds.
    */
   observe(serving: ServingMeasure, uses: readonly ImageUse[], now: number): void {
-    const base = this.getBase(serving);
     const coresByImage = sumCores(uses);
-    if (coresByImage.size === 0) {
-      // What remains of an earlier disturbance is not part of the base.
-      const calmMs = Math.min(serving.currentMs, 2 * base);
-      this._bases.set(serving.image, base + BASE_RATE * (calmMs - base));
-      return;
-    }
-    const seen = Math.min(MAX_PRESSURE, Math.max(0, Math.log(serving.currentMs / base)));
+    const ownMs = OWN_LOAD_SHARE * serving.targetMs;
+    const seen = Math.min(MAX_PRESSURE, Math.max(0, Math.log(serving.currentMs / ownMs)));
     const parts = [...coresByImage].map(([image, cores]) => ({
       image,
       cores,
@@ -95,14 +89,6 @@
     });
   }
 
-  /**
-   * Gives the tail latency of a serving task without pressure, in milliseconds.
-   * @param serving - The task.
-   */
-  getBase({ image, targetMs }: Pick<ServingMeasure, "image" | "targetMs">): number {
-    return this._bases.get(image) ?? targetMs * UNKNOWN_BASE_SHARE;
-  }
-
   /**
    * Gives the pressure of each core that an image uses.
    * @param serving - Image that serves.
@@ -119,15 +105,14 @@
   }
 
   /**
-   * Takes a pair for at least so heavy.
+   * Takes in what a trial has shown of a pair.
    * @param serving - Image that serves.
    * @param image - Image beside it.
-   * @param least - Pressure of each core.
+   * @param mean - Pressure of each core.
    * @param now - Monotonic time in milliseconds.
    */
-  raise(serving: string, image: string, least: number, now: number): void {
-    const { mean, variance } = this.getEstimate(serving, image, now);
-    const state = { mean: Math.max(mean, least), variance, observedAt: now };
+  settle(serving: string, image: string, mean: number, now: number): void {
+    const state = { mean, variance: SETTLED_VARIANCE, observedAt: now };
     this._pairs.set(getKey(serving, image), state);
   }
 }
