Remove jobs some time after their end; hand schedulers over before the entry stops following the store

Also: a worker that refuses a start for a lasting cause is left alone for a second, so that a start that can never succeed is not tried in a loop.

--- a/src/coordination/pool/CommitQueue.ts
+++ b/src/coordination/pool/CommitQueue.ts
@@ -97,6 +97,15 @@
     }
   }
 
+  /**
+   * Forgets a job whose keys are gone.
+   * @param job - Id of the job.
+   */
+  forget(job: string): void {
+    this._revisions.delete(job);
+    this._dirty.delete(job);
+  }
+
   /** Stops writing; a transaction under way has no effect here. */
   close(): void {
     this._isClosed = true;
--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -99,14 +99,18 @@
     });
   }
 
-  /** Hands the schedulers over and stops. */
-  async stop(): Promise<void> {
+  /** Hands the schedulers over; the catalog goes on following the store. */
+  async handOver(): Promise<void> {
     this._isStopped = true;
     this._schedulers.forEach((scheduler) => {
       scheduler.stop();
     });
     this._schedulers.clear();
     await Promise.all([...this._elections.values()].map((election) => election.stop()));
+  }
+
+  /** Stops following the store. */
+  stop(): void {
     this._followers.forEach((follower) => {
       follower.stop();
     });
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -10,23 +10,22 @@
 import { JobState } from "../../state/pool/JobState.ts";
 import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
 import type { AgentRecord, JobPhase, ProgressRecord } from "../../state/pool/records.ts";
-import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { AgentSession } from "./AgentSession.ts";
 import { CommitQueue } from "./CommitQueue.ts";
 import type { ConfirmationGuard } from "./ConfirmationGuard.ts";
+import { JobRetention } from "./JobRetention.ts";
 import { JobUpdater } from "./JobUpdater.ts";
 import { OrderSender } from "./OrderSender.ts";
 import { PaceDirector } from "./PaceDirector.ts";
-import { PlacementBoard } from "./PlacementBoard.ts";
 import { PoolState } from "./PoolState.ts";
 import { getTakeoverWaitMs, type PoolTerms } from "./PoolTerms.ts";
 import { ReportIntake } from "./ReportIntake.ts";
-import { getSlowCopies, getWaitingSteps, planRound, type PlannedRun } from "./RoundPlanner.ts";
-import { getStepKey, type BookedRun } from "./RunBook.ts";
+import type { PlannedRun } from "./RoundPlanner.ts";
+import { RoundRunner } from "./RoundRunner.ts";
+import type { BookedRun } from "./RunBook.ts";
 import { RunDirector } from "./RunDirector.ts";
-import { mayBeOvertaken } from "./RunWatch.ts";
 
 /** Delay of a round after what calls for it, so that one round serves several events. */
 const ROUND_DELAY_MS = 3;
@@ -68,6 +67,8 @@
   private readonly _director: RunDirector;
   private readonly _updater: JobUpdater;
   private readonly _reports: ReportIntake;
+  private readonly _retention: JobRetention;
+  private readonly _rounds: RoundRunner;
   private readonly _quarantine = new WorkerQuarantine();
   private readonly _paces: PaceDirector;
   private readonly _sessions = new Map<string, AgentSession>();
@@ -112,6 +113,16 @@
         this._depose();
       },
     });
+    this._rounds = new RoundRunner(this._state, this._quarantine, this._paces);
+    this._retention = new JobRetention({
+      ...shared,
+      pool,
+      store: parts.store,
+      retentionMs: terms.retentionMs,
+      onRemoved: (job) => {
+        this._commits.forget(job);
+      },
+    });
     this._reports = new ReportIntake({
       ...shared,
       epoch: parts.epoch,
@@ -285,38 +296,12 @@
       return;
     }
     const now = this._parts.clock.now();
-    const timeOfDayMs = this._parts.getTimeOfDay();
-    const { jobs } = this._state;
-    const isSlow = (task: TaskState, active: ActiveRun): boolean =>
-      mayBeOvertaken({ task, active }, this._state.table.getWorker(active.agent), now);
-    const copies = getSlowCopies(jobs, isSlow, timeOfDayMs);
-    const steps = [...getWaitingSteps(jobs, timeOfDayMs), ...copies];
-    if (steps.length === 0) {
-      return;
-    }
-    const { runs } = planRound(steps, this._createBoard(now));
+    const runs = this._rounds.plan(now, this._parts.getTimeOfDay());
     runs.forEach((planned) => {
       this._record(planned, now);
     });
   }
 
-  private _createBoard(now: number): PlacementBoard {
-    const { table, book } = this._state;
-    const usable = table.getUsable(now);
-    const agents = usable.map(({ agent }) => agent);
-    const admissions = this._quarantine.getAdmissions(agents, now);
-    const board = new PlacementBoard(usable, {
-      admissions,
-      getCommitted: (worker) => table.getCommitted(worker),
-      isDisturbing: (serving, image) => this._paces.isDisturbing(serving, image, now),
-      mayDisturb: (serving, image) => this._paces.mayDisturb(serving, image, now),
-    });
-    book.getAll().forEach(({ task, active }) => {
-      board.noteRun(active.agent, getStepKey(task.address), task.definition);
-    });
-    return board;
-  }
-
   private _record({ job, task, run, target }: PlannedRun, now: number): void {
     const { agent, worker } = target;
     const active = task.addRun({ agent, worker }, now, run);
@@ -343,6 +328,7 @@
   private _tick(): void {
     const timeOfDayMs = this._parts.getTimeOfDay();
     this._director.tick();
+    this._retention.tick();
     this._state.jobs
       .filter((job) => !job.isEnded && job.openDue(timeOfDayMs))
       .forEach((job) => {
--- a/src/coordination/pool/PoolTerms.ts
+++ b/src/coordination/pool/PoolTerms.ts
@@ -23,6 +23,8 @@
   readonly commitIntervalMs: number;
   /** Time that a worker takes at most to stop a run. */
   readonly stopMs: number;
+  /** Time for which a job is kept after its end. */
+  readonly retentionMs: number;
   /** Time to live of the scheduler's lease in the store. */
   readonly schedulerLeaseMs: number;
 }
--- a/src/coordination/pool/RunDirector.ts
+++ b/src/coordination/pool/RunDirector.ts
@@ -164,8 +164,9 @@
   ): void {
     const { state, clock, log } = this._parts;
     log.warn("Start was not carried out.", { task: task.id, run: active.run, agent, failure });
-    if (failure === "no-room" || failure === "unhealthy") {
-      state.table.noteRefusal(agent, failure === "unhealthy", clock.now());
+    if (isRefusal(failure)) {
+      const isLasting = failure !== "no-room" && failure !== "late";
+      state.table.noteRefusal(agent, isLasting, clock.now());
     }
   }
 
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -16,8 +16,8 @@
 const SILENCE_MS = 2_000;
 /** Time for which nothing is placed on a worker that refused a start, in milliseconds. */
 const REFUSAL_PAUSE_MS = 300;
-/** Time for which nothing is placed on a worker that said it is unhealthy, in milliseconds. */
-const UNHEALTHY_PAUSE_MS = 1_000;
+/** The same where the cause of the refusal will not pass at once. */
+const LASTING_PAUSE_MS = 1_000;
 
 /** A worker. */
 export interface WorkerRecord {
@@ -171,11 +171,11 @@
   /**
    * Notes that a worker refused a start.
    * @param agent - Name of the agent.
-   * @param isUnhealthy - Whether it said that it is unhealthy.
+   * @param isLasting - Whether the cause will not pass at once.
    * @param now - Monotonic time in milliseconds.
    */
-  noteRefusal(agent: string, isUnhealthy: boolean, now: number): void {
-    const pausedUntil = now + (isUnhealthy ? UNHEALTHY_PAUSE_MS : REFUSAL_PAUSE_MS);
+  noteRefusal(agent: string, isLasting: boolean, now: number): void {
+    const pausedUntil = now + (isLasting ? LASTING_PAUSE_MS : REFUSAL_PAUSE_MS);
     this._change(agent, () => ({ pausedUntil }));
   }
 
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -129,8 +129,9 @@
     const { drainMs, drainTimeoutMs } = this._parts.settings.entry;
     this._isDraining = true;
     this._frontend.drain();
-    await Promise.all([this._coordinator.stop(), this._clock.sleep(drainMs)]);
+    await Promise.all([this._coordinator.handOver(), this._clock.sleep(drainMs)]);
     await Promise.race([this._frontend.close(), this._clock.sleep(drainTimeoutMs - drainMs)]);
+    this._coordinator.stop();
     this._configFollower.stop();
     this._channel.close();
     this._parts.log.info("Entry ended.");
@@ -167,6 +168,7 @@
     agentTimeoutMs: AGENT_TIMEOUT_MS,
     commitIntervalMs: pool.commitIntervalMs,
     stopMs: pool.stopMs,
+    retentionMs: pool.retentionMs,
     schedulerLeaseMs: pool.schedulerLeaseMs,
   };
 }
--- a/tests/coordination/pool/PoolWorld.ts
+++ b/tests/coordination/pool/PoolWorld.ts
@@ -40,6 +40,7 @@
   agentTimeoutMs: 1_000,
   commitIntervalMs: 20,
   stopMs: 300,
+  retentionMs: 30_000,
   schedulerLeaseMs: 2_000,
 };
 
--- a/tests/coordination/pool/poolSchedulerTests.ts
+++ b/tests/coordination/pool/poolSchedulerTests.ts
@@ -212,3 +212,15 @@
   t.is(world.journal.filter(({ task }) => task.startsWith(createId(1))).length, 4);
   t.deepEqual(world.findViolations(), []);
 });
+
+test("PoolScheduler removes a job some time after its end, and all entries forget it", async (t) => {
+  const world = await createWorld();
+  await world.submit(getLeader(world), createId(1), createJob(2), 300);
+  await world.submit(getLeader(world), createId(2), createJob(2, true), undefined);
+  await world.clock.advance(20_000);
+  t.is(await getPhase(getOther(world), createId(1)), "completed");
+  await world.clock.advance(40_000);
+  t.is(await getPhase(getOther(world), createId(1)), "not-found");
+  t.is(await getPhase(getLeader(world), createId(1)), "not-found");
+  t.is(await getPhase(getLeader(world), createId(2)), "running");
+});
