Test the whole path against stand-ins of the users' protocols

Store and worker stand-ins speak the published protocol over loopback; entry and agent run as they do on the platform.

--- /dev/null
+++ b/tests/platform/PlatformBench.ts
@@ -0,0 +1,217 @@
+/**
+ * The whole path on the users' platform over loopback: entry, agent, and stand-ins of the store and
+ * of the worker that speak the users' protocol.
+ */
+import type { ExecutionContext } from "ava";
+import { request } from "undici";
+import { ClientServer } from "../../platform/ClientServer.ts";
+import { HeartbeatServer } from "../../platform/HeartbeatServer.ts";
+import { ManifestDecoder } from "../../platform/manifest.ts";
+import { PlatformStore } from "../../platform/PlatformStore.ts";
+import { PlatformWorker } from "../../platform/PlatformWorker.ts";
+import { readPoolAgentSettings } from "../../src/protocol/settings/PoolAgentSettings.ts";
+import { readPoolEntrySettings } from "../../src/protocol/settings/PoolEntrySettings.ts";
+import { PoolAgentProcess } from "../../src/transport/pool/PoolAgentProcess.ts";
+import { PoolEntryProcess } from "../../src/transport/pool/PoolEntryProcess.ts";
+import type { Timer } from "../../src/protocol/platform/Clock.ts";
+import { SystemClock } from "../../src/transport/platform/SystemClock.ts";
+import { waitUntil } from "../../standins/cluster/waitUntil.ts";
+import { KvServer } from "../../standins/platform/KvServer.ts";
+import { WorkerServer } from "../../standins/platform/WorkerServer.ts";
+import { PoolWorkerModel, type JournalRun } from "../../standins/pool/PoolWorkerModel.ts";
+import { findFreeAddresses } from "../../standins/support/freePorts.ts";
+import { MemoryLog } from "../support/MemoryLog.ts";
+import { POOL } from "../support/poolFixtures.ts";
+
+const WORK_MS = 150;
+const TIMEOUT_MS = 10_000;
+const STORE_TIMEOUT_MS = 500;
+const HEARTBEAT_MS = 300;
+const HOST = "jobs.example";
+
+/** An answer to a client. */
+export interface ClientAnswer {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+  readonly retryAfter: string | undefined;
+}
+
+/** A running system with its surroundings. */
+export interface PlatformBench {
+  readonly store: KvServer;
+  readonly journal: readonly JournalRun[];
+  readonly entry: PoolEntryProcess;
+  readonly announcements: string;
+  readonly call: (method: string, path: string, body?: string) => Promise<ClientAnswer>;
+  readonly getReadiness: () => Promise<number>;
+  readonly waitForStatus: (path: string, status: number) => Promise<void>;
+  readonly waitForState: (path: string, state: string) => Promise<void>;
+}
+
+/** The operator's document of the tests. */
+export const MANIFEST = {
+  version: 3,
+  routes: [
+    {
+      name: "route-a",
+      host: HOST,
+      prefix: "/a/",
+      kind: "unsafe",
+      timeout_ms: 3_000,
+      target_latency_ms: 250,
+      priority: 0,
+      service: POOL,
+      max_attempts: 3,
+      stretch: 1.5,
+    },
+  ],
+  services: [{ name: POOL, admission_control: true, spare: false }],
+  limits: { max_header_bytes: 16_384, max_body_bytes: 20_000 },
+};
+
+/**
+ * Starts everything; it ends with the test.
+ * @param t - The test.
+ */
+export async function createPlatformBench(t: ExecutionContext): Promise<PlatformBench> {
+  const [kv = "", worker = "", submissions = "", readiness = "", control = "", beats = ""] =
+    await findFreeAddresses(6);
+  const store = new KvServer(kv);
+  const journal: JournalRun[] = [];
+  const model = createModel(journal);
+  const workerServer = new WorkerServer(worker, model);
+  const clients = {
+    entryStore: new PlatformStore(kv, STORE_TIMEOUT_MS),
+    agentStore: new PlatformStore(kv, STORE_TIMEOUT_MS),
+    worker: new PlatformWorker(worker, STORE_TIMEOUT_MS),
+  };
+  await store.start();
+  await workerServer.start();
+  store.put("op/config", MANIFEST);
+  const entry = createEntry({ kv, submissions, readiness }, clients.entryStore);
+  const agent = createAgent({ kv, control, beats, worker }, clients);
+  t.true((await entry.start()).isOk());
+  t.true((await agent.start()).isOk());
+  const clock = new SystemClock();
+  let timer: Timer | undefined;
+  let hasEnded = false;
+  const beat = async (): Promise<void> => {
+    await workerServer.beat(beats).catch(() => 0);
+    timer = hasEnded ? undefined : clock.after(HEARTBEAT_MS, () => void beat());
+  };
+  await beat();
+  t.teardown(async () => {
+    hasEnded = true;
+    timer?.cancel();
+    await Promise.all([entry.stop(), agent.stop()]);
+    await Promise.all(Object.values(clients).map((client) => client.close()));
+    model.crash();
+    await workerServer.stop();
+    await store.stop();
+  });
+  const call = (method: string, path: string, body?: string): Promise<ClientAnswer> =>
+    callEntry(submissions, method, path, body);
+  const bench: PlatformBench = {
+    store,
+    journal,
+    entry,
+    announcements: beats,
+    call,
+    getReadiness: async () => {
+      const { statusCode, body } = await request(`http://${readiness}/v1/ready`);
+      await body.dump();
+      return statusCode;
+    },
+    waitForStatus: (path, status) =>
+      waitUntil(`${path} answers ${status}`, TIMEOUT_MS, async () => {
+        return (await call("GET", path)).status === status;
+      }),
+    waitForState: (path, state) =>
+      waitUntil(`${path} is ${state}`, TIMEOUT_MS, async () => {
+        return (await call("GET", path)).body.state === state;
+      }),
+  };
+  await waitUntil("the entry is ready", TIMEOUT_MS, async () => {
+    return (await bench.getReadiness()) === 200;
+  });
+  return bench;
+}
+
+function createModel(journal: JournalRun[]): PoolWorkerModel {
+  return new PoolWorkerModel({
+    clock: new SystemClock(),
+    id: "i-1",
+    bornAtMs: 1_000,
+    pool: POOL,
+    rack: "rack-1",
+    capacity: { processorsMilli: 8_000, memoryBytes: 1_048_576_000, accelerators: 0 },
+    clockRate: 1,
+    getNeed: () => ({
+      resources: { processorsMilli: 500, memoryBytes: 0, accelerators: 0 },
+      workMs: WORK_MS,
+    }),
+    journal,
+  });
+}
+
+function createEntry(
+  addresses: {
+    readonly kv: string;
+    readonly submissions: string;
+    readonly readiness: string;
+  },
+  store: PlatformStore,
+): PoolEntryProcess {
+  const { kv, submissions, readiness } = addresses;
+  const text = `[entry]\nname = entry-1\nzone = zone-a\nsubmissions = ${submissions}
+readiness = ${readiness}\ndrain_ms = 100\n[store]\naddress = ${kv}\ntimeout_ms = 500\n`;
+  const settings = readPoolEntrySettings("entry.ini", text)._unsafeUnwrap();
+  return new PoolEntryProcess({
+    settings,
+    log: new MemoryLog(),
+    store,
+    decoder: new ManifestDecoder(),
+    createFrontend: (parts) => new ClientServer(settings.entry, parts),
+  });
+}
+
+function createAgent(
+  addresses: {
+    readonly kv: string;
+    readonly control: string;
+    readonly beats: string;
+    readonly worker: string;
+  },
+  clients: { readonly agentStore: PlatformStore; readonly worker: PlatformWorker },
+): PoolAgentProcess {
+  const { kv, control, beats, worker } = addresses;
+  const text = `[agent]\nname = agent-1\nzone = zone-a\npool = ${POOL}\ncontrol = ${control}
+announcements = ${beats}\n[worker]\naddress = ${worker}\n[store]\naddress = ${kv}\n`;
+  const settings = readPoolAgentSettings("agent.ini", text)._unsafeUnwrap();
+  return new PoolAgentProcess({
+    settings,
+    log: new MemoryLog(),
+    store: clients.agentStore,
+    worker: clients.worker,
+    createListener: (keeper, log) =>
+      new HeartbeatServer({ address: beats, workerAddress: worker, keeper, log }),
+  });
+}
+
+async function callEntry(
+  address: string,
+  method: string,
+  path: string,
+  body: string | undefined,
+): Promise<ClientAnswer> {
+  const res = await request(`http://${address}${path}`, {
+    method: method as "GET",
+    headers: { host: HOST, "content-type": "application/json", "deadline-ms": "3000" },
+    body: body ?? null,
+  });
+  return {
+    status: res.statusCode,
+    body: (await res.body.json()) as Readonly<Record<string, unknown>>,
+    retryAfter: res.headers["retry-after"] as string | undefined,
+  };
+}
