Do not take a run for stalled whose worker has not been heard of; random histories of a pool

The check for work done twice is now the rule itself: no start after an end that was, or later is, acknowledged, unless the worker's lease ended in between.

--- a/src/coordination/pool/RunWatch.ts
+++ b/src/coordination/pool/RunWatch.ts
@@ -92,7 +92,8 @@
 }
 
 function getRunningStep(booked: BookedRun, worker: WorkerRecord | undefined, now: number): RunStep {
-  if (isStalled(booked, now)) {
+  // A worker that was not heard of has shown no progress, but no standstill either.
+  if (worker !== undefined && isStalled(booked, worker.answeredAt)) {
     return { kind: "stop", reason: STALLED };
   }
   const leavesAt = worker?.leavesAt;
@@ -134,14 +135,14 @@
 }
 
 /** A task at work that runs without end shows full progress. */
-function isStalled({ task, active }: BookedRun, now: number): boolean {
+function isStalled({ task, active }: BookedRun, seenAt: number): boolean {
   const { definition } = task;
   if (active.pacePercent < FULL_PERCENT || active.percent >= FULL_PERCENT || definition.gang) {
     return false;
   }
   const leastMs = definition.usesIdleProcessors ? IDLE_STALL_MS : STALL_MS;
   const limitMs = Math.max(leastMs, STALL_ESTIMATE_SHARE * definition.estimateMs);
-  return now - active.progressedAt > limitMs;
+  return seenAt - active.progressedAt > limitMs;
 }
 
 /** Start of an incarnation, in Unix milliseconds; see getIncarnation. */
--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -42,6 +42,11 @@
   readonly startedAt: number;
   endedAt: number | undefined;
   outcome: RunOutcome | undefined;
+  /**
+   * Whether its end was acknowledged before the worker's lease ended; undefined while it may be. An
+   * end that nobody has heard of when the lease ends may be repeated elsewhere.
+   */
+  isNoted: boolean | undefined;
 }
 
 interface LiveRun {
@@ -86,6 +91,7 @@
   private readonly _running = new Map<string, LiveRun>();
   private readonly _lastRuns = new Map<string, number>();
   private _ended: EndedRun[] = [];
+  private readonly _ends: { readonly number: number; readonly entry: JournalRun }[] = [];
   private _endCount = 0;
   private _fencingToken = 0;
   private _leaseUntilMs = 0;
@@ -162,6 +168,7 @@
     }
     this._extend(call.leaseUntilMs);
     this._ended = this._ended.filter(({ number }) => number > call.ackedEnd);
+    this._noteEnds((number) => number <= call.ackedEnd, true);
     const until = this._parts.clock.now() + call.waitMs;
     while (this._ended.length === 0 && this._parts.clock.now() < until && !this._isDead) {
       await this._parts.clock.sleep(LOOK_MS);
@@ -235,7 +242,15 @@
     }
     const startedAt = this._parts.clock.now();
     const worker = `${this._parts.id}@${this._parts.bornAtMs}`;
-    const entry = { worker, task, run, startedAt, endedAt: undefined, outcome: undefined };
+    const entry = {
+      worker,
+      task,
+      run,
+      startedAt,
+      endedAt: undefined,
+      outcome: undefined,
+      isNoted: undefined,
+    };
     this._parts.journal.push(entry);
     const endsAt = startedAt + (workMs ?? Number.POSITIVE_INFINITY);
     this._running.set(task, { entry, endsAt, resources, stopsAt: undefined });
@@ -290,6 +305,9 @@
     }
     const now = this._parts.clock.now();
     const hasLapsed = this._clockMs >= this._leaseUntilMs;
+    if (hasLapsed) {
+      this._noteEnds(() => true, false);
+    }
     [...this._running.values()].forEach((live) => {
       if (live.endsAt <= now) {
         this._end(live, this.faults.failsAll ? "failed" : "done");
@@ -304,6 +322,14 @@
     });
   }
 
+  private _noteEnds(isMeant: (number: number) => boolean, isNoted: boolean): void {
+    this._ends
+      .filter(({ number }) => isMeant(number))
+      .forEach(({ entry }) => {
+        entry.isNoted ??= isNoted;
+      });
+  }
+
   private _end({ entry }: LiveRun, outcome: RunOutcome): void {
     entry.endedAt = this._parts.clock.now();
     entry.outcome = outcome;
@@ -311,6 +337,7 @@
     this._running.delete(task);
     this._lastRuns.set(task, Math.max(run, this._lastRuns.get(task) ?? 0));
     this._endCount += 1;
+    this._ends.push({ number: this._endCount, entry });
     this._ended.push({ number: this._endCount, task, run, outcome, checkpoint: "" });
   }
 }
