--- a/src/transport/runProcess.ts
+++ b/src/transport/runProcess.ts
@@ -20,6 +20,10 @@
   process.on("unhandledRejection", (reason) => {
     log.error("Unexpected rejection.", { reason: String(reason) });
   });
+  // Without a listener the signal would end the process and cut its requests off.
+  process.on("SIGHUP", () => {
+    log.info("Settings may have changed; they are read at the next start.");
+  });
   const ended = waitForSignal();
   const started = await role.start();
   if (started.isErr()) {
