--- a/src/coordination/pool/CommitQueue.ts
+++ b/src/coordination/pool/CommitQueue.ts
@@ -78,11 +78,6 @@
     return this._isFailing;
   }
 
-  /** Number of jobs that wait to be written. */
-  get waiting(): number {
-    return this._dirty.size;
-  }
-
   /**
    * Has a job written.
    * @param job - Id of the job.
--- a/src/coordination/pool/PoolTerms.ts
+++ b/src/coordination/pool/PoolTerms.ts
@@ -21,8 +21,6 @@
   readonly agentTimeoutMs: number;
   /** Least time between two transactions. */
   readonly commitIntervalMs: number;
-  /** Time that a worker takes at most to stop a run. */
-  readonly stopMs: number;
   /** Time for which a job is kept after its end. */
   readonly retentionMs: number;
   /** Time to live of the scheduler's lease in the store. */
--- a/src/coordination/pool/SchedulerElection.ts
+++ b/src/coordination/pool/SchedulerElection.ts
@@ -66,11 +66,6 @@
     return this._epoch;
   }
 
-  /** Name of the entry that is named; undefined where none is known. */
-  get holder(): string | undefined {
-    return this._holder?.record?.entry;
-  }
-
   /** When the store last confirmed that this entry is named, on the monotonic clock. */
   get confirmedAt(): number {
     return this._confirmedAt;
--- a/src/coordination/pool/TailFilter.ts
+++ b/src/coordination/pool/TailFilter.ts
@@ -6,6 +6,9 @@
 /** Time in which the weight of the past in a measure falls to a third, in milliseconds. */
 const DECAY_MS = 650;
 
+/** Most tasks whose last measures are kept; the ones that were measured longest ago go first. */
+const MAX_SAMPLES = 20_000;
+
 interface Sample {
   readonly tailMs: number;
   readonly at: number;
@@ -24,21 +27,16 @@
    */
   note(key: string, tailMs: number, now: number): number {
     const last = this._samples.get(key);
+    this._samples.delete(key);
     this._samples.set(key, { tailMs, at: now });
+    const [oldest] = this._samples.keys();
+    if (oldest !== undefined && this._samples.size > MAX_SAMPLES) {
+      this._samples.delete(oldest);
+    }
     if (last === undefined || now <= last.at) {
       return tailMs;
     }
     const past = Math.exp((last.at - now) / DECAY_MS);
     return Math.max(0, (tailMs - past * last.tailMs) / (1 - past));
   }
-
-  /**
-   * Forgets tasks that are gone.
-   * @param keys - Tasks that are known.
-   */
-  retain(keys: ReadonlySet<string>): void {
-    [...this._samples.keys()]
-      .filter((key) => !keys.has(key))
-      .forEach((key) => this._samples.delete(key));
-  }
 }
--- a/src/coordination/pool/turnOrder.ts
+++ b/src/coordination/pool/turnOrder.ts
@@ -7,7 +7,6 @@
 
 /** Multiple of the objective after which a job no longer counts as late but as missed. */
 const MISSED_MULTIPLE = 3;
-const MS_PER_SECOND = 1_000;
 
 /** Place of a step in the order. */
 export interface Turn {
@@ -56,12 +55,3 @@
 function getLateness(step: StepState, lateness: number): number {
   return step.definition.longRunning ? 0 : lateness;
 }
-
-/**
- * Gives a short text of a place, for logs.
- * @param turn - The place.
- */
-export function describeTurn(turn: Turn): string {
-  const at = (turn.latestStartMs / MS_PER_SECOND).toFixed(1);
-  return `priority ${turn.priority}, lateness ${turn.lateness}, latest start ${at} s`;
-}
--- a/src/protocol/platform/PoolWorker.ts
+++ b/src/protocol/platform/PoolWorker.ts
@@ -130,11 +130,6 @@
   readonly detail: string;
 }
 
-/** Whether a failed call certainly was not carried out and never will be. */
-export function isDefinite(failure: WorkerCallFailure): boolean {
-  return failure.kind !== "unknown";
-}
-
 /** The worker of one agent. */
 export abstract class PoolWorker {
   /**
--- a/src/protocol/settings/PoolEntrySettings.ts
+++ b/src/protocol/settings/PoolEntrySettings.ts
@@ -24,7 +24,6 @@
   },
   pool: {
     max_worker_lease_ms: milliseconds(6_000, "Longest lease that workers accept."),
-    stop_ms: milliseconds(1_000, "Time that a worker takes at most to stop a task."),
     commit_interval_ms: milliseconds(20, "Least time between two writes of a pool's progress."),
     retention_ms: milliseconds(600_000, "Time for which a job is kept after its end."),
     scheduler_lease_ms: milliseconds(2_000, "Lease of the entry that schedules a pool."),
--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -48,11 +48,6 @@
     this._events = events;
   }
 
-  /** Number of jobs known. */
-  get size(): number {
-    return this._jobs.size;
-  }
-
   /**
    * Gives a job.
    * @param id - Id of the job.
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -167,7 +167,6 @@
     measureWaitMs: MEASURE_WAIT_MS,
     agentTimeoutMs: AGENT_TIMEOUT_MS,
     commitIntervalMs: pool.commitIntervalMs,
-    stopMs: pool.stopMs,
     retentionMs: pool.retentionMs,
     schedulerLeaseMs: pool.schedulerLeaseMs,
   };
--- a/tests/coordination/pool/PoolWorld.ts
+++ b/tests/coordination/pool/PoolWorld.ts
@@ -39,7 +39,6 @@
   measureWaitMs: 400,
   agentTimeoutMs: 1_000,
   commitIntervalMs: 20,
-  stopMs: 300,
   retentionMs: 600_000,
   schedulerLeaseMs: 2_000,
 };
