Count a serving task as over its target from 0.88 of it on

Change: the time until all stand still counts from 0.88 of the target, and ends at 0.8 (disturbanceGuardTests, failed first).

--- a/src/coordination/pool/DisturbanceGuard.ts
+++ b/src/coordination/pool/DisturbanceGuard.ts
@@ -12,8 +12,10 @@
 const HEAVY_PRESSURE = 0.25;
 /** Pressure that is left of it for certain, the uncertainty of the estimate taken off. */
 const CERTAIN_PRESSURE = 0.1;
+/** Share of its target from which a serving task may be over it: measures are rough. */
+const NEAR_RATIO = 0.88;
 /** Share of its target below which a serving task has recovered. */
-const RECOVERED_RATIO = 0.9;
+const RECOVERED_RATIO = 0.8;
 /** Time over the target after which all tasks stand still: well inside the platform's bound. */
 const STANDSTILL_AFTER_MS = 1_800;
 /** Time in which a trial must have shown its effect: two measures. */
@@ -140,7 +142,7 @@
   ): number | undefined {
     const ratio = Math.max(0, ...serving.map(({ tailMs, targetMs }) => tailMs / targetMs));
     const since = this._overSince.get(worker);
-    if (ratio < RECOVERED_RATIO || (since === undefined && ratio <= 1)) {
+    if (ratio < RECOVERED_RATIO || (since === undefined && ratio <= NEAR_RATIO)) {
       this._overSince.delete(worker);
       return undefined;
     }
--- a/tests/coordination/pool/disturbanceGuardTests.ts
+++ b/tests/coordination/pool/disturbanceGuardTests.ts
@@ -111,6 +111,17 @@
   t.true(recovered.paces.some(({ percent }) => percent === 100));
 });
 
+test("DisturbanceGuard has all stand still where a rough measure stays just below the target", (t) => {
+  const guard = new DisturbanceGuard(new PressureEstimator());
+  const runs = [createRun("idle-a"), createRun("idle-b")];
+  t.deepEqual(decide(guard, 0, createServing(38), runs).paces, []);
+  const late = decide(guard, 5, createServing(38), runs);
+  t.deepEqual(
+    late.paces.map(({ percent }) => percent),
+    [0, 0],
+  );
+});
+
 test("PressureEstimator forgets a pair that has not been seen for long", (t) => {
   const estimator = new PressureEstimator();
   estimator.settle("serving-a", "idle-a", 0.5, 0);
