--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -7,6 +7,7 @@
 import { judge, parseKnownRed, parseTap, type KnownRedEntry } from "./KnownRed.ts";
 
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const ALL_TESTS = "tests/**/*Tests.ts";
 /** Files whose tests measure latency. */
 const MEASURING_TESTS = "tests/integration/*DisturbanceTests.ts";
 
@@ -57,10 +58,15 @@
 
 // Tests that measure latency have the machine to themselves: other test files would be taken for
 // batch work that disturbs.
-const passes = args.length > 0 ? [args] : [[`!${MEASURING_TESTS}`], [MEASURING_TESTS]];
+const passes = args.length > 0 ? [args] : [[ALL_TESTS, `!${MEASURING_TESTS}`], [MEASURING_TESTS]];
 const results = await passes.reduce<Promise<readonly { output: string; status: number }[]>>(
   async (before, patterns) => [...(await before), await runAva(patterns)],
   Promise.resolve([]),
 );
 const output = results.map((result) => result.output).join("\n");
-process.exitCode = conclude(output, Math.max(...results.map((result) => result.status)));
+const isEmpty = results.some((result) => parseTap(result.output).length === 0);
+if (isEmpty) {
+  console.log("failed: a pass ran no test");
+}
+const status = Math.max(...results.map((result) => result.status));
+process.exitCode = isEmpty ? 1 : conclude(output, status);
