--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -7,6 +7,8 @@
 import { judge, parseKnownRed, parseTap, type KnownRedEntry } from "./KnownRed.ts";
 
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
+/** Files whose tests take much processor time, which tests with real processes would miss. */
+const POOL_TESTS = ["tests/coordination/pool/*Tests.ts", "tests/platform/*Tests.ts"];
 const ALL_TESTS = "tests/**/*Tests.ts";
 /** Files whose tests measure latency. */
 const MEASURING_TESTS = "tests/integration/*DisturbanceTests.ts";
@@ -58,7 +60,8 @@
 
 // Tests that measure latency have the machine to themselves: other test files would be taken for
 // batch work that disturbs.
-const passes = args.length > 0 ? [args] : [[ALL_TESTS, `!${MEASURING_TESTS}`], [MEASURING_TESTS]];
+const others = [...POOL_TESTS, MEASURING_TESTS].map((pattern) => `!${pattern}`);
+const passes = args.length > 0 ? [args] : [[ALL_TESTS, ...others], POOL_TESTS, [MEASURING_TESTS]];
 const results = await passes.reduce<Promise<readonly { output: string; status: number }[]>>(
   async (before, patterns) => [...(await before), await runAva(patterns)],
   Promise.resolve([]),
