Go on with a task whose agent was lost with the answer to its start

Cause: an agent that is killed right after its worker began a task takes the answer to the start with it. The owner then asked for a stop again and again, and the restarted agent, which had found the task running, was told in answer to its first report that its owner does not know the attempt. Ruled out: a lost record (the owner's log had it), the takeover wait (no takeover took place).

Change: such an attempt is 'unanswered' in place of 'settling': the stop is still asked for, but a report that the attempt runs makes it a running one again.

Test: PartitionOwner goes on with a task whose agent was lost with the answer to its start (failed before: settling).

--- a/src/coordination/batch/TaskBook.ts
+++ b/src/coordination/batch/TaskBook.ts
@@ -7,6 +7,8 @@
 
 /** Number of consecutive reports without a running task after which its agent is asked. */
 const MISSING_REPORTS = 2;
+/** States in which the agent is asked to stop the task. */
+const STOPPING_STATES: ReadonlySet<TaskState> = new Set(["unanswered", "settling", "evicting"]);
 
 /** A held task. */
 export interface ActiveTask {
@@ -229,7 +231,7 @@
 
   private _set(active: ActiveTask): void {
     this._tasks.set(active.task, active);
-    if (active.state === "settling" || active.state === "evicting") {
+    if (STOPPING_STATES.has(active.state)) {
       this._stopping.add(active.task);
     } else {
       this._stopping.delete(active.task);
--- a/src/coordination/batch/taskLifecycle.ts
+++ b/src/coordination/batch/taskLifecycle.ts
@@ -14,6 +14,11 @@
   | "running"
   /** A former owner started the attempt; its agent has not reported it to this owner. */
   | "unconfirmed"
+  /**
+   * The answer to the start was lost; the agent is asked to stop the attempt, unless it reports
+   * first that it runs.
+   */
+  | "unanswered"
   /** Nobody knows whether the attempt runs; the agent is asked to stop it. */
   | "settling"
   /** The agent is asked to take a checkpoint and to stop the attempt. */
@@ -34,7 +39,7 @@
       on: {
         ACCEPTED: "running",
         REPORTED: "running",
-        LOST: "settling",
+        LOST: "unanswered",
         EVICT: "evicting",
         CANCEL: "settling",
         ENDED: "ending",
@@ -52,6 +57,9 @@
         ENDED: "ending",
       },
     },
+    unanswered: {
+      on: { REPORTED: "running", EVICT: "evicting", CANCEL: "settling", ENDED: "ending" },
+    },
     settling: { on: { ENDED: "ending" } },
     evicting: { on: { CANCEL: "settling", ENDED: "ending" } },
     ending: {},
--- a/tests/coordination/batch/partitionOwnerTests.ts
+++ b/tests/coordination/batch/partitionOwnerTests.ts
@@ -150,6 +150,25 @@
   t.deepEqual(agents.violations, []);
 });
 
+test("PartitionOwner goes on with a task whose agent was lost with the answer to its start", async (t) => {
+  const { clock, agents, takeOver, submit, start } = createScene();
+  const owner = await takeOver();
+  const id = await submit(owner, createSpec("a"));
+  const task = getTaskId(id, 0);
+  const faults = agents.getFaults("vm-0");
+  faults.lostAnswers = 1;
+  faults.cutWithLostAnswer = true;
+  await start(owner, task, "vm-0");
+  await clock.advance(3_000);
+  faults.cut = false;
+  agents.report("vm-0", owner);
+  owner.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  t.is(owner.getActiveTask(task)?.state, "running");
+  t.is(agents.history.length, 1);
+  t.is(agents.getRunning().length, 1);
+});
+
 test("PartitionOwner gives up a task of a silent VM only when its lease has surely lapsed", async (t) => {
   const { clock, agents, takeOver, submit, start } = createScene();
   const owner = await takeOver();
--- a/tests/support/FakeAgents.ts
+++ b/tests/support/FakeAgents.ts
@@ -41,6 +41,8 @@
   cut: boolean;
   /** Number of next orders that are carried out while the answer is lost. */
   lostAnswers: number;
+  /** Whether the agent is cut off with the next answer that is lost. */
+  cutWithLostAnswer: boolean;
 }
 
 interface FakeAgent {
@@ -75,7 +77,7 @@
     this._agents = rates.map((rate, index) => ({
       name: `vm-${index}`,
       rate,
-      faults: { frozen: false, cut: false, lostAnswers: 0 },
+      faults: { frozen: false, cut: false, lostAnswers: 0, cutWithLostAnswer: false },
       epochs: new Map(),
       runs: new Map(),
       stopped: new Set(),
@@ -248,6 +250,7 @@
     const outcome = carryOut();
     if (agent.faults.lostAnswers > 0) {
       agent.faults.lostAnswers -= 1;
+      agent.faults.cut ||= agent.faults.cutWithLostAnswer;
       return { kind: "unknown" };
     }
     return Promise.resolve(outcome);
