Pace tasks on idle processors by the speed that serving tasks are expected to keep

Placement counted a worker as free until its next measure, so that one round after the other put more there. The filter of measures assumed that the past fades in 650 ms; after a standstill it fades in about 310 ms.

Ruled out: slow reports (lists are at most 0.5 s old), lost orders to pace (none in the log).

Change: the speed target / tail latency is close to linear in the load, so the speed of a serving step by itself and the pressure of each image on idle processors are estimated together (the Gaussian state of the request path is used for it). Shares of speed are given so that the expected speed less its uncertainty keeps the target; an image of which little is known shows itself in small doses. Placement asks how much more of an image a worker bears and counts runs that no measure shows yet. A run that its worker bears little of is stopped only where another worker bears more of it.

The test that nothing is placed where all workers are disturbed now expects one run: a job of which nothing runs at all is given one task in any case (rule LOST), which the guard paces.

Tests: disturbanceGuardTests on a model of a shared VM (SharedVm), roundPlannerTests.

--- a/src/coordination/pool/DisturbanceGuard.ts
+++ b/src/coordination/pool/DisturbanceGuard.ts
@@ -1,32 +1,70 @@
 /**
- * Decides what becomes of the tasks on a worker's idle processors where a task beside them that
- * serves users is over its latency target. Most pairs of images are harmless and a few are not. An
- * image that is known to be to blame is moved away at once. Where none is known, all that may be
- * stand still, and go on one after the other once the victim has recovered: the one with which the
- * disturbance comes back, or the last one that is left, is moved. Where a serving task
- * stays over its target all the same, all of them stand still until it has recovered.
+ * Decides how fast the tasks on a worker's idle processors may work beside tasks that serve users:
+ * as fast as the serving tasks are expected to keep their targets with, uncertainty taken off. So an
+ * image of which little is known shows itself in small doses, and what has been measured to do no
+ * harm goes on. What a worker bears little of is moved to another one that bears more. Where a
+ * serving task stays over its target all the same, all of them stand still until it has recovered.
  */
-import type { ImageUse, PressureEstimator, ServingMeasure } from "./PressureEstimator.ts";
+import {
+  getSpeed,
+  type ImageUse,
+  type PressureEstimator,
+  type ServingGroup,
+} from "./PressureEstimator.ts";
 
-/** Pressure of each core from which a pair is kept apart. */
-const HEAVY_PRESSURE = 0.25;
-/** Pressure that is left of it for certain, the uncertainty of the estimate taken off. */
-const CERTAIN_PRESSURE = 0.1;
+/** Speed that serving tasks are to keep: a little more than at their target. */
+const KEPT_SPEED = 1.1;
+/** Standard deviations that are taken off the expected speed. */
+const CAUTION = 1;
+/** Fall of the tail latency between two measures from which the second one shows some of the first. */
+const FALLING_RATIO = 0.8;
+/** Multiple of the last fall of a speed by itself that is expected until the next measure counts. */
+const FALL_LEAD = 1.2;
 /** Share of its target from which a serving task may be over it: measures are rough. */
 const NEAR_RATIO = 0.88;
 /** Share of its target below which a serving task has recovered. */
 const RECOVERED_RATIO = 0.8;
 /** Time over the target after which all tasks stand still: well inside the platform's bound. */
 const STANDSTILL_AFTER_MS = 1_800;
-/** Time in which a trial must have shown its effect: two measures. */
-const TRIAL_MS = 950;
+/** Share of its speed below which a run is moved, where another worker bears more of it. */
+const MOVED_PERCENT = 35;
+/** Time for which it must have been so: two measures. */
+const MOVED_AFTER_MS = 850;
+/** Steps of a share, in percent. */
+const PERCENT_STEP = 10;
 const FULL_PERCENT = 100;
+const PERCENTS: readonly number[] = Array.from(
+  { length: FULL_PERCENT / PERCENT_STEP },
+  (_, position) => FULL_PERCENT - position * PERCENT_STEP,
+);
+/** Share of its speed from which a run shows what it uses at full speed. */
+const TELLING_PERCENT = 30;
+/** Halvings in the search for what a worker bears. */
+const ROOM_HALVINGS = 6;
+
+/** A serving task as it was measured. */
+export interface ServingMeasure extends ServingGroup {
+  readonly targetMs: number;
+  /** Tail latency as reported, in milliseconds. */
+  readonly tailMs: number;
+  /** Tail latency since the report before, in milliseconds. */
+  readonly currentMs: number;
+}
+
+/** Serving tasks whose speed by itself is followed. */
+interface FollowedGroup extends ServingGroup {
+  readonly ownSpeed: number;
+  /** By how much it is expected to fall until the next measure counts. */
+  readonly fall: number;
+}
 
 /** A run on idle processors. */
 export interface IdleRun extends ImageUse {
   readonly key: string;
   /** Share of its speed that it works at now, in percent. */
   readonly percent: number;
+  /** Share of the worker's processors that its task asks for, from 0 to 1. */
+  readonly demand: number;
 }
 
 /** A worker as it was measured. */
@@ -46,34 +84,41 @@
 
 /** What is to be done on a worker. */
 export interface DisturbanceDecision {
-  /** Runs to move to other workers. */
+  /** Runs to move to other workers, where these bear more of them. */
   readonly moves: readonly string[];
   readonly paces: readonly PaceChange[];
 }
 
-/** Images that stand still because one of them is to blame. */
-interface Inquiry {
-  readonly victims: readonly string[];
-  /** Images that stand still, the likeliest one last. */
-  readonly held: readonly string[];
-  /** Image that goes on as a test; undefined while the victims recover. */
-  readonly tested: string | undefined;
-  readonly since: number;
+/** Share of its speed that an image is given. */
+interface ImageShare {
+  readonly image: string;
+  readonly percent: number;
 }
 
-/** Result of a step of an inquiry. */
-interface Finding {
-  readonly inquiry: Inquiry | undefined;
-  readonly blamed: readonly string[];
+/** What is followed of a worker. */
+interface WorkerState {
+  readonly groups: readonly FollowedGroup[];
+  /** What the runs use at the shares that they were given. */
+  readonly uses: readonly ImageUse[];
+  /** Since when a serving task has been over its target; undefined where none is. */
+  readonly overSince: number | undefined;
+  /** Since when runs have been given little, by key. */
+  readonly slowSince: ReadonlyMap<string, number>;
+  /** What the worker bears more, by images that serve and image; worked out where asked for. */
+  readonly rooms: Map<string, number>;
 }
 
+const NEW_WORKER: Omit<WorkerState, "rooms"> = {
+  groups: [],
+  uses: [],
+  overSince: undefined,
+  slowSince: new Map(),
+};
+
 /** Decisions about the workers of a pool. */
 export class DisturbanceGuard {
   private readonly _estimator: PressureEstimator;
-  /** Since when a serving task of a worker has been over its target. */
-  private readonly _overSince = new Map<string, number>();
-
-  private readonly _inquiries = new Map<string, Inquiry>();
+  private readonly _workers = new Map<string, WorkerState>();
 
   /**
    * Creates a guard.
@@ -89,156 +134,143 @@
    */
   decide(input: DisturbanceInput): DisturbanceDecision {
     const { worker, serving, runs, now } = input;
-    serving.forEach((measure) => {
-      this._estimator.observe(measure, runs, now);
-    });
-    const overSince = this._noteOver(worker, serving, now);
-    const victims = serving.filter(({ currentMs, tailMs, targetMs }) => {
-      return currentMs > targetMs && tailMs > targetMs;
-    });
-    const blamed = this._findBlamed(input, victims);
-    const held = new Set(this._inquiries.get(worker)?.held);
+    const known = this._workers.get(worker) ?? NEW_WORKER;
+    const groups = this._observe(input, known.groups);
+    const overSince = getOverSince(known.overSince, serving, now);
     const isStill = overSince !== undefined && now - overSince >= STANDSTILL_AFTER_MS;
-    const stands = ({ image }: IdleRun): boolean => isStill || blamed.has(image) || held.has(image);
+    const shares = isStill ? [] : this._share(groups, runs);
+    const percents = new Map(shares.map(({ image, percent }) => [image, percent]));
+    const decided = runs.map((run) => ({ ...run, next: percents.get(run.image) ?? 0 }));
+    const slow = decided.filter(({ next }) => next < MOVED_PERCENT);
+    const slowSince = new Map(slow.map(({ key }) => [key, known.slowSince.get(key) ?? now]));
+    const uses = decided.map((run) => ({ image: run.image, used: getUse(run, run.next) }));
+    this._workers.set(worker, { groups, uses, overSince, slowSince, rooms: new Map() });
     return {
-      moves: runs.filter(({ image }) => blamed.has(image)).map(({ key }) => key),
-      paces: runs
-        .map((run) => ({ ...run, next: stands(run) ? 0 : FULL_PERCENT }))
-        .filter(({ next, percent }) => next !== percent)
+      moves: [...slowSince]
+        .filter(([, since]) => now - since >= MOVED_AFTER_MS)
+        .map(([key]) => key),
+      paces: decided
+        .filter(({ percent, next }) => percent !== next)
         .map(({ key, next }) => ({ key, percent: next })),
     };
   }
 
   /**
-   * Tells whether an image is known to disturb tasks that serve.
-   * @param serving - Images that serve.
-   * @param image - Image beside them.
-   * @param now - Monotonic time in milliseconds.
+   * Gives how much more of an image a worker bears, as a share of its processors.
+   * @param worker - Incarnation of the worker.
+   * @param serving - Images that serve there, or are about to.
+   * @param image - Image on idle processors.
    */
-  isDisturbing(serving: Iterable<string>, image: string, now: number): boolean {
-    return [...serving].some((victim) => {
-      const { mean, variance } = this._estimator.getEstimate(victim, image, now);
-      return mean > HEAVY_PRESSURE && mean - Math.sqrt(variance) > CERTAIN_PRESSURE;
-    });
+  getRoom(worker: string, serving: Iterable<string>, image: string): number {
+    const state = this._workers.get(worker);
+    const victims = [...serving];
+    const key = [...victims, image].join(" ");
+    const room = state?.rooms.get(key) ?? this._findRoom(state ?? NEW_WORKER, victims, image);
+    state?.rooms.set(key, room);
+    return room;
   }
 
   /**
-   * Tells whether an image may disturb tasks that serve, as far as is known.
-   * @param serving - Images that serve.
-   * @param image - Image beside them.
-   * @param now - Monotonic time in milliseconds.
+   * Forgets a worker that has gone.
+   * @param worker - Incarnation of the worker.
    */
-  mayDisturb(serving: Iterable<string>, image: string, now: number): boolean {
-    return [...serving].some((victim) => {
-      const { mean, variance } = this._estimator.getEstimate(victim, image, now);
-      return mean + Math.sqrt(variance) > HEAVY_PRESSURE;
-    });
+  forget(worker: string): void {
+    this._workers.delete(worker);
   }
 
-  private _noteOver(
-    worker: string,
-    serving: readonly ServingMeasure[],
-    now: number,
-  ): number | undefined {
-    const ratio = Math.max(0, ...serving.map(({ tailMs, targetMs }) => tailMs / targetMs));
-    const since = this._overSince.get(worker);
-    if (ratio < RECOVERED_RATIO || (since === undefined && ratio <= NEAR_RATIO)) {
-      this._overSince.delete(worker);
-      return undefined;
+  private _findRoom(
+    { groups, uses }: Pick<WorkerState, "groups" | "uses">,
+    victims: readonly string[],
+    image: string,
+  ): number {
+    const unmeasured = victims
+      .filter((victim) => groups.every((group) => group.image !== victim))
+      .map((victim): FollowedGroup => ({ image: victim, step: "", ownSpeed: 0, fall: 0 }));
+    const all = [...groups, ...unmeasured];
+    const isBorne = (used: number): boolean => this._keepsTargets(all, [...uses, { image, used }]);
+    if (isBorne(1)) {
+      return 1;
     }
-    this._overSince.set(worker, since ?? now);
-    return since ?? now;
+    return Array.from({ length: ROOM_HALVINGS }).reduce<{ room: number; step: number }>(
+      ({ room, step }) => ({ room: isBorne(room + step) ? room + step : room, step: step / 2 }),
+      { room: 0, step: 1 / 2 },
+    ).room;
   }
 
-  /** Images known to be heavy, or found to be by an inquiry. */
-  private _findBlamed(
-    input: DisturbanceInput,
-    victims: readonly ServingMeasure[],
-  ): ReadonlySet<string> {
-    const { worker, runs, now } = input;
-    const names = victims.map(({ image }) => image);
-    const present = [...new Set(runs.map(({ image }) => image))];
-    const heavy = present.filter((image) => this.isDisturbing(names, image, now));
-    const inquiry = this._inquiries.get(worker);
-    const finding =
-      inquiry === undefined
-        ? { inquiry: heavy.length > 0 ? undefined : this._begin(input, names), blamed: [] }
-        : this._continue(inquiry, names, present, now);
-    if (finding.inquiry === undefined) {
-      this._inquiries.delete(worker);
-    } else {
-      this._inquiries.set(worker, finding.inquiry);
-    }
-    return new Set([...finding.blamed, ...heavy]);
+  /** Takes the speeds of the serving steps in; the median of a step's tasks counts. */
+  private _observe(
+    { serving, runs, now }: DisturbanceInput,
+    known: readonly FollowedGroup[],
+  ): readonly FollowedGroup[] {
+    return [...Map.groupBy(serving, ({ step }) => step)].flatMap(([step, measures]) => {
+      const inOrder = measures.toSorted((a, b) => a.currentMs - b.currentMs);
+      const middle = inOrder[Math.floor((inOrder.length - 1) / 2)];
+      if (middle === undefined) {
+        return [];
+      }
+      const { image, targetMs, tailMs, currentMs } = middle;
+      const speed = getSpeed(targetMs, currentMs);
+      const isFalling = currentMs < FALLING_RATIO * tailMs;
+      this._estimator.observe({ image, step }, { speed, isFalling }, runs, now);
+      const ownSpeed = this._estimator.predict({ image, step }, []).mean;
+      const before = known.find((group) => group.step === step)?.ownSpeed ?? ownSpeed;
+      const fall = FALL_LEAD * Math.max(0, before - ownSpeed);
+      return [{ image, step, ownSpeed, fall }];
+    });
   }
 
-  private _begin({ runs, now }: DisturbanceInput, victims: readonly string[]): Inquiry | undefined {
-    const working = runs.filter(({ usedMilli }) => usedMilli > 0).map(({ image }) => image);
-    const suspects = [...new Set(working)].filter((image) => this.mayDisturb(victims, image, now));
-    if (victims.length === 0 || suspects.length === 0) {
-      return undefined;
-    }
-    const held = suspects
-      .map((image) => ({ image, blame: this._getBlame(victims, image, runs, now) }))
-      .sort((a, b) => a.blame - b.blame)
-      .map(({ image }) => image);
-    return { victims, held, tested: undefined, since: now };
+  /** Gives each image the most that leaves the targets kept; the lightest one goes first. */
+  private _share(
+    groups: readonly FollowedGroup[],
+    runs: readonly IdleRun[],
+  ): readonly ImageShare[] {
+    const claims = [...Map.groupBy(runs, ({ image }) => image)]
+      .map(([image, own]) => ({
+        image,
+        used: own.reduce((sum, run) => sum + getUse(run, FULL_PERCENT), 0),
+      }))
+      .map((use) => ({ use, margin: this._getMargin(groups, [use]) }))
+      .sort((a, b) => b.margin - a.margin);
+    return claims.reduce<{ shares: readonly ImageShare[]; uses: readonly ImageUse[] }>(
+      ({ shares, uses }, { use: { image, used } }) => {
+        const percent =
+          PERCENTS.find((share) => {
+            const use = { image, used: (used * share) / FULL_PERCENT };
+            return this._keepsTargets(groups, [...uses, use]);
+          }) ?? 0;
+        const use = { image, used: (used * percent) / FULL_PERCENT };
+        return { shares: [...shares, { image, percent }], uses: [...uses, use] };
+      },
+      { shares: [], uses: [] },
+    ).shares;
   }
 
-  private _continue(
-    inquiry: Inquiry,
-    victims: readonly string[],
-    present: readonly string[],
-    now: number,
-  ): Finding {
-    const { tested, since } = inquiry;
-    const held = inquiry.held.filter((image) => present.includes(image));
-    if (victims.length > 0) {
-      // Without a test under way, what stands still is not to blame, or has not had its effect yet.
-      return tested === undefined
-        ? { inquiry: now - since > TRIAL_MS ? undefined : { ...inquiry, held }, blamed: [] }
-        : this._blame(inquiry, tested, held, now);
-    }
-    if (tested !== undefined && now - since < TRIAL_MS) {
-      return { inquiry: { ...inquiry, held }, blamed: [] };
-    }
-    if (tested !== undefined) {
-      this._settle(inquiry, tested, 0, now);
-    }
-    const [next, ...others] = held;
-    if (next === undefined) {
-      return { inquiry: undefined, blamed: [] };
-    }
-    return others.length === 0
-      ? this._blame(inquiry, next, [], now)
-      : { inquiry: { ...inquiry, held: others, tested: next, since: now }, blamed: [] };
+  private _keepsTargets(groups: readonly FollowedGroup[], uses: readonly ImageUse[]): boolean {
+    return this._getMargin(groups, uses) >= 0;
   }
 
-  private _blame(inquiry: Inquiry, image: string, held: readonly string[], now: number): Finding {
-    this._settle(inquiry, image, 2 * HEAVY_PRESSURE, now);
-    const next = { ...inquiry, held, tested: undefined, since: now };
-    return { inquiry: held.length === 0 ? undefined : next, blamed: [image] };
+  /** Speed that the slowest serving tasks have beyond what they are to keep. */
+  private _getMargin(groups: readonly FollowedGroup[], uses: readonly ImageUse[]): number {
+    return groups
+      .map((group) => ({ ...this._estimator.predict(group, uses), fall: group.fall }))
+      .map(({ mean, variance, fall }) => mean - fall - CAUTION * Math.sqrt(variance) - KEPT_SPEED)
+      .reduce((a, b) => Math.min(a, b), Number.POSITIVE_INFINITY);
   }
+}
 
-  private _settle({ victims }: Inquiry, image: string, pressure: number, now: number): void {
-    victims.forEach((victim) => {
-      this._estimator.settle(victim, image, pressure, now);
-    });
-  }
+/** What a run uses at a share of its speed. */
+function getUse({ used, percent, demand }: IdleRun, share: number): number {
+  const isTelling = percent >= TELLING_PERCENT && used > 0;
+  const full = isTelling ? Math.min(demand, (used * FULL_PERCENT) / percent) : demand;
+  return (full * share) / FULL_PERCENT;
+}
 
-  private _getBlame(
-    victims: readonly string[],
-    image: string,
-    runs: readonly IdleRun[],
-    now: number,
-  ): number {
-    const usedMilli = runs
-      .filter((run) => run.image === image)
-      .reduce((sum, run) => sum + run.usedMilli, 0);
-    const pressures = victims.map((victim) => {
-      const { mean, variance } = this._estimator.getEstimate(victim, image, now);
-      return mean + Math.sqrt(variance);
-    });
-    return usedMilli * Math.max(...pressures);
-  }
+function getOverSince(
+  since: number | undefined,
+  serving: readonly ServingMeasure[],
+  now: number,
+): number | undefined {
+  const ratio = Math.max(0, ...serving.map(({ tailMs, targetMs }) => tailMs / targetMs));
+  const isOver = ratio > (since === undefined ? NEAR_RATIO : RECOVERED_RATIO);
+  return isOver ? (since ?? now) : undefined;
 }
--- a/src/coordination/pool/PaceDirector.ts
+++ b/src/coordination/pool/PaceDirector.ts
@@ -1,14 +1,14 @@
 /**
- * Paces the runs on the idle processors of each worker by what the worker measured, and rates
- * workers for placement by what such a run would do to the serving tasks there.
+ * Paces the runs on the idle processors of each worker by what the worker measured, tells placement
+ * how much of an image each worker bears, and which runs would be better off elsewhere.
  */
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RunOrder, WorkerReport } from "./AgentChannel.ts";
 import type { OrderSender } from "./OrderSender.ts";
-import { DisturbanceGuard, type IdleRun } from "./DisturbanceGuard.ts";
-import { PressureEstimator, type ServingMeasure } from "./PressureEstimator.ts";
+import { DisturbanceGuard, type IdleRun, type ServingMeasure } from "./DisturbanceGuard.ts";
+import { PressureEstimator } from "./PressureEstimator.ts";
 import type { PoolState } from "./PoolState.ts";
-import type { BookedRun } from "./RunBook.ts";
+import { getStepKey, type BookedRun } from "./RunBook.ts";
 import { TailFilter } from "./TailFilter.ts";
 
 /** Least time between two measures that are taken in: each covers half a second. */
@@ -20,7 +20,14 @@
   readonly state: PoolState;
   readonly orders: OrderSender;
   readonly log: Log;
-  readonly stop: (booked: BookedRun, reason: string) => void;
+}
+
+/** Lists of which the measures were taken in last. */
+interface MeasuredLists {
+  readonly callNumber: number;
+  readonly at: number;
+  /** Runs on idle processors that were among them. */
+  readonly keys: ReadonlySet<string>;
 }
 
 /** Paces of one scheduler. */
@@ -28,7 +35,9 @@
   private readonly _parts: PaceDirectorParts;
   private readonly _guard = new DisturbanceGuard(new PressureEstimator());
   private readonly _filter = new TailFilter();
-  private readonly _measuredAt = new Map<string, number>();
+  private readonly _measured = new Map<string, MeasuredLists>();
+  /** Runs that their worker bears little of, by agent. */
+  private readonly _unwelcome = new Map<string, readonly BookedRun[]>();
 
   /**
    * Creates a director.
@@ -45,11 +54,12 @@
    * @param now - Monotonic time in milliseconds.
    */
   handle(agent: string, report: WorkerReport, now: number): void {
-    const measuredAt = this._measuredAt.get(agent) ?? Number.NEGATIVE_INFINITY;
-    if (now - measuredAt < MEASURE_INTERVAL_MS) {
+    const { worker, callNumber } = report;
+    const last = this._measured.get(agent);
+    const isSoon = last !== undefined && now - last.at < MEASURE_INTERVAL_MS;
+    if (isSoon || last?.callNumber === callNumber) {
       return;
     }
-    const { worker } = report;
     const booked = this._parts.state.book
       .getByAgent(agent)
       .filter(({ active }) => active.worker === worker && active.phase === "running");
@@ -60,17 +70,29 @@
         .filter(({ task }) => task.definition.usesIdleProcessors)
         .map((run) => [getKey(run), run]),
     );
-    const runs = [...byKey].map(([key, run]) => toIdleRun(key, run, measures.get(key)));
-    this._measuredAt.set(agent, now);
+    const runs = [...byKey].map(([key, run]) => toIdleRun(key, run, measures.get(key), report));
+    this._measured.set(agent, { callNumber, at: now, keys: new Set(byKey.keys()) });
     const decision = this._guard.decide({ worker, serving, runs, now });
     decision.paces.forEach(({ key, percent }) => {
       this._pace(byKey.get(key), percent, now);
     });
-    decision.moves.forEach((key) => {
-      const run = byKey.get(key);
-      if (run !== undefined) {
-        this._parts.stop(run, "it disturbs tasks that serve users");
-      }
+    const unwelcome = decision.moves.flatMap((key) => byKey.get(key) ?? []);
+    this._unwelcome.set(agent, unwelcome);
+  }
+
+  /**
+   * Tells whether what a run uses shows in what its worker bears.
+   * @param booked - The run.
+   */
+  isMeasured(booked: BookedRun): boolean {
+    return this._measured.get(booked.active.agent)?.keys.has(getKey(booked)) === true;
+  }
+
+  /** Gives runs that their workers bear little of, as they were measured last. */
+  getUnwelcome(): readonly BookedRun[] {
+    return [...this._unwelcome.values()].flat().flatMap(({ task, active: { run } }) => {
+      const active = task.getRun(run);
+      return active?.phase === "running" ? [{ task, active }] : [];
     });
   }
 
@@ -85,23 +107,13 @@
   }
 
   /**
-   * Tells whether an image is known to disturb tasks that serve.
-   * @param serving - Images that serve.
-   * @param image - Image beside them.
-   * @param now - Monotonic time in milliseconds.
-   */
-  isDisturbing(serving: Iterable<string>, image: string, now: number): boolean {
-    return this._guard.isDisturbing(serving, image, now);
-  }
-
-  /**
-   * Tells whether an image may disturb tasks that serve, as far as is known.
-   * @param serving - Images that serve.
-   * @param image - Image beside them.
-   * @param now - Monotonic time in milliseconds.
+   * Gives how much more of an image a worker bears, as a share of its processors.
+   * @param worker - Incarnation of the worker.
+   * @param serving - Images that serve there.
+   * @param image - Image on idle processors.
    */
-  mayDisturb(serving: Iterable<string>, image: string, now: number): boolean {
-    return this._guard.mayDisturb(serving, image, now);
+  getRoom(worker: string, serving: Iterable<string>, image: string): number {
+    return this._guard.getRoom(worker, serving, image);
   }
 
   private _pace(run: BookedRun | undefined, percent: number, now: number): void {
@@ -124,13 +136,22 @@
     if (targetMs === undefined || tailMs === undefined || active.percent < FULL_PERCENT) {
       return [];
     }
-    const currentMs = this._filter.note(getKey({ task, active }), tailMs, now);
-    return [{ image, targetMs, tailMs, currentMs }];
+    const key = getKey({ task, active });
+    const currentMs = this._filter.note(key, tailMs, now);
+    return [{ image, step: getStepKey(task.address), targetMs, tailMs, currentMs }];
   }
 }
 
-function toIdleRun(key: string, { task, active }: BookedRun, usedMilli = 0): IdleRun {
-  return { key, image: task.definition.image, usedMilli, percent: active.pacePercent };
+function toIdleRun(
+  key: string,
+  { task, active }: BookedRun,
+  usedMilli = 0,
+  { capacity }: WorkerReport,
+): IdleRun {
+  const { image, resources } = task.definition;
+  const allMilli = Math.max(1, capacity.processorsMilli);
+  const demand = Math.min(1, resources.processorsMilli / allMilli);
+  return { key, image, used: usedMilli / allMilli, percent: active.pacePercent, demand };
 }
 
 function getKey({ task, active }: BookedRun): string {
--- a/src/coordination/pool/PlacementBoard.ts
+++ b/src/coordination/pool/PlacementBoard.ts
@@ -15,8 +15,8 @@
 const MIXED_WEIGHT_MILLI = 40_000;
 /** Weight of a worker whose idle processors others use already, in thousandths of a core. */
 const CRAMPED_MILLI = 8_000;
-/** Weight of a worker whose serving tasks a task may disturb, in thousandths of a core. */
-const UNCERTAIN_WEIGHT_MILLI = 12_000;
+/** Share of its processors that a worker must bear of a task on idle ones for it to be placed. */
+const LEAST_BORNE_SHARE = 0.8;
 /** Weight of a worker on which the task has failed before, in thousandths of a core. */
 const FAILED_WEIGHT_MILLI = 100_000;
 /** Weight of a rack away from the data, in thousandths of a core. */
@@ -31,6 +31,8 @@
   readonly free: Resources;
   /** Processors that no task is expected to use, in thousandths; negative where overbooked. */
   readonly idleMilli: number;
+  /** Idle processors of runs that no measure shows yet, in thousandths. */
+  readonly givenMilli: number;
   /** Tasks that serve users, by image. */
   readonly serving: ReadonlyMap<string, number>;
   readonly admission: Admission;
@@ -47,6 +49,8 @@
   readonly avoid: ReadonlySet<string>;
   /** Rack on which the task must run; undefined for any. */
   readonly rack: string | undefined;
+  /** Whether nothing of its step runs: a worker that bears little of it is better than none. */
+  readonly isFirst: boolean;
 }
 
 /** What a board is told of workers beside their reports. */
@@ -55,10 +59,8 @@
   readonly admissions: ReadonlyMap<string, Admission>;
   /** Gives what is committed on a worker. */
   readonly getCommitted: (worker: string) => Resources;
-  /** Tells whether an image on idle processors is known to disturb images that serve. */
-  readonly isDisturbing: (serving: Iterable<string>, image: string) => boolean;
-  /** Tells whether it may, as far as is known. */
-  readonly mayDisturb: (serving: Iterable<string>, image: string) => boolean;
+  /** Gives how much more of an image on idle processors a worker bears, in thousandths of a core. */
+  readonly getRoomMilli: (worker: string, serving: Iterable<string>, image: string) => number;
 }
 
 /** Workers in one round. */
@@ -83,6 +85,7 @@
         labels: report.labels,
         free,
         idleMilli: free.processorsMilli,
+        givenMilli: 0,
         serving: new Map(),
         admission: admissions.get(agent) ?? "open",
         steps: new Map(),
@@ -99,11 +102,13 @@
    * @param agent - Agent of the worker.
    * @param stepKey - Step of its task.
    * @param definition - Definition of the step.
+   * @param isMeasured - Whether what it uses shows in what the worker bears.
    */
-  noteRun(agent: string, stepKey: string, definition: StepDefinition): void {
+  noteRun(agent: string, stepKey: string, definition: StepDefinition, isMeasured = true): void {
     const worker = this._workers.get(agent);
     if (worker !== undefined) {
-      this._workers.set(agent, addTask(worker, stepKey, definition));
+      const givenMilli = worker.givenMilli + (isMeasured ? 0 : getIdleUse(definition));
+      this._workers.set(agent, { ...addTask(worker, stepKey, definition), givenMilli });
     }
   }
 
@@ -116,7 +121,7 @@
     const wanted = getCommitment(task.definition);
     const best = this.workers
       .filter((worker) => fits(wanted, worker.free) && accepts(worker, task))
-      .filter((worker) => !this._isDisturbing(worker, task.definition))
+      .filter((worker) => task.isFirst || this._bears(worker, task.definition))
       .map((worker) => ({ worker, rating: this._rate(worker, task) }))
       .reduce<{ worker: BoardWorker; rating: number } | undefined>(
         (found, next) => (found === undefined || next.rating > found.rating ? next : found),
@@ -126,26 +131,37 @@
       const left = { ...best, free: subtractResources(best.free, wanted) };
       const committedMilli = wanted.processorsMilli;
       const placed = addTask(left, task.stepKey, task.definition);
+      const idleMilli = placed.idleMilli - committedMilli;
       this._workers.set(best.agent, {
         ...placed,
-        idleMilli: placed.idleMilli - committedMilli,
+        idleMilli,
+        givenMilli: best.givenMilli + getIdleUse(task.definition),
         admission: best.admission === "probe" ? "closed" : best.admission,
       });
     }
     return best;
   }
 
-  private _isDisturbing(worker: BoardWorker, definition: StepDefinition): boolean {
-    const { serving } = worker;
-    return (
-      definition.usesIdleProcessors && this._context.isDisturbing(serving.keys(), definition.image)
-    );
+  /**
+   * Tells whether a task would be better off on another worker, and takes the amount there.
+   * @param task - The task.
+   * @param agent - Agent of the worker that it is on.
+   */
+  hasBetterPlace(task: BoardTask, agent: string): boolean {
+    const place = this.place(task);
+    return place !== undefined && place.agent !== agent;
+  }
+
+  private _bears(worker: BoardWorker, definition: StepDefinition): boolean {
+    const leastMilli = LEAST_BORNE_SHARE * definition.resources.processorsMilli;
+    return !definition.usesIdleProcessors || this._getRoomMilli(worker, definition) >= leastMilli;
   }
 
-  private _mayDisturb({ serving }: BoardWorker, definition: StepDefinition): boolean {
-    return (
-      definition.usesIdleProcessors && this._context.mayDisturb(serving.keys(), definition.image)
-    );
+  private _getRoomMilli(
+    { worker, serving, givenMilli }: BoardWorker,
+    { image }: StepDefinition,
+  ): number {
+    return this._context.getRoomMilli(worker, serving.keys(), image) - givenMilli;
   }
 
   /** Rates a worker for a task; higher is better. */
@@ -153,10 +169,11 @@
     const { dataRack } = definition;
     const isAway = dataRack !== undefined && dataRack !== worker.rack;
     const penalty =
-      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) +
-      (isAway ? DATA_WEIGHT_MILLI : 0) +
-      (this._mayDisturb(worker, definition) ? UNCERTAIN_WEIGHT_MILLI : 0);
-    return rateRoom(worker, definition) - penalty;
+      (avoid.has(worker.agent) ? FAILED_WEIGHT_MILLI : 0) + (isAway ? DATA_WEIGHT_MILLI : 0);
+    const room = definition.usesIdleProcessors
+      ? Math.min(worker.idleMilli, this._getRoomMilli(worker, definition))
+      : rateRoom(worker, definition);
+    return room - penalty;
   }
 
   /**
@@ -179,11 +196,14 @@
     : definition.resources;
 }
 
+function getIdleUse({ usesIdleProcessors, resources }: StepDefinition): number {
+  return usesIdleProcessors ? resources.processorsMilli : 0;
+}
+
 function addTask(worker: BoardWorker, stepKey: string, definition: StepDefinition): BoardWorker {
-  const usedMilli = definition.usesIdleProcessors ? definition.resources.processorsMilli : 0;
   return {
     ...worker,
-    idleMilli: worker.idleMilli - usedMilli,
+    idleMilli: worker.idleMilli - getIdleUse(definition),
     serving: addServing(worker.serving, definition),
     steps: new Map([...worker.steps, [stepKey, (worker.steps.get(stepKey) ?? 0) + 1]]),
   };
@@ -209,11 +229,8 @@
   );
 }
 
-/** Rates a worker by its room for a task; higher is better. */
+/** Rates a worker by its room for a task that commits processors; higher is better. */
 function rateRoom(worker: BoardWorker, definition: StepDefinition): number {
-  if (definition.usesIdleProcessors) {
-    return worker.idleMilli;
-  }
   // Serving tasks are kept together by image: what disturbs one image may leave another alone, and
   // workers without any are left to what disturbs all.
   const others = [...worker.serving.keys()].filter((image) => image !== definition.image).length;
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -91,7 +91,7 @@
     const stop = (booked: BookedRun, reason: string): void => {
       this._director.stop(booked, reason);
     };
-    this._paces = new PaceDirector({ state: this._state, orders: this._orders, log, stop });
+    this._paces = new PaceDirector({ state: this._state, orders: this._orders, log });
     this._updater = new JobUpdater({
       ...shared,
       commits: this._commits,
@@ -296,10 +296,13 @@
       return;
     }
     const now = this._parts.clock.now();
-    const runs = this._rounds.plan(now, this._parts.getTimeOfDay());
-    runs.forEach((planned) => {
+    const { starts, moves } = this._rounds.plan(now, this._parts.getTimeOfDay());
+    starts.forEach((planned) => {
       this._record(planned, now);
     });
+    moves.forEach((booked) => {
+      this._director.stop(booked, "another worker bears more of it");
+    });
   }
 
   private _record({ job, task, run, target }: PlannedRun, now: number): void {
--- a/src/coordination/pool/PressureEstimator.ts
+++ b/src/coordination/pool/PressureEstimator.ts
@@ -1,135 +1,133 @@
 /**
- * Learns how much each image that lives on idle processors presses on each image that serves users.
- * A serving task's own load moves its tail latency as well, so only what comes near the target
- * counts as pressure; tails grow the faster the fuller a worker is, so it is counted in the
- * logarithm, for each core in use. Most pairs are harmless and a few are not:
- * an observation moves most the estimates that are least certain, so that a pair that has been seen
- * to be harmless is not blamed for its neighbours.
+ * Learns how much each image that lives on idle processors slows each image that serves users. A
+ * serving task answers at the speed target / tail latency: 1 at its target, more below it. The speed
+ * is close to linear in the load of the worker, whereas the tail latency grows without bound as the
+ * worker fills up. So the speed is taken as what the tasks of a serving step have by themselves,
+ * less the pressure of other images, in proportion to the share of the worker's processors that they
+ * use. Both are estimated together: the own speed follows the step's load within seconds, the
+ * pressure of a pair lasts.
  */
+import {
+  GaussianState,
+  type ObservationTerm,
+  type VariablePrior,
+} from "../disturbance/GaussianState.ts";
 
-/** Pressure of each core that is expected of a pair never seen. */
-const PRIOR_MEAN = 0.03;
-/** Variance of that expectation: a heavy pair presses with 0.5 to 1 for each core. */
-const PRIOR_VARIANCE = 0.4;
-/** Variance of an observation: a serving task's own load moves its tail by half, and is not known. */
-const NOISE_VARIANCE = 0.6;
-/** Growth of an estimate's variance with each observation, so that changes are followed. */
-const DRIFT_VARIANCE = 0.0015;
-/** Variance of an estimate after a trial. */
-const SETTLED_VARIANCE = 0.02;
-/** Time in which an estimate that is not observed falls to a third, so that pairs are tried again. */
-const FORGET_MS = 40_000;
-/** Share of its target that a serving task may come to by its own load. */
-const OWN_LOAD_SHARE = 0.65;
-/** Greatest pressure that an observation counts as; measures overshoot. */
-const MAX_PRESSURE = 3;
-const MILLI = 1_000;
+/**
+ * Pressure of a pair, were the image to use all processors of a worker: two of three pairs press
+ * hardly at all, the others with 3 to 8. What is not observed for a while is tried again.
+ */
+const PAIR_PRIOR: VariablePrior = { mean: 2, variance: 7, decayMs: 40_000 };
+/** Speed of a serving step by itself: its load moves by half within seconds. */
+const OWN_PRIOR: VariablePrior = { mean: 2.4, variance: 0.45, decayMs: 4_000 };
+/** Variance of a measure of the speed. */
+const MEASURE_VARIANCE = 0.03;
+/** The same while the tail latency falls: a measure still shows some of what was before. */
+const FALLING_VARIANCE = 0.4;
+/** Standard deviations beyond which a measure counts as an outlier. */
+const OUTLIER_DEVIATIONS = 3;
+/** Speed below which a worker is so full that a measure only gives a bound. */
+const SATURATED_SPEED = 0.3;
+/** Speed that a measure counts as at most; measures overshoot. */
+const MAX_SPEED = 5;
+/** Most steps and images that are followed for a serving image. */
+const MAX_VARIABLES = 64;
 
-/** A serving task as it was measured. */
-export interface ServingMeasure {
+/** Serving tasks of one step on a worker. */
+export interface ServingGroup {
   readonly image: string;
-  readonly targetMs: number;
-  /** Tail latency as reported, in milliseconds. */
-  readonly tailMs: number;
-  /** Tail latency since the report before, in milliseconds. */
-  readonly currentMs: number;
+  /** Job and step. */
+  readonly step: string;
+}
+
+/** Speed of serving tasks as it was measured. */
+export interface SpeedMeasure {
+  readonly speed: number;
+  /** Whether the tail latency falls. */
+  readonly isFalling: boolean;
 }
 
 /** What one image uses on a worker. */
 export interface ImageUse {
   readonly image: string;
-  /** Processors in use, in thousandths of a core. */
-  readonly usedMilli: number;
+  /** Share of the worker's processors, from 0 to 1. */
+  readonly used: number;
 }
 
-/** Pressure of one image on another, for each core. */
-export interface PressureEstimate {
+/** Speed of serving tasks as it is expected. */
+export interface ExpectedSpeed {
   readonly mean: number;
   readonly variance: number;
 }
 
-interface PairState extends PressureEstimate {
-  readonly observedAt: number;
-}
-
-const UNKNOWN: PressureEstimate = { mean: PRIOR_MEAN, variance: PRIOR_VARIANCE };
-
 /** Pressure of images on images. */
 export class PressureEstimator {
-  private readonly _pairs = new Map<string, PairState>();
+  private readonly _states = new Map<string, GaussianState>();
 
   /**
    * Takes a measure in.
-   * @param serving - Serving task.
+   * @param group - Serving tasks.
+   * @param measure - Their speed.
    * @param uses - What other images used meanwhile on the same worker.
    * @param now - Monotonic time in milliseconds.
    */
-  observe(serving: ServingMeasure, uses: readonly ImageUse[], now: number): void {
-    const coresByImage = sumCores(uses);
-    const ownMs = OWN_LOAD_SHARE * serving.targetMs;
-    const seen = Math.min(MAX_PRESSURE, Math.max(0, Math.log(serving.currentMs / ownMs)));
-    const parts = [...coresByImage].map(([image, cores]) => ({
-      image,
-      cores,
-      known: this.getEstimate(serving.image, image, now),
-    }));
-    const expected = parts.reduce((sum, { cores, known }) => sum + cores * known.mean, 0);
-    const total = parts.reduce(
-      (sum, { cores, known }) => sum + cores ** 2 * known.variance,
-      NOISE_VARIANCE,
-    );
-    parts.forEach(({ image, cores, known }) => {
-      const gain = (cores * known.variance) / total;
-      const mean = Math.max(0, known.mean + gain * (seen - expected));
-      const variance = Math.min(
-        PRIOR_VARIANCE,
-        known.variance * (1 - gain * cores) + DRIFT_VARIANCE,
-      );
-      this._pairs.set(getKey(serving.image, image), { mean, variance, observedAt: now });
-    });
+  observe(
+    group: ServingGroup,
+    { speed, isFalling }: SpeedMeasure,
+    uses: readonly ImageUse[],
+    now: number,
+  ): void {
+    const state = this._states.get(group.image) ?? new GaussianState(MAX_VARIABLES);
+    this._states.set(group.image, state);
+    const { mean, variance } = this.predict(group, uses);
+    const seen = Math.max(SATURATED_SPEED, speed);
+    const error = seen - Math.max(SATURATED_SPEED, mean);
+    const noise = isFalling ? FALLING_VARIANCE : MEASURE_VARIANCE;
+    const bound = OUTLIER_DEVIATIONS * Math.sqrt(variance + noise);
+    const bounded = Math.max(-bound, Math.min(bound, error));
+    state.observe(now, getTerms(group, uses), bounded, noise);
   }
 
   /**
-   * Gives the pressure of each core that an image uses.
-   * @param serving - Image that serves.
-   * @param image - Image beside it.
-   * @param now - Monotonic time in milliseconds.
+   * Gives the speed that is expected of serving tasks.
+   * @param group - The tasks.
+   * @param uses - What other images use on the same worker.
    */
-  getEstimate(serving: string, image: string, now: number): PressureEstimate {
-    const state = this._pairs.get(getKey(serving, image));
-    if (state === undefined) {
-      return UNKNOWN;
-    }
-    const kept = Math.exp((state.observedAt - now) / FORGET_MS);
-    return { mean: state.mean * kept, variance: state.variance };
+  predict(group: ServingGroup, uses: readonly ImageUse[]): ExpectedSpeed {
+    const state = this._states.get(group.image);
+    const terms = getTerms(group, uses);
+    const mean = terms.reduce((sum, { name, prior, weight }) => {
+      const value = state?.getMean(name) ?? prior.mean;
+      return sum + weight * Math.max(0, value);
+    }, 0);
+    const variance =
+      state?.getSumVariance(terms) ??
+      terms.reduce((sum, { prior, weight }) => sum + weight ** 2 * prior.variance, 0);
+    return { mean, variance: Math.max(0, variance) };
   }
+}
 
-  /**
-   * Takes in what a trial has shown of a pair.
-   * @param serving - Image that serves.
-   * @param image - Image beside it.
-   * @param mean - Pressure of each core.
-   * @param now - Monotonic time in milliseconds.
-   */
-  settle(serving: string, image: string, mean: number, now: number): void {
-    const state = { mean, variance: SETTLED_VARIANCE, observedAt: now };
-    this._pairs.set(getKey(serving, image), state);
-  }
+/**
+ * Gives the speed at which a serving task answers: 1 at its target.
+ * @param targetMs - Its target, in milliseconds.
+ * @param tailMs - Its tail latency, in milliseconds.
+ */
+export function getSpeed(targetMs: number, tailMs: number): number {
+  return tailMs > 0 ? Math.min(MAX_SPEED, targetMs / tailMs) : MAX_SPEED;
 }
 
-function sumCores(uses: readonly ImageUse[]): ReadonlyMap<string, number> {
-  return uses
-    .filter(({ usedMilli }) => usedMilli > 0)
+function getTerms(group: ServingGroup, uses: readonly ImageUse[]): readonly ObservationTerm[] {
+  const own = { name: `own/${group.step}`, prior: OWN_PRIOR, weight: 1 };
+  const sums = uses
+    .filter(({ used }) => used > 0)
     .reduce(
-      (sums, use) => sums.set(use.image, (sums.get(use.image) ?? 0) + getCores(use)),
+      (found, { image, used }) => found.set(image, (found.get(image) ?? 0) + used),
       new Map<string, number>(),
     );
-}
-
-function getCores(use: ImageUse): number {
-  return use.usedMilli / MILLI;
-}
-
-function getKey(serving: string, image: string): string {
-  return `${serving}\n${image}`;
+  const pairs = [...sums].map(([image, used]) => ({
+    name: `pair/${image}`,
+    prior: PAIR_PRIOR,
+    weight: -used,
+  }));
+  return [own, ...pairs];
 }
--- a/src/coordination/pool/RoundPlanner.ts
+++ b/src/coordination/pool/RoundPlanner.ts
@@ -114,8 +114,9 @@
   return waiting.step.definition.gang ? planGang(waiting, board) : planTasks(waiting, board);
 }
 
-function planTasks({ job, tasks }: WaitingStep, board: PlacementBoard): readonly PlannedRun[] {
-  const targets = placeWhileRoom(tasks, board, undefined);
+function planTasks(waiting: WaitingStep, board: PlacementBoard): readonly PlannedRun[] {
+  const { job, tasks } = waiting;
+  const targets = placeWhileRoom(waiting, board, undefined);
   return targets.flatMap((target, position): readonly PlannedRun[] => {
     const task = tasks[position];
     return task === undefined ? [] : [{ job, task, run: task.lastRun + 1, target }];
@@ -128,7 +129,7 @@
     ? [...new Set(board.workers.map(({ rack }) => rack)), undefined]
     : [undefined];
   const targets = racks.reduce<readonly BoardWorker[]>(
-    (found, rack) => (found.length > 0 ? found : placeAll(tasks, board, rack)),
+    (found, rack) => (found.length > 0 ? found : placeAll(waiting, board, rack)),
     [],
   );
   const run = Math.max(0, ...tasks.map((task) => task.lastRun)) + 1;
@@ -140,13 +141,13 @@
 
 /** Places all tasks or none. */
 function placeAll(
-  tasks: readonly TaskState[],
+  waiting: WaitingStep,
   board: PlacementBoard,
   rack: string | undefined,
 ): readonly BoardWorker[] {
   const before = board.workers;
-  const targets = placeWhileRoom(tasks, board, rack);
-  if (targets.length < tasks.length) {
+  const targets = placeWhileRoom(waiting, board, rack);
+  if (targets.length < waiting.tasks.length) {
     board.restore(before);
     return [];
   }
@@ -155,13 +156,15 @@
 
 /** Places tasks of one step until one finds no room; the others are of the same size. */
 function placeWhileRoom(
-  tasks: readonly TaskState[],
+  { step, tasks }: WaitingStep,
   board: PlacementBoard,
   rack: string | undefined,
 ): readonly BoardWorker[] {
   const targets: BoardWorker[] = [];
+  const isIdle = step.tasks.every((task) => task.active.length === 0);
   tasks.every((task) => {
-    const target = board.place(toBoardTask(task, rack));
+    const isFirst = step.definition.gang || (isIdle && targets.length === 0);
+    const target = board.place({ ...toBoardTask(task), rack, isFirst });
     if (target !== undefined) {
       targets.push(target);
     }
@@ -170,11 +173,16 @@
   return targets;
 }
 
-function toBoardTask(task: TaskState, rack: string | undefined): BoardTask {
+/**
+ * Gives a task as the board places it, on any rack and among others of its step.
+ * @param task - The task.
+ */
+export function toBoardTask(task: TaskState): BoardTask {
   return {
     stepKey: getStepKey(task.address),
     definition: task.definition,
     avoid: new Set([...task.avoid, ...task.active.map(({ agent }) => agent)]),
-    rack,
+    rack: undefined,
+    isFirst: false,
   };
 }
--- a/src/coordination/pool/TailFilter.ts
+++ b/src/coordination/pool/TailFilter.ts
@@ -4,7 +4,7 @@
  */
 
 /** Time in which the weight of the past in a measure falls to a third, in milliseconds. */
-const DECAY_MS = 650;
+const DECAY_MS = 310;
 
 /** Most tasks whose last measures are kept; the ones that were measured longest ago go first. */
 const MAX_SAMPLES = 20_000;
