Keep in the store what was learnt of images, for the next scheduler

Cause: a scheduler that takes over knew nothing of the pressure of images, so every pair was tried again beside serving tasks.

Change: the scheduler writes what it has learnt under pressure/POOL, every 3 s and only where it changed; the next one starts from it with a larger uncertainty. The parts of PoolScheduler have a file of their own.

--- a/src/coordination/pool/PaceDirector.ts
+++ b/src/coordination/pool/PaceDirector.ts
@@ -7,6 +7,7 @@
 import type { OrderSender } from "./OrderSender.ts";
 import { DisturbanceGuard, type IdleRun, type ServingMeasure } from "./DisturbanceGuard.ts";
 import { PressureEstimator } from "./PressureEstimator.ts";
+import type { PairPressure } from "../../state/pool/records.ts";
 import type { PoolState } from "./PoolState.ts";
 import { getStepKey, type BookedRun } from "./RunBook.ts";
 import { TailFilter } from "./TailFilter.ts";
@@ -20,6 +21,8 @@
   readonly state: PoolState;
   readonly orders: OrderSender;
   readonly log: Log;
+  /** What a former scheduler has learnt of the pool's images. */
+  readonly learnt: readonly PairPressure[];
 }
 
 /** Lists of which the measures were taken in last. */
@@ -33,7 +36,8 @@
 /** Paces of one scheduler. */
 export class PaceDirector {
   private readonly _parts: PaceDirectorParts;
-  private readonly _guard = new DisturbanceGuard(new PressureEstimator());
+  private readonly _estimator: PressureEstimator;
+  private readonly _guard: DisturbanceGuard;
   private readonly _filter = new TailFilter();
   private readonly _measured = new Map<string, MeasuredLists>();
   /** Runs that their worker bears little of, by agent. */
@@ -45,6 +49,13 @@
    */
   constructor(parts: PaceDirectorParts) {
     this._parts = parts;
+    this._estimator = new PressureEstimator(parts.learnt);
+    this._guard = new DisturbanceGuard(this._estimator);
+  }
+
+  /** Gives what is known of the images. */
+  getPairs(): readonly PairPressure[] {
+    return this._estimator.getPairs();
   }
 
   /**
--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -6,10 +6,16 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
-import type { Store, StoreChange, StoreListing } from "../../protocol/platform/Store.ts";
+import type {
+  Store,
+  StoreChange,
+  StoreEntry,
+  StoreListing,
+} from "../../protocol/platform/Store.ts";
 import { JobCatalog, type CatalogEntry } from "../../state/pool/JobCatalog.ts";
 import {
   AGENT_PREFIX,
+  getPressureKey,
   getSchedulerKey,
   INTAKE_PREFIX,
   parseJobKey,
@@ -18,13 +24,16 @@
 } from "../../state/pool/PoolKeys.ts";
 import {
   readAgentRecord,
+  readPressureRecord,
   readProgressRecord,
   type AgentRecord,
+  type PairPressure,
   type SchedulerRecord,
 } from "../../state/pool/records.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { ConfirmationGuard } from "./ConfirmationGuard.ts";
-import { PoolScheduler, type StoredProgress } from "./PoolScheduler.ts";
+import { PoolScheduler } from "./PoolScheduler.ts";
+import type { StoredProgress } from "./PoolSchedulerParts.ts";
 import type { PoolTerms } from "./PoolTerms.ts";
 import { SchedulerElection } from "./SchedulerElection.ts";
 import { StoreFollower } from "./StoreFollower.ts";
@@ -51,6 +60,7 @@
 interface PoolImage {
   readonly intake: StoreListing;
   readonly progress: ReadonlyMap<string, StoredProgress>;
+  readonly learnt: readonly PairPressure[];
 }
 
 /** One entry's part in the scheduling. */
@@ -219,7 +229,7 @@
       return;
     }
     this.catalog.apply(image.intake.entries);
-    const scheduler = this._createScheduler(pool, epoch, image.progress);
+    const scheduler = this._createScheduler(pool, epoch, image);
     const jobs = this.catalog.getJobs(pool);
     jobs.forEach((entry: CatalogEntry) => {
       scheduler.addJob(entry, image.progress.get(entry.id)?.record);
@@ -236,12 +246,14 @@
   private async _load(pool: string, epoch: number): Promise<PoolImage | undefined> {
     const { store, clock, log } = this._parts;
     while (this._elections.get(pool)?.epoch === epoch && !this._isStopped) {
-      const [intake, progress] = await Promise.all([
+      const [intake, progress, pressure] = await Promise.all([
         store.list(`${INTAKE_PREFIX}${pool}/`),
         store.list(`${PROGRESS_PREFIX}${pool}/`),
+        store.read(getPressureKey(pool)),
       ]);
       if (intake.isOk() && progress.isOk()) {
-        return { intake: intake.value, progress: this._readProgress(progress.value) };
+        const learnt = this._readPressure(pressure.unwrapOr(undefined));
+        return { intake: intake.value, progress: this._readProgress(progress.value), learnt };
       }
       log.warn("The state of a pool cannot be read yet.", { pool });
       await clock.sleep(LOAD_RETRY_MS);
@@ -249,6 +261,15 @@
     return undefined;
   }
 
+  /** What was learnt helps but is not needed: without it, images are tried again. */
+  private _readPressure(entry: StoreEntry | undefined): readonly PairPressure[] {
+    const record = entry && readPressureRecord(entry.value);
+    if (record?.isErr() === true) {
+      this._parts.log.error("A stored value cannot be read.", { key: entry?.key ?? "" });
+    }
+    return record?.unwrapOr({ pairs: [] }).pairs ?? [];
+  }
+
   private _readProgress(listing: StoreListing): ReadonlyMap<string, StoredProgress> {
     const read = listing.entries.flatMap((entry): readonly [string, StoredProgress][] => {
       const job = parseJobKey(entry.key)?.job;
@@ -265,11 +286,11 @@
   private _createScheduler(
     pool: string,
     epoch: number,
-    progress: ReadonlyMap<string, StoredProgress>,
+    { progress, learnt }: PoolImage,
   ): PoolScheduler {
     const { store, clock, log, terms, channel, getTimeOfDay } = this._parts;
     const parts = {
-      ...{ pool, epoch, store, clock, log, terms, channel, getTimeOfDay },
+      ...{ pool, epoch, store, clock, log, terms, channel, getTimeOfDay, learnt },
       guard: this._guard,
       getConfirmedAt: () => this._elections.get(pool)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
       onRecorded: this.catalog.noteProgress.bind(this.catalog),
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -3,24 +3,22 @@
  * in what they report, places waiting tasks, and has every start and every end recorded before it
  * is ordered or acknowledged.
  */
-import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
-import type { Log } from "../../protocol/platform/Log.ts";
-import type { Store } from "../../protocol/platform/Store.ts";
+import type { Timer } from "../../protocol/platform/Clock.ts";
 import type { CatalogEntry } from "../../state/pool/JobCatalog.ts";
 import { JobState } from "../../state/pool/JobState.ts";
 import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
-import type { AgentRecord, JobPhase, ProgressRecord } from "../../state/pool/records.ts";
+import type { AgentRecord, ProgressRecord } from "../../state/pool/records.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
-import type { AgentChannel } from "./AgentChannel.ts";
 import { AgentSession } from "./AgentSession.ts";
 import { CommitQueue } from "./CommitQueue.ts";
-import type { ConfirmationGuard } from "./ConfirmationGuard.ts";
 import { JobRetention } from "./JobRetention.ts";
 import { JobUpdater } from "./JobUpdater.ts";
 import { OrderSender } from "./OrderSender.ts";
 import { PaceDirector } from "./PaceDirector.ts";
 import { PoolState } from "./PoolState.ts";
-import { getTakeoverWaitMs, type PoolTerms } from "./PoolTerms.ts";
+import type { PoolSchedulerParts, StoredProgress } from "./PoolSchedulerParts.ts";
+import { PressureKeeper } from "./PressureKeeper.ts";
+import { getTakeoverWaitMs } from "./PoolTerms.ts";
 import { ReportIntake } from "./ReportIntake.ts";
 import type { PlannedRun } from "./RoundPlanner.ts";
 import { RoundRunner } from "./RoundRunner.ts";
@@ -32,32 +30,6 @@
 /** Time between looks at what has become due. */
 const TICK_MS = 150;
 
-/** What a scheduler needs. */
-export interface PoolSchedulerParts {
-  readonly pool: string;
-  readonly epoch: number;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly terms: PoolTerms;
-  readonly channel: AgentChannel;
-  readonly guard: ConfirmationGuard;
-  /** Gives the time of day in Unix milliseconds. */
-  readonly getTimeOfDay: () => number;
-  /** When the store last confirmed the election, on the monotonic clock. */
-  readonly getConfirmedAt: () => number;
-  /** Called with progress that was recorded. */
-  readonly onRecorded: (job: string, phase: JobPhase, revision: number) => void;
-  /** Called where another scheduler, or none, is named. */
-  readonly onDeposed: () => void;
-}
-
-/** Progress of a job as it was read after the election. */
-export interface StoredProgress {
-  readonly record: ProgressRecord;
-  readonly revision: number;
-}
-
 /** Scheduler of one pool in one epoch. */
 export class PoolScheduler {
   private readonly _parts: PoolSchedulerParts;
@@ -68,6 +40,7 @@
   private readonly _updater: JobUpdater;
   private readonly _reports: ReportIntake;
   private readonly _retention: JobRetention;
+  private readonly _pressures: PressureKeeper;
   private readonly _rounds: RoundRunner;
   private readonly _quarantine = new WorkerQuarantine();
   private readonly _paces: PaceDirector;
@@ -91,7 +64,8 @@
     const stop = (booked: BookedRun, reason: string): void => {
       this._director.stop(booked, reason);
     };
-    this._paces = new PaceDirector({ state: this._state, orders: this._orders, log });
+    const { learnt } = parts;
+    this._paces = new PaceDirector({ state: this._state, orders: this._orders, log, learnt });
     this._updater = new JobUpdater({
       ...shared,
       commits: this._commits,
@@ -123,6 +97,13 @@
         this._commits.forget(job);
       },
     });
+    this._pressures = new PressureKeeper({
+      pool,
+      store: parts.store,
+      clock,
+      log,
+      getPairs: () => this._paces.getPairs(),
+    });
     this._reports = new ReportIntake({
       ...shared,
       epoch: parts.epoch,
@@ -332,6 +313,7 @@
     const timeOfDayMs = this._parts.getTimeOfDay();
     this._director.tick();
     this._retention.tick();
+    this._pressures.tick();
     this._state.jobs
       .filter((job) => !job.isEnded && job.openDue(timeOfDayMs))
       .forEach((job) => {
--- a/src/coordination/pool/PressureEstimator.ts
+++ b/src/coordination/pool/PressureEstimator.ts
@@ -12,12 +12,15 @@
   type ObservationTerm,
   type VariablePrior,
 } from "../disturbance/GaussianState.ts";
+import type { PairPressure } from "../../state/pool/records.ts";
 
 /**
  * Pressure of a pair, were the image to use all processors of a worker: two of three pairs press
  * hardly at all, the others with 3 to 8. What is not observed for a while is tried again.
  */
 const PAIR_PRIOR: VariablePrior = { mean: 2, variance: 7, decayMs: 40_000 };
+/** Variance that is added to what another scheduler has learnt: loads change meanwhile. */
+const TAKEN_OVER_VARIANCE = 0.5;
 /** Speed of a serving step by itself: its load moves by half within seconds. */
 const OWN_PRIOR: VariablePrior = { mean: 2.4, variance: 0.45, decayMs: 4_000 };
 /** Variance of a measure of the speed. */
@@ -63,6 +66,33 @@
 /** Pressure of images on images. */
 export class PressureEstimator {
   private readonly _states = new Map<string, GaussianState>();
+  /** What is expected of pairs that another scheduler has seen. */
+  private readonly _priors = new Map<string, VariablePrior>();
+  private readonly _pairs = new Map<string, Pick<PairPressure, "serving" | "image">>();
+
+  /**
+   * Creates an estimator.
+   * @param learnt - What another scheduler has learnt; nothing by default.
+   */
+  constructor(learnt: readonly PairPressure[] = []) {
+    learnt.forEach(({ serving, image, mean, variance }) => {
+      const taken = Math.min(PAIR_PRIOR.variance, variance + TAKEN_OVER_VARIANCE);
+      const { decayMs } = PAIR_PRIOR;
+      this._priors.set(getPairKey(serving, image), { mean, variance: taken, decayMs });
+      this._pairs.set(getPairKey(serving, image), { serving, image });
+    });
+  }
+
+  /** Gives what is known of the pairs that were seen. */
+  getPairs(): readonly PairPressure[] {
+    return [...this._pairs].map(([key, { serving, image }]) => {
+      const state = this._states.get(serving);
+      const prior = this._priors.get(key) ?? PAIR_PRIOR;
+      const mean = Math.max(0, state?.getMean(getPairName(image)) ?? prior.mean);
+      const variance = state?.getVariance(getPairName(image)) ?? prior.variance;
+      return { serving, image, mean, variance };
+    });
+  }
 
   /**
    * Takes a measure in.
@@ -85,7 +115,14 @@
     const noise = isFalling ? FALLING_VARIANCE : MEASURE_VARIANCE;
     const bound = OUTLIER_DEVIATIONS * Math.sqrt(variance + noise);
     const bounded = Math.max(-bound, Math.min(bound, error));
-    state.observe(now, getTerms(group, uses), bounded, noise);
+    const terms = this._getTerms(group, uses);
+    state.observe(now, terms, bounded, noise);
+    uses
+      .filter(({ used }) => used > 0)
+      .forEach(({ image }) => {
+        const { image: serving } = group;
+        this._pairs.set(getPairKey(serving, image), { serving, image });
+      });
   }
 
   /**
@@ -95,7 +132,7 @@
    */
   predict(group: ServingGroup, uses: readonly ImageUse[]): ExpectedSpeed {
     const state = this._states.get(group.image);
-    const terms = getTerms(group, uses);
+    const terms = this._getTerms(group, uses);
     const mean = terms.reduce((sum, { name, prior, weight }) => {
       const value = state?.getMean(name) ?? prior.mean;
       return sum + weight * Math.max(0, value);
@@ -105,6 +142,22 @@
       terms.reduce((sum, { prior, weight }) => sum + weight ** 2 * prior.variance, 0);
     return { mean, variance: Math.max(0, variance) };
   }
+
+  private _getTerms(group: ServingGroup, uses: readonly ImageUse[]): readonly ObservationTerm[] {
+    const own = { name: `own/${group.step}`, prior: OWN_PRIOR, weight: 1 };
+    const sums = uses
+      .filter(({ used }) => used > 0)
+      .reduce(
+        (found, { image, used }) => found.set(image, (found.get(image) ?? 0) + used),
+        new Map<string, number>(),
+      );
+    const pairs = [...sums].map(([image, used]) => ({
+      name: getPairName(image),
+      prior: this._priors.get(getPairKey(group.image, image)) ?? PAIR_PRIOR,
+      weight: -used,
+    }));
+    return [own, ...pairs];
+  }
 }
 
 /**
@@ -116,18 +169,10 @@
   return tailMs > 0 ? Math.min(MAX_SPEED, targetMs / tailMs) : MAX_SPEED;
 }
 
-function getTerms(group: ServingGroup, uses: readonly ImageUse[]): readonly ObservationTerm[] {
-  const own = { name: `own/${group.step}`, prior: OWN_PRIOR, weight: 1 };
-  const sums = uses
-    .filter(({ used }) => used > 0)
-    .reduce(
-      (found, { image, used }) => found.set(image, (found.get(image) ?? 0) + used),
-      new Map<string, number>(),
-    );
-  const pairs = [...sums].map(([image, used]) => ({
-    name: `pair/${image}`,
-    prior: PAIR_PRIOR,
-    weight: -used,
-  }));
-  return [own, ...pairs];
+function getPairName(image: string): string {
+  return `pair/${image}`;
+}
+
+function getPairKey(serving: string, image: string): string {
+  return `${serving}\n${image}`;
 }
--- /dev/null
+++ b/src/coordination/pool/PressureKeeper.ts
@@ -0,0 +1,79 @@
+/**
+ * Keeps in the store what the scheduler of a pool has learnt of its images, so that the next one
+ * need not try them again. Losing a save does no harm: it only has to be learnt anew.
+ */
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
+import { getPressureKey } from "../../state/pool/PoolKeys.ts";
+import type { PairPressure, PressureRecord } from "../../state/pool/records.ts";
+
+/** Time between two saves, in milliseconds: what is learnt within seconds may be lost. */
+const SAVE_INTERVAL_MS = 3_000;
+/** Digits of what is stored after the decimal point. */
+const DIGITS = 2;
+
+/** What a keeper needs. */
+export interface PressureKeeperParts {
+  readonly pool: string;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Gives what is known of the images. */
+  readonly getPairs: () => readonly PairPressure[];
+}
+
+/** Learnt pressure in the store. */
+export class PressureKeeper {
+  private readonly _parts: PressureKeeperParts;
+  private _revision: number | undefined;
+  private _saved = "";
+  private _nextSaveAt = 0;
+  private _isSaving = false;
+
+  /**
+   * Creates a keeper.
+   * @param parts - What it needs.
+   */
+  constructor(parts: PressureKeeperParts) {
+    this._parts = parts;
+  }
+
+  /** Saves what is due; most calls find that it is not time yet. */
+  tick(): void {
+    const { clock, getPairs } = this._parts;
+    const now = clock.now();
+    if (now < this._nextSaveAt || this._isSaving) {
+      return;
+    }
+    this._nextSaveAt = now + SAVE_INTERVAL_MS;
+    const record: PressureRecord = { pairs: getPairs().map(round) };
+    const value = JSON.stringify(record);
+    if (record.pairs.length > 0 && value !== this._saved) {
+      void this._save(value);
+    }
+  }
+
+  private async _save(value: string): Promise<void> {
+    const { pool, store, log } = this._parts;
+    const key = getPressureKey(pool);
+    this._isSaving = true;
+    const written = await store.write({ key, value, expected: this._revision ?? 0 });
+    this._isSaving = false;
+    if (written.isErr()) {
+      log.debug("What was learnt of images is not saved.", { pool, reason: written.error.detail });
+      return;
+    }
+    const result = written.value;
+    this._revision = result.kind === "written" ? result.revision : result.current?.revision;
+    this._saved = result.kind === "written" ? value : this._saved;
+  }
+}
+
+function round({ mean, variance, ...pair }: PairPressure): PairPressure {
+  return {
+    ...pair,
+    mean: Number(mean.toFixed(DIGITS)),
+    variance: Number(variance.toFixed(DIGITS)),
+  };
+}
--- a/src/state/pool/PoolKeys.ts
+++ b/src/state/pool/PoolKeys.ts
@@ -12,6 +12,9 @@
 /** Prefix of the agents' registrations. */
 export const AGENT_PREFIX = "agents/";
 
+/** Prefix of what schedulers have learnt of the images of their pools. */
+export const PRESSURE_PREFIX = "pressure/";
+
 /** A key of a job. */
 export interface JobKey {
   readonly kind: "job" | "cancel" | "progress";
@@ -61,3 +64,11 @@
 export function getAgentKey(agent: string): string {
   return `${AGENT_PREFIX}${agent}`;
 }
+
+/**
+ * Gives the key of what the schedulers of a pool have learnt of its images.
+ * @param pool - Name of the pool.
+ */
+export function getPressureKey(pool: string): string {
+  return `${PRESSURE_PREFIX}${pool}`;
+}
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -126,6 +126,30 @@
   process: z.string(),
 });
 
+/** How much an image on idle processors presses on one that serves; see PressureEstimator. */
+export interface PairPressure {
+  readonly serving: string;
+  readonly image: string;
+  readonly mean: number;
+  readonly variance: number;
+}
+
+/** What the schedulers of a pool have learnt of its images. */
+export interface PressureRecord {
+  readonly pairs: readonly PairPressure[];
+}
+
+const PressureRecordShape = z.object({
+  pairs: z.array(
+    z.object({
+      serving: z.string(),
+      image: z.string(),
+      mean: z.number(),
+      variance: z.number(),
+    }),
+  ),
+});
+
 /** A stored value that cannot be read, with the reason. */
 export interface UnreadableRecord {
   readonly detail: string;
@@ -163,6 +187,14 @@
   return readRecord(value, AgentRecordShape);
 }
 
+/**
+ * Reads what the schedulers of a pool have learnt.
+ * @param value - Value as stored.
+ */
+export function readPressureRecord(value: string): Result<PressureRecord, UnreadableRecord> {
+  return readRecord(value, PressureRecordShape);
+}
+
 function readRecord<T>(value: string, shape: z.ZodType<T>): Result<T, UnreadableRecord> {
   try {
     const parsed = shape.safeParse(JSON.parse(value));
--- /dev/null
+++ b/tests/coordination/pool/pressureKeeperTests.ts
@@ -0,0 +1,57 @@
+/**
+ * Tests of how what was learnt of images outlives its scheduler.
+ */
+import test from "ava";
+import { PressureKeeper } from "../../../src/coordination/pool/PressureKeeper.ts";
+import { getPressureKey } from "../../../src/state/pool/PoolKeys.ts";
+import { readPressureRecord, type PairPressure } from "../../../src/state/pool/records.ts";
+import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+import { MemoryLog } from "../../support/MemoryLog.ts";
+import { POOL } from "../../support/poolFixtures.ts";
+
+const SAVE_INTERVAL_MS = 3_000;
+
+function createPair(mean: number): PairPressure {
+  return { serving: "serving-a", image: "idle-a", mean, variance: 0.1 };
+}
+
+function createScene() {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const shared = { pool: POOL, store, clock, log: new MemoryLog() };
+  const read = async (): Promise<readonly PairPressure[]> => {
+    const entry = (await store.read(getPressureKey(POOL))).unwrapOr(undefined);
+    return readPressureRecord(entry?.value ?? "").unwrapOr({ pairs: [] }).pairs;
+  };
+  return { clock, store, shared, read };
+}
+
+test("PressureKeeper saves what was learnt, and what changes of it", async (t) => {
+  const { clock, shared, read } = createScene();
+  let pairs = [createPair(1)];
+  const keeper = new PressureKeeper({ ...shared, getPairs: () => pairs });
+  keeper.tick();
+  await clock.advance(SAVE_INTERVAL_MS);
+  t.deepEqual(await read(), pairs);
+  pairs = [createPair(2)];
+  keeper.tick();
+  await clock.advance(SAVE_INTERVAL_MS);
+  t.deepEqual(await read(), pairs);
+});
+
+test("PressureKeeper goes on after an outage, and over what a former scheduler has saved", async (t) => {
+  const { clock, store, shared, read } = createScene();
+  await store.write({ key: getPressureKey(POOL), value: '{"pairs":[]}', expected: 0 });
+  const keeper = new PressureKeeper({ ...shared, getPairs: () => [createPair(3)] });
+  store.startOutage();
+  keeper.tick();
+  await clock.advance(SAVE_INTERVAL_MS);
+  store.endOutage();
+  await [1, 2, 3].reduce(async (before) => {
+    await before;
+    keeper.tick();
+    await clock.advance(SAVE_INTERVAL_MS);
+  }, Promise.resolve());
+  t.deepEqual(await read(), [createPair(3)]);
+});
