Look variables of the Gaussian state up by position

The variance of a weighted sum took the whole matrix for each question; it now takes only the pairs of its terms.

--- a/src/coordination/disturbance/GaussianState.ts
+++ b/src/coordination/disturbance/GaussianState.ts
@@ -29,6 +29,8 @@
 export class GaussianState {
   private readonly _maxVariables: number;
   private _variables: readonly Variable[] = [];
+  /** Positions of the variables by name. */
+  private _positions: ReadonlyMap<string, number> = new Map();
   private _covariance: readonly (readonly number[])[] = [];
   private _updatedAt: number | undefined;
 
@@ -45,7 +47,7 @@
    * @param name - Name of the variable.
    */
   getMean(name: string): number | undefined {
-    return this._variables.find((variable) => variable.name === name)?.mean;
+    return this._variables[this._positions.get(name) ?? -1]?.mean;
   }
 
   /**
@@ -53,8 +55,8 @@
    * @param name - Name of the variable.
    */
   getVariance(name: string): number | undefined {
-    const index = this._variables.findIndex((variable) => variable.name === name);
-    return this._covariance[index]?.[index];
+    const position = this._positions.get(name) ?? -1;
+    return this._covariance[position]?.[position];
   }
 
   /**
@@ -62,13 +64,18 @@
    * @param terms - Variables with their weights; an unknown one counts with its prior.
    */
   getSumVariance(terms: readonly ObservationTerm[]): number {
-    const unknown = terms.filter((term) => this.getMean(term.name) === undefined);
-    const weights = this._getWeights(terms);
-    const known = dot(
-      this._covariance.map((row) => dot(row, weights)),
-      weights,
-    );
-    return unknown.reduce((sum, term) => sum + term.weight ** 2 * term.prior.variance, known);
+    return terms.reduce((sum, term, index) => {
+      const row = this._covariance[this._positions.get(term.name) ?? -1];
+      if (row === undefined) {
+        return sum + term.weight ** 2 * term.prior.variance;
+      }
+      // Each pair of terms occurs twice in the sum.
+      const shared = terms.slice(0, index).reduce((part, other) => {
+        const covariance = row[this._positions.get(other.name) ?? -1] ?? 0;
+        return part + 2 * term.weight * other.weight * covariance;
+      }, 0);
+      return sum + shared + term.weight ** 2 * (row[this._positions.get(term.name) ?? -1] ?? 0);
+    }, 0);
   }
 
   /**
@@ -95,9 +102,8 @@
   }
 
   private _getWeights(terms: readonly ObservationTerm[]): readonly number[] {
-    return this._variables.map(
-      (variable) => terms.find((term) => term.name === variable.name)?.weight ?? 0,
-    );
+    const weights = new Map(terms.map(({ name, weight }) => [name, weight]));
+    return this._variables.map(({ name }) => weights.get(name) ?? 0);
   }
 
   private _age(now: number): void {
@@ -117,7 +123,7 @@
   }
 
   private _ensure(term: ObservationTerm, now: number): void {
-    const known = this._variables.find((variable) => variable.name === term.name);
+    const known = this._variables[this._positions.get(term.name) ?? -1];
     if (known !== undefined) {
       known.usedAt = now;
       return;
@@ -126,17 +132,22 @@
       this._dropOldest();
     }
     const added = { name: term.name, prior: term.prior, mean: term.prior.mean, usedAt: now };
-    this._variables = [...this._variables, added];
+    this._setVariables([...this._variables, added]);
     this._covariance = [
       ...this._covariance.map((row) => [...row, 0]),
       this._variables.map((variable) => (variable === added ? term.prior.variance : 0)),
     ];
   }
 
+  private _setVariables(variables: readonly Variable[]): void {
+    this._variables = variables;
+    this._positions = new Map(variables.map(({ name }, position) => [name, position]));
+  }
+
   private _dropOldest(): void {
     const oldest = this._variables.reduce((a, b) => (b.usedAt < a.usedAt ? b : a));
     const dropped = this._variables.indexOf(oldest);
-    this._variables = this._variables.filter((_, index) => index !== dropped);
+    this._setVariables(this._variables.filter((_, index) => index !== dropped));
     this._covariance = this._covariance
       .filter((_, index) => index !== dropped)
       .map((row) => row.filter((_, index) => index !== dropped));
--- a/src/coordination/pool/PressureEstimator.ts
+++ b/src/coordination/pool/PressureEstimator.ts
@@ -34,7 +34,7 @@
 /** Speed that a measure counts as at most; measures overshoot. */
 const MAX_SPEED = 5;
 /** Most steps and images that are followed for a serving image. */
-const MAX_VARIABLES = 64;
+const MAX_VARIABLES = 48;
 
 /** Serving tasks of one step on a worker. */
 export interface ServingGroup {
