Write the log in the background, bounded, and say what was left out

Cause: lines were written synchronously, so a reader of standard output that stops held the process up.

Change: lines go through pino's asynchronous destination; at most 1 MB waits for the reader. Ordinary lines are left out from half of that on, warnings and errors only where it is full; a line says how many were. Submissions and cancellations that were refused, or whose outcome is unknown, are warnings now. Placements are logged at level info, so that where a task went shows by default.

Test: boundedLogStreamTests; with synchronous writing the test of a process whose standard output nobody reads does not end.

--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -294,7 +294,7 @@
     if (target.admission === "probe") {
       this._quarantine.noteProbe(agent, now);
     }
-    this._parts.log.debug("Run is placed.", { task: task.id, run, agent });
+    this._parts.log.info("Run is placed.", { task: task.id, run, agent });
     this._commits.enqueue(job.id, () => {
       this._director.startRecorded(task.id, run);
     });
--- a/src/coordination/pool/SubmissionDesk.ts
+++ b/src/coordination/pool/SubmissionDesk.ts
@@ -4,7 +4,7 @@
  * where the catalog does not know the job yet.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
-import type { Log } from "../../protocol/platform/Log.ts";
+import type { Log, LogFields } from "../../protocol/platform/Log.ts";
 import type { Store, StoreFailure, WriteResult } from "../../protocol/platform/Store.ts";
 import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
 import type { QueueConfig } from "../../protocol/pool/QueueConfig.ts";
@@ -80,7 +80,7 @@
     const record: JobRecord = { ...settings, acceptedAtMs, ...definition };
     const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
     const outcome = await this._create(key, JSON.stringify(record), deadline);
-    this._parts.log.info("Job was handed in.", { job: id, queue: name, outcome: outcome.kind });
+    this._noteOutcome("Job was handed in.", { job: id, queue: name }, outcome);
     const stored = this._parts.catalog.getJob(id)?.record;
     return stored !== undefined && stored.queue !== name ? { kind: "conflict" } : outcome;
   }
@@ -102,7 +102,7 @@
     // A job that is not there may still arrive, by a write that is under way; it must not run.
     const key = formatJobKey({ kind: "cancel", pool: queue.pool, job: id });
     const outcome = await this._create(key, "{}", deadline);
-    this._parts.log.info("Job was to be cancelled.", { job: id, outcome: outcome.kind });
+    this._noteOutcome("Job was to be cancelled.", { job: id, queue: queue.name }, outcome);
     return outcome.kind === "stored" && found.entry === undefined ? { kind: "not-found" } : outcome;
   }
 
@@ -129,6 +129,17 @@
     return this._parts.catalog.countPending(queue.name);
   }
 
+  /** What was not accepted must be found in the log, also where lines are left out. */
+  private _noteOutcome(sentence: string, fields: LogFields, outcome: DeskOutcome): void {
+    const { log } = this._parts;
+    const hasFailed = outcome.kind === "refused" || outcome.kind === "unknown";
+    if (hasFailed) {
+      log.warn(sentence, { ...fields, outcome: outcome.kind, reason: outcome.reason });
+    } else {
+      log.info(sentence, { ...fields, outcome: outcome.kind });
+    }
+  }
+
   private async _find(
     queue: QueueConfig,
     id: string,
--- a/src/transport/log/PinoLog.ts
+++ b/src/transport/log/PinoLog.ts
@@ -1,12 +1,15 @@
 /**
- * The log of a process: JSON lines by pino, written without worker threads. All parts share one
- * level, which can be changed at run time.
+ * The log of a process: JSON lines by pino, written in the background and bounded. All parts share
+ * one level, which can be changed at run time.
  */
 import { destination, pino, type DestinationStream, type Logger } from "pino";
 import { Log, type LogFields } from "../../protocol/platform/Log.ts";
 import { getLogLevel, type LogLevel } from "../../protocol/settings/LogLevel.ts";
+import { BoundedLogStream } from "./BoundedLogStream.ts";
 
 const STDOUT = 1;
+/** Most bytes of lines that wait for their reader: some thousand lines. */
+const MAX_PENDING_BYTES = 1_048_576;
 
 /** Log that writes JSON lines. */
 export class PinoLog extends Log {
@@ -28,7 +31,10 @@
   static create(
     level: LogLevel,
     process: string,
-    stream: DestinationStream = destination({ dest: STDOUT, sync: true }),
+    stream: DestinationStream = new BoundedLogStream(
+      destination({ dest: STDOUT, sync: false }),
+      MAX_PENDING_BYTES,
+    ),
   ): PinoLog {
     const options = {
       level,
