--- a/src/coordination/pool/PaceDirector.ts
+++ b/src/coordination/pool/PaceDirector.ts
@@ -27,6 +27,8 @@
 
 /** Lists of which the measures were taken in last. */
 interface MeasuredLists {
+  /** Incarnation of the worker. */
+  readonly worker: string;
   readonly callNumber: number;
   readonly at: number;
   /** Runs on idle processors that were among them. */
@@ -82,7 +84,10 @@
         .map((run) => [getKey(run), run]),
     );
     const runs = [...byKey].map(([key, run]) => toIdleRun(key, run, measures.get(key), report));
-    this._measured.set(agent, { callNumber, at: now, keys: new Set(byKey.keys()) });
+    this._measured.set(agent, { worker, callNumber, at: now, keys: new Set(byKey.keys()) });
+    if (last !== undefined && last.worker !== worker) {
+      this._guard.forget(last.worker);
+    }
     const decision = this._guard.decide({ worker, serving, runs, now });
     decision.paces.forEach(({ key, percent }) => {
       this._pace(byKey.get(key), percent, now);
--- a/src/coordination/pool/PressureEstimator.ts
+++ b/src/coordination/pool/PressureEstimator.ts
@@ -35,6 +35,8 @@
 const MAX_SPEED = 5;
 /** Most steps and images that are followed for a serving image. */
 const MAX_VARIABLES = 48;
+/** Most pairs that are remembered; the one that was seen longest ago is dropped first. */
+const MAX_PAIRS = 2_000;
 
 /** Serving tasks of one step on a worker. */
 export interface ServingGroup {
@@ -79,7 +81,7 @@
       const taken = Math.min(PAIR_PRIOR.variance, variance + TAKEN_OVER_VARIANCE);
       const { decayMs } = PAIR_PRIOR;
       this._priors.set(getPairKey(serving, image), { mean, variance: taken, decayMs });
-      this._pairs.set(getPairKey(serving, image), { serving, image });
+      this._remember(serving, image);
     });
   }
 
@@ -120,8 +122,7 @@
     uses
       .filter(({ used }) => used > 0)
       .forEach(({ image }) => {
-        const { image: serving } = group;
-        this._pairs.set(getPairKey(serving, image), { serving, image });
+        this._remember(group.image, image);
       });
   }
 
@@ -143,6 +144,17 @@
     return { mean, variance: Math.max(0, variance) };
   }
 
+  private _remember(serving: string, image: string): void {
+    const key = getPairKey(serving, image);
+    this._pairs.delete(key);
+    this._pairs.set(key, { serving, image });
+    const [oldest] = this._pairs.keys();
+    if (oldest !== undefined && this._pairs.size > MAX_PAIRS) {
+      this._pairs.delete(oldest);
+      this._priors.delete(oldest);
+    }
+  }
+
   private _getTerms(group: ServingGroup, uses: readonly ImageUse[]): readonly ObservationTerm[] {
     const own = { name: `own/${group.step}`, prior: OWN_PRIOR, weight: 1 };
     const sums = uses
--- a/tests/coordination/pool/pressureEstimatorTests.ts
+++ b/tests/coordination/pool/pressureEstimatorTests.ts
@@ -61,3 +61,12 @@
     [["serving-a", "heavy"]],
   );
 });
+
+test("PressureEstimator remembers a bounded number of pairs, the ones seen last", (t) => {
+  const learnt = Array.from({ length: 2_500 }, (_, index) => {
+    return { serving: "serving-a", image: `idle-${index}`, mean: 1, variance: 1 };
+  });
+  const pairs = new PressureEstimator(learnt).getPairs();
+  t.is(pairs.length, 2_000);
+  t.is(pairs.at(-1)?.image, "idle-2499");
+});
