Say why the state of a pool could not be read, how far the read came and how long it took

After an election the entry reads intake, progress and interference of its pool. When that failed, one line said so without naming the read or the failure, so the hypotheses on lost long-running tasks could not be told apart.

The line now has the outcome of each listing and the elapsed time; a failed response says how many bytes of it had arrived, a failed listing how many keys. The reader moves out of PoolCoordinator as it is. No change of logic.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -6,34 +6,24 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
-import type {
-  Store,
-  StoreChange,
-  StoreEntry,
-  StoreListing,
-} from "../../protocol/platform/Store.ts";
+import type { Store, StoreChange } from "../../protocol/platform/Store.ts";
 import { JobCatalog, type CatalogJob } from "../../state/pool/JobCatalog.ts";
 import {
   AGENT_PREFIX,
-  getInterferenceKey,
   getSchedulerKey,
   INTAKE_PREFIX,
-  parseJobKey,
   PROGRESS_PREFIX,
   SCHEDULER_PREFIX,
 } from "../../state/pool/PoolKeys.ts";
 import {
   parseAgentRecord,
-  parseInterferenceRecord,
-  parseProgressRecord,
   type AgentRecord,
-  type PairInterference,
   type SchedulerRecord,
 } from "../../state/pool/records.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { ConfirmationGuard } from "./ConfirmationGuard.ts";
 import { PoolScheduler } from "./PoolScheduler.ts";
-import type { StoredProgress } from "./PoolSchedulerDependencies.ts";
+import { PoolSnapshotReader, type PoolSnapshot } from "./PoolSnapshotReader.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
 import { SchedulerElection } from "./SchedulerElection.ts";
 import { StoreFollower } from "./StoreFollower.ts";
@@ -43,9 +33,6 @@
  * queries depend on it.
  */
 const PROGRESS_WATCH_INTERVAL_MS = 120;
-/** Delay before a failed read of a pool's state is retried, in milliseconds. */
-const LOAD_RETRY_MS = 150;
-
 /** Dependencies of PoolCoordinator. */
 export interface PoolCoordinatorDependencies {
   readonly identity: SchedulerRecord;
@@ -59,18 +46,12 @@
   readonly getTimeOfDay: () => number;
 }
 
-/** State of a pool as read from the store after an election. */
-interface PoolSnapshot {
-  readonly intake: StoreListing;
-  readonly progress: ReadonlyMap<string, StoredProgress>;
-  readonly interference: readonly PairInterference[];
-}
-
 /** Takes part in the scheduling of all pools for one entry. */
 export class PoolCoordinator {
   readonly catalog: JobCatalog;
   private readonly _deps: PoolCoordinatorDependencies;
   private readonly _confirmationGuard: ConfirmationGuard;
+  private readonly _snapshotReader: PoolSnapshotReader;
   private readonly _followers: readonly StoreFollower[];
   private readonly _elections = new Map<string, SchedulerElection>();
   private readonly _schedulers = new Map<string, PoolScheduler>();
@@ -85,6 +66,7 @@
   constructor(deps: PoolCoordinatorDependencies) {
     this._deps = deps;
     this._confirmationGuard = new ConfirmationGuard(deps.clock, deps.getTimeOfDay);
+    this._snapshotReader = new PoolSnapshotReader(deps);
     this.catalog = new JobCatalog({
       onAccepted: (job) => this._schedulers.get(job.pool)?.addJob(job),
       onCancelled: (job) => this._schedulers.get(job.pool)?.cancelJob(job.id),
@@ -239,8 +221,9 @@
 
   /** Reads a pool's state and starts its scheduler, unless the election has been lost by then. */
   private async _startScheduling(pool: string, epoch: number): Promise<void> {
-    const snapshot = await this._loadSnapshot(pool, epoch);
-    if (snapshot === undefined || this._elections.get(pool)?.epoch !== epoch || this._isStopped) {
+    const isElected = (): boolean => this._elections.get(pool)?.epoch === epoch && !this._isStopped;
+    const snapshot = await this._snapshotReader.read(pool, epoch, isElected);
+    if (snapshot === undefined || !isElected()) {
       return;
     }
     this.catalog.apply(snapshot.intake.entries);
@@ -263,55 +246,6 @@
     });
   }
 
-  private async _loadSnapshot(pool: string, epoch: number): Promise<PoolSnapshot | undefined> {
-    const { store, clock, log } = this._deps;
-    while (this._elections.get(pool)?.epoch === epoch && !this._isStopped) {
-      const [intake, progress, storedInterference] = await Promise.all([
-        store.list(`${INTAKE_PREFIX}${pool}/`),
-        store.list(`${PROGRESS_PREFIX}${pool}/`),
-        store.read(getInterferenceKey(pool)),
-      ]);
-      if (intake.isOk() && progress.isOk()) {
-        const interference = this._parseInterference(storedInterference.unwrapOr(undefined));
-        return {
-          intake: intake.value,
-          progress: this._parseProgress(progress.value),
-          interference,
-        };
-      }
-      log.warn("The state of a pool could not be read; the read is retried.", { pool });
-      await clock.sleep(LOAD_RETRY_MS);
-    }
-    return undefined;
-  }
-
-  /**
-   * Parses the stored interference estimates. They are optional: without them, interference is
-   * estimated anew.
-   */
-  private _parseInterference(entry: StoreEntry | undefined): readonly PairInterference[] {
-    const record = entry && parseInterferenceRecord(entry.value);
-    if (record?.isErr() === true) {
-      this._deps.log.error("A stored value cannot be parsed; it is ignored.", {
-        key: entry?.key ?? "",
-      });
-    }
-    return record?.unwrapOr({ pairs: [] }).pairs ?? [];
-  }
-
-  private _parseProgress(listing: StoreListing): ReadonlyMap<string, StoredProgress> {
-    const stored = listing.entries.flatMap((entry): readonly [string, StoredProgress][] => {
-      const job = parseJobKey(entry.key)?.job;
-      const record = parseProgressRecord(entry.value);
-      if (record.isErr() || job === undefined) {
-        this._deps.log.error("A stored value cannot be parsed; it is ignored.", { key: entry.key });
-        return [];
-      }
-      return [[job, { record: record.value, revision: entry.revision }]];
-    });
-    return new Map(stored);
-  }
-
   private _createScheduler(
     pool: string,
     epoch: number,
--- a/src/transport/http/JsonClient.ts
+++ b/src/transport/http/JsonClient.ts
@@ -5,6 +5,7 @@
 import { ResultAsync } from "neverthrow";
 import { Pool } from "undici";
 import { isUnsent } from "./isUnsent.ts";
+import { ResponseBody } from "./ResponseBody.ts";
 
 /** An HTTP call with a JSON body. */
 export interface JsonCall {
@@ -58,10 +59,13 @@
    * @param call - The call.
    */
   call(call: JsonCall): ResultAsync<JsonResponse, JsonFailure> {
-    return ResultAsync.fromPromise(this._send(call), toFailure);
+    const body = new ResponseBody();
+    return ResultAsync.fromPromise(this._send(call, body), (cause) =>
+      toFailure(cause, body.receivedBytes),
+    );
   }
 
-  private async _send(call: JsonCall): Promise<JsonResponse> {
+  private async _send(call: JsonCall, received: ResponseBody): Promise<JsonResponse> {
     const { statusCode, body } = await this._pool.request({
       method: call.method,
       path: call.path,
@@ -69,7 +73,10 @@
       body: call.body === undefined ? null : JSON.stringify(call.body),
       signal: AbortSignal.timeout(call.timeoutMs),
     });
-    return { status: statusCode, body: parseJson(await body.text()) };
+    for await (const chunk of body) {
+      received.append(chunk as Uint8Array);
+    }
+    return { status: statusCode, body: parseJson(received.toText()) };
   }
 }
 
@@ -81,12 +88,13 @@
   }
 }
 
-function toFailure(cause: unknown): JsonFailure {
+function toFailure(cause: unknown, receivedBytes: number): JsonFailure {
   const error = cause instanceof Error ? cause : new Error(String(cause));
+  const received = receivedBytes > 0 ? ` after ${receivedBytes} bytes of it` : "";
   if (error.name === "TimeoutError") {
-    return { kind: "timeout", mayHaveArrived: true, detail: "no response in time" };
+    return { kind: "timeout", mayHaveArrived: true, detail: `no response in time${received}` };
   }
   const code = "code" in error ? String(error.code) : "";
-  const detail = `${code} ${error.message}`.trim();
+  const detail = `${code} ${error.message}${received}`.trim();
   return { kind: "unavailable", mayHaveArrived: !isUnsent(cause), detail };
 }
