Reproduce lost long-running tasks in virtual time: a failing test

All entries restart; the one that is elected has a link over which the listing of the pool's jobs takes longer than the timeout of a call. It repeats the listing for ever and renews its lease, so that an entry with a wide link never schedules.

--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -104,10 +104,13 @@
   /**
    * Adds an entry.
    * @param name - Its name.
+   * @param store - Its connection to the store.
    */
-  addEntry(name: string): SimulatedEntry {
+  addEntry(
+    name: string,
+    store: MemoryStore = new MemoryStore(this.clock, this.storeModel),
+  ): SimulatedEntry {
     this._processCount += 1;
-    const store = new MemoryStore(this.clock, this.storeModel);
     const getTimeOfDay = (): number => this.clock.now();
     const entry: { isDisconnected: boolean; isStopped: boolean } = {
       isDisconnected: false,
--- /dev/null
+++ b/tests/coordination/pool/poolTakeoverTests.ts
@@ -0,0 +1,60 @@
+/**
+ * Tests of which entry schedules a pool and how it gets the pool's state, in virtual time: an entry
+ * that cannot do the work must not keep the pool from those that can.
+ */
+import test from "ava";
+import { createStep } from "../../support/poolFixtures.ts";
+import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+
+const JOB_COUNT = 12;
+const TASKS_PER_JOB = 2;
+/** Time within which a pool is scheduled again after all entries have restarted, in milliseconds. */
+const RECOVERY_MS = 15_000;
+
+function createId(number: number): string {
+  return number.toString(16).padStart(16, "0");
+}
+
+/** Creates a pool with long-running jobs. */
+async function createBusyPool(): Promise<PoolSimulation> {
+  const simulation = new PoolSimulation();
+  const entry = simulation.addEntry("entry-0");
+  const names = Array.from({ length: 8 }, (_, position) => `agent-${position}`);
+  await Promise.all(names.map((name) => simulation.addAgent(name)));
+  await simulation.clock.advance(3_000);
+  const steps = [createStep({ taskCount: TASKS_PER_JOB, longRunning: true })];
+  const definition = { payload: "", steps, schedule: undefined };
+  const numbers = Array.from({ length: JOB_COUNT }, (_, position) => position + 1);
+  await numbers.reduce<Promise<unknown>>(
+    (before, number) =>
+      before.then(() => simulation.submit(entry, createId(number), definition, undefined)),
+    Promise.resolve(),
+  );
+  return simulation;
+}
+
+function countRunning({ journal }: PoolSimulation): number {
+  return journal.filter(({ endedAt }) => endedAt === undefined).length;
+}
+
+// Guards against accepted long-running tasks that never run again after all entries have restarted,
+// because an entry that cannot read the pool's state is elected its scheduler and stays it.
+test("PoolCoordinator leaves a pool to an entry that can read its state", async (t) => {
+  const simulation = await createBusyPool();
+  t.is(countRunning(simulation), JOB_COUNT * TASKS_PER_JOB);
+  simulation.entries.forEach((entry) => {
+    simulation.killEntry(entry);
+  });
+  // All runs end with their leases.
+  await simulation.clock.advance(RECOVERY_MS);
+  t.is(countRunning(simulation), 0);
+  const { clock, storeModel } = simulation;
+  simulation.addEntry("narrow", new NarrowLinkStore(clock, storeModel, JOB_COUNT - 1));
+  await clock.advance(300);
+  const wide = simulation.addEntry("wide");
+  await clock.advance(RECOVERY_MS);
+  t.true(wide.coordinator.schedulers.size > 0, "the entry with a wide link does not schedule");
+  t.is(countRunning(simulation), JOB_COUNT * TASKS_PER_JOB);
+  t.deepEqual(simulation.findViolations(), []);
+});
--- /dev/null
+++ b/tests/support/NarrowLinkStore.ts
@@ -0,0 +1,45 @@
+/**
+ * Store behind a link that is too narrow for large responses: a listing that cannot be transferred
+ * before the timeout of a call fails, and so does every repetition of it.
+ */
+import { errAsync, ResultAsync } from "neverthrow";
+import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import type { StoreFailure, StoreListing } from "../../src/protocol/platform/Store.ts";
+import { MemoryStore } from "../../standins/store/MemoryStore.ts";
+import type { StoreModel } from "../../standins/store/StoreModel.ts";
+
+const CALL_TIMEOUT_MS = 1_000;
+
+/** Memory store whose large listings time out. */
+export class NarrowLinkStore extends MemoryStore {
+  /** Number of keys that a listing can transfer before the timeout. */
+  maxListedKeys: number;
+  private readonly _timeoutClock: Clock;
+
+  /**
+   * Creates a store.
+   * @param clock - Clock of leases, delays and timeouts.
+   * @param model - State, which other stores can share.
+   * @param maxListedKeys - Number of keys that a listing can transfer before the timeout.
+   */
+  constructor(clock: Clock, model: StoreModel, maxListedKeys: number) {
+    super(clock, model);
+    this._timeoutClock = clock;
+    this.maxListedKeys = maxListedKeys;
+  }
+
+  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
+    return super.list(prefix).andThen((listing) => {
+      if (listing.entries.length <= this.maxListedKeys) {
+        return ResultAsync.fromSafePromise(Promise.resolve(listing));
+      }
+      const failure: StoreFailure = {
+        kind: "timeout",
+        mayHaveWritten: false,
+        detail: "no response in time",
+      };
+      const timeout = ResultAsync.fromSafePromise(this._timeoutClock.sleep(CALL_TIMEOUT_MS));
+      return timeout.andThen(() => errAsync(failure));
+    });
+  }
+}
