Start a scheduler from the state that its entry follows, not from listings made anew

Callers saw long-running tasks that no longer ran after a takeover. An elected entry listed intake and progress again although its followers hold both, so each takeover moved the whole state of the pool over the entry's link, and one that could not finish within the timeout of a call never ended.

The catalog keeps the recorded progress. After an election the entry fetches only what has changed since its followers' last response, until they have passed the revision of its own election: no former scheduler can write progress after that. Changes received on the way are kept. Since the catalog now decides what is scheduled, a listing of accepted jobs replaces its content: a job removed while the entry missed changes is not run again.

'PoolCoordinator takes a pool over without listing its jobs again' failed before: 'the successor does not schedule'. 'JobCatalog drops the jobs that a later listing does not contain' could not be expressed before.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -8,31 +8,22 @@
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
 import type { Store, StoreChange } from "../../protocol/platform/Store.ts";
 import { JobCatalog, type CatalogJob } from "../../state/pool/JobCatalog.ts";
-import {
-  AGENT_PREFIX,
-  getSchedulerKey,
-  INTAKE_PREFIX,
-  PROGRESS_PREFIX,
-  SCHEDULER_PREFIX,
-} from "../../state/pool/PoolKeys.ts";
+import { AGENT_PREFIX, getSchedulerKey, SCHEDULER_PREFIX } from "../../state/pool/PoolKeys.ts";
 import {
   parseAgentRecord,
   type AgentRecord,
+  type PairInterference,
   type SchedulerRecord,
 } from "../../state/pool/records.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { ConfirmationGuard } from "./ConfirmationGuard.ts";
+import { JobFollower } from "./JobFollower.ts";
 import { PoolScheduler } from "./PoolScheduler.ts";
-import { PoolSnapshotReader, type PoolSnapshot } from "./PoolSnapshotReader.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
+import { readInterference } from "./readInterference.ts";
 import { SchedulerElection } from "./SchedulerElection.ts";
 import { StoreFollower } from "./StoreFollower.ts";
 
-/**
- * Minimum time between two watch calls for recorded progress, in milliseconds; only submitters'
- * queries depend on it.
- */
-const PROGRESS_WATCH_INTERVAL_MS = 120;
 /** Dependencies of PoolCoordinator. */
 export interface PoolCoordinatorDependencies {
   readonly identity: SchedulerRecord;
@@ -51,7 +42,7 @@
   readonly catalog: JobCatalog;
   private readonly _deps: PoolCoordinatorDependencies;
   private readonly _confirmationGuard: ConfirmationGuard;
-  private readonly _snapshotReader: PoolSnapshotReader;
+  private readonly _jobFollower: JobFollower;
   private readonly _followers: readonly StoreFollower[];
   private readonly _elections = new Map<string, SchedulerElection>();
   private readonly _schedulers = new Map<string, PoolScheduler>();
@@ -66,7 +57,6 @@
   constructor(deps: PoolCoordinatorDependencies) {
     this._deps = deps;
     this._confirmationGuard = new ConfirmationGuard(deps.clock, deps.getTimeOfDay);
-    this._snapshotReader = new PoolSnapshotReader(deps);
     this.catalog = new JobCatalog({
       onAccepted: (job) => this._schedulers.get(job.pool)?.addJob(job),
       onCancelled: (job) => this._schedulers.get(job.pool)?.cancelJob(job.id),
@@ -74,12 +64,17 @@
         deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason: detail });
       },
     });
+    this._jobFollower = new JobFollower({
+      ...this._followerDependencies,
+      catalog: this.catalog,
+      onListed: () => undefined,
+    });
     this._followers = this._createFollowers();
   }
 
   /** Whether all followed keys of the store have been received once. */
   get isSynced(): boolean {
-    return this._followers.every((follower) => follower.isSynced);
+    return this._jobFollower.isSynced && this._followers.every((follower) => follower.isSynced);
   }
 
   /** Schedulers that run at this entry, by pool. */
@@ -89,6 +84,7 @@
 
   /** Starts following the store. */
   start(): void {
+    this._jobFollower.start();
     this._followers.forEach((follower) => {
       follower.start();
     });
@@ -109,6 +105,7 @@
 
   /** Stops following the store. */
   stop(): void {
+    this._jobFollower.stop();
     this._followers.forEach((follower) => {
       follower.stop();
     });
@@ -131,21 +128,17 @@
       });
   }
 
-  private _createFollowers(): readonly StoreFollower[] {
+  private get _followerDependencies(): Pick<
+    PoolCoordinatorDependencies,
+    "store" | "clock" | "random" | "log"
+  > {
     const { store, clock, random, log } = this._deps;
-    const shared = { store, clock, random, log };
-    const applyJobs = (changes: readonly StoreChange[]): void => {
-      this.catalog.apply(changes);
-    };
-    const jobs = { onListing: applyJobs, onChanges: applyJobs };
+    return { store, clock, random, log };
+  }
+
+  private _createFollowers(): readonly StoreFollower[] {
+    const shared = this._followerDependencies;
     return [
-      new StoreFollower({ ...shared, ...jobs, prefix: INTAKE_PREFIX, minIntervalMs: 0 }),
-      new StoreFollower({
-        ...shared,
-        ...jobs,
-        prefix: PROGRESS_PREFIX,
-        minIntervalMs: PROGRESS_WATCH_INTERVAL_MS,
-      }),
       new StoreFollower({
         ...shared,
         prefix: SCHEDULER_PREFIX,
@@ -219,25 +212,30 @@
     });
   }
 
-  /** Reads a pool's state and starts its scheduler, unless the election has been lost by then. */
+  /**
+   * Starts the scheduler of a pool once all jobs and progress up to the election are known, unless
+   * the election has been lost by then.
+   */
   private async _startScheduling(pool: string, epoch: number): Promise<void> {
+    const { store, log } = this._deps;
     const isElected = (): boolean => this._elections.get(pool)?.epoch === epoch && !this._isStopped;
-    const snapshot = await this._snapshotReader.read(pool, epoch, isElected);
-    if (snapshot === undefined || !isElected()) {
+    const [isComplete, priors] = await Promise.all([
+      this._jobFollower.catchUp(epoch, isElected),
+      readInterference(pool, store, log),
+    ]);
+    if (!isComplete || !isElected()) {
       return;
     }
-    this.catalog.apply(snapshot.intake.entries);
-    const scheduler = this._createScheduler(pool, epoch, snapshot);
     const jobs = this.catalog.getJobs(pool);
-    jobs.forEach((job: CatalogJob) => {
-      scheduler.addJob(job, snapshot.progress.get(job.id)?.record);
+    const scheduler = this._createScheduler(pool, epoch, jobs, priors);
+    jobs.forEach((job) => {
+      scheduler.addJob(job);
     });
     this._schedulers.set(pool, scheduler);
     this._agents.forEach((record, name) => {
       updateAgent(pool, scheduler, name, record);
     });
     scheduler.start();
-    const { log } = this._deps;
     log.info("Scheduling of the pool has started.", {
       pool,
       epoch,
@@ -249,21 +247,12 @@
   private _createScheduler(
     pool: string,
     epoch: number,
-    { progress, interference }: PoolSnapshot,
+    jobs: readonly CatalogJob[],
+    priors: readonly PairInterference[],
   ): PoolScheduler {
     const { store, clock, log, timings, channel, getTimeOfDay } = this._deps;
     const schedulerDeps = {
-      ...{
-        pool,
-        epoch,
-        store,
-        clock,
-        log,
-        timings,
-        channel,
-        getTimeOfDay,
-        priors: interference,
-      },
+      ...{ pool, epoch, store, clock, log, timings, channel, getTimeOfDay, priors },
       confirmationGuard: this._confirmationGuard,
       getConfirmedAt: () => this._elections.get(pool)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
       onRecorded: this.catalog.updateProgress.bind(this.catalog),
@@ -271,7 +260,7 @@
         this._elections.get(pool)?.handleSuperseded();
       },
     };
-    return new PoolScheduler(schedulerDeps, progress);
+    return new PoolScheduler(schedulerDeps, jobs);
   }
 }
 
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -16,7 +16,7 @@
 import { OrderSender } from "./OrderSender.ts";
 import { PaceController } from "./PaceController.ts";
 import { PoolState } from "./PoolState.ts";
-import type { PoolSchedulerDependencies, StoredProgress } from "./PoolSchedulerDependencies.ts";
+import type { PoolSchedulerDependencies } from "./PoolSchedulerDependencies.ts";
 import { InterferenceWriter } from "./InterferenceWriter.ts";
 import { getTakeoverWaitMs } from "./PoolTimings.ts";
 import { AgentReportHandler } from "./AgentReportHandler.ts";
@@ -55,13 +55,13 @@
   /**
    * Creates the scheduler of an epoch.
    * @param deps - Dependencies.
-   * @param progress - Progress of the pool's jobs as read after the election.
+   * @param jobs - Accepted jobs of the pool with their progress, complete up to the epoch.
    */
-  constructor(deps: PoolSchedulerDependencies, progress: ReadonlyMap<string, StoredProgress>) {
+  constructor(deps: PoolSchedulerDependencies, jobs: readonly CatalogJob[]) {
     this._deps = deps;
     const { pool, timings, clock, log } = deps;
     this._state = new PoolState(pool, timings);
-    this._commitQueue = this._createCommitQueue(progress);
+    this._commitQueue = this._createCommitQueue(jobs);
     this._orders = this._createOrderSender();
     const shared = { state: this._state, clock, log };
     const stopRun = (taskRun: ActiveTaskRun, reason: string): void => {
@@ -143,11 +143,10 @@
 
   /**
    * Adds an accepted job; a known job is ignored.
-   * @param catalogJob - The job.
-   * @param progress - Its recorded progress; undefined if there is none.
+   * @param catalogJob - The job with its progress.
    */
-  addJob(catalogJob: CatalogJob, progress?: ProgressRecord): void {
-    const { record, id, isCancelled } = catalogJob;
+  addJob(catalogJob: CatalogJob): void {
+    const { record, id, isCancelled, progress } = catalogJob;
     if (record === undefined || this._state.getJob(id) !== undefined || this._isStopped) {
       return;
     }
@@ -203,9 +202,10 @@
     return !this._isStopped && confirmationGuard.isRecent(confirmedAt, timings.grantHorizonMs);
   }
 
-  private _createCommitQueue(progress: ReadonlyMap<string, StoredProgress>): CommitQueue {
+  private _createCommitQueue(jobs: readonly CatalogJob[]): CommitQueue {
     const { store, clock, log, pool, epoch, timings, onRecorded } = this._deps;
-    const revisions = new Map([...progress].map(([job, { revision }]) => [job, revision]));
+    const recorded = jobs.filter(({ progressRevision }) => progressRevision > 0);
+    const revisions = new Map(recorded.map(({ id, progressRevision }) => [id, progressRevision]));
     const queueDeps = {
       store,
       clock,
@@ -216,7 +216,7 @@
       getKey: (job: string) => formatJobKey({ kind: "progress", pool, job }),
       getValue: (job: string) => JSON.stringify(this._state.getJob(job)?.toRecord()),
       onWritten: (job: string, value: string, revision: number) => {
-        onRecorded(job, (JSON.parse(value) as ProgressRecord).phase, revision);
+        onRecorded(job, JSON.parse(value) as ProgressRecord, revision);
       },
       onSuperseded: () => {
         this._handleSuperseded();
--- a/src/coordination/pool/PoolSchedulerDependencies.ts
+++ b/src/coordination/pool/PoolSchedulerDependencies.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { Store } from "../../protocol/platform/Store.ts";
-import type { JobPhase, PairInterference, ProgressRecord } from "../../state/pool/records.ts";
+import type { PairInterference, ProgressRecord } from "../../state/pool/records.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import type { ConfirmationGuard } from "./ConfirmationGuard.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
@@ -26,13 +26,7 @@
   /** Gets when the store last confirmed the election, on the monotonic clock, in milliseconds. */
   readonly getConfirmedAt: () => number;
   /** Called with recorded progress. */
-  readonly onRecorded: (job: string, phase: JobPhase, revision: number) => void;
+  readonly onRecorded: (job: string, progress: ProgressRecord, revision: number) => void;
   /** Called when this scheduler is no longer the elected one. */
   readonly onSuperseded: () => void;
 }
-
-/** Progress of a job as read after the election. */
-export interface StoredProgress {
-  readonly record: ProgressRecord;
-  readonly revision: number;
-}
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -5,7 +5,12 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
-import type { Store, StoreChange, StoreFailure } from "../../protocol/platform/Store.ts";
+import type {
+  Store,
+  StoreChange,
+  StoreChanges,
+  StoreFailure,
+} from "../../protocol/platform/Store.ts";
 
 /** Delay after the first failed call, in milliseconds; doubles up to the maximum. */
 const INITIAL_RETRY_MS = 50;
@@ -14,6 +19,13 @@
  * store that responds again must be in use.
  */
 const MAX_RETRY_MS = 500;
+/** Time for which a call that only fetches past changes waits for one, in milliseconds. */
+const CATCH_UP_WAIT_MS = 1;
+const NOT_LISTED: StoreFailure = {
+  kind: "unavailable",
+  mayHaveWritten: false,
+  detail: "the keys have not been listed yet",
+};
 
 /** Dependencies of StoreFollower. */
 export interface StoreFollowerDependencies {
@@ -27,9 +39,9 @@
    * groups; 0 for no delay.
    */
   readonly minIntervalMs: number;
-  /** Receives all keys; a key that is not among them does not exist. */
-  readonly onListing: (entries: readonly StoreChange[]) => void;
-  /** Receives changes in order; some may already be known from a listing. */
+  /** Receives all keys; a key that is not among them did not exist at the revision. */
+  readonly onListing: (entries: readonly StoreChange[], revision: number) => void;
+  /** Receives changes in order, each once; some may already be known from a listing. */
   readonly onChanges: (changes: readonly StoreChange[]) => void;
 }
 
@@ -60,6 +72,22 @@
     return this._answeredAt;
   }
 
+  /**
+   * Revision up to which all changes have been received; undefined while the keys are not known
+   * completely.
+   */
+  get revision(): number | undefined {
+    return this._revision;
+  }
+
+  /**
+   * Fetches the changes that the store has already, without waiting for further ones.
+   * @returns The failure if the store could not be read.
+   */
+  async catchUp(): Promise<StoreFailure | undefined> {
+    return this._revision === undefined ? NOT_LISTED : this._watch(CATCH_UP_WAIT_MS);
+  }
+
   /** Starts following the keys. */
   start(): void {
     void this._run();
@@ -105,25 +133,35 @@
     }
     if (!this._isStopped) {
       this._answeredAt = this._deps.clock.now();
-      this._deps.onListing(listing.value.entries);
+      this._deps.onListing(listing.value.entries, listing.value.revision);
       this._revision = listing.value.revision;
     }
     return undefined;
   }
 
-  private async _watch(): Promise<StoreFailure | undefined> {
-    const changes = await this._deps.store.watch(this._deps.prefix, this._revision ?? 0);
+  private async _watch(waitMs?: number): Promise<StoreFailure | undefined> {
+    const after = this._revision ?? 0;
+    const changes = await this._deps.store.watch(this._deps.prefix, after, waitMs);
     if (changes.isErr()) {
       return changes.error;
     }
     if (!this._isStopped) {
       this._answeredAt = this._deps.clock.now();
-      this._revision = changes.value.revision;
-      this._deps.onChanges(changes.value.changes);
+      this._applyChanges(after, changes.value);
     }
     return undefined;
   }
 
+  /** Applies the changes that another call has not received before. */
+  private _applyChanges(after: number, { changes, revision }: StoreChanges): void {
+    const known = this._revision;
+    if (known === undefined || known < after || known >= revision) {
+      return;
+    }
+    this._revision = revision;
+    this._deps.onChanges(changes.filter((change) => change.revision > known));
+  }
+
   private _updateReachability(failure: StoreFailure | undefined): void {
     const isReachable = failure === undefined || failure.kind === "compacted";
     if (isReachable === this._isReachable) {
--- a/src/protocol/platform/Store.ts
+++ b/src/protocol/platform/Store.ts
@@ -112,8 +112,14 @@
    * Waits for changes under a prefix after a revision; resolves without changes after some time.
    * @param prefix - The prefix.
    * @param after - Revision after which changes are reported.
+   * @param waitMs - Longest wait for the first change, in milliseconds; if omitted, the adapter's
+   * own.
    */
-  abstract watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure>;
+  abstract watch(
+    prefix: string,
+    after: number,
+    waitMs?: number,
+  ): ResultAsync<StoreChanges, StoreFailure>;
 
   /**
    * Creates a lease and returns its id.
--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -20,8 +20,12 @@
   readonly pool: string;
   /** The job as it was accepted; undefined if only its cancellation or progress is known. */
   readonly record: JobRecord | undefined;
+  /** Revision at which the job was accepted; 0 if the job itself is not known. */
+  readonly acceptedRevision: number;
   readonly isCancelled: boolean;
   readonly phase: JobPhase;
+  /** Progress as last recorded; undefined if none is known. */
+  readonly progress: ProgressRecord | undefined;
   /** Revision of the known progress; 0 if none is known. */
   readonly progressRevision: number;
 }
@@ -92,16 +96,33 @@
     });
   }
 
+  /**
+   * Applies a complete listing of accepted jobs and cancellations. A job that it does not contain
+   * has been removed, unless it was accepted after the listing.
+   * @param entries - All keys.
+   * @param revision - Revision of the listing.
+   */
+  applyIntakeListing(entries: readonly StoreChange[], revision: number): void {
+    const keys = entries.map(({ key }) => parseJobKey(key));
+    const listed = new Set(keys.flatMap((key) => (key?.kind === "job" ? [key.job] : [])));
+    [...this._jobs.values()]
+      .filter((job) => job.record !== undefined && job.acceptedRevision <= revision)
+      .filter((job) => !listed.has(job.id))
+      .forEach((job) => this._jobs.delete(job.id));
+    this.apply(entries);
+  }
+
   /**
    * Updates the progress of a job that a scheduler in this process has recorded.
    * @param id - Id of the job.
-   * @param phase - Recorded phase.
+   * @param progress - Recorded progress.
    * @param revision - Revision of the record.
    */
-  updateProgress(id: string, phase: JobPhase, revision: number): void {
+  updateProgress(id: string, progress: ProgressRecord, revision: number): void {
     const job = this._jobs.get(id);
     if (job !== undefined && job.progressRevision < revision) {
-      this._jobs.set(id, { ...job, phase, progressRevision: revision });
+      const { phase } = progress;
+      this._jobs.set(id, { ...job, phase, progress, progressRevision: revision });
     }
   }
 
@@ -109,7 +130,7 @@
     const job = this._jobs.get(key.job) ?? createCatalogJob(key);
     switch (key.kind) {
       case "job":
-        this._applyJob(job, value, change.key);
+        this._applyJob(job, value, change);
         return;
       case "cancel":
         this._applyCancel(job);
@@ -119,13 +140,13 @@
     }
   }
 
-  private _applyJob(job: CatalogJob, value: string, key: string): void {
+  private _applyJob(job: CatalogJob, value: string, { key, revision }: StoreChange): void {
     if (job.record !== undefined) {
       return;
     }
     parseJobRecord(value).match(
       (record) => {
-        const known = { ...job, record };
+        const known = { ...job, record, acceptedRevision: revision };
         this._jobs.set(job.id, known);
         this._listener.onAccepted(known);
       },
@@ -149,8 +170,8 @@
     }
     parseProgressRecord(value).match(
       (progress: ProgressRecord) => {
-        const progressRevision = change.revision;
-        this._jobs.set(job.id, { ...job, phase: progress.phase, progressRevision });
+        const { phase } = progress;
+        this._jobs.set(job.id, { ...job, phase, progress, progressRevision: change.revision });
       },
       (reason) => {
         this._listener.onUnreadable(change.key, reason);
@@ -176,5 +197,14 @@
 
 function createCatalogJob(key: JobKey): CatalogJob {
   const { job: id, pool } = key;
-  return { id, pool, record: undefined, isCancelled: false, phase: "queued", progressRevision: 0 };
+  return {
+    id,
+    pool,
+    record: undefined,
+    acceptedRevision: 0,
+    isCancelled: false,
+    phase: "queued",
+    progress: undefined,
+    progressRevision: 0,
+  };
 }
--- a/src/transport/store/CountingStore.ts
+++ b/src/transport/store/CountingStore.ts
@@ -51,8 +51,12 @@
     return this._count("remove", this._store.remove(key, expected));
   }
 
-  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
-    return this._count("watch", this._store.watch(prefix, after));
+  override watch(
+    prefix: string,
+    after: number,
+    waitMs?: number,
+  ): ResultAsync<StoreChanges, StoreFailure> {
+    return this._count("watch", this._store.watch(prefix, after, waitMs));
   }
 
   override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -99,13 +99,17 @@
     return this._write("/v1/remove", { key, expected }, writeReplySchema).map(toWriteResult);
   }
 
-  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+  override watch(
+    prefix: string,
+    after: number,
+    waitMs = WATCH_WAIT_MS,
+  ): ResultAsync<StoreChanges, StoreFailure> {
     const call = {
       path: "/v1/watch",
-      body: { prefix, after, waitMs: WATCH_WAIT_MS },
+      body: { prefix, after, waitMs },
       reply: changesReplySchema,
       writes: false,
-      timeoutMs: WATCH_WAIT_MS + this._timeoutMs,
+      timeoutMs: waitMs + this._timeoutMs,
     };
     return this._call(call).map((reply) => ({
       revision: reply.revision,
--- a/standins/store/MemoryStore.ts
+++ b/standins/store/MemoryStore.ts
@@ -125,8 +125,12 @@
     return this._write(() => ok(this.model.remove(key, expected)));
   }
 
-  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
-    return this._read(() => ok(undefined)).andThen(() => this._wait(prefix, after));
+  override watch(
+    prefix: string,
+    after: number,
+    waitMs = WATCH_WAIT_MS,
+  ): ResultAsync<StoreChanges, StoreFailure> {
+    return this._read(() => ok(undefined)).andThen(() => this._wait(prefix, after, waitMs));
   }
 
   override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
@@ -180,10 +184,14 @@
     return this.faults.outage ? errAsync(unreachable()) : okAsync(undefined);
   }
 
-  private _wait(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
+  private _wait(
+    prefix: string,
+    after: number,
+    waitMs: number,
+  ): ResultAsync<StoreChanges, StoreFailure> {
     return new ResultAsync(
       new Promise<Result<StoreChanges, StoreFailure>>((resolve) => {
-        const timer = this._clock.after(WATCH_WAIT_MS, () => {
+        const timer = this._clock.after(waitMs, () => {
           pending.finish();
         });
         const fail = (): void => {
--- a/tests/coordination/pool/poolTakeoverTests.ts
+++ b/tests/coordination/pool/poolTakeoverTests.ts
@@ -11,6 +11,8 @@
 const TASKS_PER_JOB = 2;
 /** Time within which a pool is scheduled again after all entries have restarted, in milliseconds. */
 const RECOVERY_MS = 15_000;
+/** Time within which another entry takes over after a crash of the scheduler, in milliseconds. */
+const TAKEOVER_MS = 3_000;
 
 function createId(number: number): string {
   return number.toString(16).padStart(16, "0");
@@ -58,3 +60,24 @@
   t.is(countRunning(simulation), JOB_COUNT * TASKS_PER_JOB);
   t.deepEqual(simulation.findViolations(), []);
 });
+
+// Guards against a takeover whose duration grows with the state of the pool.
+test("PoolCoordinator takes a pool over without listing its jobs again", async (t) => {
+  const simulation = await createBusyPool();
+  const { clock, storeModel } = simulation;
+  const store = new NarrowLinkStore(clock, storeModel, JOB_COUNT);
+  const successor = simulation.addEntry("entry-1", store);
+  await clock.advance(1_000);
+  store.maxListedKeys = 0;
+  simulation.entries
+    .filter((entry) => entry !== successor)
+    .forEach((entry) => {
+      simulation.killEntry(entry);
+    });
+  await clock.advance(TAKEOVER_MS);
+  t.true(successor.coordinator.schedulers.size > 0, "the successor does not schedule");
+  await clock.advance(RECOVERY_MS);
+  t.is(countRunning(simulation), JOB_COUNT * TASKS_PER_JOB);
+  t.is(simulation.journal.length, JOB_COUNT * TASKS_PER_JOB, "a run was started again");
+  t.deepEqual(simulation.findViolations(), []);
+});
--- /dev/null
+++ b/tests/state/pool/jobCatalogTests.ts
@@ -0,0 +1,65 @@
+/**
+ * Tests of the catalog of jobs that an entry maintains from the store.
+ */
+import test from "ava";
+import { formatJobKey } from "../../../src/state/pool/PoolKeys.ts";
+import { JobCatalog } from "../../../src/state/pool/JobCatalog.ts";
+import type { JobRecord } from "../../../src/state/pool/records.ts";
+import { createStep, POOL } from "../../support/poolFixtures.ts";
+
+const RECORD: JobRecord = {
+  queue: "queue-a",
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 2,
+  latencyTargetMs: 500,
+  acceptedAtMs: 0,
+  payload: "",
+  steps: [createStep()],
+  schedule: undefined,
+};
+
+function createCatalog(): JobCatalog {
+  const ignore = (): void => undefined;
+  return new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore });
+}
+
+function createJobEntry(job: string, revision: number) {
+  const key = formatJobKey({ kind: "job", pool: POOL, job });
+  return { key, value: JSON.stringify(RECORD), revision };
+}
+
+// Guards against a job that was removed while the entry missed changes and that its next scheduler
+// would run again.
+test("JobCatalog drops the jobs that a later listing does not contain", (t) => {
+  const catalog = createCatalog();
+  catalog.apply([createJobEntry("a", 5), createJobEntry("b", 6)]);
+  catalog.applyIntakeListing([createJobEntry("b", 6)], 10);
+  t.deepEqual(
+    catalog.getJobs(POOL).map(({ id }) => id),
+    ["b"],
+  );
+});
+
+test("JobCatalog retains a job that was accepted after a listing was made", (t) => {
+  const catalog = createCatalog();
+  catalog.apply([createJobEntry("a", 11)]);
+  catalog.applyIntakeListing([], 10);
+  t.deepEqual(
+    catalog.getJobs(POOL).map(({ id }) => id),
+    ["a"],
+  );
+});
+
+test("JobCatalog retains the latest progress of a job, whichever order it arrives in", (t) => {
+  const catalog = createCatalog();
+  catalog.apply([createJobEntry("a", 5)]);
+  const key = formatJobKey({ kind: "progress", pool: POOL, job: "a" });
+  const later = { phase: "completed", tasks: { "0.0.0": { run: 1, done: true } } } as const;
+  catalog.updateProgress("a", later, 9);
+  catalog.apply([{ key, value: JSON.stringify({ phase: "running", tasks: {} }), revision: 8 }]);
+  const job = catalog.getJob("a");
+  t.deepEqual(job?.progress, later);
+  t.is(job?.progressRevision, 9);
+  t.is(job?.phase, "completed");
+});
--- a/tests/support/PausableProcess.ts
+++ b/tests/support/PausableProcess.ts
@@ -127,8 +127,12 @@
     return this._deliverWhenResumed(this._store.remove(key, expected));
   }
 
-  override watch(prefix: string, after: number): ResultAsync<StoreChanges, StoreFailure> {
-    return this._deliverWhenResumed(this._store.watch(prefix, after));
+  override watch(
+    prefix: string,
+    after: number,
+    waitMs?: number,
+  ): ResultAsync<StoreChanges, StoreFailure> {
+    return this._deliverWhenResumed(this._store.watch(prefix, after, waitMs));
   }
 
   override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
