Answer a watch of the platform store's stand-in whose changes are there already

The stand-in cancelled a timer before it existed when the model responded at once; the call got status 400 and a follower repeated it for ever. Catching up after an election makes such calls.

'KvServer responds to a watch whose changes are there already' failed before: 'the store answered with status 400'.

--- a/standins/platform/KvServer.ts
+++ b/standins/platform/KvServer.ts
@@ -11,7 +11,7 @@
   type JsonReply,
   type JsonRequest,
 } from "../support/JsonServer.ts";
-import { StoreModel } from "../store/StoreModel.ts";
+import { StoreModel, type ModelWatchResult } from "../store/StoreModel.ts";
 
 const Txn = z.object({
   precondition: z.array(z.object({ key: z.string(), revision: z.number() })),
@@ -101,30 +101,30 @@
   }
 
   private async _watch({ query, disconnected }: JsonRequest): Promise<JsonReply> {
-    return new Promise((resolve) => {
+    const result = await new Promise<ModelWatchResult>((resolve) => {
       const after = Number(query.get("after"));
-      const pending = this.model.watch(query.get("prefix") ?? "", after, (result) => {
-        timer.cancel();
-        resolve(
-          result.kind === "compacted"
-            ? createReply({}, 410)
-            : createReply({
-                as_of: result.revision,
-                events: result.changes.map(({ key, value, revision }) =>
-                  value === undefined
-                    ? { key, revision, tombstone: true }
-                    : this._toItem({ key, value, revision }),
-                ),
-              }),
-        );
-      });
+      const pending = this.model.watch(query.get("prefix") ?? "", after, resolve);
       const timer = this._clock.after(Number(query.get("wait_ms")), () => {
         pending.finish();
       });
       disconnected.addEventListener("abort", () => {
         timer.cancel();
+        pending.finish();
       });
     });
+    return this._createWatchReply(result);
+  }
+
+  private _createWatchReply(result: ModelWatchResult): JsonReply {
+    if (result.kind === "compacted") {
+      return createReply({}, 410);
+    }
+    const events = result.changes.map(({ key, value, revision }) =>
+      value === undefined
+        ? { key, revision, tombstone: true }
+        : this._toItem({ key, value, revision }),
+    );
+    return createReply({ as_of: result.revision, events });
   }
 
   private _transact(req: JsonRequest): JsonReply {
