Open a quarantined worker once a long-running probe is at work on it

Callers saw accepted long-running tasks that did not run although there was room. A quarantined worker gets one task as a probe, and only a run that is done or has failed ended the probe. The first task in line is mostly a long-running one, which does neither: the worker stayed closed for 60 s although it was sound. The same held for a probe that was stopped, lapsed or lost.

A long-running run that has been at work for a second counts as a success of its worker. A probe that ends without a result is released, so that another one can be placed; the probe is identified by its run. Quarantine, release and probe are in the log, which said nothing of them.

'WorkerQuarantine opens a worker on which a long-running probe is at work' failed before: 5 of 6 tasks ran. 'WorkerQuarantine allows another probe after one that ended without a result' could not be expressed before.

--- a/src/coordination/placement/WorkerQuarantine.ts
+++ b/src/coordination/placement/WorkerQuarantine.ts
@@ -1,7 +1,8 @@
 /**
  * Quarantine of workers whose tasks fail. A worker whose failures are not explained by the kinds of
- * its jobs gets no task for some time, then one task as a probe. A completed probe ends the
- * quarantine; a failed one doubles it. Only a limited share of the fleet is quarantined.
+ * its jobs gets no task for some time, then one task as a probe. A probe that succeeds ends the
+ * quarantine, a failed one doubles it, and one that ends without a result is repeated. Only a limited
+ * share of the fleet is quarantined.
  */
 import type { AttemptResult } from "../batch/Placer.ts";
 import { KindOutcomes } from "./KindOutcomes.ts";
@@ -22,6 +23,8 @@
   readonly periodMs: number;
   /** When the last probe was placed; undefined if none is in progress. */
   readonly probedAt: number | undefined;
+  /** Attempt that is the probe; empty if the caller did not name it. */
+  readonly probe: string;
 }
 
 const HEALTHY: Health = {
@@ -29,11 +32,15 @@
   until: undefined,
   periodMs: INITIAL_PERIOD_MS,
   probedAt: undefined,
+  probe: "",
 };
 
 /** How a VM may be used in a scheduling cycle. */
 export type Admission = "open" | "probe" | "closed";
 
+/** What the result of an attempt changes for its worker. */
+export type QuarantineChange = "none" | "quarantined" | "released";
+
 /** Quarantines workers by the results of their attempts. */
 export class WorkerQuarantine {
   private readonly _outcomes = new KindOutcomes();
@@ -42,9 +49,11 @@
   /**
    * Records the result of an attempt.
    * @param result - Result of the attempt.
+   * @returns What the result changes for its worker.
    */
-  record(result: AttemptResult): void {
+  record(result: AttemptResult): QuarantineChange {
     const { agent, kind, outcome } = result;
+    const wasQuarantined = this._isQuarantined(agent);
     if (outcome === "completed") {
       this._outcomes.record(agent, kind, true);
       this._workers.delete(agent);
@@ -54,6 +63,10 @@
       this._outcomes.record(agent, kind, false);
       this._addFailure(agent, score, result.now);
     }
+    if (this._isQuarantined(agent) === wasQuarantined) {
+      return "none";
+    }
+    return wasQuarantined ? "released" : "quarantined";
   }
 
   /**
@@ -77,11 +90,25 @@
    * Records that a probe was placed.
    * @param agent - Agent of the VM.
    * @param now - Monotonic time in milliseconds.
+   * @param probe - Name of the attempt; required for `releaseProbe`.
    */
-  recordProbe(agent: string, now: number): void {
+  recordProbe(agent: string, now: number, probe = ""): void {
     const health = this._workers.get(agent);
     if (health !== undefined) {
-      this._workers.set(agent, { ...health, probedAt: now });
+      this._workers.set(agent, { ...health, probedAt: now, probe });
+    }
+  }
+
+  /**
+   * Records that an attempt ended without saying anything about its worker, so that another probe
+   * may be placed if it was the probe.
+   * @param agent - Agent of the VM.
+   * @param probe - Name of the attempt.
+   */
+  releaseProbe(agent: string, probe: string): void {
+    const health = this._workers.get(agent);
+    if (health?.probe === probe) {
+      this._workers.set(agent, { ...health, probedAt: undefined, probe: "" });
     }
   }
 
@@ -95,6 +122,10 @@
       .forEach((agent) => this._workers.delete(agent));
   }
 
+  private _isQuarantined(agent: string): boolean {
+    return this._workers.get(agent)?.until !== undefined;
+  }
+
   private _addFailure(agent: string, score: number, now: number): void {
     const health = this._workers.get(agent) ?? HEALTHY;
     const total = health.failureScore + score;
@@ -106,7 +137,7 @@
     const failedProbe = health.probedAt !== undefined;
     const periodMs = failedProbe ? Math.min(2 * health.periodMs, MAX_PERIOD_MS) : health.periodMs;
     const until = failedProbe ? now + periodMs : health.until;
-    this._workers.set(agent, { failureScore: total, until, periodMs, probedAt: undefined });
+    this._workers.set(agent, { ...HEALTHY, failureScore: total, until, periodMs });
   }
 
   private static _getAdmission(health: Health, now: number): Admission {
--- a/src/coordination/pool/ActiveRunTable.ts
+++ b/src/coordination/pool/ActiveRunTable.ts
@@ -68,6 +68,14 @@
   }
 }
 
+/**
+ * Returns the name of a run, which no other run has.
+ * @param taskRun - The run.
+ */
+export function getRunKey({ task, active }: ActiveTaskRun): string {
+  return `${task.id} ${active.run}`;
+}
+
 /**
  * Returns the step of a task as text, for counting the tasks of a step.
  * @param address - The task.
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -114,6 +114,9 @@
         ackTracker.addEnd(ended.number);
         ackTracker.markRecorded(ended.number);
       },
+      onRunAtWork: (taskRun) => {
+        updater.handleRunAtWork(taskRun);
+      },
       onRunLost: (taskRun, reason) => {
         updater.handleLostRun(taskRun, reason);
       },
--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -11,7 +11,13 @@
 import type { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import type { CommitQueue } from "./CommitQueue.ts";
 import type { PoolState } from "./PoolState.ts";
-import type { ActiveTaskRun } from "./ActiveRunTable.ts";
+import { getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+
+/** What the outcome of a run says about its worker; nothing if it is absent. */
+const RESULT_BY_OUTCOME: Partial<Record<RunOutcome, "completed" | "failed">> = {
+  done: "completed",
+  failed: "failed",
+};
 
 /** Dependencies of JobUpdater. */
 export interface JobUpdaterDependencies {
@@ -78,6 +84,7 @@
     const { state, commits, log } = this._deps;
     const { run, agent, worker } = active;
     log.info("Run is lost; its task waits again.", { task: task.id, run, agent, worker, reason });
+    this._deps.quarantine.releaseProbe(agent, getRunKey({ task, active }));
     state.activeRuns.remove(task, active);
     commits.enqueue(task.address.job);
   }
@@ -112,6 +119,18 @@
     }
   }
 
+  /**
+   * Counts a long-running run that has been at work for some time as a success of its worker: it
+   * has no end that could count.
+   * @param taskRun - The run.
+   */
+  handleRunAtWork(taskRun: ActiveTaskRun): void {
+    const job = this._deps.state.getJobOf(taskRun.task);
+    if (job !== undefined) {
+      this._recordOutcome(job, taskRun, "done");
+    }
+  }
+
   private _complete(job: JobState, task: TaskState): void {
     const step = getStepOf(job, task);
     // The tasks of a gang end together, so the end of one counts for all.
@@ -167,12 +186,20 @@
     });
   }
 
-  private _recordOutcome(job: JobState, { active }: ActiveTaskRun, outcome: RunOutcome): void {
-    const result = outcome === "done" ? "completed" : outcome === "failed" ? "failed" : undefined;
-    if (result !== undefined) {
-      const { agent } = active;
-      const kind = job.record.queue;
-      this._deps.quarantine.record({ agent, kind, outcome: result, now: this._deps.clock.now() });
+  private _recordOutcome(job: JobState, taskRun: ActiveTaskRun, runOutcome: RunOutcome): void {
+    const { quarantine, clock, log } = this._deps;
+    const { agent, run } = taskRun.active;
+    const outcome = RESULT_BY_OUTCOME[runOutcome];
+    if (outcome === undefined) {
+      quarantine.releaseProbe(agent, getRunKey(taskRun));
+      return;
+    }
+    const change = quarantine.record({ agent, kind: job.record.queue, outcome, now: clock.now() });
+    const fields = { agent, task: taskRun.task.id, run };
+    if (change === "quarantined") {
+      log.warn("Worker is quarantined, since runs fail on it.", fields);
+    } else if (change === "released") {
+      log.info("Worker is out of quarantine, since a run succeeded on it.", fields);
     }
   }
 }
--- a/src/coordination/pool/PaceController.ts
+++ b/src/coordination/pool/PaceController.ts
@@ -14,7 +14,7 @@
 import { InterferenceEstimator } from "./InterferenceEstimator.ts";
 import type { PairInterference } from "../../state/pool/records.ts";
 import type { PoolState } from "./PoolState.ts";
-import { getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import { getRunKey, getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import { TailLatencyFilter } from "./TailLatencyFilter.ts";
 
 /** Minimum time between two evaluated measurements, in milliseconds: each covers half a second. */
@@ -85,12 +85,12 @@
       report.running.map((run) => [`${run.task} ${run.run}`, run.measure]),
     );
     const serving = activeRuns.flatMap((run) =>
-      this._getServingMeasurements(run, measurements.get(getKey(run)), now),
+      this._getServingMeasurements(run, measurements.get(getRunKey(run)), now),
     );
     const byKey = new Map(
       activeRuns
         .filter(({ task }) => task.definition.usesIdleProcessors)
-        .map((run) => [getKey(run), run]),
+        .map((run) => [getRunKey(run), run]),
     );
     const runs = [...byKey].map(([key, run]) =>
       toIdleProcessorRun(key, run, measurements.get(key), report),
@@ -117,7 +117,9 @@
    * @param taskRun - The run.
    */
   isMeasured(taskRun: ActiveTaskRun): boolean {
-    return this._lastMeasurements.get(taskRun.active.agent)?.runKeys.has(getKey(taskRun)) === true;
+    return (
+      this._lastMeasurements.get(taskRun.active.agent)?.runKeys.has(getRunKey(taskRun)) === true
+    );
   }
 
   /** Returns the runs that their workers tolerated only at a low pace at the last measurement. */
@@ -169,7 +171,7 @@
     if (targetMs === undefined || tailMs === undefined || active.percent < FULL_PERCENT) {
       return [];
     }
-    const key = getKey({ task, active });
+    const key = getRunKey({ task, active });
     const currentMs = this._tailLatencyFilter.update(key, tailMs, now);
     return [{ image, step: getStepKey(task.address), targetMs, tailMs, currentMs }];
   }
@@ -186,7 +188,3 @@
   const demand = Math.min(1, resources.processorsMilli / totalMilli);
   return { key, image, used: usedMilli / totalMilli, percent: active.pacePercent, demand };
 }
-
-function getKey({ task, active }: ActiveTaskRun): string {
-  return `${task.id} ${active.run}`;
-}
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -22,7 +22,7 @@
 import { AgentReportHandler } from "./AgentReportHandler.ts";
 import type { PlannedRun } from "./taskPlacement.ts";
 import { CyclePlanner } from "./CyclePlanner.ts";
-import type { ActiveTaskRun } from "./ActiveRunTable.ts";
+import { getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import { RunController } from "./RunController.ts";
 
 /**
@@ -294,13 +294,15 @@
     const active = task.addRun({ agent, worker }, now, run);
     this._state.activeRuns.add(task, active);
     job.updatePhase();
-    if (target.admission === "probe") {
-      this._quarantine.recordProbe(agent, now);
+    const isProbe = target.admission === "probe";
+    if (isProbe) {
+      this._quarantine.recordProbe(agent, now, getRunKey({ task, active }));
     }
     this._deps.log.info("Run is placed on a worker; its start is being recorded.", {
       task: task.id,
       run,
       agent,
+      ...(isProbe ? { isProbe } : {}),
     });
     this._commitQueue.enqueue(job.id, () => {
       this._runController.startRecorded(task.id, run);
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -10,6 +10,10 @@
 import type { WorkerReport } from "./AgentChannel.ts";
 import type { ActiveTaskRun, ActiveRunTable } from "./ActiveRunTable.ts";
 
+const FULL_PERCENT = 100;
+/** Time for which a long-running run is at work before it counts as a success, in milliseconds. */
+const MIN_WORK_MS = 1_000;
+
 /** Callbacks for the differences between a report and the active runs. */
 export interface ReconcilerCallbacks {
   /** Returns a task; undefined if it is unknown. */
@@ -18,6 +22,8 @@
   readonly onRunEnded: (taskRun: ActiveTaskRun, ended: EndedRun) => void;
   /** A run that is not active has ended; nothing needs to be recorded. */
   readonly onUnknownRunEnded: (ended: EndedRun) => void;
+  /** A long-running run has been at work for some time. */
+  readonly onRunAtWork: (taskRun: ActiveTaskRun) => void;
   /** The worker does not have an active run and will never start it. */
   readonly onRunLost: (taskRun: ActiveTaskRun, reason: string) => void;
   /** The worker lists a run that is not active there. */
@@ -98,13 +104,18 @@
     }
     const { task, active } = taskRun;
     task.updateCheckpoint(running.checkpoint);
+    const isAtWork = isWorking(taskRun, running, now);
     const hasBegun = active.phase === "ordered" || active.phase === "unconfirmed";
     const hasProgressed = running.percent > active.percent;
     task.updateRun(active.run, {
       percent: running.percent,
+      isAtWork: active.isAtWork || isAtWork,
       progressedAt: hasProgressed || hasBegun ? now : active.progressedAt,
       ...(hasBegun ? { phase: "running", since: now, callNumber: 0 } : {}),
     });
+    if (isAtWork && !active.isAtWork) {
+      this._callbacks.onRunAtWork(taskRun);
+    }
   }
 
   private _reportMissing(input: ReportInput): void {
@@ -129,6 +140,16 @@
   }
 }
 
+/** Returns whether a long-running run has been at work for some time. */
+function isWorking({ task, active }: ActiveTaskRun, running: RunningRun, now: number): boolean {
+  return (
+    task.definition.longRunning &&
+    active.phase === "running" &&
+    running.percent >= FULL_PERCENT &&
+    now - active.since >= MIN_WORK_MS
+  );
+}
+
 /** Returns whether lists made by a call would contain the run if it existed. */
 function shouldBeListed(active: ActiveRun, callNumber: number): boolean {
   return (
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -30,6 +30,8 @@
   readonly since: number;
   /** Progress that the worker listed last, as a percentage from 0 to 100. */
   readonly percent: number;
+  /** Whether it is a long-running run that has been at work for some time. */
+  readonly isAtWork: boolean;
   /** When the progress last increased, on the scheduler's monotonic clock, in milliseconds. */
   readonly progressedAt: number;
   /** Pace that was last ordered, as a percentage of the full speed, from 0 to 100. */
@@ -117,6 +119,7 @@
       phase: "unconfirmed",
       since: now,
       percent: 0,
+      isAtWork: false,
       progressedAt: now,
       pacePercent: 100,
       callNumber: undefined,
@@ -143,6 +146,7 @@
       phase: "recording",
       since: now,
       percent: 0,
+      isAtWork: false,
       progressedAt: now,
       pacePercent: 100,
       callNumber: undefined,
