Bound the time without progress of a JSON call, not the whole transfer

Cause: a call had one timeout for the whole transfer, so a response that takes longer on a narrow link failed however often it was asked for. A page of a listing is up to 1 MB.

Change: ProgressTimeout begins anew with the headers and with each chunk of the response. Silence at any stage still ends the call with a failure of kind timeout. The meaning of timeoutMs and of the settings timeout_ms is said anew; their values stay. A watch and a sync still add the time for which they ask the other side to wait.

--- a/src/protocol/settings/EntrySettings.ts
+++ b/src/protocol/settings/EntrySettings.ts
@@ -37,7 +37,7 @@
   },
   store: {
     address: address("Address of the platform's key-value store."),
-    timeout_ms: milliseconds(2000, "Timeout of a call of the store."),
+    timeout_ms: milliseconds(2000, "Longest time without a byte of a response of the store."),
   },
   log: {
     level: choice(LOG_LEVELS, "info", "Lowest level that is logged."),
--- a/src/protocol/settings/PoolAgentSettings.ts
+++ b/src/protocol/settings/PoolAgentSettings.ts
@@ -19,11 +19,11 @@
   },
   worker: {
     address: address("Address of the worker of this VM."),
-    timeout_ms: milliseconds(400, "Timeout of a call of the worker."),
+    timeout_ms: milliseconds(400, "Longest time without a byte of a response of the worker."),
   },
   store: {
     address: address("Address of the platform's store."),
-    timeout_ms: milliseconds(1_000, "Timeout of a call of the store."),
+    timeout_ms: milliseconds(1_000, "Longest time without a byte of a response of the store."),
   },
   log: {
     level: choice(LOG_LEVELS, "info", "Lowest level that is logged."),
--- a/src/protocol/settings/PoolEntrySettings.ts
+++ b/src/protocol/settings/PoolEntrySettings.ts
@@ -23,7 +23,7 @@
   },
   store: {
     address: address("Address of the platform's store."),
-    timeout_ms: milliseconds(1_000, "Timeout of a call of the store."),
+    timeout_ms: milliseconds(1_000, "Longest time without a byte of a response of the store."),
   },
   pool: {
     max_worker_lease_ms: milliseconds(6_000, "Maximum duration of a lease that workers accept."),
--- a/src/transport/http/JsonClient.ts
+++ b/src/transport/http/JsonClient.ts
@@ -1,10 +1,12 @@
 /**
  * Client for services of the platform with JSON over HTTP. Distinguishes calls that never left this
- * process from those that may have arrived.
+ * process from those that may have arrived. The timeout of a call bounds how long the service may be
+ * silent, not the whole transfer: a large response on a narrow link takes as long as it needs.
  */
 import { ResultAsync } from "neverthrow";
 import { Pool } from "undici";
 import { isUnsent } from "./isUnsent.ts";
+import { ProgressTimeout } from "./ProgressTimeout.ts";
 import { ResponseBody } from "./ResponseBody.ts";
 
 /** An HTTP call with a JSON body. */
@@ -15,7 +17,7 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Body, sent as JSON; undefined for none. */
   readonly body: unknown;
-  /** Timeout of the call in milliseconds. */
+  /** Longest time without a byte of the response, in milliseconds. */
   readonly timeoutMs: number;
 }
 
@@ -66,14 +68,29 @@
   }
 
   private async _send(call: JsonCall, received: ResponseBody): Promise<JsonResponse> {
+    const timeout = new ProgressTimeout(call.timeoutMs);
+    try {
+      return await this._receive(call, received, timeout);
+    } finally {
+      timeout.stop();
+    }
+  }
+
+  private async _receive(
+    call: JsonCall,
+    received: ResponseBody,
+    timeout: ProgressTimeout,
+  ): Promise<JsonResponse> {
     const { statusCode, body } = await this._pool.request({
       method: call.method,
       path: call.path,
       headers: { "content-type": "application/json", ...call.headers },
       body: call.body === undefined ? null : JSON.stringify(call.body),
-      signal: AbortSignal.timeout(call.timeoutMs),
+      signal: timeout.signal,
     });
+    timeout.restart();
     for await (const chunk of body) {
+      timeout.restart();
       received.append(chunk as Uint8Array);
     }
     return { status: statusCode, body: parseJson(received.toText()) };
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -53,7 +53,10 @@
 export interface HttpStoreOptions {
   /** Address as "host:port". */
   readonly address: string;
-  /** Timeout of a call in milliseconds. */
+  /**
+   * Longest time without a byte of a response, in milliseconds; in a watch, in addition to the time
+   * that the store may wait for changes.
+   */
   readonly timeoutMs: number;
 }
 
--- a/src/transport/worker/HttpWorker.ts
+++ b/src/transport/worker/HttpWorker.ts
@@ -48,11 +48,11 @@
 const EmptyReply = z.object({});
 const ErrorReply = z.object({ error: z.string() });
 
-/** Address of a worker and timeout of its calls. */
+/** Address of a worker and how long it may be silent. */
 export interface HttpWorkerOptions {
   /** Address as "host:port". */
   readonly address: string;
-  /** Timeout of a call, in milliseconds. */
+  /** Longest time without a byte of a response, in milliseconds. */
   readonly timeoutMs: number;
 }
 
@@ -70,7 +70,7 @@
 
   /**
    * Creates the adapter; it connects with the first call.
-   * @param options - Address of the worker and timeout of its calls.
+   * @param options - Address of the worker and how long it may be silent.
    */
   constructor(options: HttpWorkerOptions) {
     super();
