Resume a listing at the page that failed

Cause: a listing that failed on any page began from nothing, so a follower on a link on which a share of the pages fails could list a large prefix for ever.

ListingReader keeps the pages so far and resumes; StoreFollower uses it. The revision of a listing is that of its first page, so the watch after it reports what changed between tries. A compacted failure drops the pages. A listing that made progress is retried after the initial delay: a page that arrived is a call that succeeded. CountingStore counts "list" for each page, which is one call; HttpStore has one page.

--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -1,13 +1,18 @@
 /**
  * Follows the keys under a prefix of the store: lists them, then watches for changes. It lists them
- * again if the store has compacted the changes in between, and retries after every failure.
+ * again if the store has compacted the changes in between, and retries after every failure. A listing
+ * that fails is resumed at the page that failed.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
 import type { Store, StoreChange, StoreFailure } from "../../protocol/platform/Store.ts";
+import { ListingReader } from "./ListingReader.ts";
 
-/** Delay after the first failed call, in milliseconds; doubles up to the maximum. */
+/**
+ * Delay after the first failed call since one that succeeded, in milliseconds; doubles up to the
+ * maximum.
+ */
 const INITIAL_RETRY_MS = 50;
 /**
  * Maximum delay after a failed call, in milliseconds. It is below the two seconds within which a
@@ -36,6 +41,7 @@
 /** Follows one prefix. */
 export class StoreFollower {
   private readonly _deps: StoreFollowerDependencies;
+  private readonly _listing: ListingReader;
   private _revision: number | undefined;
   private _retryMs = INITIAL_RETRY_MS;
   private _isStopped = false;
@@ -48,6 +54,7 @@
    */
   constructor(deps: StoreFollowerDependencies) {
     this._deps = deps;
+    this._listing = new ListingReader(deps.store, deps.prefix);
   }
 
   /** Whether all keys have been received, and no changes since then have been missed. */
@@ -92,6 +99,7 @@
     }
     if (failure.kind === "compacted") {
       this._revision = undefined;
+      this._listing.reset();
       return;
     }
     await clock.sleep(this._retryMs * (0.5 + random.next() / 2));
@@ -99,8 +107,10 @@
   }
 
   private async _list(): Promise<StoreFailure | undefined> {
-    const listing = await this._deps.store.list(this._deps.prefix);
+    const pagesBefore = this._listing.keptPages;
+    const listing = await this._listing.read();
     if (listing.isErr()) {
+      this._retryMs = this._listing.keptPages > pagesBefore ? INITIAL_RETRY_MS : this._retryMs;
       return listing.error;
     }
     if (!this._isStopped) {
--- a/src/protocol/platform/Store.ts
+++ b/src/protocol/platform/Store.ts
@@ -2,7 +2,8 @@
  * Interface to the platform's key-value store: compare-and-swap, transactions, leases and watches.
  * Each platform protocol is implemented by a subclass.
  */
-import type { ResultAsync } from "neverthrow";
+import { err, ok, ResultAsync, type Result } from "neverthrow";
+import { addListedKeys, getNextKey, toListing } from "./storePages.ts";
 
 /** A key with its value and the store revision at which the value was written. */
 export interface StoreEntry {
@@ -17,12 +18,24 @@
   | { readonly kind: "written"; readonly revision: number }
   | { readonly kind: "conflict"; readonly current: StoreEntry | undefined };
 
-/** Keys under a prefix at one store revision. */
+/**
+ * Keys under a prefix. Changes after the revision may be missing or included; a watch from the
+ * revision reports all of them.
+ */
 export interface StoreListing {
   readonly entries: readonly StoreEntry[];
   readonly revision: number;
 }
 
+/** Part of a listing. */
+export interface StorePage {
+  /** Keys in ascending order. */
+  readonly entries: readonly StoreEntry[];
+  readonly revision: number;
+  /** Key after which the next page begins; undefined at the end of the listing. */
+  readonly next: string | undefined;
+}
+
 /** A change reported by a watch; a deleted key has no value. */
 export interface StoreChange {
   readonly key: string;
@@ -84,10 +97,20 @@
   abstract read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure>;
 
   /**
-   * Lists the keys under a prefix.
+   * Lists a page of the keys under a prefix; the store decides on its size.
    * @param prefix - The prefix.
+   * @param after - Key after which the page begins; "" for the start.
    */
-  abstract list(prefix: string): ResultAsync<StoreListing, StoreFailure>;
+  abstract listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure>;
+
+  /**
+   * Lists the keys under a prefix, page by page, and fails with the first page that fails. The
+   * revision is that of the first page, so that a watch from it reports what changed between pages.
+   * @param prefix - The prefix.
+   */
+  list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
+    return new ResultAsync(this._listPages(prefix));
+  }
 
   /**
    * Writes a key if it has the expected revision.
@@ -132,4 +155,16 @@
    * @param lease - Id of the lease.
    */
   abstract revokeLease(lease: string): ResultAsync<void, StoreFailure>;
+
+  private async _listPages(prefix: string): Promise<Result<StoreListing, StoreFailure>> {
+    const pages: StorePage[] = [];
+    for (let after = getNextKey(pages); after !== undefined; after = getNextKey(pages)) {
+      const page = await this.listPage(prefix, after);
+      if (page.isErr()) {
+        return err(addListedKeys(page.error, pages));
+      }
+      pages.push(page.value);
+    }
+    return ok(toListing(pages));
+  }
 }
--- a/src/transport/store/CountingStore.ts
+++ b/src/transport/store/CountingStore.ts
@@ -7,7 +7,7 @@
   type StoreChanges,
   type StoreEntry,
   type StoreFailure,
-  type StoreListing,
+  type StorePage,
   type StoreTransaction,
   type StoreWrite,
   type TransactionResult,
@@ -35,8 +35,9 @@
     return this._count("read", this._store.read(key));
   }
 
-  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return this._count("list", this._store.list(prefix));
+  /** Counts each page of a listing, as each is a call. */
+  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
+    return this._count("list", this._store.listPage(prefix, after));
   }
 
   override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -9,7 +9,7 @@
   StoreChanges,
   StoreEntry,
   StoreFailure,
-  StoreListing,
+  StorePage,
   StoreTransaction,
   StoreWrite,
   TransactionResult,
@@ -86,8 +86,13 @@
     );
   }
 
-  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return this._read("/v1/list", { prefix }, listReplySchema);
+  /** The protocol has no pages: the first one has all keys. */
+  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
+    return this._read("/v1/list", { prefix }, listReplySchema).map(({ entries, revision }) => ({
+      entries: entries.filter(({ key }) => key > after),
+      revision,
+      next: undefined,
+    }));
   }
 
   override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
--- a/standins/store/MemoryStore.ts
+++ b/standins/store/MemoryStore.ts
@@ -10,7 +10,7 @@
   StoreChanges,
   StoreEntry,
   StoreFailure,
-  StoreListing,
+  StorePage,
   StoreTransaction,
   StoreWrite,
   TransactionResult,
@@ -22,6 +22,9 @@
 /** Time after which a watch without changes returns. */
 const WATCH_WAIT_MS = 10_000;
 
+/** Maximum number of keys in a page of a listing unless a test sets another. */
+const DEFAULT_PAGE_KEYS = 1_000_000;
+
 /** Faults of a memory store; each can be changed at any time. */
 export interface MemoryStoreFaults {
   /** Every call fails immediately and has no effect. */
@@ -38,7 +41,7 @@
 
 /** Counters of a memory store. */
 export interface MemoryStoreCounts {
-  /** Number of reads, listings and watches. */
+  /** Number of reads, pages of listings and watches. */
   readonly reads: number;
   /** Number of writes, removals and lease calls. */
   readonly writes: number;
@@ -58,6 +61,8 @@
   };
   /** State of the store. */
   readonly model: StoreModel;
+  /** Maximum number of keys in a page of a listing. */
+  pageKeys = DEFAULT_PAGE_KEYS;
   private readonly _clock: Clock;
   private readonly _openWatches = new Set<() => void>();
   private _reads = 0;
@@ -100,8 +105,14 @@
     return this._read(() => ok(this.model.read(key)));
   }
 
-  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return this._read(() => ok(this.model.list(prefix)));
+  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
+    return this._read(() => {
+      const { entries, revision } = this.model.list(prefix);
+      const rest = entries.filter(({ key }) => key > after);
+      const page = rest.slice(0, this.pageKeys);
+      const next = rest.length > page.length ? page.at(-1)?.key : undefined;
+      return ok({ entries: page, revision, next });
+    });
   }
 
   override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
--- /dev/null
+++ b/tests/platform/platformStoreTests.ts
@@ -0,0 +1,63 @@
+/**
+ * Tests of the adapter to the users' store against its stand-in over loopback, whose pages have three
+ * keys.
+ */
+import test, { type ExecutionContext } from "ava";
+import { PlatformStore } from "../../platform/PlatformStore.ts";
+import { KvServer } from "../../standins/platform/KvServer.ts";
+import { findFreeAddress } from "../../standins/support/freePorts.ts";
+
+const TIMEOUT_MS = 10_000;
+const KEYS = ["a/1", "a/2", "a/3", "a/4", "a/5"] as const;
+
+async function createStore(
+  t: ExecutionContext,
+): Promise<{ readonly server: KvServer; readonly store: PlatformStore }> {
+  const address = await findFreeAddress();
+  const server = new KvServer(address);
+  await server.start();
+  const store = new PlatformStore(address, TIMEOUT_MS);
+  t.teardown(async () => {
+    await store.close();
+    await server.stop();
+  });
+  KEYS.forEach((key) => {
+    server.put(key, key);
+  });
+  return { server, store };
+}
+
+test("PlatformStore lists page by page, each with its own revision", async (t) => {
+  const { server, store } = await createStore(t);
+  const first = (await store.listPage("a/", ""))._unsafeUnwrap();
+  t.deepEqual(
+    first.entries.map(({ key }) => key),
+    ["a/1", "a/2", "a/3"],
+  );
+  t.deepEqual([first.revision, first.next], [KEYS.length, "a/3"]);
+  server.put("a/1", "changed");
+  const second = (await store.listPage("a/", first.next ?? ""))._unsafeUnwrap();
+  t.deepEqual(
+    second.entries.map(({ key }) => key),
+    ["a/4", "a/5"],
+  );
+  t.deepEqual([second.revision, second.next], [KEYS.length + 1, undefined]);
+});
+
+test("PlatformStore lists all pages of a prefix", async (t) => {
+  const { server, store } = await createStore(t);
+  server.put("b/1", "other");
+  const { entries, revision } = (await store.list("a/"))._unsafeUnwrap();
+  t.deepEqual(
+    entries.map(({ key, value }) => [key, value]),
+    KEYS.map((key) => [key, JSON.stringify(key)]),
+  );
+  t.is(revision, KEYS.length + 1);
+});
+
+test("PlatformStore says how many keys a failed listing had", async (t) => {
+  const { server, store } = await createStore(t);
+  server.faults.refuseStatus = 503;
+  const { kind, detail } = (await store.list("a/"))._unsafeUnwrapErr();
+  t.deepEqual([kind, detail], ["unavailable", "the store is unavailable (0 keys were listed)"]);
+});
--- a/tests/standins/store/memoryStoreTests.ts
+++ b/tests/standins/store/memoryStoreTests.ts
@@ -116,3 +116,20 @@
   t.is((await store.read("a"))._unsafeUnwrap(), undefined);
   t.deepEqual(store.counts, { reads: 2, writes: 1, waitingWatches: 0 });
 });
+
+// Guards against a revision after the first page, from which a watch would miss changes.
+test("Store.list joins the pages and has the revision of the first one", async (t) => {
+  const store = new MemoryStore(new ManualClock());
+  store.pageKeys = 2;
+  const keys = ["a/1", "a/2", "a/3"];
+  await Promise.all(keys.map((key) => store.write({ key, value: "x", expected: 0 })));
+  const listing = store.list("a/");
+  await store.write({ key: "a/4", value: "late", expected: 0 });
+  const { entries, revision } = (await listing)._unsafeUnwrap();
+  t.deepEqual(
+    entries.map(({ key }) => key),
+    [...keys, "a/4"],
+  );
+  t.is(revision, keys.length);
+  t.is(store.counts.reads, 2);
+});
--- a/tests/support/PausableProcess.ts
+++ b/tests/support/PausableProcess.ts
@@ -16,7 +16,7 @@
   type StoreChanges,
   type StoreEntry,
   type StoreFailure,
-  type StoreListing,
+  type StorePage,
   type StoreTransaction,
   type StoreWrite,
   type TransactionResult,
@@ -111,8 +111,8 @@
     return this._deliverWhenResumed(this._store.read(key));
   }
 
-  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return this._deliverWhenResumed(this._store.list(prefix));
+  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
+    return this._deliverWhenResumed(this._store.listPage(prefix, after));
   }
 
   override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
