--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -9,7 +9,7 @@
   StoreChanges,
   StoreEntry,
   StoreFailure,
-  StoreListing,
+  StorePage,
   StoreTransaction,
   StoreWrite,
   TransactionResult,
@@ -53,7 +53,10 @@
 export interface HttpStoreOptions {
   /** Address as "host:port". */
   readonly address: string;
-  /** Timeout of a call in milliseconds. */
+  /**
+   * Longest time without a byte of a response, in milliseconds; in a watch, in addition to the time
+   * that the store may wait for changes.
+   */
   readonly timeoutMs: number;
 }
 
@@ -83,8 +86,13 @@
     );
   }
 
-  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return this._read("/v1/list", { prefix }, listReplySchema);
+  /** The protocol has no pages: the first one has all keys. */
+  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
+    return this._read("/v1/list", { prefix }, listReplySchema).map(({ entries, revision }) => ({
+      entries: entries.filter(({ key }) => key > after),
+      revision,
+      next: undefined,
+    }));
   }
 
   override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
--- a/tests/support/NarrowLinkStore.ts
+++ b/tests/support/NarrowLinkStore.ts
@@ -4,7 +4,7 @@
  */
 import { errAsync, ResultAsync } from "neverthrow";
 import type { Clock } from "../../src/protocol/platform/Clock.ts";
-import type { StoreFailure, StoreListing } from "../../src/protocol/platform/Store.ts";
+import type { StoreFailure, StorePage } from "../../src/protocol/platform/Store.ts";
 import { MemoryStore } from "../../standins/store/MemoryStore.ts";
 import type { StoreModel } from "../../standins/store/StoreModel.ts";
 
@@ -28,10 +28,10 @@
     this.maxListedKeys = maxListedKeys;
   }
 
-  override list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return super.list(prefix).andThen((listing) => {
-      if (listing.entries.length <= this.maxListedKeys) {
-        return ResultAsync.fromSafePromise(Promise.resolve(listing));
+  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
+    return super.listPage(prefix, after).andThen((page) => {
+      if (page.entries.length <= this.maxListedKeys) {
+        return ResultAsync.fromSafePromise(Promise.resolve(page));
       }
       const failure: StoreFailure = {
         kind: "timeout",
