Try long-running tasks on quarantined workers where no other worker has room

Callers saw accepted long-running tasks that did not run for 10 s and more although there was room: all of it on workers in quarantine, whose period (10 s, doubled by each failed probe) is longer than the time within which such a task has to run.

A quarantined worker without a probe in progress is a reserve from a second after its last failure: a long-running task that no other worker has room for is placed there, one at a time, as a probe. Only long-running tasks, since a failure does not use up an attempt of theirs; a failure there does not prolong the quarantine.

'WorkerQuarantine admits long-running tasks that no other worker has room for' failed before: 4 of 6 tasks ran.

--- a/src/coordination/placement/PlacementCycle.ts
+++ b/src/coordination/placement/PlacementCycle.ts
@@ -62,7 +62,9 @@
   constructor(options: PlacementCycleOptions) {
     const { vms, allVms, admissions, random, reserved } = options;
     this._options = options;
-    const admitted = vms.filter((vm) => admissions.get(vm.agent) !== "closed");
+    const admitted = vms.filter((vm) =>
+      ["open", "probe"].includes(admissions.get(vm.agent) ?? "open"),
+    );
     this._index = new VmIndex(admitted, random);
     this._capacities = getDistinct(allVms.map((vm) => vm.capacity));
     this._reserved = new Set(reserved);
--- a/src/coordination/placement/WorkerQuarantine.ts
+++ b/src/coordination/placement/WorkerQuarantine.ts
@@ -1,7 +1,8 @@
 /**
  * Quarantine of workers whose tasks fail. A worker whose failures are not explained by the kinds of
  * its jobs gets no task for some time, then one task as a probe. A probe that succeeds ends the
- * quarantine, a failed one doubles it, and one that ends without a result is repeated. Only a limited
+ * quarantine, a failed one doubles it, and one that ends without a result is repeated. Until then
+ * the worker is a reserve for tasks that no other worker has room for, one at a time. Only a limited
  * share of the fleet is quarantined.
  */
 import type { AttemptResult } from "../batch/Placer.ts";
@@ -13,6 +14,8 @@
 const MAX_PERIOD_MS = 600_000;
 /** Time after which a probe without a result is repeated, in milliseconds. */
 const PROBE_TIMEOUT_MS = 60_000;
+/** Time after a failure from which a quarantined worker is a reserve, in milliseconds. */
+const RESERVE_DELAY_MS = 1_000;
 /** Maximum share of the fleet in quarantine. */
 const MAX_QUARANTINED_SHARE = 0.3;
 
@@ -21,6 +24,7 @@
   /** End of the quarantine; undefined for a worker that is not quarantined. */
   readonly until: number | undefined;
   readonly periodMs: number;
+  readonly lastFailedAt: number;
   /** When the last probe was placed; undefined if none is in progress. */
   readonly probedAt: number | undefined;
   /** Attempt that is the probe; empty if the caller did not name it. */
@@ -31,12 +35,19 @@
   failureScore: 0,
   until: undefined,
   periodMs: INITIAL_PERIOD_MS,
+  lastFailedAt: Number.NEGATIVE_INFINITY,
   probedAt: undefined,
   probe: "",
 };
 
 /** How a VM may be used in a scheduling cycle. */
-export type Admission = "open" | "probe" | "closed";
+export type Admission =
+  | "open"
+  /** One task may be placed, as a probe. */
+  | "probe"
+  /** The same, but only a task that may fail any number of times and has no other VM. */
+  | "reserve"
+  | "closed";
 
 /** What the result of an attempt changes for its worker. */
 export type QuarantineChange = "none" | "quarantined" | "released";
@@ -131,20 +142,30 @@
     const total = health.failureScore + score;
     if (health.until === undefined) {
       const until = total >= QUARANTINE_SCORE ? now + health.periodMs : undefined;
-      this._workers.set(agent, { ...health, failureScore: total, until });
+      this._workers.set(agent, { ...health, failureScore: total, until, lastFailedAt: now });
       return;
     }
-    const failedProbe = health.probedAt !== undefined;
+    const failedProbe = health.probedAt !== undefined && health.probedAt >= health.until;
     const periodMs = failedProbe ? Math.min(2 * health.periodMs, MAX_PERIOD_MS) : health.periodMs;
     const until = failedProbe ? now + periodMs : health.until;
-    this._workers.set(agent, { ...HEALTHY, failureScore: total, until, periodMs });
+    this._workers.set(agent, {
+      ...HEALTHY,
+      failureScore: total,
+      until,
+      periodMs,
+      lastFailedAt: now,
+    });
   }
 
   private static _getAdmission(health: Health, now: number): Admission {
-    if (health.until === undefined || now < health.until) {
+    const { until, probedAt, lastFailedAt } = health;
+    const isProbing = probedAt !== undefined && now - probedAt < PROBE_TIMEOUT_MS;
+    if (until === undefined || isProbing) {
       return "closed";
     }
-    const probing = health.probedAt !== undefined && now - health.probedAt < PROBE_TIMEOUT_MS;
-    return probing ? "closed" : "probe";
+    if (now >= until) {
+      return "probe";
+    }
+    return now - lastFailedAt >= RESERVE_DELAY_MS ? "reserve" : "closed";
   }
 }
--- a/src/coordination/pool/PlacementState.ts
+++ b/src/coordination/pool/PlacementState.ts
@@ -131,18 +131,21 @@
   /**
    * Chooses a worker for a task and subtracts the task's resources from its free capacity.
    * @param task - The task.
+   * @param mayUseReserve - Whether a reserve may be chosen if there is no other worker; by default,
+   * for long-running tasks, as these may fail any number of times.
    * @returns The worker; undefined if no eligible one has enough free capacity.
    */
-  place(task: PlacementTask): CandidateWorker | undefined {
+  place(
+    task: PlacementTask,
+    mayUseReserve = task.definition.longRunning,
+  ): CandidateWorker | undefined {
     const required = getCommittedResources(task.definition);
-    const best = this.workers
-      .filter((worker) => fits(required, worker.free) && isEligible(worker, task))
-      .filter((worker) => task.isFirstOfStep || this._tolerates(worker, task.definition))
-      .map((worker) => ({ worker, score: this._score(worker, task) }))
-      .reduce<{ worker: CandidateWorker; score: number } | undefined>(
-        (found, next) => (found === undefined || next.score > found.score ? next : found),
-        undefined,
-      )?.worker;
+    const candidates = this.workers
+      .filter((worker) => fits(required, worker.free) && isSuitable(worker, task))
+      .filter((worker) => task.isFirstOfStep || this._tolerates(worker, task.definition));
+    const best =
+      this._chooseBest(candidates, task, ["open", "probe"]) ??
+      (mayUseReserve ? this._chooseBest(candidates, task, ["reserve"]) : undefined);
     if (best !== undefined) {
       const remaining = { ...best, free: subtractResources(best.free, required) };
       const committedMilli = required.processorsMilli;
@@ -152,7 +155,7 @@
         ...placed,
         idleMilli,
         unmeasuredMilli: best.unmeasuredMilli + getIdleProcessorsMilli(task.definition),
-        admission: best.admission === "probe" ? "closed" : best.admission,
+        admission: best.admission === "open" ? "open" : "closed",
       });
     }
     return best;
@@ -165,10 +168,25 @@
    * @param agent - Agent of the worker that runs the task now.
    */
   hasBetterWorker(task: PlacementTask, agent: string): boolean {
-    const worker = this.place(task);
+    const worker = this.place(task, false);
     return worker !== undefined && worker.agent !== agent;
   }
 
+  /** Returns the candidate with the highest score among those with the given admissions. */
+  private _chooseBest(
+    candidates: readonly CandidateWorker[],
+    task: PlacementTask,
+    admissions: readonly Admission[],
+  ): CandidateWorker | undefined {
+    return candidates
+      .filter(({ admission }) => admissions.includes(admission))
+      .map((worker) => ({ worker, score: this._score(worker, task) }))
+      .reduce<{ worker: CandidateWorker; score: number } | undefined>(
+        (found, next) => (found === undefined || next.score > found.score ? next : found),
+        undefined,
+      )?.worker;
+  }
+
   private _tolerates(worker: CandidateWorker, definition: StepDefinition): boolean {
     const minMilli = MIN_TOLERATED_SHARE * definition.resources.processorsMilli;
     return (
@@ -245,11 +263,11 @@
     : new Map([...serving, [image, (serving.get(image) ?? 0) + 1]]);
 }
 
-function isEligible(worker: CandidateWorker, task: PlacementTask): boolean {
+/** Returns whether a task may run on a worker, apart from its admission and free capacity. */
+function isSuitable(worker: CandidateWorker, task: PlacementTask): boolean {
   const { requiredLabel, maxPerWorker } = task.definition;
   const count = worker.stepCounts.get(task.stepKey) ?? 0;
   return (
-    worker.admission !== "closed" &&
     (requiredLabel === undefined || worker.labels.includes(requiredLabel)) &&
     (task.rack === undefined || worker.rack === task.rack) &&
     (maxPerWorker === undefined || count < maxPerWorker)
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -294,7 +294,7 @@
     const active = task.addRun({ agent, worker }, now, run);
     this._state.activeRuns.add(task, active);
     job.updatePhase();
-    const isProbe = target.admission === "probe";
+    const isProbe = target.admission !== "open";
     if (isProbe) {
       this._quarantine.recordProbe(agent, now, getRunKey({ task, active }));
     }
--- a/tests/coordination/pool/poolQuarantineTests.ts
+++ b/tests/coordination/pool/poolQuarantineTests.ts
@@ -72,3 +72,12 @@
   await simulation.clock.advance(RESTART_TARGET_MS - 3_000);
   t.is(countLongRunning(simulation), TASK_COUNT);
 });
+// Guards against long-running tasks that wait for the end of a quarantine although only the
+// quarantined worker has room.
+test("WorkerQuarantine admits long-running tasks that no other worker has room for", async (t) => {
+  const { simulation, entry } = await createQuarantinedPool();
+  t.true(countFailures(simulation) >= MIN_FAILURES, "the worker was not quarantined");
+  await simulation.submit(entry, createId(3), createJob(TASK_COUNT, true), undefined);
+  await simulation.clock.advance(RESTART_TARGET_MS - 3_000);
+  t.is(countLongRunning(simulation), TASK_COUNT);
+});
