Bound a transaction of progress by bytes, so that a narrow link can send it

Cause: a transaction carried the progress of up to 15 jobs, however large, and one whose outcome is unknown is retried unchanged. Over a link of 7 Mbit/s one that needs more than the timeout of a call (1 s) never arrives, while the scheduler renews its lease: nothing is recorded any more, so nothing starts.

Change: CommitQueue takes jobs in their order while their values fit into 65,536 bytes (87 KB in base64, 100 ms at 7 Mbit/s), always at least one. The others go into the next transaction, with their callbacks. A retry is still unchanged; the conflict that answers a repetition is bounded by the same size.

Measured sizes of a progress record: 2 steps x 20 tasks all active 4,369 bytes, completed 1,251 bytes (2,691 with a checkpoint of 20 bytes each); 300 active tasks 32,918 bytes, 600 active tasks 65,918 bytes. So 15 jobs of 40 active tasks still go together, and 15 jobs of 600 would have been 1.32 MB in base64.

Left: a single job is written whole, since its key is one value.

--- a/src/coordination/pool/CommitQueue.ts
+++ b/src/coordination/pool/CommitQueue.ts
@@ -2,7 +2,8 @@
  * Writes the progress of jobs to the store for the scheduler of a pool. Changes that arrive while a
  * transaction is in progress are batched into the next one. Each transaction checks that this
  * scheduler is still the elected one. A transaction whose outcome is unknown is retried unchanged,
- * so that it takes effect once, whether or not the first attempt succeeded.
+ * so that it takes effect once, whether or not the first attempt succeeded. Its size is bounded, as
+ * one that cannot be sent within the timeout of a call would be retried for ever.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
@@ -19,6 +20,12 @@
  * check of the scheduler's key takes one.
  */
 const MAX_JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ROWS - 1) / 2);
+/**
+ * Maximum size of the values in one transaction, in bytes; a single job may exceed it. The platform
+ * takes values in base64, so that this is 87 KB on the wire: a link of 7 Mbit/s carries it in 100
+ * ms, a tenth of the default timeout of a call, and the rest is left for what shares the link.
+ */
+const MAX_TRANSACTION_BYTES = 65_536;
 /** Delay after the first failed attempt, in milliseconds; doubles up to the maximum. */
 const INITIAL_RETRY_MS = 40;
 const MAX_RETRY_MS = 400;
@@ -122,16 +129,31 @@
   }
 
   private _createBatch(): Batch {
-    const { getKey, getValue } = this._deps;
-    const jobs = [...this._pending.keys()].slice(0, MAX_JOBS_PER_TRANSACTION);
+    const writes = this._createWrites();
+    const jobs = [...writes.keys()];
     const callbacks = jobs.flatMap((job) => this._pending.get(job) ?? []);
     jobs.forEach((job) => this._pending.delete(job));
-    const writes = jobs.map((job) => ({
-      key: getKey(job),
-      value: getValue(job),
-      expected: this._revisions.get(job) ?? 0,
-    }));
-    return { jobs, writes, callbacks };
+    return { jobs, writes: [...writes.values()], callbacks };
+  }
+
+  /** Creates the writes of as many pending jobs as one transaction may carry, at least of one. */
+  private _createWrites(): ReadonlyMap<string, StoreWrite> {
+    const writes = new Map<string, StoreWrite>();
+    let bytes = 0;
+    for (const job of [...this._pending.keys()].slice(0, MAX_JOBS_PER_TRANSACTION)) {
+      const write = this._createWrite(job);
+      bytes += Buffer.byteLength(write.value);
+      if (bytes > MAX_TRANSACTION_BYTES && writes.size > 0) {
+        return writes;
+      }
+      writes.set(job, write);
+    }
+    return writes;
+  }
+
+  private _createWrite(job: string): StoreWrite {
+    const { getKey, getValue } = this._deps;
+    return { key: getKey(job), value: getValue(job), expected: this._revisions.get(job) ?? 0 };
   }
 
   private async _write(batch: Batch): Promise<void> {
