Limit the start orders on the way to what a narrow link carries

Cause: every call to an agent has a fixed timeout of 1 s, and each start order carries the job's spec, of up to 4,000 bytes. After a loss of power all waiting tasks are placed at once, all calls share the entry's link, all of them time out, the orders are sent again from nothing (after 700 ms, while the first ones are still on the way), and after four tries the runs are stopped. The scheduler keeps its lease; no task starts. The same fault as in docs/incidents/lost-long-running.md, towards the agents.

Tasks behind the cut wait and are placed by rank in a later cycle, which the next result of an order triggers.

--- a/src/coordination/pool/CyclePlanner.ts
+++ b/src/coordination/pool/CyclePlanner.ts
@@ -16,6 +16,7 @@
 } from "./taskPlacement.ts";
 import { getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import { shouldSpeculate } from "./runMonitor.ts";
+import { limitStarts } from "./startLimit.ts";
 
 /** Decisions of one scheduling cycle. */
 export interface CyclePlan {
@@ -23,6 +24,8 @@
   readonly starts: readonly PlannedRun[];
   /** Runs to stop so that their tasks start on other workers. */
   readonly moves: readonly ActiveTaskRun[];
+  /** Whether runs were left for a later cycle because too many start orders are on the way. */
+  readonly isLimited: boolean;
 }
 
 /** Plans the scheduling cycles of one scheduler. */
@@ -56,14 +59,15 @@
     const steps = [...getWaitingSteps(jobs, timeOfDayMs), ...speculative];
     const runsToMove = this._paceController.getRunsToMove();
     if (steps.length === 0 && runsToMove.length === 0) {
-      return { starts: [], moves: [] };
+      return { starts: [], moves: [], isLimited: false };
     }
     const placement = this._createPlacementState(now);
-    const { runs: starts } = placeSteps(steps, placement);
+    const { runs } = placeSteps(steps, placement);
+    const starts = limitStarts(runs, this._state);
     const moves = runsToMove.filter(({ task, active }) =>
       placement.hasBetterWorker(toPlacementTask(task), active.agent),
     );
-    return { starts, moves };
+    return { starts, moves, isLimited: starts.length < runs.length };
   }
 
   private _createPlacementState(now: number): PlacementState {
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -51,6 +51,8 @@
   private _cycleTimer: Timer | undefined;
   private _tickTimer: Timer | undefined;
   private _isStopped = false;
+  /** Whether the last cycle left runs that start once earlier orders have results. */
+  private _isPlanLimited = false;
 
   /**
    * Creates the scheduler of an epoch.
@@ -239,6 +241,9 @@
       },
       onReport: (agent, worker, report) => {
         this._runController.handleOrderReport(agent, worker, report);
+        if (this._isPlanLimited) {
+          this._scheduleCycle();
+        }
       },
       onSuperseded: () => {
         this._handleSuperseded();
@@ -280,7 +285,9 @@
       return;
     }
     const now = this._deps.clock.now();
-    const { starts, moves } = this._cyclePlanner.plan(now, this._deps.getTimeOfDay());
+    const plan = this._cyclePlanner.plan(now, this._deps.getTimeOfDay());
+    const { starts, moves, isLimited } = plan;
+    this._isPlanLimited = isLimited;
     starts.forEach((planned) => {
       this._recordStart(planned, now);
     });
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -32,6 +32,7 @@
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
+import type { SharedLink } from "../../support/SharedLink.ts";
 
 const HEARTBEAT_MS = 1_000;
 
@@ -86,6 +87,8 @@
   readonly journal: JournalRun[] = [];
   readonly entries: SimulatedEntry[] = [];
   readonly agents: SimulatedAgent[] = [];
+  /** Link that all orders to agents share; undefined for one without limits. */
+  orderLink: SharedLink | undefined;
   private readonly _random: SeededRandom;
   private readonly _requirements = new Map<string, TaskRequirements>();
   private readonly _timings: PoolTimings;
@@ -302,8 +305,13 @@
     return this._call(address, call.waitMs, (workerAgent) => workerAgent.observe(call));
   }
 
-  override order(address: string, call: OrderCall): Promise<AgentOutcome<OrderReport>> {
-    return this._call(address, 0, (workerAgent) => workerAgent.order(call));
+  override async order(address: string, call: OrderCall): Promise<AgentOutcome<OrderReport>> {
+    const bytes = Buffer.byteLength(JSON.stringify(call));
+    const { orderLink } = this._simulation;
+    const hasArrived = await (orderLink?.transfer(bytes, TIMINGS.agentTimeoutMs) ?? true);
+    return hasArrived
+      ? this._call(address, 0, (workerAgent) => workerAgent.order(call))
+      : { kind: "unreachable", detail: "no response before the timeout" };
   }
 
   override reset(): void {
