Never schedule a pool twice under the same epoch

Cause: a refused transaction, or a listing from before the entry's own claim, made the entry step down; it then found its own key and started a second scheduler with the epoch of the first. Agents do not fetch their lists anew for an equal epoch, so starts in flight counted as lost, were repeated elsewhere and executed late.

An epoch that was left is never adopted again: the entry revokes its lease, and a key of its own that still exists is replaced under its revision. The absence of the key in a listing has the revision of the listing and is ignored if a later state is known; an absence found by a read is ignored if another state became known while the read was under way. A claim that was written is ignored if a later state of the key is known by then.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -57,6 +57,7 @@
   private readonly _schedulers = new Map<string, PoolScheduler>();
   private readonly _agents = new Map<string, AgentRecord>();
   private _schedulerChanges: ReadonlyMap<string, StoreChange> | undefined;
+  private _schedulerListingRevision = 0;
   private _isStopped = false;
 
   /**
@@ -126,7 +127,8 @@
         const election = this._createElection(pool);
         this._elections.set(pool, election);
         if (this._schedulerChanges !== undefined) {
-          election.applyChange(this._schedulerChanges.get(getSchedulerKey(pool)));
+          const change = this._schedulerChanges.get(getSchedulerKey(pool));
+          election.applyListing(change, this._schedulerListingRevision);
         }
       });
   }
@@ -150,8 +152,8 @@
         ...shared,
         prefix: SCHEDULER_PREFIX,
         minIntervalMs: 0,
-        onListing: (entries) => {
-          this._applySchedulerListing(entries);
+        onListing: (entries, revision) => {
+          this._applySchedulerListing(entries, revision);
         },
         onChanges: (changes) => {
           changes.forEach((change) => {
@@ -173,11 +175,12 @@
     ];
   }
 
-  private _applySchedulerListing(entries: readonly StoreChange[]): void {
+  private _applySchedulerListing(entries: readonly StoreChange[], revision: number): void {
     const changes = new Map(entries.map((entry) => [entry.key, entry]));
     this._schedulerChanges = changes;
+    this._schedulerListingRevision = revision;
     this._elections.forEach((election, pool) => {
-      election.applyChange(changes.get(getSchedulerKey(pool)));
+      election.applyListing(changes.get(getSchedulerKey(pool)), revision);
     });
   }
 
--- a/src/coordination/pool/SchedulerElection.ts
+++ b/src/coordination/pool/SchedulerElection.ts
@@ -37,18 +37,25 @@
   readonly onSuperseded: () => void;
 }
 
-/** Holder of the key as last known. */
-interface KeyHolder {
+/** State of the key as last known; every newer state is a new object. */
+interface KeyState {
+  readonly exists: boolean;
+  /** Undefined if the key is absent or its value cannot be parsed. */
   readonly record: SchedulerRecord | undefined;
+  /** Revision of the last write to the key, or one at which it was absent. */
   readonly revision: number;
 }
 
+const ABSENT: KeyState = { exists: false, record: undefined, revision: 0 };
+
 /** Takes part in the election of one pool's scheduler. */
 export class SchedulerElection {
   private readonly _deps: SchedulerElectionDependencies;
   private readonly _key: string;
-  private _holder: KeyHolder | undefined;
+  private _state: KeyState | undefined;
   private _epoch: number | undefined;
+  /** Latest epoch of this entry; none is adopted again once it was left. */
+  private _lastEpoch = 0;
   private _lease: string | undefined;
   private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _isClaiming = false;
@@ -78,27 +85,39 @@
   }
 
   /**
-   * Applies the state of the key as received from the store.
-   * @param change - The key; undefined if a listing does not contain it.
+   * Applies a change of the key; one that is older than the known state is ignored.
+   * @param change - The change.
+   */
+  applyChange(change: StoreChange): void {
+    if (change.revision <= (this._state?.revision ?? 0)) {
+      return;
+    }
+    this._state = toKeyState(change);
+    this._followState();
+  }
+
+  /**
+   * Applies the state of the key as found in a listing; one that is older than the known state is
+   * ignored.
+   * @param entry - The key; undefined if the listing does not contain it.
+   * @param revision - Revision of the listing.
    */
-  applyChange(change: StoreChange | undefined): void {
-    const revision = change?.revision ?? 0;
-    if (change !== undefined && revision <= (this._holder?.revision ?? 0)) {
+  applyListing(entry: StoreChange | undefined, revision: number): void {
+    if (entry !== undefined) {
+      this.applyChange(entry);
       return;
     }
-    const text = change?.value;
-    const record = text === undefined ? undefined : parseSchedulerRecord(text).unwrapOr(undefined);
-    this._holder = { record, revision: Math.max(revision, this._holder?.revision ?? 0) };
-    this._handleHolder(record, revision);
+    if (revision >= (this._state?.revision ?? 0)) {
+      this._state = { exists: false, record: undefined, revision };
+      this._followState();
+    }
   }
 
   /** Stops taking part and releases the key, so that another entry can claim it immediately. */
   async stop(): Promise<void> {
     this._isStopped = true;
     this._timer?.cancel();
-    if (this._lease !== undefined) {
-      await this._deps.store.revokeLease(this._lease);
-    }
+    await this._releaseLease();
   }
 
   /**
@@ -109,17 +128,19 @@
     void this._readKey();
   }
 
-  private _handleHolder(record: SchedulerRecord | undefined, revision: number): void {
-    const isOwn = record?.process === this._deps.identity.process;
-    if (this._epoch !== undefined && (!isOwn || revision !== this._epoch)) {
+  private _followState(): void {
+    const { exists, record, revision } = this._state ?? ABSENT;
+    if (this._epoch !== undefined && (!exists || revision !== this._epoch)) {
       this._stepDown();
     }
-    if (isOwn && this._epoch === undefined && !this._isStopped) {
+    if (this._isStopped || this._epoch !== undefined) {
+      return;
+    }
+    const isOwn = record?.process === this._deps.identity.process;
+    if (isOwn && revision > this._lastEpoch && this._lease !== undefined) {
       // An earlier claim succeeded, but its response was lost.
       this._becomeScheduler(revision, this._deps.clock.now());
-    }
-    const isPredecessor = !isOwn && record?.entry === this._deps.identity.entry;
-    if (record === undefined || isPredecessor) {
+    } else if (this._isClaimable()) {
       this._scheduleClaim(MAX_CLAIM_JITTER_MS * this._deps.random.next());
     }
   }
@@ -151,7 +172,8 @@
     if (lease === undefined || !this._isClaimable()) {
       return false;
     }
-    const expected = this._holder?.record === undefined ? 0 : this._holder.revision;
+    const state = this._state ?? ABSENT;
+    const expected = state.record === undefined ? 0 : state.revision;
     const value = JSON.stringify(identity);
     const written = await store.write({ key: this._key, value, expected, lease });
     if (written.isErr()) {
@@ -159,21 +181,33 @@
       return false;
     }
     if (written.value.kind === "conflict") {
-      this._applyRead(written.value.current);
+      this._applyRead(written.value.current, state);
       return true;
     }
-    this._holder = { record: identity, revision: written.value.revision };
-    this._becomeScheduler(written.value.revision, sentAt);
+    this._applyWrittenClaim(written.value.revision, sentAt);
     return true;
   }
 
+  /** Applies a successful claim, unless a later state of the key is known by now. */
+  private _applyWrittenClaim(revision: number, sentAt: number): void {
+    if (revision > (this._state?.revision ?? 0)) {
+      this._state = { exists: true, record: this._deps.identity, revision };
+      this._becomeScheduler(revision, sentAt);
+    }
+  }
+
+  /**
+   * Whether the key names no other entry. A key of this entry is one of a former process or of an
+   * epoch that was left; it is replaced under its revision, which gives a new epoch.
+   */
   private _isClaimable(): boolean {
-    const record = this._holder?.record;
+    const record = this._state?.record;
     return record === undefined || record.entry === this._deps.identity.entry;
   }
 
   /** Reads the key, which leads to a new claim if it has no holder. */
   private async _readKey(): Promise<void> {
+    const state = this._state;
     const read = await this._deps.store.read(this._key);
     if (this._isStopped) {
       return;
@@ -182,26 +216,29 @@
       this._deps.clock.after(RETRY_MS, () => void this._readKey());
       return;
     }
-    this._applyRead(read.value);
+    this._applyRead(read.value, state);
   }
 
-  /** Applies the result of a read, which is newer than the known state. */
-  private _applyRead(entry: StoreEntry | undefined): void {
-    if (entry === undefined) {
-      this._holder = { record: undefined, revision: this._holder?.revision ?? 0 };
-      this._handleHolder(undefined, 0);
-      return;
+  /**
+   * Applies the key as the store returned it.
+   * @param entry - The key; undefined if it is absent.
+   * @param sentState - State that was known when the call was sent. The absence of the key has no
+   * revision: if another state has become known since, it may be the older of the two.
+   */
+  private _applyRead(entry: StoreEntry | undefined, sentState: KeyState | undefined): void {
+    if (entry !== undefined && entry.revision > (this._state?.revision ?? 0)) {
+      this._state = toKeyState(entry);
     }
-    if (entry.revision > (this._holder?.revision ?? 0)) {
-      this.applyChange(entry);
-      return;
+    if (entry === undefined && this._state === sentState) {
+      this._state = { ...ABSENT, revision: sentState?.revision ?? 0 };
     }
-    this._handleHolder(parseSchedulerRecord(entry.value).unwrapOr(undefined), entry.revision);
+    this._followState();
   }
 
   private _becomeScheduler(epoch: number, sentAt: number): void {
     const { log, pool, onElected } = this._deps;
     this._epoch = epoch;
+    this._lastEpoch = epoch;
     this._confirmedAt = sentAt;
     log.info("This entry was elected scheduler of a pool.", { pool, epoch });
     this._scheduleRenewal();
@@ -216,9 +253,27 @@
     log.warn("This entry is no longer the scheduler of a pool.", { pool, epoch: this._epoch });
     this._epoch = undefined;
     this._timer?.cancel();
+    void this._releaseLease();
     onSuperseded();
   }
 
+  /** Gives up the lease and with it a key of this entry that is still bound to it. */
+  private async _releaseLease(): Promise<void> {
+    const { store, log, pool } = this._deps;
+    const lease = this._lease;
+    if (lease === undefined) {
+      return;
+    }
+    this._lease = undefined;
+    const revoked = await store.revokeLease(lease);
+    if (revoked.isErr() && revoked.error.kind !== "lease-lost") {
+      const reason = revoked.error.detail;
+      log.warn("The lease of a pool's scheduler could not be revoked; it ends by itself.", {
+        ...{ pool, lease, reason },
+      });
+    }
+  }
+
   private _scheduleRenewal(): void {
     this._timer?.cancel();
     this._timer = this._deps.clock.after(this._deps.leaseMs / RENEWALS_PER_LEASE, () => {
@@ -233,6 +288,7 @@
   private async _renew(): Promise<void> {
     const { store, clock } = this._deps;
     const epoch = this._epoch;
+    const state = this._state;
     const sentAt = clock.now();
     const [, read] = await Promise.all([this._renewLease(), store.read(this._key)]);
     if (this._epoch !== epoch || this._isStopped) {
@@ -241,11 +297,11 @@
     if (read.isOk() && read.value?.revision === epoch) {
       this._confirmedAt = Math.max(this._confirmedAt, sentAt);
     } else if (read.isOk()) {
-      this._stepDown();
-      this._applyRead(read.value);
-      return;
+      this._applyRead(read.value, state);
+    }
+    if (this._epoch === epoch) {
+      this._scheduleRenewal();
     }
-    this._scheduleRenewal();
   }
 
   private async _renewLease(): Promise<void> {
@@ -259,3 +315,8 @@
     }
   }
 }
+
+function toKeyState({ value, revision }: StoreChange): KeyState {
+  const record = value === undefined ? undefined : parseSchedulerRecord(value).unwrapOr(undefined);
+  return { exists: value !== undefined, record, revision };
+}
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -27,8 +27,8 @@
    * groups; 0 for no delay.
    */
   readonly minIntervalMs: number;
-  /** Receives all keys; a key that is not among them does not exist. */
-  readonly onListing: (entries: readonly StoreChange[]) => void;
+  /** Receives all keys at a revision; a key that is not among them does not exist. */
+  readonly onListing: (entries: readonly StoreChange[], revision: number) => void;
   /** Receives changes in order; some may already be known from a listing. */
   readonly onChanges: (changes: readonly StoreChange[]) => void;
 }
@@ -105,7 +105,7 @@
     }
     if (!this._isStopped) {
       this._answeredAt = this._deps.clock.now();
-      this._deps.onListing(listing.value.entries);
+      this._deps.onListing(listing.value.entries, listing.value.revision);
       this._revision = listing.value.revision;
     }
     return undefined;
