Claim the scheduler's key of a pool whenever it is known to be free

Cause: a change that arrived during a claim led to no further claim, and the claim itself looked at its conflict only. If the key's deletion arrived during the claim, or before the conflict that named the former holder, nobody claimed the free key. A value that cannot be parsed was claimed as an absent key, conflicted once and was never tried again.

After each claim that leaves the key without a known holder, the key is read, which decides anew. Whoever knows no holder also reads the key every 500 to 1,000 ms, and not once a holder is known. A value that cannot be parsed is replaced under its revision, with a log line.

Before: 'SchedulerElection claims a key that was deleted during its claim', '... claims a key whose deletion arrives before its conflict' and '... replaces a value that cannot be parsed' fail with 0 elections instead of 1; now they pass.

--- a/src/coordination/pool/SchedulerElection.ts
+++ b/src/coordination/pool/SchedulerElection.ts
@@ -21,6 +21,13 @@
 /** Delay after a failed claim or read, in milliseconds. */
 const RETRY_MS = 200;
 
+/**
+ * Maximum time between two reads of a key that is not known to have a holder, in milliseconds; a
+ * random part of up to a half is taken off. It bounds how long a pool is without a scheduler if no
+ * change of the key arrives that would lead to a claim.
+ */
+const MAX_FREE_KEY_READ_MS = 1_000;
+
 /** Dependencies of SchedulerElection. */
 export interface SchedulerElectionDependencies {
   readonly store: Store;
@@ -61,6 +68,7 @@
   private _isClaiming = false;
   private _isStopped = false;
   private _timer: Timer | undefined;
+  private _readTimer: Timer | undefined;
 
   /**
    * Creates an election; this entry takes part once the state of the key is known.
@@ -117,6 +125,7 @@
   async stop(): Promise<void> {
     this._isStopped = true;
     this._timer?.cancel();
+    this._readTimer?.cancel();
     await this._releaseLease();
   }
 
@@ -141,51 +150,70 @@
       // An earlier claim succeeded, but its response was lost.
       this._becomeScheduler(revision, this._deps.clock.now());
     } else if (this._isClaimable()) {
-      this._scheduleClaim(MAX_CLAIM_JITTER_MS * this._deps.random.next());
+      this._scheduleClaim();
+    } else {
+      this._readTimer?.cancel();
+      this._readTimer = undefined;
     }
   }
 
-  private _scheduleClaim(delayMs: number): void {
-    if (this._isClaiming || this._isStopped) {
+  private _scheduleClaim(): void {
+    const { clock, random } = this._deps;
+    if (this._readTimer === undefined) {
+      this._scheduleRead(MAX_FREE_KEY_READ_MS * (1 - random.next() / 2));
+    }
+    if (this._isClaiming) {
       return;
     }
     this._isClaiming = true;
-    this._deps.clock.after(delayMs, () => {
+    clock.after(MAX_CLAIM_JITTER_MS * random.next(), () => {
       void this._claim();
     });
   }
 
+  /**
+   * Claims the key. Changes that arrive meanwhile lead to no further claim, so the key is read
+   * afterwards, unless it is known to have a holder.
+   */
   private async _claim(): Promise<void> {
-    const sentAt = this._deps.clock.now();
-    const isHolderKnown = this._isStopped || (await this._writeClaim(sentAt));
+    if (!this._isStopped) {
+      await this._writeClaim(this._deps.clock.now());
+    }
     this._isClaiming = false;
-    if (!isHolderKnown && !this._isStopped) {
-      this._deps.clock.after(RETRY_MS, () => void this._readKey());
+    if (!this._isStopped && this._epoch === undefined && this._isClaimable()) {
+      this._scheduleRead(RETRY_MS);
     }
   }
 
-  /** Writes the key. Returns whether the holder of the key is known afterwards. */
-  private async _writeClaim(sentAt: number): Promise<boolean> {
-    const { store, identity, leaseMs } = this._deps;
+  private _scheduleRead(delayMs: number): void {
+    this._readTimer?.cancel();
+    this._readTimer = this._deps.clock.after(delayMs, () => {
+      this._readTimer = undefined;
+      void this._readKey();
+    });
+  }
+
+  private async _writeClaim(sentAt: number): Promise<void> {
+    const { store, identity, leaseMs, log, pool } = this._deps;
     const lease = this._lease ?? (await store.grantLease(leaseMs)).unwrapOr(undefined);
     this._lease = lease;
     if (lease === undefined || !this._isClaimable()) {
-      return false;
+      return;
     }
     const state = this._state ?? ABSENT;
-    const expected = state.record === undefined ? 0 : state.revision;
+    if (state.exists && state.record === undefined) {
+      log.warn("The key of a pool's scheduler names no entry; it is replaced.", { pool });
+    }
+    const expected = state.exists ? state.revision : 0;
     const value = JSON.stringify(identity);
     const written = await store.write({ key: this._key, value, expected, lease });
     if (written.isErr()) {
       this._lease = written.error.kind === "lease-lost" ? undefined : lease;
-      return false;
-    }
-    if (written.value.kind === "conflict") {
+    } else if (written.value.kind === "conflict") {
       this._applyRead(written.value.current, state);
-      return true;
+    } else {
+      this._applyWrittenClaim(written.value.revision, sentAt);
     }
-    this._applyWrittenClaim(written.value.revision, sentAt);
-    return true;
   }
 
   /** Applies a successful claim, unless a later state of the key is known by now. */
@@ -197,7 +225,7 @@
   }
 
   /**
-   * Whether the key names no other entry. A key of this entry is one of a former process or of an
+   * Whether the key names no other entry. One that cannot be parsed names none. A key of this entry is one of a former process or of an
    * epoch that was left; it is replaced under its revision, which gives a new epoch.
    */
   private _isClaimable(): boolean {
@@ -207,13 +235,18 @@
 
   /** Reads the key, which leads to a new claim if it has no holder. */
   private async _readKey(): Promise<void> {
+    const { store, log, pool } = this._deps;
     const state = this._state;
-    const read = await this._deps.store.read(this._key);
+    const read = await store.read(this._key);
     if (this._isStopped) {
       return;
     }
     if (read.isErr()) {
-      this._deps.clock.after(RETRY_MS, () => void this._readKey());
+      const reason = read.error.detail;
+      log.debug("The key of a pool's scheduler could not be read; it is read again.", {
+        ...{ pool, reason },
+      });
+      this._scheduleRead(RETRY_MS);
       return;
     }
     this._applyRead(read.value, state);
@@ -237,6 +270,8 @@
 
   private _becomeScheduler(epoch: number, sentAt: number): void {
     const { log, pool, onElected } = this._deps;
+    this._readTimer?.cancel();
+    this._readTimer = undefined;
     this._epoch = epoch;
     this._lastEpoch = epoch;
     this._confirmedAt = sentAt;
--- a/tests/coordination/pool/schedulerElectionTests.ts
+++ b/tests/coordination/pool/schedulerElectionTests.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import { SchedulerElection } from "../../../src/coordination/pool/SchedulerElection.ts";
+import type { StoreChange } from "../../../src/protocol/platform/Store.ts";
 import { getSchedulerKey } from "../../../src/state/pool/PoolKeys.ts";
 import { StoreModel } from "../../../standins/store/StoreModel.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
@@ -14,6 +15,8 @@
 
 const KEY = getSchedulerKey(POOL);
 const LEASE_MS = 2_000;
+/** Record of another entry. */
+const OTHER = JSON.stringify({ entry: "other", process: "process-other" });
 /** Longer than the jitter of a claim, in milliseconds. */
 const CLAIM_MS = 100;
 
@@ -65,6 +68,18 @@
   return candidate;
 }
 
+/** Writes the key as another entry and returns its revision. */
+function writeKey({ model }: Pool, value: string): number {
+  const written = model.write({ key: KEY, value, expected: model.read(KEY)?.revision ?? 0 });
+  return written.kind === "written" ? written.revision : 0;
+}
+
+/** Deletes the key and returns the change. */
+function removeKey({ model }: Pool): StoreChange {
+  model.remove(KEY, model.read(KEY)?.revision ?? 0);
+  return { key: KEY, value: undefined, revision: model.revision };
+}
+
 function isAscending(numbers: readonly number[]): boolean {
   return numbers.every((number, position) => number > (numbers[position - 1] ?? 0));
 }
@@ -109,3 +124,64 @@
   await pool.clock.advance(2 * LEASE_MS);
   t.is(election.epoch, epochs[1]);
 });
+
+// Guards against a free key that nobody claims: its deletion arrived while a claim was under way,
+// whose conflict then named no current entry.
+test("SchedulerElection claims a key that was deleted during its claim", async (t) => {
+  const pool = createPool();
+  writeKey(pool, JSON.stringify({ entry: "entry-a", process: "process-before" }));
+  const { election, store, epochs } = addCandidate(pool, "process-a", "entry-a");
+  election.applyListing(pool.model.read(KEY), pool.model.revision);
+  const deletion = removeKey(pool);
+  const deliver = store.hold("write");
+  await pool.clock.advance(CLAIM_MS);
+  t.is(store.calls.write, 1);
+  election.applyChange(deletion);
+  deliver();
+  await pool.clock.advance(1_000);
+  t.is(epochs.length, 1);
+  t.is(pool.model.read(KEY)?.revision, epochs[0]);
+});
+
+// Guards against a free key that nobody claims: the deletion of the winner's key arrived before the
+// conflict that named the winner.
+test("SchedulerElection claims a key whose deletion arrives before its conflict", async (t) => {
+  const pool = createPool();
+  const { election, store, epochs } = addCandidate(pool);
+  election.applyListing(undefined, 0);
+  writeKey(pool, OTHER);
+  const deliver = store.hold("write");
+  await pool.clock.advance(CLAIM_MS);
+  t.is(store.calls.write, 1);
+  election.applyChange(removeKey(pool));
+  deliver();
+  await pool.clock.advance(1_000);
+  t.is(epochs.length, 1);
+});
+
+// Guards against a pool that a value which cannot be parsed keeps without a scheduler for ever.
+test("SchedulerElection replaces a value that cannot be parsed", async (t) => {
+  const pool = createPool();
+  writeKey(pool, "unreadable");
+  const { election, epochs } = addCandidate(pool);
+  election.applyListing(pool.model.read(KEY), pool.model.revision);
+  await pool.clock.advance(1_000);
+  t.is(epochs.length, 1);
+});
+
+// Guards against a candidate that gives up after failed calls, or loads the store while it waits.
+test("SchedulerElection reads the key until a holder is known and not longer", async (t) => {
+  const pool = createPool();
+  const { election, store, epochs } = addCandidate(pool);
+  store.lost.add("write");
+  election.applyListing(undefined, 0);
+  await pool.clock.advance(10_000);
+  t.true(store.calls.write > 5, `${store.calls.write} claims`);
+  t.true(store.calls.read <= 25, `${store.calls.read} reads`);
+  writeKey(pool, OTHER);
+  await pool.clock.advance(2_000);
+  const { read, write } = store.calls;
+  await pool.clock.advance(10_000);
+  t.deepEqual([store.calls.read, store.calls.write], [read, write]);
+  t.deepEqual(epochs, []);
+});
