--- /dev/null
+++ b/src/coordination/pool/SchedulerElectionDependencies.ts
@@ -0,0 +1,24 @@
+/**
+ * Dependencies of SchedulerElection.
+ */
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
+import type { SchedulerRecord } from "../../state/pool/records.ts";
+
+/** Dependencies of SchedulerElection. */
+export interface SchedulerElectionDependencies {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Log;
+  readonly pool: string;
+  readonly identity: SchedulerRecord;
+  /** Time to live of the lease, in milliseconds. */
+  readonly leaseMs: number;
+  /** Called when this entry is elected; the epoch is the revision of the key. */
+  readonly onElected: (epoch: number) => void;
+  /** Called when this entry is no longer the scheduler. */
+  readonly onSuperseded: () => void;
+}
--- a/tests/coordination/pool/ElectionStore.ts
+++ b/tests/coordination/pool/ElectionStore.ts
@@ -47,9 +47,9 @@
   }
 
   /**
-   * Holds back the responses to calls of a kind; the calls take effect.
+   * Holds back the responses to calls of a kind until `release`; the calls take effect.
    * @param call - Kind of the calls.
-   * @returns Function that delivers the responses and ends the fault.
+   * @returns Function that delivers the responses that were held back, and ends the fault.
    */
   hold(call: ElectionCall): () => void {
     const { promise, resolve } = Promise.withResolvers<undefined>();
@@ -60,6 +60,14 @@
     };
   }
 
+  /**
+   * Lets further calls of a kind get their responses; those that are held back stay so.
+   * @param call - Kind of the calls.
+   */
+  release(call: ElectionCall): void {
+    this._held.delete(call);
+  }
+
   override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
     return this._call("read", () => super.read(key));
   }
