--- a/src/coordination/pool/SchedulerElection.ts
+++ b/src/coordination/pool/SchedulerElection.ts
@@ -4,56 +4,42 @@
  * epoch. The pool is protected from former schedulers not by the lease but by the check of the key
  * in every transaction and by the epoch in every order.
  */
-import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
-import type { Log } from "../../protocol/platform/Log.ts";
-import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
-import type { Store, StoreChange, StoreEntry } from "../../protocol/platform/Store.ts";
+import type { StoreChange, StoreEntry, StoreFailure } from "../../protocol/platform/Store.ts";
 import { getSchedulerKey } from "../../state/pool/PoolKeys.ts";
-import { parseSchedulerRecord, type SchedulerRecord } from "../../state/pool/records.ts";
+import { LeaseRenewer } from "./LeaseRenewer.ts";
+import type { SchedulerElectionDependencies } from "./SchedulerElectionDependencies.ts";
+import { SchedulerKeyReader } from "./SchedulerKeyReader.ts";
+import { SchedulerKeyState } from "./SchedulerKeyState.ts";
+import { SchedulerLease } from "./SchedulerLease.ts";
 
-/** Renewals of the lease within its time to live, so that two may fail. */
-const RENEWALS_PER_LEASE = 4;
 /**
  * Maximum random delay of a claim, in milliseconds, so that claims of several entries rarely
  * collide.
  */
 const MAX_CLAIM_JITTER_MS = 30;
-/** Delay after a failed claim or read, in milliseconds. */
+/** Delay between a claim that failed and the read that follows it, in milliseconds. */
 const RETRY_MS = 200;
-
-/** Dependencies of SchedulerElection. */
-export interface SchedulerElectionDependencies {
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: Log;
-  readonly pool: string;
-  readonly identity: SchedulerRecord;
-  /** Time to live of the lease, in milliseconds. */
-  readonly leaseMs: number;
-  /** Called when this entry is elected; the epoch is the revision of the key. */
-  readonly onElected: (epoch: number) => void;
-  /** Called when this entry is no longer the scheduler. */
-  readonly onSuperseded: () => void;
-}
-
-/** Holder of the key as last known. */
-interface KeyHolder {
-  readonly record: SchedulerRecord | undefined;
-  readonly revision: number;
-}
+/**
+ * Maximum time between two reads of a key that is not known to have a holder, in milliseconds; a
+ * random part of up to a half is taken off. It bounds how long a pool is without a scheduler if no
+ * change of the key arrives that would lead to a claim.
+ */
+const MAX_FREE_KEY_READ_MS = 1_000;
 
 /** Takes part in the election of one pool's scheduler. */
 export class SchedulerElection {
   private readonly _deps: SchedulerElectionDependencies;
   private readonly _key: string;
-  private _holder: KeyHolder | undefined;
+  private readonly _state = new SchedulerKeyState();
+  private readonly _reader: SchedulerKeyReader;
+  private readonly _lease: SchedulerLease;
   private _epoch: number | undefined;
-  private _lease: string | undefined;
+  /** Latest epoch that this entry held or gave up; none is adopted again once it was left. */
+  private _lastEpoch = 0;
   private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _isClaiming = false;
   private _isStopped = false;
-  private _timer: Timer | undefined;
+  private _renewer: LeaseRenewer | undefined;
 
   /**
    * Creates an election; this entry takes part once the state of the key is known.
@@ -62,6 +48,14 @@
   constructor(deps: SchedulerElectionDependencies) {
     this._deps = deps;
     this._key = getSchedulerKey(deps.pool);
+    this._lease = new SchedulerLease(deps);
+    this._reader = new SchedulerKeyReader({
+      ...{ store: deps.store, clock: deps.clock, log: deps.log, pool: deps.pool },
+      ...{ key: this._key, state: this._state },
+      onRead: () => {
+        this._followState();
+      },
+    });
   }
 
   /** Epoch of this entry's scheduler; undefined while this entry is not elected. */
@@ -78,27 +72,35 @@
   }
 
   /**
-   * Applies the state of the key as received from the store.
-   * @param change - The key; undefined if a listing does not contain it.
+   * Applies a change of the key; one that is older than the known state is ignored.
+   * @param change - The change.
    */
-  applyChange(change: StoreChange | undefined): void {
-    const revision = change?.revision ?? 0;
-    if (change !== undefined && revision <= (this._holder?.revision ?? 0)) {
-      return;
+  applyChange(change: StoreChange): void {
+    if (this._state.applyChange(change)) {
+      this._followState();
+    }
+  }
+
+  /**
+   * Applies the state of the key as found in a listing; one that is older than the known state is
+   * ignored.
+   * @param entry - The key; undefined if the listing does not contain it.
+   * @param revision - Revision of the listing.
+   */
+  applyListing(entry: StoreChange | undefined, revision: number): void {
+    if (entry !== undefined) {
+      this.applyChange(entry);
+    } else if (this._state.applyAbsence(revision)) {
+      this._followState();
     }
-    const text = change?.value;
-    const record = text === undefined ? undefined : parseSchedulerRecord(text).unwrapOr(undefined);
-    this._holder = { record, revision: Math.max(revision, this._holder?.revision ?? 0) };
-    this._handleHolder(record, revision);
   }
 
   /** Stops taking part and releases the key, so that another entry can claim it immediately. */
   async stop(): Promise<void> {
     this._isStopped = true;
-    this._timer?.cancel();
-    if (this._lease !== undefined) {
-      await this._deps.store.revokeLease(this._lease);
-    }
+    this._renewer?.stop();
+    this._reader.stop();
+    await this._lease.release();
   }
 
   /**
@@ -106,108 +108,159 @@
    */
   handleSuperseded(): void {
     this._stepDown();
-    void this._readKey();
+    void this._reader.read();
   }
 
-  private _handleHolder(record: SchedulerRecord | undefined, revision: number): void {
-    const isOwn = record?.process === this._deps.identity.process;
-    if (this._epoch !== undefined && (!isOwn || revision !== this._epoch)) {
+  /**
+   * Does what the known state of the key asks for: steps down, becomes the scheduler, or claims.
+   * @param confirmedAt - When the call was sent by which the store confirmed a claim, if it did.
+   */
+  private _followState(confirmedAt = Number.NEGATIVE_INFINITY): void {
+    const { exists, revision } = this._state;
+    if (this._epoch !== undefined && (!exists || revision !== this._epoch)) {
       this._stepDown();
     }
-    if (isOwn && this._epoch === undefined && !this._isStopped) {
-      // An earlier claim succeeded, but its response was lost.
-      this._becomeScheduler(revision, this._deps.clock.now());
+    if (this._isStopped || this._epoch !== undefined || this._adoptOwnKey(confirmedAt)) {
+      return;
+    }
+    if (this._isClaimable()) {
+      this._scheduleClaim();
+      return;
+    }
+    this._reader.cancel();
+    // A later claim needs a lease that has not ended by then; a late claim must not be written.
+    void this._lease.release();
+  }
+
+  /**
+   * Becomes the scheduler if the key is one that this entry claimed. If the response to the claim
+   * has not arrived, only a renewal confirms the election.
+   */
+  private _adoptOwnKey(confirmedAt: number): boolean {
+    const { record, revision } = this._state;
+    if (record?.process !== this._deps.identity.process || revision <= this._lastEpoch) {
+      return false;
     }
-    const isPredecessor = !isOwn && record?.entry === this._deps.identity.entry;
-    if (record === undefined || isPredecessor) {
-      this._scheduleClaim(MAX_CLAIM_JITTER_MS * this._deps.random.next());
+    if (this._lease.id === undefined) {
+      // The key is bound to a lease that was given up.
+      this._lastEpoch = revision;
+      return false;
     }
+    this._confirmedAt = confirmedAt;
+    this._becomeScheduler(revision, this._lease.id);
+    return true;
   }
 
-  private _scheduleClaim(delayMs: number): void {
-    if (this._isClaiming || this._isStopped) {
+  private _scheduleClaim(): void {
+    const { clock, random } = this._deps;
+    if (!this._reader.isScheduled) {
+      this._reader.schedule(MAX_FREE_KEY_READ_MS * (1 - random.next() / 2));
+    }
+    if (this._isClaiming) {
       return;
     }
     this._isClaiming = true;
-    this._deps.clock.after(delayMs, () => {
+    clock.after(MAX_CLAIM_JITTER_MS * random.next(), () => {
       void this._claim();
     });
   }
 
+  /**
+   * Claims the key. Changes that arrive meanwhile lead to no further claim, so the key is read
+   * afterwards, unless it is known to have a holder.
+   */
   private async _claim(): Promise<void> {
-    const sentAt = this._deps.clock.now();
-    const isHolderKnown = this._isStopped || (await this._writeClaim(sentAt));
+    if (!this._isStopped) {
+      await this._writeClaim(this._deps.clock.now());
+    }
     this._isClaiming = false;
-    if (!isHolderKnown && !this._isStopped) {
-      this._deps.clock.after(RETRY_MS, () => void this._readKey());
+    if (this._epoch !== undefined) {
+      return;
+    }
+    if (this._isStopped || !this._isClaimable()) {
+      await this._lease.release();
+    } else {
+      this._reader.schedule(RETRY_MS);
     }
   }
 
-  /** Writes the key. Returns whether the holder of the key is known afterwards. */
-  private async _writeClaim(sentAt: number): Promise<boolean> {
-    const { store, identity, leaseMs } = this._deps;
-    const lease = this._lease ?? (await store.grantLease(leaseMs)).unwrapOr(undefined);
-    this._lease = lease;
-    if (lease === undefined || !this._isClaimable()) {
-      return false;
+  private async _writeClaim(sentAt: number): Promise<void> {
+    const { store, identity, log, pool } = this._deps;
+    const lease = await this._lease.acquire();
+    const isOver = this._isStopped || this._epoch !== undefined || !this._isClaimable();
+    if (lease === undefined || isOver) {
+      return;
     }
-    const expected = this._holder?.record === undefined ? 0 : this._holder.revision;
-    const value = JSON.stringify(identity);
-    const written = await store.write({ key: this._key, value, expected, lease });
-    if (written.isErr()) {
-      this._lease = written.error.kind === "lease-lost" ? undefined : lease;
-      return false;
+    const { exists, record, revision, version } = this._state;
+    if (exists && record === undefined) {
+      log.warn("The key of a pool's scheduler names no entry; it is replaced.", { pool });
     }
-    if (written.value.kind === "conflict") {
-      this._applyRead(written.value.current);
-      return true;
+    const write = { key: this._key, value: JSON.stringify(identity), lease };
+    const written = await store.write({ ...write, expected: exists ? revision : 0 });
+    if (written.isErr()) {
+      this._handleFailedClaim(lease, written.error);
+    } else if (written.value.kind === "conflict") {
+      this._state.applyRead(written.value.current, version);
+      this._followState();
+    } else {
+      this._state.applyChange({ ...write, revision: written.value.revision });
+      this._followState(sentAt);
+      this._confirm(written.value.revision, sentAt);
     }
-    this._holder = { record: identity, revision: written.value.revision };
-    this._becomeScheduler(written.value.revision, sentAt);
-    return true;
   }
 
-  private _isClaimable(): boolean {
-    const record = this._holder?.record;
-    return record === undefined || record.entry === this._deps.identity.entry;
+  /** Handles a claim of which it is unknown whether it is written, or whose lease has ended. */
+  private _handleFailedClaim(lease: string, { kind, detail }: StoreFailure): void {
+    const { log, pool } = this._deps;
+    log.debug("A claim of a pool failed; its key is read.", { pool, reason: detail });
+    if (kind === "lease-lost") {
+      this._lease.forget(lease);
+    }
   }
 
-  /** Reads the key, which leads to a new claim if it has no holder. */
-  private async _readKey(): Promise<void> {
-    const read = await this._deps.store.read(this._key);
-    if (this._isStopped) {
-      return;
-    }
-    if (read.isErr()) {
-      this._deps.clock.after(RETRY_MS, () => void this._readKey());
-      return;
+  /** Notes that the store confirmed an epoch in response to a call that was sent at a time. */
+  private _confirm(epoch: number, sentAt: number): void {
+    if (epoch === this._epoch) {
+      this._confirmedAt = Math.max(this._confirmedAt, sentAt);
     }
-    this._applyRead(read.value);
   }
 
-  /** Applies the result of a read, which is newer than the known state. */
-  private _applyRead(entry: StoreEntry | undefined): void {
-    if (entry === undefined) {
-      this._holder = { record: undefined, revision: this._holder?.revision ?? 0 };
-      this._handleHolder(undefined, 0);
-      return;
-    }
-    if (entry.revision > (this._holder?.revision ?? 0)) {
-      this.applyChange(entry);
-      return;
-    }
-    this._handleHolder(parseSchedulerRecord(entry.value).unwrapOr(undefined), entry.revision);
+  /**
+   * Whether the key names no other entry. A value that cannot be parsed names none. A key of this
+   * entry is one of a former process or of an epoch that was left; it is replaced under its
+   * revision, which gives a new epoch.
+   */
+  private _isClaimable(): boolean {
+    const { record } = this._state;
+    return record === undefined || record.entry === this._deps.identity.entry;
   }
 
-  private _becomeScheduler(epoch: number, sentAt: number): void {
-    const { log, pool, onElected } = this._deps;
+  private _becomeScheduler(epoch: number, lease: string): void {
+    const { store, clock, log, pool, leaseMs, onElected } = this._deps;
+    this._reader.cancel();
     this._epoch = epoch;
-    this._confirmedAt = sentAt;
+    this._lastEpoch = epoch;
     log.info("This entry was elected scheduler of a pool.", { pool, epoch });
-    this._scheduleRenewal();
+    this._renewer = new LeaseRenewer({
+      ...{ store, clock, log, pool, key: this._key, lease, leaseMs },
+      onRead: (entry, sentAt) => {
+        this._handleRenewal(entry, sentAt);
+      },
+    });
+    this._renewer.start();
     onElected(epoch);
   }
 
+  /**
+   * Handles the key as read during the current epoch. Responses may arrive out of order: one with
+   * an older revision is ignored, an absent key or a newer revision ends the epoch.
+   */
+  private _handleRenewal(entry: StoreEntry | undefined, sentAt: number): void {
+    this._confirm(entry?.revision ?? 0, sentAt);
+    this._state.applyRead(entry, this._state.version);
+    this._followState();
+  }
+
   private _stepDown(): void {
     if (this._epoch === undefined) {
       return;
@@ -215,47 +268,8 @@
     const { log, pool, onSuperseded } = this._deps;
     log.warn("This entry is no longer the scheduler of a pool.", { pool, epoch: this._epoch });
     this._epoch = undefined;
-    this._timer?.cancel();
+    this._renewer?.stop();
+    void this._lease.release();
     onSuperseded();
   }
-
-  private _scheduleRenewal(): void {
-    this._timer?.cancel();
-    this._timer = this._deps.clock.after(this._deps.leaseMs / RENEWALS_PER_LEASE, () => {
-      void this._renew();
-    });
-  }
-
-  /**
-   * Renews the lease and reads the key, since the key may be deleted while its lease is still
-   * valid.
-   */
-  private async _renew(): Promise<void> {
-    const { store, clock } = this._deps;
-    const epoch = this._epoch;
-    const sentAt = clock.now();
-    const [, read] = await Promise.all([this._renewLease(), store.read(this._key)]);
-    if (this._epoch !== epoch || this._isStopped) {
-      return;
-    }
-    if (read.isOk() && read.value?.revision === epoch) {
-      this._confirmedAt = Math.max(this._confirmedAt, sentAt);
-    } else if (read.isOk()) {
-      this._stepDown();
-      this._applyRead(read.value);
-      return;
-    }
-    this._scheduleRenewal();
-  }
-
-  private async _renewLease(): Promise<void> {
-    const lease = this._lease;
-    if (lease === undefined) {
-      return;
-    }
-    const renewed = await this._deps.store.renewLease(lease);
-    if (renewed.isErr() && renewed.error.kind === "lease-lost" && this._lease === lease) {
-      this._lease = undefined;
-    }
-  }
 }
