Answer submitters before their deadline while the store does not respond

Cause: a call of the store started for a submitter held the response up until the call ended.

Change: SubmissionService waits for a result at most until the deadline (waitUntil). A submission or cancellation whose write was sent is then "unknown"; the write is left to end, takes effect once at most under the submitter's id, and its result is logged. A cancellation of which only the read was sent is "refused", since nothing was written. getPhase gets the submitter's deadline and answers "unavailable".

--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -11,9 +11,11 @@
 import { getVisiblePhase, type CatalogJob, type JobCatalog } from "../../state/pool/JobCatalog.ts";
 import { formatJobKey } from "../../state/pool/PoolKeys.ts";
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
+import { waitUntil } from "./waitUntil.ts";
 
 /** Delay before a write with an unknown outcome is retried, in milliseconds. */
 const RETRY_MS = 50;
+const NO_RESPONSE_REASON = "the store did not respond before the submitter's deadline";
 
 /** Outcome of a submission or cancellation. */
 export type SubmissionOutcome =
@@ -94,7 +96,7 @@
    * milliseconds.
    */
   async cancel(queue: QueueConfig, id: string, deadline: number): Promise<SubmissionOutcome> {
-    const found = await this._find(queue, id);
+    const found = await this._find(queue, id, deadline);
     if (found.kind === "unavailable") {
       return { kind: "refused", reason: found.reason };
     }
@@ -112,9 +114,11 @@
    * Gets the phase of a job.
    * @param queue - Its queue.
    * @param id - Its id.
+   * @param deadline - Time until which the submitter waits, on the monotonic clock, in
+   * milliseconds.
    */
-  async getPhase(queue: QueueConfig, id: string): Promise<PhaseOutcome> {
-    const found = await this._find(queue, id);
+  async getPhase(queue: QueueConfig, id: string, deadline: number): Promise<PhaseOutcome> {
+    const found = await this._find(queue, id, deadline);
     if (found.kind === "unavailable") {
       return found;
     }
@@ -148,13 +152,18 @@
   private async _find(
     queue: QueueConfig,
     id: string,
+    deadline: number,
   ): Promise<
     | { readonly kind: "asked"; readonly job: CatalogJob | undefined }
     | { readonly kind: "unavailable"; readonly reason: string }
   > {
-    const { catalog, store } = this._deps;
+    const { catalog, store, clock } = this._deps;
     if (catalog.getJob(id)?.record === undefined) {
-      const read = await store.read(formatJobKey({ kind: "job", pool: queue.pool, job: id }));
+      const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
+      const read = await waitUntil(clock, deadline, store.read(key));
+      if (read === undefined) {
+        return { kind: "unavailable", reason: NO_RESPONSE_REASON };
+      }
       if (read.isErr()) {
         return { kind: "unavailable", reason: read.error.detail };
       }
@@ -165,9 +174,24 @@
   }
 
   /**
-   * Creates a key unless it exists; a write with an unknown outcome is retried until the deadline.
+   * Creates a key unless it exists, and responds at the deadline at the latest. A write that is
+   * still in progress then is left to end: it has the submitter's id and takes effect once at most.
    */
   private async _create(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
+    const writing = this._write(key, value, deadline);
+    const outcome = await waitUntil(this._deps.clock, deadline, writing);
+    if (outcome === undefined) {
+      void writing.then((late) => {
+        const sentence = "A write ended after the deadline of its submitter.";
+        this._logOutcome(sentence, { key }, late);
+      });
+      return { kind: "unknown", reason: NO_RESPONSE_REASON };
+    }
+    return outcome;
+  }
+
+  /** Writes a key; a write with an unknown outcome is retried until the deadline. */
+  private async _write(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
     const { store, clock, catalog } = this._deps;
     const result = await store.write({ key, value, expected: 0 });
     if (result.isOk()) {
@@ -194,7 +218,7 @@
       return { kind: "unknown", reason };
     }
     await clock.sleep(retryAt - clock.now());
-    const outcome = await this._create(key, value, deadline);
+    const outcome = await this._write(key, value, deadline);
     // The first attempt may still take effect, whatever the outcome of this one.
     return outcome.kind === "refused" ? { kind: "unknown", reason: outcome.reason } : outcome;
   }
--- a/tests/coordination/pool/poolHistoryTests.ts
+++ b/tests/coordination/pool/poolHistoryTests.ts
@@ -19,6 +19,8 @@
 const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [101, 102, 103, 104, 105, 106];
 const ACTION_COUNT = 24;
 const MAX_PAUSE_MS = 1_500;
+/** Time that a submitter waits, in milliseconds. */
+const SUBMITTER_TIMEOUT_MS = 2_500;
 /**
  * Longer than the wait for every lease of a former scheduler and the remaining work after it, in
  * milliseconds.
@@ -172,7 +174,8 @@
     const wanted = [...accepted].filter((id) => !cancelled.has(id));
     const phases = await Promise.all(
       wanted.map(async (id) => {
-        const found = await entry?.submissions.getPhase(QUEUE, id);
+        const deadline = simulation.clock.now() + SUBMITTER_TIMEOUT_MS;
+        const found = await entry?.submissions.getPhase(QUEUE, id, deadline);
         return found?.kind === "found" ? found.phase : found?.kind;
       }),
     );
--- a/tests/coordination/pool/poolSchedulerTests.ts
+++ b/tests/coordination/pool/poolSchedulerTests.ts
@@ -48,7 +48,7 @@
 }
 
 async function getPhase(entry: SimulatedEntry, id: string): Promise<string> {
-  const found = await entry.submissions.getPhase(QUEUE, id);
+  const found = await entry.submissions.getPhase(QUEUE, id, Number.POSITIVE_INFINITY);
   return found.kind === "found" ? found.phase : found.kind;
 }
 
--- a/tests/coordination/pool/submissionServiceTests.ts
+++ b/tests/coordination/pool/submissionServiceTests.ts
@@ -8,7 +8,12 @@
   SubmissionService,
   type SubmissionOutcome,
 } from "../../../src/coordination/pool/SubmissionService.ts";
-import type { StoreFailure, WriteResult } from "../../../src/protocol/platform/Store.ts";
+import type {
+  StoreEntry,
+  StoreFailure,
+  StoreWrite,
+  WriteResult,
+} from "../../../src/protocol/platform/Store.ts";
 import { JobCatalog } from "../../../src/state/pool/JobCatalog.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
@@ -18,36 +23,49 @@
 
 /** Timeout of the store adapter's calls, in milliseconds. */
 const STORE_TIMEOUT_MS = 2_500;
+/** Timeout of a store adapter that is longer than any submitter waits, in milliseconds. */
+const LONG_STORE_TIMEOUT_MS = 9_000;
 /** Time that a submitter waits, in milliseconds. */
 const SUBMITTER_TIMEOUT_MS = 2_850;
 const JOB = { payload: "payload", steps: [createStep()], schedule: undefined };
 
-/** Store that accepts writes but never responds. */
+/** Store that does not respond to reads and writes until it is told to. */
 class SilentStore extends MemoryStore {
+  isSilent = true;
   writeCount = 0;
   private readonly _timeoutClock: ManualClock;
+  private readonly _timeoutMs: number;
 
-  constructor(clock: ManualClock) {
+  constructor(clock: ManualClock, timeoutMs: number) {
     super(clock);
     this._timeoutClock = clock;
+    this._timeoutMs = timeoutMs;
   }
 
-  override write(): ResultAsync<WriteResult, StoreFailure> {
+  override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
+    return this.isSilent ? this._timeOut(false) : super.read(key);
+  }
+
+  override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
     this.writeCount += 1;
-    const failure: StoreFailure = { kind: "timeout", mayHaveWritten: true, detail: "no response" };
-    const waited = ResultAsync.fromSafePromise(this._timeoutClock.sleep(STORE_TIMEOUT_MS));
+    return this.isSilent ? this._timeOut(true) : super.write(write);
+  }
+
+  private _timeOut(mayHaveWritten: boolean): ResultAsync<never, StoreFailure> {
+    const failure: StoreFailure = { kind: "timeout", mayHaveWritten, detail: "no response" };
+    const waited = ResultAsync.fromSafePromise(this._timeoutClock.sleep(this._timeoutMs));
     return waited.andThen(() => errAsync(failure));
   }
 }
 
-interface SubmissionResponse {
-  readonly outcome: SubmissionOutcome;
+interface Response<T> {
+  readonly outcome: T;
   readonly respondedAt: number;
 }
 
-function createSetup() {
+function createSetup(storeTimeoutMs = STORE_TIMEOUT_MS) {
   const clock = new ManualClock();
-  const store = new SilentStore(clock);
+  const store = new SilentStore(clock, storeTimeoutMs);
   const ignore = (): void => undefined;
   const catalog = new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore });
   const log = new MemoryLog();
@@ -58,17 +76,23 @@
     catalog,
     getTimeOfDay: () => clock.now(),
   });
-  const submit = async (id: string): Promise<SubmissionResponse> => {
+  const respond = async <T>(
+    call: (service: SubmissionService, deadline: number) => Promise<T>,
+  ): Promise<Response<T>> => {
     const deadline = clock.now() + SUBMITTER_TIMEOUT_MS;
-    const response = submissions
-      .submit(QUEUE, id, JOB, deadline)
-      .then((outcome) => ({ outcome, respondedAt: clock.now() }));
+    const response = call(submissions, deadline).then((outcome) => ({
+      outcome,
+      respondedAt: clock.now(),
+    }));
     await clock.advance(4 * STORE_TIMEOUT_MS);
     return response;
   };
-  return { clock, store, submit };
+  const submit = (id: string): Promise<Response<SubmissionOutcome>> =>
+    respond((service, deadline) => service.submit(QUEUE, id, JOB, deadline));
+  return { clock, store, log, submissions, respond, submit };
 }
 
+// Guards against a second try that holds the response up for its whole timeout.
 test("SubmissionService responds before the submitter's deadline when the store does not respond", async (t) => {
   const { clock, submit } = createSetup();
   const deadline = clock.now() + SUBMITTER_TIMEOUT_MS;
@@ -77,6 +101,59 @@
   t.true(respondedAt <= deadline, `responded ${respondedAt - deadline} ms after the deadline`);
 });
 
+// Guards against one call of the store that outlasts the submitter.
+test("SubmissionService responds before the submitter's deadline to a submission whose first write has no result", async (t) => {
+  const { clock, store, log, submit } = createSetup(LONG_STORE_TIMEOUT_MS);
+  const deadline = clock.now() + SUBMITTER_TIMEOUT_MS;
+  const { outcome, respondedAt } = await submit("0000000000000001");
+  t.is(outcome.kind, "unknown");
+  t.true(respondedAt <= deadline, `responded ${respondedAt - deadline} ms after the deadline`);
+  t.is(store.writeCount, 1);
+  const late = log.lines.filter(({ sentence }) => sentence.startsWith("A write ended after"));
+  t.deepEqual(
+    late.map(({ fields }) => fields.outcome),
+    ["unknown"],
+  );
+});
+
+// Guards against a cancellation that is held up by its read of the job.
+test("SubmissionService responds before the submitter's deadline to a cancellation whose read has no result", async (t) => {
+  const { clock, store, respond } = createSetup(LONG_STORE_TIMEOUT_MS);
+  const deadline = clock.now() + SUBMITTER_TIMEOUT_MS;
+  const { outcome, respondedAt } = await respond((service, until) =>
+    service.cancel(QUEUE, "0000000000000001", until),
+  );
+  t.is(outcome.kind, "refused");
+  t.true(respondedAt <= deadline, `responded ${respondedAt - deadline} ms after the deadline`);
+  t.is(store.writeCount, 0, "a refused cancellation was sent to the store");
+});
+
+// Guards against a cancellation that is held up by its write, or refused although it was sent.
+test("SubmissionService responds before the submitter's deadline to a cancellation whose write has no result", async (t) => {
+  const { clock, store, submit, respond } = createSetup(LONG_STORE_TIMEOUT_MS);
+  store.isSilent = false;
+  t.is((await submit("0000000000000001")).outcome.kind, "stored");
+  store.isSilent = true;
+  const deadline = clock.now() + SUBMITTER_TIMEOUT_MS;
+  const { outcome, respondedAt } = await respond((service, until) =>
+    service.cancel(QUEUE, "0000000000000001", until),
+  );
+  t.is(outcome.kind, "unknown");
+  t.true(respondedAt <= deadline, `responded ${respondedAt - deadline} ms after the deadline`);
+});
+
+// Guards against a query without any bound on the time of its read.
+test("SubmissionService responds before the submitter's deadline to a query whose read has no result", async (t) => {
+  const { clock, respond } = createSetup(LONG_STORE_TIMEOUT_MS);
+  const deadline = clock.now() + SUBMITTER_TIMEOUT_MS;
+  const { outcome, respondedAt } = await respond((service, until) =>
+    service.getPhase(QUEUE, "0000000000000001", until),
+  );
+  t.is(outcome.kind, "unavailable");
+  t.true(respondedAt <= deadline, `responded ${respondedAt - deadline} ms after the deadline`);
+});
+
+// Guards against writes that are sent while their outcome is bound to be unknown.
 test("SubmissionService refuses a submission immediately while the store is known to be unresponsive", async (t) => {
   const { clock, store, submit } = createSetup();
   await submit("0000000000000001");
