Refuse submissions at once while the store is known not to respond

Cause: an entry cut off from the store went on writing every submission. Each write's outcome was unknown, so a caller waited until its deadline and could not be told that the submission would never run.

Change: StoreSilenceMonitor takes the store for silent after a call that timed out without any other call having been answered since it began, and until a call is answered or refused by the store. Meanwhile it reads a key every 400 ms, whether or not earlier probes have ended. While the store is silent, submissions and cancellations are refused before their write is sent, queries of jobs that the catalog does not know are answered "unavailable", and the retry of a write waits for the store's return. A definite refusal of the store is passed on as before and is no silence. UnresolvedWriteTable keeps what was sent and may take effect for 60 s: a repetition of it is answered "unknown", never "refused", at once. Retry-After stays at 1 s, the shortest that the header expresses, which is more than the entry needs to notice the store's return.

--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -1,7 +1,9 @@
 /**
  * Accepts jobs and cancellations at any entry. What is accepted is in the store, written once under
  * the id that the submitter chose. Queries are answered from the catalog, or from the store if the
- * catalog does not know the job yet.
+ * catalog does not know the job yet. While the store is known not to respond, no call is made for a
+ * submitter: what is refused at once has certainly not been stored, and the submitter can go
+ * elsewhere in time.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log, LogFields } from "../../protocol/platform/Log.ts";
@@ -11,10 +13,13 @@
 import { getVisiblePhase, type CatalogJob, type JobCatalog } from "../../state/pool/JobCatalog.ts";
 import { formatJobKey } from "../../state/pool/PoolKeys.ts";
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
+import { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
+import { UnresolvedWriteTable } from "./UnresolvedWriteTable.ts";
 import { waitUntil } from "./waitUntil.ts";
 
 /** Delay before a write with an unknown outcome is retried, in milliseconds. */
 const RETRY_MS = 50;
+const SILENCE_REASON = "the store does not respond to this entry";
 const NO_RESPONSE_REASON = "the store did not respond before the submitter's deadline";
 
 /** Outcome of a submission or cancellation. */
@@ -50,6 +55,8 @@
 /** Accepts jobs and cancellations at one entry. */
 export class SubmissionService {
   private readonly _deps: SubmissionServiceDependencies;
+  private readonly _silenceMonitor: StoreSilenceMonitor;
+  private readonly _unresolvedWrites: UnresolvedWriteTable;
 
   /**
    * Creates a service.
@@ -57,6 +64,13 @@
    */
   constructor(deps: SubmissionServiceDependencies) {
     this._deps = deps;
+    this._silenceMonitor = new StoreSilenceMonitor(deps);
+    this._unresolvedWrites = new UnresolvedWriteTable(deps.clock);
+  }
+
+  /** Stops probing a store that does not respond. */
+  stop(): void {
+    this._silenceMonitor.stop();
   }
 
   /**
@@ -96,17 +110,20 @@
    * milliseconds.
    */
   async cancel(queue: QueueConfig, id: string, deadline: number): Promise<SubmissionOutcome> {
+    const key = formatJobKey({ kind: "cancel", pool: queue.pool, job: id });
+    const fields = { job: id, queue: queue.name };
     const found = await this._find(queue, id, deadline);
     if (found.kind === "unavailable") {
-      return { kind: "refused", reason: found.reason };
+      const refusal = this._refuse(key, found.reason);
+      this._logOutcome("Cancellation of a job was handled.", fields, refusal);
+      return refusal;
     }
     if (found.job?.isCancelled === true) {
       return { kind: "stored", known: true };
     }
     // An unknown job may still be created by a write in progress; it must not run then.
-    const key = formatJobKey({ kind: "cancel", pool: queue.pool, job: id });
     const outcome = await this._create(key, "{}", deadline);
-    this._logOutcome("Cancellation of a job was handled.", { job: id, queue: queue.name }, outcome);
+    this._logOutcome("Cancellation of a job was handled.", fields, outcome);
     return outcome.kind === "stored" && found.job === undefined ? { kind: "not-found" } : outcome;
   }
 
@@ -159,8 +176,12 @@
   > {
     const { catalog, store, clock } = this._deps;
     if (catalog.getJob(id)?.record === undefined) {
+      if (this._silenceMonitor.isSilent) {
+        return { kind: "unavailable", reason: SILENCE_REASON };
+      }
       const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
-      const read = await waitUntil(clock, deadline, store.read(key));
+      const reading = this._silenceMonitor.observe(key, () => store.read(key));
+      const read = await waitUntil(clock, deadline, reading);
       if (read === undefined) {
         return { kind: "unavailable", reason: NO_RESPONSE_REASON };
       }
@@ -178,6 +199,9 @@
    * still in progress then is left to end: it has the submitter's id and takes effect once at most.
    */
   private async _create(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
+    if (this._silenceMonitor.isSilent) {
+      return this._refuse(key, SILENCE_REASON);
+    }
     const writing = this._write(key, value, deadline);
     const outcome = await waitUntil(this._deps.clock, deadline, writing);
     if (outcome === undefined) {
@@ -193,8 +217,11 @@
   /** Writes a key; a write with an unknown outcome is retried until the deadline. */
   private async _write(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
     const { store, clock, catalog } = this._deps;
-    const result = await store.write({ key, value, expected: 0 });
+    const write = { key, value, expected: 0 };
+    this._unresolvedWrites.add(key);
+    const result = await this._silenceMonitor.observe(key, () => store.write(write));
     if (result.isOk()) {
+      this._unresolvedWrites.resolve(key);
       const { kind, change } = toStoreChange(key, value, result.value);
       catalog.apply(change === undefined ? [] : [change]);
       return { kind: "stored", known: kind === "conflict" };
@@ -212,15 +239,22 @@
     const { clock } = this._deps;
     const reason = failure.detail;
     if (!failure.mayHaveWritten) {
-      return { kind: "refused", reason };
+      this._unresolvedWrites.removeAttempt(key);
+      return this._refuse(key, reason);
     }
     if (retryAt >= deadline) {
       return { kind: "unknown", reason };
     }
     await clock.sleep(retryAt - clock.now());
-    const outcome = await this._write(key, value, deadline);
-    // The first attempt may still take effect, whatever the outcome of this one.
-    return outcome.kind === "refused" ? { kind: "unknown", reason: outcome.reason } : outcome;
+    // What is sent during an interruption would only be noticed to be lost after its timeout.
+    return this._silenceMonitor.isSilent
+      ? this._retryUnknown(key, value, deadline, failure, clock.now() + RETRY_MS)
+      : this._write(key, value, deadline);
+  }
+
+  /** Refuses to write a key, unless an earlier attempt to write it may still take effect. */
+  private _refuse(key: string, reason: string): SubmissionOutcome {
+    return { kind: this._unresolvedWrites.has(key) ? "unknown" : "refused", reason };
   }
 }
 
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -74,6 +74,7 @@
   private readonly _coordinator: PoolCoordinator;
   private readonly _queues: QueueRegistry;
   private readonly _configFollower: StoreFollower;
+  private readonly _submissions: SubmissionService;
   private readonly _frontend: SubmissionFrontend;
   private _isDraining = false;
 
@@ -107,8 +108,9 @@
       onListing: apply,
       onChanges: apply,
     });
+    this._submissions = this._createSubmissions();
     this._frontend = deps.createFrontend({
-      submissions: this._createSubmissions(),
+      submissions: this._submissions,
       queues: this._queues,
       clock: this._clock,
       log: log.child("submissions"),
@@ -139,6 +141,7 @@
     await Promise.race([this._frontend.close(), this._clock.sleep(drainTimeoutMs - drainMs)]);
     this._coordinator.stop();
     this._configFollower.stop();
+    this._submissions.stop();
     this._channel.close();
     this._deps.log.info("Entry ended.");
   }
