Take all calls of an entry as evidence of whether the store responds

Cause: the silence of the store was judged by the calls made for submitters alone. The first submission after the beginning of a silence was always sent, although followers and elections had had no response either; and while a store is slower than the timeout of reads and writes but still answers watches, which wait longer, submissions would be refused all the time that become known through the followers.

Change: MonitoredStore reports the results of all calls of an entry's followers, elections, commits and submissions to one StoreSilenceMonitor; SubmissionService only asks it. Probes read a key that never exists. The simulation of pools is wired like PoolEntryProcess, so that the random histories run with it.

--- a/src/coordination/pool/StoreSilenceMonitor.ts
+++ b/src/coordination/pool/StoreSilenceMonitor.ts
@@ -1,12 +1,13 @@
 /**
- * Tells whether the store is known not to respond to this entry, from the results of calls that were
- * made anyway. While it is, reads are sent at an interval, so that the entry learns of the store's
+ * Tells whether the store is known not to respond to this entry, from the results of the calls that
+ * its components make anyway (MonitoredStore). While it is, reads are sent at an interval, so that the entry learns of the store's
  * return without a submission being tried.
  */
 import type { ResultAsync } from "neverthrow";
 import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { Store, StoreFailure } from "../../protocol/platform/Store.ts";
+import { SCHEDULER_PREFIX } from "../../state/pool/PoolKeys.ts";
 
 /**
  * Time between two probes while the store does not respond, in milliseconds. A probe is not delayed
@@ -16,8 +17,12 @@
  */
 const PROBE_INTERVAL_MS = 400;
 
+/** Key that probes read. It never exists, so that the response is small. */
+const PROBE_KEY = SCHEDULER_PREFIX;
+
 /** Dependencies of StoreSilenceMonitor. */
 export interface StoreSilenceMonitorDependencies {
+  /** Store that is probed; its calls are not observed otherwise. */
   readonly store: Store;
   readonly clock: Clock;
   readonly log: Log;
@@ -52,23 +57,22 @@
 
   /**
    * Makes a call of the store and takes note of its result.
-   * @param key - Key to which the call refers; it is read to probe the store.
    * @param call - Makes the call.
    */
-  observe<T>(key: string, call: () => ResultAsync<T, StoreFailure>): ResultAsync<T, StoreFailure> {
+  observe<T>(call: () => ResultAsync<T, StoreFailure>): ResultAsync<T, StoreFailure> {
     const startedAt = this._deps.clock.now();
     return call()
       .andTee(() => {
         this._noteAnswer();
       })
       .orTee((failure) => {
-        this._noteFailure(key, startedAt, failure);
+        this._noteFailure(startedAt, failure);
       });
   }
 
-  private _noteFailure(key: string, startedAt: number, failure: StoreFailure): void {
+  private _noteFailure(startedAt: number, failure: StoreFailure): void {
     if (failure.kind === "timeout") {
-      this._noteTimeout(key, startedAt, failure.detail);
+      this._noteTimeout(startedAt, failure.detail);
     } else if (failure.kind !== "unavailable") {
       // The store itself refused. An unavailable one may not have been reached and proves nothing.
       this._noteAnswer();
@@ -87,7 +91,7 @@
     log.info("The store responds again; submissions are written.", { silentMs });
   }
 
-  private _noteTimeout(key: string, startedAt: number, reason: string): void {
+  private _noteTimeout(startedAt: number, reason: string): void {
     const { clock, log } = this._deps;
     const hasAnsweredSince = this._answeredAt > startedAt;
     if (hasAnsweredSince || this.isSilent || this._isStopped) {
@@ -95,15 +99,15 @@
     }
     this._silentSince = clock.now();
     log.warn("The store does not respond; submissions are refused until it does.", { reason });
-    this._probe(key);
+    this._probe();
   }
 
   /** Reads a key; the result is only observed, and the interruption has been logged. */
-  private _probe(key: string): void {
+  private _probe(): void {
     const { store, clock } = this._deps;
-    void this.observe(key, () => store.read(key));
+    void this.observe(() => store.read(PROBE_KEY));
     this._probeTimer = clock.after(PROBE_INTERVAL_MS, () => {
-      this._probe(key);
+      this._probe();
     });
   }
 }
--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -13,7 +13,7 @@
 import { getVisiblePhase, type CatalogJob, type JobCatalog } from "../../state/pool/JobCatalog.ts";
 import { formatJobKey } from "../../state/pool/PoolKeys.ts";
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
-import { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
+import type { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
 import { UnresolvedWriteTable } from "./UnresolvedWriteTable.ts";
 import { waitUntil } from "./waitUntil.ts";
 
@@ -45,6 +45,8 @@
 /** Dependencies of SubmissionService. */
 export interface SubmissionServiceDependencies {
   readonly store: Store;
+  /** Monitor of the store. */
+  readonly silenceMonitor: StoreSilenceMonitor;
   readonly clock: Clock;
   readonly log: Log;
   readonly catalog: JobCatalog;
@@ -55,7 +57,6 @@
 /** Accepts jobs and cancellations at one entry. */
 export class SubmissionService {
   private readonly _deps: SubmissionServiceDependencies;
-  private readonly _silenceMonitor: StoreSilenceMonitor;
   private readonly _unresolvedWrites: UnresolvedWriteTable;
 
   /**
@@ -64,15 +65,9 @@
    */
   constructor(deps: SubmissionServiceDependencies) {
     this._deps = deps;
-    this._silenceMonitor = new StoreSilenceMonitor(deps);
     this._unresolvedWrites = new UnresolvedWriteTable(deps.clock);
   }
 
-  /** Stops probing a store that does not respond. */
-  stop(): void {
-    this._silenceMonitor.stop();
-  }
-
   /**
    * Submits a job.
    * @param queue - Its queue.
@@ -176,12 +171,11 @@
   > {
     const { catalog, store, clock } = this._deps;
     if (catalog.getJob(id)?.record === undefined) {
-      if (this._silenceMonitor.isSilent) {
+      if (this._deps.silenceMonitor.isSilent) {
         return { kind: "unavailable", reason: SILENCE_REASON };
       }
       const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
-      const reading = this._silenceMonitor.observe(key, () => store.read(key));
-      const read = await waitUntil(clock, deadline, reading);
+      const read = await waitUntil(clock, deadline, store.read(key));
       if (read === undefined) {
         return { kind: "unavailable", reason: NO_RESPONSE_REASON };
       }
@@ -199,7 +193,7 @@
    * still in progress then is left to end: it has the submitter's id and takes effect once at most.
    */
   private async _create(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
-    if (this._silenceMonitor.isSilent) {
+    if (this._deps.silenceMonitor.isSilent) {
       return this._refuse(key, SILENCE_REASON);
     }
     const writing = this._write(key, value, deadline);
@@ -217,9 +211,8 @@
   /** Writes a key; a write with an unknown outcome is retried until the deadline. */
   private async _write(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
     const { store, clock, catalog } = this._deps;
-    const write = { key, value, expected: 0 };
     this._unresolvedWrites.add(key);
-    const result = await this._silenceMonitor.observe(key, () => store.write(write));
+    const result = await store.write({ key, value, expected: 0 });
     if (result.isOk()) {
       this._unresolvedWrites.resolve(key);
       const { kind, change } = toStoreChange(key, value, result.value);
@@ -247,7 +240,7 @@
     }
     await clock.sleep(retryAt - clock.now());
     // What is sent during an interruption would only be noticed to be lost after its timeout.
-    return this._silenceMonitor.isSilent
+    return this._deps.silenceMonitor.isSilent
       ? this._retryUnknown(key, value, deadline, failure, clock.now() + RETRY_MS)
       : this._write(key, value, deadline);
   }
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -3,10 +3,12 @@
  * which it is elected.
  */
 import { err, ok, type Result } from "neverthrow";
+import { MonitoredStore } from "../../coordination/pool/MonitoredStore.ts";
 import { PoolCoordinator } from "../../coordination/pool/PoolCoordinator.ts";
 import type { PoolTimings } from "../../coordination/pool/PoolTimings.ts";
 import { QueueRegistry } from "../../coordination/pool/QueueRegistry.ts";
 import { StoreFollower } from "../../coordination/pool/StoreFollower.ts";
+import { StoreSilenceMonitor } from "../../coordination/pool/StoreSilenceMonitor.ts";
 import { SubmissionService } from "../../coordination/pool/SubmissionService.ts";
 import type { ListenError } from "../../protocol/errors/errors.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
@@ -74,7 +76,7 @@
   private readonly _coordinator: PoolCoordinator;
   private readonly _queues: QueueRegistry;
   private readonly _configFollower: StoreFollower;
-  private readonly _submissions: SubmissionService;
+  private readonly _silenceMonitor: StoreSilenceMonitor;
   private readonly _frontend: SubmissionFrontend;
   private _isDraining = false;
 
@@ -84,8 +86,14 @@
    */
   constructor(deps: PoolEntryDependencies) {
     this._deps = deps;
-    const { settings, store, log, decoder } = deps;
+    const { settings, log, decoder } = deps;
     const random = new SystemRandom();
+    this._silenceMonitor = new StoreSilenceMonitor({
+      store: deps.store,
+      clock: this._clock,
+      log: log.child("submissions"),
+    });
+    const store = new MonitoredStore(deps.store, this._silenceMonitor);
     const shared = { store, clock: this._clock, random };
     const identity = { entry: settings.entry.name, process: crypto.randomUUID() };
     this._coordinator = new PoolCoordinator({
@@ -108,9 +116,8 @@
       onListing: apply,
       onChanges: apply,
     });
-    this._submissions = this._createSubmissions();
     this._frontend = deps.createFrontend({
-      submissions: this._submissions,
+      submissions: this._createSubmissions(store),
       queues: this._queues,
       clock: this._clock,
       log: log.child("submissions"),
@@ -141,15 +148,16 @@
     await Promise.race([this._frontend.close(), this._clock.sleep(drainTimeoutMs - drainMs)]);
     this._coordinator.stop();
     this._configFollower.stop();
-    this._submissions.stop();
+    this._silenceMonitor.stop();
     this._channel.close();
     this._deps.log.info("Entry ended.");
   }
 
-  private _createSubmissions(): SubmissionService {
-    const { store, log } = this._deps;
+  private _createSubmissions(store: Store): SubmissionService {
+    const { log } = this._deps;
     return new SubmissionService({
       store,
+      silenceMonitor: this._silenceMonitor,
       clock: this._clock,
       log: log.child("submissions"),
       catalog: this._coordinator.catalog,
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -5,6 +5,8 @@
  */
 import { PoolCoordinator } from "../../../src/coordination/pool/PoolCoordinator.ts";
 import type { PoolTimings } from "../../../src/coordination/pool/PoolTimings.ts";
+import { MonitoredStore } from "../../../src/coordination/pool/MonitoredStore.ts";
+import { StoreSilenceMonitor } from "../../../src/coordination/pool/StoreSilenceMonitor.ts";
 import {
   SubmissionService,
   type SubmissionOutcome,
@@ -116,9 +118,12 @@
       isDisconnected: false,
       isStopped: false,
     };
+    const { clock, log } = this;
+    const silenceMonitor = new StoreSilenceMonitor({ store, clock, log });
+    const monitored = new MonitoredStore(store, silenceMonitor);
     const coordinator = new PoolCoordinator({
       identity: { entry: name, process: `${name}-${this._processCount}` },
-      store,
+      store: monitored,
       clock: this.clock,
       random: this._random,
       log: this.log.child(name),
@@ -126,9 +131,9 @@
       channel: new SimulatedChannel(this, () => entry.isDisconnected || entry.isStopped),
       getTimeOfDay,
     });
-    const { clock, log } = this;
     const submissions = new SubmissionService({
-      store,
+      store: monitored,
+      silenceMonitor,
       clock,
       log,
       catalog: coordinator.catalog,
--- a/tests/coordination/pool/submissionServiceTests.ts
+++ b/tests/coordination/pool/submissionServiceTests.ts
@@ -4,6 +4,8 @@
  */
 import test from "ava";
 import { errAsync, ResultAsync } from "neverthrow";
+import { MonitoredStore } from "../../../src/coordination/pool/MonitoredStore.ts";
+import { StoreSilenceMonitor } from "../../../src/coordination/pool/StoreSilenceMonitor.ts";
 import {
   SubmissionService,
   type SubmissionOutcome,
@@ -73,8 +75,10 @@
   const ignore = (): void => undefined;
   const catalog = new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore });
   const log = new MemoryLog();
+  const silenceMonitor = new StoreSilenceMonitor({ store, clock, log });
   const submissions = new SubmissionService({
-    store,
+    store: new MonitoredStore(store, silenceMonitor),
+    silenceMonitor,
     clock,
     log,
     catalog,
@@ -93,7 +97,7 @@
   };
   const submit = (id: string): Promise<Response<SubmissionOutcome>> =>
     respond((service, deadline) => service.submit(QUEUE, id, JOB, deadline));
-  return { clock, store, log, submissions, respond, submit };
+  return { clock, store, log, silenceMonitor, submissions, respond, submit };
 }
 
 // Guards against a second try that holds the response up for its whole timeout.
@@ -171,7 +175,7 @@
 
 // Guards against an entry that refuses after the store's return, or tries submissions to notice it.
 test("SubmissionService accepts submissions within half a second of the store's return", async (t) => {
-  const { clock, store, submit, submissions } = createSetup();
+  const { clock, store, submit } = createSetup();
   await submit("0000000000000001");
   t.is((await submit("0000000000000002")).outcome.kind, "refused");
   store.isSilent = false;
@@ -179,7 +183,6 @@
   const sent = store.writeCount;
   t.deepEqual((await submit("0000000000000003")).outcome, { kind: "stored", known: false });
   t.is(store.writeCount, sent + 1);
-  submissions.stop();
 });
 
 // Guards against a retry that is sent into the interruption and waits for its timeout.
@@ -283,13 +286,3 @@
   );
   t.deepEqual([query.outcome.kind, query.respondedAt], ["unavailable", askedAt]);
 });
-
-// Guards against probes that keep a process from ending.
-test("SubmissionService stops probing the store when it is stopped", async (t) => {
-  const { clock, submissions, submit } = createSetup();
-  await submit("0000000000000001");
-  t.true(clock.pendingTimers > 0);
-  submissions.stop();
-  await clock.advance(STORE_TIMEOUT_MS);
-  t.is(clock.pendingTimers, 0);
-});
--- a/tests/platform/clientServerTests.ts
+++ b/tests/platform/clientServerTests.ts
@@ -6,6 +6,7 @@
 import { ClientServer } from "../../platform/ClientServer.ts";
 import { ManifestDecoder } from "../../platform/manifest.ts";
 import { QueueRegistry } from "../../src/coordination/pool/QueueRegistry.ts";
+import { StoreSilenceMonitor } from "../../src/coordination/pool/StoreSilenceMonitor.ts";
 import {
   SubmissionService,
   type PhaseOutcome,
@@ -33,10 +34,10 @@
 
 function createService(clock: SystemClock): RecordingService {
   const ignore = (): void => undefined;
+  const shared = { store: new MemoryStore(clock), clock, log: new MemoryLog() };
   return new RecordingService({
-    store: new MemoryStore(clock),
-    clock,
-    log: new MemoryLog(),
+    ...shared,
+    silenceMonitor: new StoreSilenceMonitor(shared),
     catalog: new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore }),
     getTimeOfDay: Date.now,
   });
