Let only entries that can schedule a pool claim it, and let a scheduler resign

Cause: an entry that never manages to read a pool's state was elected its scheduler, renewed its lease and kept the pool for ever, while entries that could schedule it never tried.

The election asks `isEligible` before each claim, that of a former process of the same entry included; `reconsider` claims a key that is known to be free once the entry may have become eligible. `resign` gives a pool up with a warning, revokes the lease and holds further claims off for the lease and 1,000 ms more, 3 s as configured, so that another entry wins; an entry that is alone takes part again after it. A claim that succeeds late while the entry may not claim is given up. PoolCoordinator passes `isEligible: () => true` for now. Claims move to SchedulerKeyClaimer.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -212,6 +212,7 @@
     const leaseMs = timings.schedulerLeaseMs;
     return new SchedulerElection({
       ...{ store, clock, random, log, pool, identity, leaseMs },
+      isEligible: () => true,
       onElected: (epoch) => {
         void this._startScheduling(pool, epoch);
       },
--- a/src/coordination/pool/SchedulerElection.ts
+++ b/src/coordination/pool/SchedulerElection.ts
@@ -4,19 +4,15 @@
  * epoch. The pool is protected from former schedulers not by the lease but by the check of the key
  * in every transaction and by the epoch in every order.
  */
-import type { StoreChange, StoreEntry, StoreFailure } from "../../protocol/platform/Store.ts";
+import type { StoreChange, StoreEntry } from "../../protocol/platform/Store.ts";
 import { getSchedulerKey } from "../../state/pool/PoolKeys.ts";
 import { LeaseRenewer } from "./LeaseRenewer.ts";
 import type { SchedulerElectionDependencies } from "./SchedulerElectionDependencies.ts";
+import { SchedulerKeyClaimer } from "./SchedulerKeyClaimer.ts";
 import { SchedulerKeyReader } from "./SchedulerKeyReader.ts";
 import { SchedulerKeyState } from "./SchedulerKeyState.ts";
 import { SchedulerLease } from "./SchedulerLease.ts";
 
-/**
- * Maximum random delay of a claim, in milliseconds, so that claims of several entries rarely
- * collide.
- */
-const MAX_CLAIM_JITTER_MS = 30;
 /** Delay between a claim that failed and the read that follows it, in milliseconds. */
 const RETRY_MS = 200;
 /**
@@ -26,6 +22,13 @@
  */
 const MAX_FREE_KEY_READ_MS = 1_000;
 
+/**
+ * Time for which an entry that resigned claims nothing, beyond the time to live of the lease, in
+ * milliseconds. Its key is gone by the end of the lease even if it could not be revoked; the others
+ * notice that within two watch calls and claim at once.
+ */
+const RESIGN_MARGIN_MS = 1_000;
+
 /** Takes part in the election of one pool's scheduler. */
 export class SchedulerElection {
   private readonly _deps: SchedulerElectionDependencies;
@@ -33,11 +36,12 @@
   private readonly _state = new SchedulerKeyState();
   private readonly _reader: SchedulerKeyReader;
   private readonly _lease: SchedulerLease;
+  private readonly _claimer: SchedulerKeyClaimer;
   private _epoch: number | undefined;
   /** Latest epoch that this entry held or gave up; none is adopted again once it was left. */
   private _lastEpoch = 0;
   private _confirmedAt = Number.NEGATIVE_INFINITY;
-  private _isClaiming = false;
+  private _mayClaimFrom = Number.NEGATIVE_INFINITY;
   private _isStopped = false;
   private _renewer: LeaseRenewer | undefined;
 
@@ -49,13 +53,24 @@
     this._deps = deps;
     this._key = getSchedulerKey(deps.pool);
     this._lease = new SchedulerLease(deps);
+    const shared = { ...deps, key: this._key, state: this._state };
     this._reader = new SchedulerKeyReader({
-      ...{ store: deps.store, clock: deps.clock, log: deps.log, pool: deps.pool },
-      ...{ key: this._key, state: this._state },
+      ...shared,
       onRead: () => {
         this._followState();
       },
     });
+    this._claimer = new SchedulerKeyClaimer({
+      ...{ ...shared, lease: this._lease },
+      mayClaim: () => this._epoch === undefined && this._isClaimable() && this._mayTakePart(),
+      onWritten: (revision, sentAt) => {
+        this._followState(sentAt);
+        this._confirm(revision, sentAt);
+      },
+      onEnded: () => {
+        this._handleEndedClaim();
+      },
+    });
   }
 
   /** Epoch of this entry's scheduler; undefined while this entry is not elected. */
@@ -95,6 +110,31 @@
     }
   }
 
+  /** Claims the key if it is known to be free; called when this entry may have become eligible. */
+  reconsider(): void {
+    if (this._state.version > 0) {
+      this._followState();
+    }
+  }
+
+  /**
+   * Gives the pool up, so that another entry is elected. This entry takes part again after the
+   * others had time to claim the key.
+   * @param reason - Why this entry cannot schedule the pool.
+   */
+  resign(reason: string): void {
+    if (this._epoch === undefined) {
+      return;
+    }
+    const { clock, log, pool, leaseMs } = this._deps;
+    log.warn("This entry gives up a pool that it cannot schedule; others can claim it.", {
+      ...{ pool, epoch: this._epoch, reason },
+    });
+    this._mayClaimFrom = clock.now() + leaseMs + RESIGN_MARGIN_MS;
+    this._stepDown();
+    this._followState();
+  }
+
   /** Stops taking part and releases the key, so that another entry can claim it immediately. */
   async stop(): Promise<void> {
     this._isStopped = true;
@@ -124,7 +164,8 @@
       return;
     }
     if (this._isClaimable()) {
-      this._scheduleClaim();
+      this._scheduleRead();
+      this._claimer.schedule();
       return;
     }
     this._reader.cancel();
@@ -141,9 +182,10 @@
     if (record?.process !== this._deps.identity.process || revision <= this._lastEpoch) {
       return false;
     }
-    if (this._lease.id === undefined) {
-      // The key is bound to a lease that was given up.
+    if (this._lease.id === undefined || !this._mayTakePart()) {
+      // The key is bound to a lease that was given up or is to be, since the pool needs another entry.
       this._lastEpoch = revision;
+      void this._lease.release();
       return false;
     }
     this._confirmedAt = confirmedAt;
@@ -151,70 +193,32 @@
     return true;
   }
 
-  private _scheduleClaim(): void {
-    const { clock, random } = this._deps;
+  private _scheduleRead(): void {
     if (!this._reader.isScheduled) {
-      this._reader.schedule(MAX_FREE_KEY_READ_MS * (1 - random.next() / 2));
-    }
-    if (this._isClaiming) {
-      return;
+      this._reader.schedule(MAX_FREE_KEY_READ_MS * (1 - this._deps.random.next() / 2));
     }
-    this._isClaiming = true;
-    clock.after(MAX_CLAIM_JITTER_MS * random.next(), () => {
-      void this._claim();
-    });
+  }
+
+  /** Whether this entry could do the work, and has not just given the pool up. */
+  private _mayTakePart(): boolean {
+    const { clock, isEligible } = this._deps;
+    return !this._isStopped && clock.now() >= this._mayClaimFrom && isEligible();
   }
 
   /**
-   * Claims the key. Changes that arrive meanwhile lead to no further claim, so the key is read
-   * afterwards, unless it is known to have a holder.
+   * Handles the end of a claim. Changes that arrived meanwhile led to no further claim, so the key
+   * is read, unless it is known to have a holder.
    */
-  private async _claim(): Promise<void> {
-    if (!this._isStopped) {
-      await this._writeClaim(this._deps.clock.now());
-    }
-    this._isClaiming = false;
+  private _handleEndedClaim(): void {
+    this._followState();
     if (this._epoch !== undefined) {
       return;
     }
-    if (this._isStopped || !this._isClaimable()) {
-      await this._lease.release();
-    } else {
-      this._reader.schedule(RETRY_MS);
-    }
-  }
-
-  private async _writeClaim(sentAt: number): Promise<void> {
-    const { store, identity, log, pool } = this._deps;
-    const lease = await this._lease.acquire();
-    const isOver = this._isStopped || this._epoch !== undefined || !this._isClaimable();
-    if (lease === undefined || isOver) {
-      return;
-    }
-    const { exists, record, revision, version } = this._state;
-    if (exists && record === undefined) {
-      log.warn("The key of a pool's scheduler names no entry; it is replaced.", { pool });
-    }
-    const write = { key: this._key, value: JSON.stringify(identity), lease };
-    const written = await store.write({ ...write, expected: exists ? revision : 0 });
-    if (written.isErr()) {
-      this._handleFailedClaim(lease, written.error);
-    } else if (written.value.kind === "conflict") {
-      this._state.applyRead(written.value.current, version);
-      this._followState();
-    } else {
-      this._state.applyChange({ ...write, revision: written.value.revision });
-      this._followState(sentAt);
-      this._confirm(written.value.revision, sentAt);
+    if (!this._mayTakePart()) {
+      void this._lease.release();
     }
-  }
-
-  /** Handles a claim of which it is unknown whether it is written, or whose lease has ended. */
-  private _handleFailedClaim(lease: string, { kind, detail }: StoreFailure): void {
-    const { log, pool } = this._deps;
-    log.debug("A claim of a pool failed; its key is read.", { pool, reason: detail });
-    if (kind === "lease-lost") {
-      this._lease.forget(lease);
+    if (this._isClaimable()) {
+      this._reader.schedule(RETRY_MS);
     }
   }
 
--- a/src/coordination/pool/SchedulerElectionDependencies.ts
+++ b/src/coordination/pool/SchedulerElectionDependencies.ts
@@ -17,6 +17,11 @@
   readonly identity: SchedulerRecord;
   /** Time to live of the lease, in milliseconds. */
   readonly leaseMs: number;
+  /**
+   * Whether this entry could schedule the pool now, since its copy of the pool's state is complete;
+   * it claims the pool only then.
+   */
+  readonly isEligible: () => boolean;
   /** Called when this entry is elected; the epoch is the revision of the key. */
   readonly onElected: (epoch: number) => void;
   /** Called when this entry is no longer the scheduler. */
--- a/tests/coordination/pool/ElectionHarness.ts
+++ b/tests/coordination/pool/ElectionHarness.ts
@@ -14,6 +14,8 @@
 
 /** Key that names the scheduler. */
 export const KEY = getSchedulerKey(POOL);
+/** Record of an entry that is no candidate. */
+export const OTHER = JSON.stringify({ entry: "other", process: "process-other" });
 /** Time to live of a scheduler's lease, in milliseconds. */
 export const LEASE_MS = 2_000;
 /** Longer than the jitter of a claim, in milliseconds. */
@@ -28,6 +30,8 @@
   readonly epochs: number[];
   /** Epochs that it left, in order. */
   readonly left: number[];
+  /** Whether it could schedule the pool. */
+  isEligible: boolean;
 }
 
 /** A pool's election with its store. */
@@ -46,10 +50,12 @@
     const log = new MemoryLog();
     const epochs: number[] = [];
     const left: number[] = [];
+    const eligibility = { isEligible: true };
     const election = new SchedulerElection({
       ...{ store, clock, log, pool: POOL, leaseMs: LEASE_MS },
       random: new SeededRandom(process.length),
       identity: { entry, process },
+      isEligible: () => eligibility.isEligible,
       onElected: (epoch) => {
         epochs.push(epoch);
       },
@@ -57,7 +63,7 @@
         left.push(epochs.at(-1) ?? 0);
       },
     });
-    return { election, store, log, epochs, left };
+    return Object.assign(eligibility, { election, store, log, epochs, left });
   }
 
   /** Adds an entry and lets it be elected. */
@@ -84,3 +90,11 @@
     return { key: KEY, value: undefined, revision: this.model.revision };
   }
 }
+
+/**
+ * Returns whether each number is greater than the one before it.
+ * @param numbers - The numbers, such as epochs.
+ */
+export function isAscending(numbers: readonly number[]): boolean {
+  return numbers.every((number, position) => number > (numbers[position - 1] ?? 0));
+}
--- a/tests/coordination/pool/schedulerElectionTests.ts
+++ b/tests/coordination/pool/schedulerElectionTests.ts
@@ -2,14 +2,7 @@
  * Tests of the election of a pool's scheduler in virtual time.
  */
 import test from "ava";
-import { CLAIM_MS, ElectionHarness, KEY, LEASE_MS } from "./ElectionHarness.ts";
-
-/** Record of another entry. */
-const OTHER = JSON.stringify({ entry: "other", process: "process-other" });
-
-function isAscending(numbers: readonly number[]): boolean {
-  return numbers.every((number, position) => number > (numbers[position - 1] ?? 0));
-}
+import { CLAIM_MS, ElectionHarness, isAscending, KEY, LEASE_MS, OTHER } from "./ElectionHarness.ts";
 
 // Guards against a listing from before this entry's claim ending its scheduling, after which it
 // started a second scheduler with the same epoch.
@@ -187,3 +180,47 @@
   t.deepEqual(left, []);
   t.true(pool.clock.now() - election.confirmedAt <= LEASE_MS / 4);
 });
+
+// Guards against a key that an entry leaves behind when it is stopped during its claim.
+test("SchedulerElection releases a key whose claim is under way when it stops", async (t) => {
+  const pool = new ElectionHarness();
+  const { election, store, epochs } = pool.addCandidate();
+  const deliver = store.hold("write");
+  election.applyListing(undefined, 0);
+  await pool.clock.advance(CLAIM_MS);
+  t.truthy(pool.model.read(KEY));
+  await election.stop();
+  deliver();
+  await pool.clock.advance(CLAIM_MS);
+  t.is(pool.model.read(KEY), undefined);
+  t.deepEqual(epochs, []);
+});
+
+// Guards against claims without a pause while the store refuses every call.
+test("SchedulerElection pauses after claims that fail immediately", async (t) => {
+  const pool = new ElectionHarness();
+  const { election, store, epochs } = pool.addCandidate();
+  election.applyListing(undefined, 0);
+  store.startOutage();
+  await pool.clock.advance(10_000);
+  const { reads, writes } = store.counts;
+  t.true(reads + writes <= 100, `${reads} reads, ${writes} writes`);
+  store.endOutage();
+  store.faults.rateLimited = 2;
+  await pool.clock.advance(1_000);
+  t.is(epochs.length, 1);
+});
+
+// Guards against claims without a pause while the store grants leases and refuses the writes.
+test("SchedulerElection pauses after claims whose writes fail immediately", async (t) => {
+  const pool = new ElectionHarness();
+  const { election, store, epochs } = pool.addCandidate();
+  election.applyListing(undefined, 0);
+  store.faults.lostRequests = 1_000;
+  await pool.clock.advance(10_000);
+  const { writes } = store.counts;
+  t.true(writes <= 100, `${writes} writes`);
+  store.faults.lostRequests = 0;
+  await pool.clock.advance(1_000);
+  t.is(epochs.length, 1);
+});
