Let only entries with a complete copy of the jobs claim a pool

Callers saw accepted long-running tasks that never ran again after all machines had lost power: an entry with a narrow link was elected scheduler before it had read the pool's state, could not read it, and kept the pool, since a scheduler was judged by its lease alone.

An entry claims a pool only while its followers hold all jobs and progress, so that an entry with a wide link, which has them first, is elected; it reconsiders when a listing is complete.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -68,7 +68,11 @@
     this._jobFollower = new JobFollower({
       ...this._followerDependencies,
       catalog: this.catalog,
-      onListed: () => undefined,
+      onListed: () => {
+        this._elections.forEach((election) => {
+          election.reconsider();
+        });
+      },
     });
     this._followers = this._createFollowers();
   }
@@ -205,7 +209,7 @@
     const leaseMs = timings.schedulerLeaseMs;
     return new SchedulerElection({
       ...{ store, clock, random, log, pool, identity, leaseMs },
-      isEligible: () => true,
+      isEligible: () => this._jobFollower.isSynced,
       onElected: (epoch) => {
         void this._startScheduling(pool, epoch);
       },
--- a/tests/support/NarrowLinkStore.ts
+++ b/tests/support/NarrowLinkStore.ts
@@ -4,7 +4,7 @@
  */
 import { errAsync, ResultAsync } from "neverthrow";
 import type { Clock } from "../../src/protocol/platform/Clock.ts";
-import type { StoreFailure, StorePage } from "../../src/protocol/platform/Store.ts";
+import type { StoreChanges, StoreFailure, StorePage } from "../../src/protocol/platform/Store.ts";
 import { MemoryStore } from "../../standins/store/MemoryStore.ts";
 import type { StoreModel } from "../../standins/store/StoreModel.ts";
 
@@ -14,6 +14,8 @@
 export class NarrowLinkStore extends MemoryStore {
   /** Number of keys that a listing can transfer before the timeout. */
   maxListedKeys: number;
+  /** Prefixes whose watches time out. */
+  silentPrefixes: readonly string[] = [];
   private readonly _timeoutClock: Clock;
 
   /**
@@ -33,13 +35,27 @@
       if (page.entries.length <= this.maxListedKeys) {
         return ResultAsync.fromSafePromise(Promise.resolve(page));
       }
-      const failure: StoreFailure = {
-        kind: "timeout",
-        mayHaveWritten: false,
-        detail: "no response in time",
-      };
-      const timeout = ResultAsync.fromSafePromise(this._timeoutClock.sleep(CALL_TIMEOUT_MS));
-      return timeout.andThen(() => errAsync(failure));
+      return this._timeOut();
     });
   }
+
+  override watch(
+    prefix: string,
+    after: number,
+    waitMs?: number,
+  ): ResultAsync<StoreChanges, StoreFailure> {
+    return this.silentPrefixes.includes(prefix)
+      ? this._timeOut()
+      : super.watch(prefix, after, waitMs);
+  }
+
+  private _timeOut(): ResultAsync<never, StoreFailure> {
+    const failure: StoreFailure = {
+      kind: "timeout",
+      mayHaveWritten: false,
+      detail: "no response in time",
+    };
+    const timeout = ResultAsync.fromSafePromise(this._timeoutClock.sleep(CALL_TIMEOUT_MS));
+    return timeout.andThen(() => errAsync(failure));
+  }
 }
