Give a pool up whose last changes cannot be fetched after an election

An entry that was able to schedule before its election may not be afterwards: the calls for the changes of the last moments fail while the small ones that renew the lease succeed. It kept the pool for as long as that lasted.

If the catalog has not reached the revision of the election within 1.5 s, the entry resigns: it revokes its lease and claims nothing until others had time to.

'PoolCoordinator gives a pool up whose changes it cannot fetch, and another entry takes it' failed before: 'the successor does not schedule'.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -24,6 +24,12 @@
 import { SchedulerElection } from "./SchedulerElection.ts";
 import { StoreFollower } from "./StoreFollower.ts";
 
+/**
+ * Time after an election within which the changes before it must be known, in milliseconds. Other
+ * entries take over well within the time that a takeover may take.
+ */
+const MAX_TAKEOVER_MS = 1_500;
+
 /** Dependencies of PoolCoordinator. */
 export interface PoolCoordinatorDependencies {
   readonly identity: SchedulerRecord;
@@ -222,16 +228,22 @@
 
   /**
    * Starts the scheduler of a pool once all jobs and progress up to the election are known, unless
-   * the election has been lost by then.
+   * the election has been lost by then. If that takes too long, the pool is given up.
    */
   private async _startScheduling(pool: string, epoch: number): Promise<void> {
-    const { store, log } = this._deps;
+    const { store, clock, log } = this._deps;
+    const electedAt = clock.now();
     const isElected = (): boolean => this._elections.get(pool)?.epoch === epoch && !this._isStopped;
+    const isWaiting = (): boolean => isElected() && clock.now() - electedAt < MAX_TAKEOVER_MS;
     const [isComplete, priors] = await Promise.all([
-      this._jobFollower.catchUp(epoch, isElected),
+      this._jobFollower.catchUp(epoch, isWaiting),
       readInterference(pool, store, log),
     ]);
-    if (!isComplete || !isElected()) {
+    if (!isElected()) {
+      return;
+    }
+    if (!isComplete) {
+      this._elections.get(pool)?.resign("the changes before the election could not be fetched");
       return;
     }
     const jobs = this.catalog.getJobs(pool);
--- a/tests/coordination/pool/poolTakeoverTests.ts
+++ b/tests/coordination/pool/poolTakeoverTests.ts
@@ -3,6 +3,7 @@
  * that cannot do the work must not keep the pool from those that can.
  */
 import test from "ava";
+import { INTAKE_PREFIX, PROGRESS_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
 import { createStep } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
@@ -81,3 +82,25 @@
   t.is(simulation.journal.length, JOB_COUNT * TASKS_PER_JOB, "a run was started again");
   t.deepEqual(simulation.findViolations(), []);
 });
+
+// Guards against a pool that stays with an entry that cannot fetch the last changes of its jobs.
+test("PoolCoordinator gives a pool up whose changes it cannot fetch, and another entry takes it", async (t) => {
+  const simulation = await createBusyPool();
+  const { clock, storeModel } = simulation;
+  const [leader] = simulation.entries;
+  const store = new NarrowLinkStore(clock, storeModel, JOB_COUNT);
+  const stuck = simulation.addEntry("stuck", store);
+  await clock.advance(1_000);
+  store.silentPrefixes = [INTAKE_PREFIX, PROGRESS_PREFIX];
+  if (leader !== undefined) {
+    simulation.killEntry(leader);
+  }
+  await clock.advance(TAKEOVER_MS);
+  const successor = simulation.addEntry("successor");
+  await clock.advance(2 * TAKEOVER_MS);
+  t.is(stuck.coordinator.schedulers.size, 0);
+  t.true(successor.coordinator.schedulers.size > 0, "the successor does not schedule");
+  await clock.advance(RECOVERY_MS);
+  t.is(countRunning(simulation), JOB_COUNT * TASKS_PER_JOB);
+  t.deepEqual(simulation.findViolations(), []);
+});
