Let entries with wide links claim a pool before those with narrow ones

After the kill of a scheduler any entry may win, also one with a link of 10 Mbit/s, while entries with 200 Mbit/s are idle.

Entries learn the bandwidth of their link from the settings; below 50 Mbit/s they claim 250 ms later, and only if no other entry has.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -212,9 +212,9 @@
 
   private _createElection(pool: string): SchedulerElection {
     const { store, clock, random, log, identity, timings } = this._deps;
-    const leaseMs = timings.schedulerLeaseMs;
+    const { schedulerLeaseMs: leaseMs, claimDelayMs } = timings;
     return new SchedulerElection({
-      ...{ store, clock, random, log, pool, identity, leaseMs },
+      ...{ store, clock, random, log, pool, identity, leaseMs, claimDelayMs },
       isEligible: () => this._jobFollower.isSynced,
       onElected: (epoch) => {
         void this._startScheduling(pool, epoch);
--- a/src/coordination/pool/PoolTimings.ts
+++ b/src/coordination/pool/PoolTimings.ts
@@ -37,6 +37,10 @@
   readonly retentionMs: number;
   /** Time to live of the scheduler's lease in the store. */
   readonly schedulerLeaseMs: number;
+  /**
+   * Delay of this entry's claims of a pool, so that entries that can schedule it better claim first.
+   */
+  readonly claimDelayMs: number;
 }
 
 /**
--- a/src/coordination/pool/SchedulerElectionDependencies.ts
+++ b/src/coordination/pool/SchedulerElectionDependencies.ts
@@ -17,6 +17,8 @@
   readonly identity: SchedulerRecord;
   /** Time to live of the lease, in milliseconds. */
   readonly leaseMs: number;
+  /** Delay of claims, in milliseconds, so that entries that can schedule better claim first. */
+  readonly claimDelayMs: number;
   /**
    * Whether this entry could schedule the pool now, since its copy of the pool's state is complete;
    * it claims the pool only then.
--- a/src/coordination/pool/SchedulerKeyClaimer.ts
+++ b/src/coordination/pool/SchedulerKeyClaimer.ts
@@ -28,6 +28,8 @@
   /** Known state of the key, to which the result of a claim is applied. */
   readonly state: SchedulerKeyState;
   readonly lease: SchedulerLease;
+  /** Delay of a claim beyond the random one, in milliseconds. */
+  readonly claimDelayMs: number;
   /** Whether the key may be claimed now. */
   readonly mayClaim: () => boolean;
   /** Called after a claim was written; `sentAt` is when it was begun, in milliseconds. */
@@ -51,12 +53,12 @@
 
   /** Schedules a claim, unless the key may not be claimed or a claim is under way. */
   schedule(): void {
-    const { clock, random, mayClaim } = this._deps;
+    const { clock, random, claimDelayMs, mayClaim } = this._deps;
     if (this._isClaiming || !mayClaim()) {
       return;
     }
     this._isClaiming = true;
-    clock.after(MAX_CLAIM_JITTER_MS * random.next(), () => {
+    clock.after(claimDelayMs + MAX_CLAIM_JITTER_MS * random.next(), () => {
       void this._claim();
     });
   }
--- a/src/protocol/settings/IntegerSetting.ts
+++ b/src/protocol/settings/IntegerSetting.ts
@@ -5,7 +5,7 @@
 import { Setting, type SettingInfo } from "./Setting.ts";
 
 /** Unit and bounds of a number. */
-export interface IntegerRange {
+export interface NumberRange {
   readonly unit: string;
   readonly min: number;
   readonly max: number;
@@ -13,14 +13,14 @@
 
 /** An integer within bounds. */
 export class IntegerSetting extends Setting<number> {
-  private readonly _range: IntegerRange;
+  private readonly _range: NumberRange;
 
   /**
    * Creates the setting.
    * @param range - Unit and bounds.
    * @param info - Default and description.
    */
-  constructor(range: IntegerRange, info: SettingInfo) {
+  constructor(range: NumberRange, info: SettingInfo) {
     super(info);
     this._range = range;
   }
--- a/src/protocol/settings/PoolEntrySettings.ts
+++ b/src/protocol/settings/PoolEntrySettings.ts
@@ -4,7 +4,7 @@
 import type { Result } from "neverthrow";
 import type { SettingError } from "../errors/errors.ts";
 import { LOG_LEVELS } from "./LogLevel.ts";
-import { address, choice, milliseconds, name } from "./settingFactories.ts";
+import { address, choice, megabitsPerSecond, milliseconds, name } from "./settingFactories.ts";
 import { SettingsReader } from "./SettingsReader.ts";
 import type { SettingsValues } from "./SettingsSchema.ts";
 
@@ -15,6 +15,10 @@
     zone: name("Availability zone of this entry."),
     submissions: address("Address that submitters send jobs to."),
     readiness: address("Address of the readiness probe."),
+    link_mbps: megabitsPerSecond(
+      1_000,
+      "Bandwidth of this VM's link; entries with wide links schedule pools first.",
+    ),
     drain_ms: milliseconds(2_300, "Time on shutdown in which requests are still accepted."),
     drain_timeout_ms: milliseconds(
       5_000,
--- a/src/protocol/settings/settingFactories.ts
+++ b/src/protocol/settings/settingFactories.ts
@@ -4,6 +4,7 @@
 import { AddressListSetting } from "./AddressListSetting.ts";
 import { AddressSetting } from "./AddressSetting.ts";
 import { ChoiceSetting } from "./ChoiceSetting.ts";
+import { DecimalSetting } from "./DecimalSetting.ts";
 import { IntegerSetting } from "./IntegerSetting.ts";
 import { OptionalAddressSetting } from "./OptionalAddressSetting.ts";
 import { TextSetting } from "./TextSetting.ts";
@@ -11,6 +12,8 @@
 const MAX_DURATION_MS = 86_400_000;
 const MAX_SIZE_BYTES = 1_099_511_627_776;
 const MAX_COUNT = 1_000_000;
+const MIN_BANDWIDTH_MBPS = 0.1;
+const MAX_BANDWIDTH_MBPS = 1_000_000;
 
 const NAME_FORMAT = {
   type: "name",
@@ -67,6 +70,16 @@
   return new IntegerSetting(range, { defaultText: String(defaultValue), doc });
 }
 
+/** Creates a bandwidth. */
+export function megabitsPerSecond(defaultValue: number, doc: string): DecimalSetting {
+  const range = {
+    unit: "megabits per second",
+    min: MIN_BANDWIDTH_MBPS,
+    max: MAX_BANDWIDTH_MBPS,
+  };
+  return new DecimalSetting(range, { defaultText: String(defaultValue), doc });
+}
+
 /** Creates a percentage from 0 to 100. */
 export function percent(defaultValue: number, doc: string): IntegerSetting {
   const range = { unit: "percent", min: 0, max: 100 };
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -35,6 +35,16 @@
 const MEASURE_WAIT_MS = 420;
 /** Timeout of a call to an agent beyond the wait that it requests. */
 const AGENT_TIMEOUT_MS = 1_000;
+/**
+ * Bandwidth from which an entry can schedule a large pool, in megabits per second: agents' reports,
+ * recorded progress and start orders take up to about 10, several times as much after a takeover.
+ */
+const WIDE_LINK_MBPS = 50;
+/**
+ * Delay of the claims of entries with narrower links, in milliseconds: longer than those with wide
+ * links take to notice that a pool has no scheduler and to claim it.
+ */
+const NARROW_LINK_CLAIM_DELAY_MS = 250;
 /** Time without a response from the store after which the entry is not ready. */
 const STORE_SILENCE_LIMIT_MS = 4_000;
 
@@ -176,7 +186,7 @@
   }
 }
 
-function getTimings({ pool }: PoolEntrySettings): PoolTimings {
+function getTimings({ entry, pool }: PoolEntrySettings): PoolTimings {
   return {
     workerLeaseMs: Math.min(pool.maxWorkerLeaseMs, WORKER_LEASE_MS),
     grantHorizonMs: GRANT_HORIZON_MS,
@@ -186,5 +196,6 @@
     commitIntervalMs: pool.commitIntervalMs,
     retentionMs: pool.retentionMs,
     schedulerLeaseMs: pool.schedulerLeaseMs,
+    claimDelayMs: entry.linkMbps < WIDE_LINK_MBPS ? NARROW_LINK_CLAIM_DELAY_MS : 0,
   };
 }
--- a/tests/coordination/pool/ElectionHarness.ts
+++ b/tests/coordination/pool/ElectionHarness.ts
@@ -43,8 +43,9 @@
    * Adds an entry that does not know the state of the key yet.
    * @param process - Identity of its process.
    * @param entry - Its name.
+   * @param claimDelayMs - Delay of its claims, in milliseconds.
    */
-  addCandidate(process = "process-a", entry = process): Candidate {
+  addCandidate(process = "process-a", entry = process, claimDelayMs = 0): Candidate {
     const { clock } = this;
     const store = new ElectionStore(clock, this.model);
     const log = new MemoryLog();
@@ -52,7 +53,7 @@
     const left: number[] = [];
     const eligibility = { isEligible: true };
     const election = new SchedulerElection({
-      ...{ store, clock, log, pool: POOL, leaseMs: LEASE_MS },
+      ...{ store, clock, log, pool: POOL, leaseMs: LEASE_MS, claimDelayMs },
       random: new SeededRandom(process.length),
       identity: { entry, process },
       isEligible: () => eligibility.isEligible,
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -48,6 +48,7 @@
   commitIntervalMs: 20,
   retentionMs: 600_000,
   schedulerLeaseMs: 2_000,
+  claimDelayMs: 0,
 };
 
 /** Queue of the tests' jobs. */
--- a/tests/coordination/pool/schedulerElectionTests.ts
+++ b/tests/coordination/pool/schedulerElectionTests.ts
@@ -4,6 +4,8 @@
 import test from "ava";
 import { CLAIM_MS, ElectionHarness, isAscending, KEY, LEASE_MS, OTHER } from "./ElectionHarness.ts";
 
+const CLAIM_DELAY_MS = 250;
+
 // Guards against a listing from before this entry's claim ending its scheduling, after which it
 // started a second scheduler with the same epoch.
 test("SchedulerElection ignores a listing that is older than its claim", async (t) => {
@@ -224,3 +226,27 @@
   await pool.clock.advance(1_000);
   t.is(epochs.length, 1);
 });
+
+// Guards against a pool that an entry with a narrow link schedules while one with a wide link is idle.
+test("SchedulerElection leaves a free key to entries whose claims are not delayed", async (t) => {
+  const pool = new ElectionHarness();
+  const delayed = pool.addCandidate("process-a", "entry-a", CLAIM_DELAY_MS);
+  const first = pool.addCandidate("process-b", "entry-b");
+  const candidates = [delayed, first];
+  candidates.forEach(({ election }) => {
+    election.applyListing(undefined, pool.model.revision);
+  });
+  await pool.clock.advance(CLAIM_DELAY_MS + CLAIM_MS);
+  t.deepEqual(
+    candidates.map(({ epochs }) => epochs.length),
+    [0, 1],
+  );
+});
+
+test("SchedulerElection claims a free key after its delay if no other entry does", async (t) => {
+  const pool = new ElectionHarness();
+  const delayed = pool.addCandidate("process-a", "entry-a", CLAIM_DELAY_MS);
+  delayed.election.applyListing(undefined, pool.model.revision);
+  await pool.clock.advance(CLAIM_DELAY_MS + CLAIM_MS);
+  t.is(delayed.epochs.length, 1);
+});
--- a/tests/protocol/settings/entrySettingsTests.ts
+++ b/tests/protocol/settings/entrySettingsTests.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { readAgentSettings } from "../../../src/protocol/settings/AgentSettings.ts";
 import { readEntrySettings } from "../../../src/protocol/settings/EntrySettings.ts";
+import { readPoolEntrySettings } from "../../../src/protocol/settings/PoolEntrySettings.ts";
 
 const ENTRY = `
 [entry]
@@ -92,3 +93,25 @@
   const bad = readAgentSettings("a.ini", text.replace("0.1:6", "0.1:66666"))._unsafeUnwrapErr();
   t.is(bad[0]?.key, "entries");
 });
+
+test("readPoolEntrySettings reads a bandwidth with or without decimal places", (t) => {
+  const read = (linkMbps: string) =>
+    readPoolEntrySettings(
+      "entry.ini",
+      `[entry]
+name = entry-1
+zone = zone-a
+submissions = 127.0.0.1:8080
+readiness = 127.0.0.1:8081
+link_mbps = ${linkMbps}
+[store]
+address = 127.0.0.1:2379
+`,
+    ).map(({ entry }) => entry.linkMbps);
+  t.is(read("10")._unsafeUnwrap(), 10);
+  t.is(read("7.5")._unsafeUnwrap(), 7.5);
+  t.deepEqual(
+    ["", "-1", "0", "1e3", "fast"].map((text) => read(text).isErr()),
+    [true, true, true, true, true],
+  );
+});
