Claim a free pool as soon as the entry holds all jobs

After a loss of power of all machines no entry claimed a pool when its listing of the jobs was complete, but only with its next read of the pool's key, up to 0.75 s later: the follower told of the listing before it counted as complete.

'PoolCoordinator claims a free pool as soon as its entry holds all jobs' failed before.

--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -142,9 +142,10 @@
       return listing.error;
     }
     if (!this._isStopped) {
+      const { entries, revision } = listing.value;
       this._answeredAt = this._deps.clock.now();
-      this._deps.onListing(listing.value.entries, listing.value.revision);
-      this._revision = listing.value.revision;
+      this._revision = revision;
+      this._deps.onListing(entries, revision);
     }
     return undefined;
   }
--- a/tests/coordination/pool/poolTakeoverTests.ts
+++ b/tests/coordination/pool/poolTakeoverTests.ts
@@ -4,6 +4,7 @@
  */
 import test from "ava";
 import { INTAKE_PREFIX, PROGRESS_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
+import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { createStep } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
@@ -12,6 +13,12 @@
 const TASKS_PER_JOB = 2;
 /** Time within which a pool is scheduled again after all entries have restarted, in milliseconds. */
 const RECOVERY_MS = 15_000;
+/** Longer than the random delay of a claim, in milliseconds. */
+const CLAIM_MS = 100;
+/** Duration of a call of a slow store, in milliseconds. */
+const CALL_MS = 10;
+/** Three pages, a lease, a claim and the last changes. */
+const CALLS_UNTIL_SCHEDULING = 6;
 /** Time within which another entry takes over after a crash of the scheduler, in milliseconds. */
 const TAKEOVER_MS = 3_000;
 
@@ -62,6 +69,22 @@
   t.deepEqual(simulation.findViolations(), []);
 });
 
+// Guards against an entry that learns only with its next read of the key that it may claim a pool.
+test("PoolCoordinator claims a free pool as soon as its entry holds all jobs", async (t) => {
+  const simulation = await createBusyPool();
+  simulation.entries.forEach((entry) => {
+    simulation.killEntry(entry);
+  });
+  await simulation.clock.advance(RECOVERY_MS);
+  // The listing of the jobs takes several calls, so that it ends after that of the pool's key.
+  const store = new MemoryStore(simulation.clock, simulation.storeModel);
+  store.pageKeys = JOB_COUNT / 3;
+  store.faults.delayMs = CALL_MS;
+  const successor = simulation.addEntry("successor", store);
+  await simulation.clock.advance(CALLS_UNTIL_SCHEDULING * CALL_MS + CLAIM_MS);
+  t.is(successor.coordinator.schedulers.size, 1);
+});
+
 // Guards against a takeover whose duration grows with the state of the pool.
 test("PoolCoordinator takes a pool over without listing its jobs again", async (t) => {
   const simulation = await createBusyPool();
