Bound a takeover by its time, also while changes still arrive

The bound on a takeover was checked between calls only. A call for the last changes that went on for 10 s, as a narrow link needs, held the pool for as long, and the entry then gave it up although it had everything.

The wait ends at the deadline; what arrives later is kept for the next attempt.

'PoolCoordinator gives a pool up whose changes arrive too slowly' failed before: 'the successor does not schedule'.

--- a/src/coordination/pool/JobFollower.ts
+++ b/src/coordination/pool/JobFollower.ts
@@ -10,6 +10,7 @@
 import type { JobCatalog } from "../../state/pool/JobCatalog.ts";
 import { INTAKE_PREFIX, PROGRESS_PREFIX } from "../../state/pool/PoolKeys.ts";
 import { StoreFollower } from "./StoreFollower.ts";
+import { waitUntil } from "./waitUntil.ts";
 
 /** Minimum time between two watch calls for progress, in milliseconds, so that changes arrive in groups. */
 const PROGRESS_WATCH_INTERVAL_MS = 120;
@@ -85,21 +86,18 @@
 
   /**
    * Waits until the catalog contains all changes up to a revision. Changes that were received are
-   * kept, so that each attempt starts where the last one ended.
+   * kept, so that a later attempt starts where this one ended.
    * @param revision - The revision.
-   * @param isWanted - Returns whether the caller still waits.
+   * @param deadline - End of the wait on the monotonic clock, in milliseconds.
    * @returns Whether the catalog is complete up to the revision.
    */
-  async catchUp(revision: number, isWanted: () => boolean): Promise<boolean> {
+  async catchUp(revision: number, deadline: number): Promise<boolean> {
     const { clock, log } = this._deps;
     const startedAt = clock.now();
-    while (isWanted()) {
-      const behind = this._followers.filter((follower) => (follower.revision ?? 0) < revision);
-      if (behind.length === 0) {
-        return true;
-      }
-      const failures = await Promise.all(behind.map((follower) => follower.catchUp()));
-      const details = failures.flatMap((failure) => failure?.detail ?? []);
+    while (!this._isCompleteUpTo(revision) && clock.now() < deadline) {
+      const attempts = this._followers.map((follower) => follower.catchUp());
+      const failures = await waitUntil(clock, deadline, Promise.all(attempts));
+      const details = (failures ?? []).flatMap((failure) => failure?.detail ?? []);
       if (details.length > 0) {
         log.warn("Changes of jobs could not be fetched from the store; the call is retried.", {
           revision,
@@ -109,6 +107,10 @@
         await clock.sleep(RETRY_MS);
       }
     }
-    return false;
+    return this._isCompleteUpTo(revision);
+  }
+
+  private _isCompleteUpTo(revision: number): boolean {
+    return this._followers.every((follower) => (follower.revision ?? 0) >= revision);
   }
 }
--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -232,11 +232,10 @@
    */
   private async _startScheduling(pool: string, epoch: number): Promise<void> {
     const { store, clock, log } = this._deps;
-    const electedAt = clock.now();
     const isElected = (): boolean => this._elections.get(pool)?.epoch === epoch && !this._isStopped;
-    const isWaiting = (): boolean => isElected() && clock.now() - electedAt < MAX_TAKEOVER_MS;
+    const deadline = clock.now() + MAX_TAKEOVER_MS;
     const [isComplete, priors] = await Promise.all([
-      this._jobFollower.catchUp(epoch, isWaiting),
+      this._jobFollower.catchUp(epoch, deadline),
       readInterference(pool, store, log),
     ]);
     if (!isElected()) {
--- a/tests/coordination/pool/poolTakeoverTests.ts
+++ b/tests/coordination/pool/poolTakeoverTests.ts
@@ -5,7 +5,7 @@
 import test from "ava";
 import { INTAKE_PREFIX, PROGRESS_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createStep, POOL } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 
@@ -85,6 +85,31 @@
   t.is(successor.coordinator.schedulers.size, 1);
 });
 
+// Guards against a pool that waits for as long as the last changes take on the elected entry's link.
+test("PoolCoordinator gives a pool up whose changes arrive too slowly", async (t) => {
+  const simulation = await createBusyPool();
+  const { clock, storeModel } = simulation;
+  const [leader] = simulation.entries;
+  const store = new NarrowLinkStore(clock, storeModel, JOB_COUNT);
+  const slow = simulation.addEntry("slow", store);
+  await clock.advance(1_000);
+  store.changesDelayMs = new Map([[INTAKE_PREFIX, 2 * RECOVERY_MS]]);
+  // A change that the entry has not received when it is elected.
+  storeModel.write({
+    key: `${INTAKE_PREFIX}${POOL}/cancel/${createId(1)}`,
+    value: "{}",
+    expected: 0,
+  });
+  if (leader !== undefined) {
+    simulation.killEntry(leader);
+  }
+  await clock.advance(TAKEOVER_MS);
+  const successor = simulation.addEntry("successor");
+  await clock.advance(2 * TAKEOVER_MS);
+  t.is(slow.coordinator.schedulers.size, 0);
+  t.true(successor.coordinator.schedulers.size > 0, "the successor does not schedule");
+});
+
 // Guards against a takeover whose duration grows with the state of the pool.
 test("PoolCoordinator takes a pool over without listing its jobs again", async (t) => {
   const simulation = await createBusyPool();
--- a/tests/support/NarrowLinkStore.ts
+++ b/tests/support/NarrowLinkStore.ts
@@ -16,6 +16,8 @@
   maxListedKeys: number;
   /** Prefixes whose watches time out. */
   silentPrefixes: readonly string[] = [];
+  /** Duration of the transfer of changes by prefix, in milliseconds; 0 for other prefixes. */
+  changesDelayMs: ReadonlyMap<string, number> = new Map();
   private readonly _timeoutClock: Clock;
 
   /**
@@ -44,9 +46,18 @@
     after: number,
     waitMs?: number,
   ): ResultAsync<StoreChanges, StoreFailure> {
-    return this.silentPrefixes.includes(prefix)
-      ? this._timeOut()
-      : super.watch(prefix, after, waitMs);
+    if (this.silentPrefixes.includes(prefix)) {
+      return this._timeOut();
+    }
+    return super
+      .watch(prefix, after, waitMs)
+      .andThen((changes) =>
+        ResultAsync.fromSafePromise(
+          this._timeoutClock.sleep(
+            changes.changes.length > 0 ? (this.changesDelayMs.get(prefix) ?? 0) : 0,
+          ),
+        ).map(() => changes),
+      );
   }
 
   private _timeOut(): ResultAsync<never, StoreFailure> {
