--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -24,7 +24,11 @@
  * store that responds again must be in use.
  */
 const MAX_RETRY_MS = 500;
-/** Time for which a call that only fetches past changes waits for one, in milliseconds. */
+/**
+ * Time for which a call that only fetches past changes waits for one, in milliseconds. The call after
+ * a failed one waits no longer either: if the store is still silent, the call times out soon, and the
+ * store's return is noticed.
+ */
 const CATCH_UP_WAIT_MS = 1;
 const NOT_LISTED: StoreFailure = {
   kind: "unavailable",
@@ -108,7 +112,8 @@
   private async _run(): Promise<void> {
     while (!this._isStopped) {
       const startedAt = this._deps.clock.now();
-      const failure = this._revision === undefined ? await this._list() : await this._watch();
+      const waitMs = this._isReachable ? undefined : CATCH_UP_WAIT_MS;
+      const failure = this._revision === undefined ? await this._list() : await this._watch(waitMs);
       await this._waitForNextCall(failure, startedAt);
     }
   }
--- a/tests/coordination/pool/storeFollowerTests.ts
+++ b/tests/coordination/pool/storeFollowerTests.ts
@@ -4,7 +4,12 @@
 import { errAsync, type ResultAsync } from "neverthrow";
 import test from "ava";
 import { StoreFollower } from "../../../src/coordination/pool/StoreFollower.ts";
-import type { StoreChange, StoreFailure, StorePage } from "../../../src/protocol/platform/Store.ts";
+import type {
+  StoreChange,
+  StoreChanges,
+  StoreFailure,
+  StorePage,
+} from "../../../src/protocol/platform/Store.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
@@ -24,6 +29,8 @@
 class UnreliableStore extends MemoryStore {
   /** Returns whether a page call fails, by its number from 1. */
   isFailing: (call: number) => boolean = () => false;
+  /** Time for which each watch asked the store to wait, in milliseconds; undefined if it did not say. */
+  readonly watchWaits: (number | undefined)[] = [];
   /** Called after each page that was read. */
   onPageRead: (pages: number) => void = () => undefined;
   /** Where the pages that were read begin, in order. */
@@ -42,6 +49,15 @@
     });
   }
 
+  override watch(
+    prefix: string,
+    after: number,
+    waitMs?: number,
+  ): ResultAsync<StoreChanges, StoreFailure> {
+    this.watchWaits.push(waitMs);
+    return super.watch(prefix, after, waitMs);
+  }
+
   /**
    * Writes a key unconditionally.
    * @param index - Number of the key.
@@ -183,3 +199,21 @@
   t.true(follower.isSynced);
   follower.stop();
 });
+
+// Guards against a return of the store that is noticed only when a call that was sent into the
+// silence has timed out, after the whole time for which it asked the store to wait.
+test("StoreFollower does not ask the store to wait for changes after a failed call", async (t) => {
+  const { clock, store, follower } = createFixture();
+  follower.start();
+  await clock.advance(SYNC_MS);
+  t.true(store.watchWaits.every((waitMs) => waitMs === undefined));
+  store.startOutage();
+  const before = store.watchWaits.length;
+  await clock.advance(SYNC_MS);
+  const during = store.watchWaits.slice(before);
+  t.true(during.length > 0 && during.every((waitMs) => waitMs === 1));
+  store.endOutage();
+  await clock.advance(SYNC_MS);
+  t.is(store.watchWaits.at(-1), undefined);
+  follower.stop();
+});
