Give a pool up whose writes all fail, and isolate a job that the store rejects

Callers saw accepted jobs that never start, with room for them: a scheduler whose writes all fail places nothing, but its reads and the renewals of its lease succeed, so it kept the pool and went on granting leases. A transaction that the store rejects for good (400, 413) counted as unavailable and was repeated unchanged for ever, so that one job whose progress is too large stopped the records of all others.

SchedulerWatch checks every 250 ms whether writes have failed for 4 s while the store confirmed the election all along; then the election resigns with the reason. A store that does not respond to the entry ends the lease by itself. Failures of the store have the kind 'rejected', for 400 and 413; CommitQueue splits a rejected batch until the job at fault is alone, logs an error that names it, and goes on. AgentSessionTable is split out of PoolScheduler.

Tests, failing before: 'SchedulerWatch leaves the pool to another entry when all writes fail': 'Value is not `false`: true' (the scheduler never resigns). 'CommitQueue writes all other jobs when the store rejects the progress of one': no job was written. 'PlatformStore distinguishes calls that the store rejects ...': 'unavailable' for 400 and 413.

--- a/src/coordination/pool/CommitQueue.ts
+++ b/src/coordination/pool/CommitQueue.ts
@@ -3,7 +3,8 @@
  * transaction is in progress are batched into the next one. Each transaction checks that this
  * scheduler is still the elected one. A transaction whose outcome is unknown is retried unchanged,
  * so that it takes effect once, whether or not the first attempt succeeded. Its size is bounded, as
- * one that cannot be sent within the timeout of a call would be retried for ever.
+ * one that cannot be sent within the timeout of a call would be retried for ever. One that the store
+ * rejects for good is split until the job at fault is found, so that only this job is not recorded.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
@@ -50,12 +51,15 @@
   readonly onSuperseded: () => void;
 }
 
-interface Batch {
-  readonly jobs: readonly string[];
-  readonly writes: readonly StoreWrite[];
+interface JobWrite {
+  readonly job: string;
+  readonly write: StoreWrite;
   readonly callbacks: readonly (() => void)[];
 }
 
+/** Jobs that are written in one transaction. */
+type Batch = readonly JobWrite[];
+
 /** Writes the progress of one scheduler's jobs. */
 export class CommitQueue {
   private readonly _deps: CommitQueueDependencies;
@@ -65,7 +69,7 @@
   private _isClosed = false;
   private _confirmedAt: number;
   private _retryMs = INITIAL_RETRY_MS;
-  private _isFailing = false;
+  private _failingSince: number | undefined;
 
   /**
    * Creates a queue.
@@ -85,7 +89,15 @@
 
   /** Whether the last attempt at a transaction failed. */
   get isFailing(): boolean {
-    return this._isFailing;
+    return this._failingSince !== undefined;
+  }
+
+  /**
+   * When the first of the failed attempts since the last response was sent, on the monotonic clock,
+   * in milliseconds; undefined if the last attempt did not fail.
+   */
+  get failingSince(): number | undefined {
+    return this._failingSince;
   }
 
   /**
@@ -129,11 +141,13 @@
   }
 
   private _createBatch(): Batch {
-    const writes = this._createWrites();
-    const jobs = [...writes.keys()];
-    const callbacks = jobs.flatMap((job) => this._pending.get(job) ?? []);
-    jobs.forEach((job) => this._pending.delete(job));
-    return { jobs, writes: [...writes.values()], callbacks };
+    const batch = [...this._createWrites()].map(([job, write]) => ({
+      job,
+      write,
+      callbacks: this._pending.get(job) ?? [],
+    }));
+    batch.forEach(({ job }) => this._pending.delete(job));
+    return batch;
   }
 
   /** Creates the writes of as many pending jobs as one transaction may carry, at least of one. */
@@ -161,15 +175,36 @@
     while (!this._isClosed) {
       const sentAt = clock.now();
       const checks = [{ key: schedulerKey, expected: epoch }];
-      const result = await store.transact({ checks, writes: batch.writes });
+      const writes = batch.map(({ write }) => write);
+      const result = await store.transact({ checks, writes });
       if (result.isOk()) {
         this._handleResult(batch, sentAt, result.value);
         return;
       }
-      await this._waitAfterFailure(result.error.detail);
+      if (result.error.kind === "rejected") {
+        await this._handleRejection(batch, result.error.detail);
+        return;
+      }
+      await this._waitAfterFailure(sentAt, result.error.detail);
     }
   }
 
+  /** Writes the halves of a rejected batch on their own, or gives up the write of a single job. */
+  private async _handleRejection(batch: Batch, reason: string): Promise<void> {
+    this._noteResponse();
+    const [first] = batch;
+    if (first !== undefined && batch.length === 1) {
+      this._deps.log.error(
+        "The store rejects the progress of a job; it is not recorded, and its new runs do not start.",
+        { job: first.job, bytes: Buffer.byteLength(first.write.value), reason },
+      );
+      return;
+    }
+    const half = Math.ceil(batch.length / 2);
+    await this._write(batch.slice(0, half));
+    await this._write(batch.slice(half));
+  }
+
   private _handleResult(batch: Batch, sentAt: number, result: TransactionResult): void {
     if (result.kind === "written") {
       this._completeBatch(batch, sentAt, () => result.revision);
@@ -183,7 +218,7 @@
     const { schedulerKey, epoch, log, onSuperseded } = this._deps;
     const byKey = new Map(current.map((entry) => [entry.key, entry]));
     const isElected = byKey.get(schedulerKey)?.revision === epoch;
-    const isWritten = batch.writes.every((write) => byKey.get(write.key)?.value === write.value);
+    const isWritten = batch.every(({ write }) => byKey.get(write.key)?.value === write.value);
     if (isElected && isWritten) {
       this._completeBatch(batch, sentAt, (key) => byKey.get(key)?.revision ?? 0);
       return;
@@ -192,7 +227,7 @@
       log.error(
         "The store holds progress that this scheduler did not write; the scheduler stops.",
         {
-          keys: batch.writes.map((write) => write.key).join(" "),
+          keys: batch.map(({ write }) => write.key).join(" "),
         },
       );
     }
@@ -204,25 +239,30 @@
     if (this._isClosed) {
       return;
     }
-    this._retryMs = INITIAL_RETRY_MS;
-    this._isFailing = false;
+    this._noteResponse();
     this._confirmedAt = Math.max(this._confirmedAt, sentAt);
-    batch.writes.forEach((write, position) => {
-      const job = batch.jobs[position] ?? "";
+    batch.forEach(({ job, write }) => {
       const revision = getRevision(write.key);
       this._revisions.set(job, revision);
       this._deps.onWritten(job, write.value, revision);
     });
-    batch.callbacks.forEach((callback) => {
-      callback();
-    });
+    batch
+      .flatMap(({ callbacks }) => callbacks)
+      .forEach((callback) => {
+        callback();
+      });
+  }
+
+  private _noteResponse(): void {
+    this._retryMs = INITIAL_RETRY_MS;
+    this._failingSince = undefined;
   }
 
-  private async _waitAfterFailure(reason: string): Promise<void> {
-    if (!this._isFailing) {
+  private async _waitAfterFailure(sentAt: number, reason: string): Promise<void> {
+    if (!this.isFailing) {
       this._deps.log.warn("Writing progress to the store failed; it is retried.", { reason });
     }
-    this._isFailing = true;
+    this._failingSince ??= sentAt;
     await this._deps.clock.sleep(this._retryMs);
     this._retryMs = Math.min(2 * this._retryMs, MAX_RETRY_MS);
   }
--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -198,8 +198,8 @@
       const record = value === undefined ? undefined : parseAgentRecord(value);
       if (record?.isOk() === true) {
         this._agents.set(name, record.value);
-        this._schedulers.forEach((scheduler, pool) => {
-          updateAgent(pool, scheduler, name, record.value);
+        this._schedulers.forEach((scheduler) => {
+          scheduler.setAgent(name, record.value);
         });
       } else if (record?.isErr() === true) {
         this._deps.log.error("A stored value cannot be parsed; it is ignored.", {
@@ -253,7 +253,7 @@
     });
     this._schedulers.set(pool, scheduler);
     this._agents.forEach((record, name) => {
-      updateAgent(pool, scheduler, name, record);
+      scheduler.setAgent(name, record);
     });
     scheduler.start();
     log.info("Scheduling of the pool has started.", {
@@ -276,6 +276,9 @@
       confirmationGuard: this._confirmationGuard,
       getConfirmedAt: () => this._elections.get(pool)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
       onRecorded: this.catalog.updateProgress.bind(this.catalog),
+      onUnable: (reason: string) => {
+        this._elections.get(pool)?.resign(reason);
+      },
       onSuperseded: () => {
         this._elections.get(pool)?.handleSuperseded();
       },
@@ -283,19 +286,3 @@
     return new PoolScheduler(schedulerDeps, jobs);
   }
 }
-
-/**
- * Adds an agent to the scheduler of a pool, or removes it if its worker belongs to another pool.
- */
-function updateAgent(
-  pool: string,
-  scheduler: PoolScheduler,
-  name: string,
-  record: AgentRecord,
-): void {
-  if (record.pool === pool) {
-    scheduler.setAgent(name, record);
-  } else {
-    scheduler.removeAgent(name);
-  }
-}
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -9,7 +9,7 @@
 import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
 import type { AgentRecord, ProgressRecord } from "../../state/pool/records.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
-import { AgentSession } from "./AgentSession.ts";
+import { AgentSessionTable } from "./AgentSessionTable.ts";
 import { CommitQueue } from "./CommitQueue.ts";
 import { JobRetention } from "./JobRetention.ts";
 import { JobUpdater } from "./JobUpdater.ts";
@@ -23,6 +23,7 @@
 import type { PlannedRun } from "./taskPlacement.ts";
 import { CyclePlanner } from "./CyclePlanner.ts";
 import { getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import { SchedulerWatch } from "./SchedulerWatch.ts";
 import { RunController } from "./RunController.ts";
 
 /**
@@ -32,6 +33,12 @@
 const CYCLE_DELAY_MS = 3;
 /** Interval of the checks for overdue orders, due occurrences and due writes, in milliseconds. */
 const TICK_INTERVAL_MS = 150;
+/**
+ * Time for which all writes of progress may fail while the store confirms the election, in
+ * milliseconds. It is longer than what a store answers for a moment when it is overloaded or
+ * restarts, and shorter than the leases of workers, so that their runs go on under another entry.
+ */
+const MAX_FAILING_WRITES_MS = 4_000;
 
 /** Scheduler of one pool in one epoch. */
 export class PoolScheduler {
@@ -45,9 +52,10 @@
   private readonly _retention: JobRetention;
   private readonly _interferenceWriter: InterferenceWriter;
   private readonly _cyclePlanner: CyclePlanner;
+  private readonly _watch: SchedulerWatch;
   private readonly _quarantine = new WorkerQuarantine();
   private readonly _pacing: PaceController;
-  private readonly _sessions = new Map<string, AgentSession>();
+  private readonly _sessions: AgentSessionTable;
   private _cycleTimer: Timer | undefined;
   private _tickTimer: Timer | undefined;
   private _isStopped = false;
@@ -103,10 +111,7 @@
       },
     });
     this._interferenceWriter = new InterferenceWriter({
-      pool,
-      store: deps.store,
-      clock,
-      log,
+      ...{ pool, store: deps.store, clock, log },
       getPairs: () => this._pacing.getPairs(),
     });
     this._reportHandler = new AgentReportHandler({
@@ -118,6 +123,8 @@
       paceController: this._pacing,
       mayGrantLeases: () => this._mayGrantLeases,
     });
+    this._sessions = this._createSessionTable();
+    this._watch = this._createWatch();
   }
 
   /** State of the pool. */
@@ -127,6 +134,7 @@
 
   /** Starts the scheduling cycles and the periodic checks. */
   start(): void {
+    this._watch.start();
     this._scheduleTick();
     this._scheduleCycle();
   }
@@ -134,11 +142,10 @@
   /** Stops the scheduler; no more orders are sent and no more progress is recorded. */
   stop(): void {
     this._isStopped = true;
+    this._watch.stop();
     this._commitQueue.close();
     this._orders.close();
-    this._sessions.forEach((session) => {
-      session.stop();
-    });
+    this._sessions.stop();
     this._cycleTimer?.cancel();
     this._tickTimer?.cancel();
   }
@@ -172,30 +179,12 @@
   }
 
   /**
-   * Updates the registration of an agent and starts polling the agent.
+   * Updates the registration of an agent; it is polled as long as its worker belongs to the pool.
    * @param name - Name of the agent.
    * @param record - The registration.
    */
   setAgent(name: string, record: AgentRecord): void {
-    const known = this._state.workerTable.getAgent(name)?.record;
-    this._state.workerTable.setAgent(name, record);
-    if (known !== undefined && known.process !== record.process) {
-      this._deps.channel.reset(known.address);
-    }
-    if (!this._sessions.has(name) && !this._isStopped) {
-      const session = this._createSession(name);
-      this._sessions.set(name, session);
-      session.start();
-    }
-  }
-
-  /**
-   * Stops polling an agent whose worker belongs to another pool now.
-   * @param name - Name of the agent.
-   */
-  removeAgent(name: string): void {
-    this._sessions.get(name)?.stop();
-    this._sessions.delete(name);
+    this._sessions.setAgent(name, record);
   }
 
   private get _mayGrantLeases(): boolean {
@@ -227,6 +216,31 @@
     return new CommitQueue(queueDeps, revisions);
   }
 
+  private _createSessionTable(): AgentSessionTable {
+    const { pool, channel, clock, log } = this._deps;
+    return new AgentSessionTable({
+      ...{ pool, channel, clock, log, workerTable: this._state.workerTable },
+      createCall: (agent) => this._reportHandler.createObserveCall(agent),
+      onReport: (agent, report) => {
+        this._reportHandler.handleReport(agent, report);
+        this._scheduleCycle();
+      },
+      onSuperseded: () => {
+        this._handleSuperseded();
+      },
+    });
+  }
+
+  private _createWatch(): SchedulerWatch {
+    const { clock, getConfirmedAt, onUnable } = this._deps;
+    const writes = {
+      reason: "the store refuses or loses all writes of progress, though it responds to reads",
+      maxLackingMs: MAX_FAILING_WRITES_MS,
+      getLackingSince: () => this._commitQueue.failingSince,
+    };
+    return new SchedulerWatch({ clock, getConfirmedAt, onUnable, requirements: [writes] });
+  }
+
   private _createOrderSender(): OrderSender {
     const { channel, clock, log, epoch } = this._deps;
     return new OrderSender({
@@ -251,25 +265,6 @@
     });
   }
 
-  private _createSession(agent: string): AgentSession {
-    const { channel, clock, log } = this._deps;
-    return new AgentSession({
-      agent,
-      channel,
-      clock,
-      log,
-      getAddress: () => this._state.workerTable.getAgent(agent)?.record.address ?? "",
-      createCall: () => this._reportHandler.createObserveCall(agent),
-      onReport: (report) => {
-        this._reportHandler.handleReport(agent, report);
-        this._scheduleCycle();
-      },
-      onSuperseded: () => {
-        this._handleSuperseded();
-      },
-    });
-  }
-
   private _scheduleCycle(): void {
     if (this._cycleTimer === undefined && !this._isStopped) {
       this._cycleTimer = this._deps.clock.after(CYCLE_DELAY_MS, () => {
--- a/src/coordination/pool/PoolSchedulerDependencies.ts
+++ b/src/coordination/pool/PoolSchedulerDependencies.ts
@@ -27,6 +27,8 @@
   readonly getConfirmedAt: () => number;
   /** Called with recorded progress. */
   readonly onRecorded: (job: string, progress: ProgressRecord, revision: number) => void;
+  /** Called when this scheduler cannot do its work, so that another entry should be elected. */
+  readonly onUnable: (reason: string) => void;
   /** Called when this scheduler is no longer the elected one. */
   readonly onSuperseded: () => void;
 }
--- a/src/protocol/platform/Store.ts
+++ b/src/protocol/platform/Store.ts
@@ -50,10 +50,12 @@
 }
 
 /**
- * Failure of a store call. `mayHaveWritten` is false only if the call certainly had no effect.
+ * Failure of a store call. `mayHaveWritten` is false only if the call certainly had no effect. A
+ * call that was `rejected` fails however often it is repeated, for example as a value is too large.
  */
 export interface StoreFailure {
-  readonly kind: "unavailable" | "timeout" | "rate-limited" | "lease-lost" | "compacted";
+  readonly kind:
+    "unavailable" | "timeout" | "rate-limited" | "lease-lost" | "compacted" | "rejected";
   readonly mayHaveWritten: boolean;
   readonly detail: string;
 }
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -175,8 +175,10 @@
       return createFailure("lease-lost", false, "the lease has ended");
     case 410:
       return createFailure("compacted", false, "the store no longer has the changes asked for");
+    case 400:
+      return createFailure("rejected", false, "the store takes the call for invalid");
     case 413:
-      return createFailure("unavailable", false, "the value exceeds the store's size limit");
+      return createFailure("rejected", false, "the value exceeds the store's size limit");
     case 429:
       return createFailure("rate-limited", false, "the store's rate limit is exceeded");
     default:
--- a/standins/store/StoreProcess.ts
+++ b/standins/store/StoreProcess.ts
@@ -178,6 +178,9 @@
 
   private _transact(req: JsonRequest): JsonReply {
     const { checks, writes } = TransactCall.parse(req.body);
+    if (writes.some(({ value }) => Buffer.byteLength(value) > MAX_VALUE_BYTES)) {
+      return createReply({ error: "value-too-large" }, 413);
+    }
     const result = this._model.transact({ checks, writes: writes.map(toStoreWrite) });
     return result.kind === "lease-lost" ? LEASE_LOST : createReply(result);
   }
--- /dev/null
+++ b/tests/coordination/pool/schedulerWatchTests.ts
@@ -0,0 +1,91 @@
+/**
+ * Tests in virtual time of a scheduler that runs and renews its lease, but cannot do its work: the
+ * pool must go to an entry that can.
+ */
+import test from "ava";
+import { createStep } from "../../support/poolFixtures.ts";
+import { RefusedWritesStore } from "../../support/RefusedWritesStore.ts";
+import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
+
+/** Time after which a scheduler gives a pool up that it cannot schedule, in milliseconds. */
+const RESIGNATION_MS = 4_000;
+/**
+ * Time within which another entry schedules after a resignation whose lease cannot be revoked, in
+ * milliseconds: the lease of 2 s, the interval of the checks and the claim.
+ */
+const SUCCESSION_MS = 4_000;
+const TASK_COUNT = 6;
+
+interface Fixture {
+  readonly simulation: PoolSimulation;
+  readonly leader: SimulatedEntry;
+  readonly leaderStore: RefusedWritesStore;
+  readonly successor: SimulatedEntry;
+}
+
+function createId(number: number): string {
+  return number.toString(16).padStart(16, "0");
+}
+
+/** Submits a job of long-running tasks to an entry. */
+async function submitJob(
+  { simulation }: Fixture,
+  entry: SimulatedEntry,
+  number: number,
+): Promise<void> {
+  const steps = [createStep({ taskCount: TASK_COUNT, longRunning: true })];
+  const definition = { payload: "", steps, schedule: undefined };
+  await simulation.submit(entry, createId(number), definition, undefined);
+}
+
+/** Creates a pool with a job of long-running tasks, its scheduler and a second entry. */
+async function createPool(): Promise<Fixture> {
+  const simulation = new PoolSimulation();
+  const { clock, storeModel } = simulation;
+  const leaderStore = new RefusedWritesStore(clock, storeModel);
+  const leader = simulation.addEntry("leader", leaderStore);
+  const names = Array.from({ length: 4 }, (_, position) => `agent-${position}`);
+  await Promise.all(names.map((name) => simulation.addAgent(name)));
+  await clock.advance(2_000);
+  const successor = simulation.addEntry("successor");
+  const fixture = { simulation, leader, leaderStore, successor };
+  await submitJob(fixture, successor, 1);
+  return fixture;
+}
+
+function isScheduler({ coordinator }: SimulatedEntry): boolean {
+  return coordinator.schedulers.size > 0;
+}
+
+function countRunning({ journal }: PoolSimulation): number {
+  return journal.filter(({ endedAt }) => endedAt === undefined).length;
+}
+
+// Guards against accepted jobs that never start, because the scheduler can read the store and
+// renew its lease but none of its writes succeeds.
+test("SchedulerWatch leaves the pool to another entry when all writes fail", async (t) => {
+  const fixture = await createPool();
+  const { simulation, leader, leaderStore, successor } = fixture;
+  t.true(isScheduler(leader));
+  leaderStore.isRefusing = true;
+  await submitJob(fixture, successor, 2);
+  t.true(isScheduler(leader), "the scheduler resigned too early");
+  await simulation.clock.advance(RESIGNATION_MS + SUCCESSION_MS);
+  t.false(isScheduler(leader));
+  t.true(isScheduler(successor), "no other entry schedules the pool");
+  t.is(countRunning(simulation), 2 * TASK_COUNT);
+  t.is(simulation.journal.length, 2 * TASK_COUNT, "a run was started again");
+  t.deepEqual(simulation.findViolations(), []);
+});
+
+// Guards against a takeover, with its waits, for each short disturbance of the store.
+test("SchedulerWatch keeps the pool when writes fail for less than the bound", async (t) => {
+  const fixture = await createPool();
+  const { simulation, leader, leaderStore, successor } = fixture;
+  leaderStore.isRefusing = true;
+  await submitJob(fixture, successor, 2);
+  leaderStore.isRefusing = false;
+  await simulation.clock.advance(RESIGNATION_MS + SUCCESSION_MS);
+  t.true(isScheduler(leader));
+  t.is(countRunning(simulation), 2 * TASK_COUNT);
+});
--- a/tests/platform/platformStoreTests.ts
+++ b/tests/platform/platformStoreTests.ts
@@ -61,3 +61,18 @@
   const { kind, detail } = (await store.list("a/"))._unsafeUnwrapErr();
   t.deepEqual([kind, detail], ["unavailable", "the store is unavailable (0 keys were listed)"]);
 });
+
+// Guards against a transaction that the store can never execute and that is repeated for ever.
+test("PlatformStore distinguishes calls that the store rejects from those it cannot execute now", async (t) => {
+  const { server, store } = await createStore(t);
+  const kinds = await [400, 413, 429, 503].reduce<Promise<readonly string[]>>(
+    async (before, status) => {
+      const known = await before;
+      server.faults.refuseStatus = status;
+      const write = await store.write({ key: "a/1", value: "x", expected: 1 });
+      return [...known, write._unsafeUnwrapErr().kind];
+    },
+    Promise.resolve([]),
+  );
+  t.deepEqual(kinds, ["rejected", "rejected", "rate-limited", "unavailable"]);
+});
