Give a pool up if none of its agents responds to the scheduler

Callers saw long-running tasks that end and never run again, with room for them: an entry that reaches the store but no agent kept the pool, since it renewed its lease, while the leases of all workers ended.

The scheduler gives the pool up if no agent has responded for 5 s while the store confirmed the election all along. It keeps the pool while one agent responds, or if none is registered. 5 s cover two successive calls of 2 s that time out.

Tests: 'SchedulerWatch leaves the pool to another entry when no agent answers' failed before: 'Value is not `false`: true' (the entry that is cut off still schedules). Two tests guard the cases in which the pool is kept.

--- a/src/coordination/pool/AgentSession.ts
+++ b/src/coordination/pool/AgentSession.ts
@@ -31,6 +31,7 @@
   private readonly _deps: AgentSessionDependencies;
   private _isStopped = false;
   private _failureCount = 0;
+  private _silentSince: number | undefined;
 
   /**
    * Creates a session; polling begins with `start`.
@@ -40,6 +41,14 @@
     this._deps = deps;
   }
 
+  /**
+   * When the first of the failed calls since the last response was sent, on the monotonic clock, in
+   * milliseconds; undefined if the last call was answered or none has ended.
+   */
+  get silentSince(): number | undefined {
+    return this._silentSince;
+  }
+
   /** Starts polling. */
   start(): void {
     void this._poll();
@@ -51,8 +60,9 @@
   }
 
   private async _poll(): Promise<void> {
-    const { channel, createCall, getAddress, onReport, onSuperseded } = this._deps;
+    const { channel, clock, createCall, getAddress, onReport, onSuperseded } = this._deps;
     while (!this._isStopped) {
+      const sentAt = clock.now();
       const outcome = await channel.observe(getAddress(), createCall());
       if (this._hasEnded()) {
         return;
@@ -65,6 +75,7 @@
         this._handleResponse();
         onReport(outcome.value);
       } else {
+        this._silentSince ??= sentAt;
         await this._waitAfterFailure(outcome.detail);
       }
     }
@@ -80,6 +91,7 @@
       this._deps.log.info("Agent responds again.", { agent: this._deps.agent });
     }
     this._failureCount = 0;
+    this._silentSince = undefined;
   }
 
   private async _waitAfterFailure(reason: string): Promise<void> {
--- a/src/coordination/pool/AgentSessionTable.ts
+++ b/src/coordination/pool/AgentSessionTable.ts
@@ -35,6 +35,16 @@
     this._deps = deps;
   }
 
+  /**
+   * Since when no agent has responded, on the monotonic clock, in milliseconds; undefined if one
+   * responds, may still respond to its first call, or there is none.
+   */
+  get silentSince(): number | undefined {
+    const times = [...this._sessions.values()].map((session) => session.silentSince);
+    const known = times.filter((time) => time !== undefined);
+    return known.length === 0 || known.length < times.length ? undefined : Math.max(...known);
+  }
+
   /**
    * Updates the registration of an agent. An agent whose worker belongs to the pool is polled; one
    * whose worker belongs to another pool now is not any more.
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -39,6 +39,13 @@
  * restarts, and shorter than the leases of workers, so that their runs go on under another entry.
  */
 const MAX_FAILING_WRITES_MS = 4_000;
+/**
+ * Time for which no agent at all may respond while the store confirms the election, in milliseconds.
+ * Two successive calls to each agent, of 2 s at most, have timed out by then. If some agents respond,
+ * another entry would hardly fare better, and each takeover begins the waits for the leases at the
+ * others anew.
+ */
+const MAX_SILENT_AGENTS_MS = 5_000;
 
 /** Scheduler of one pool in one epoch. */
 export class PoolScheduler {
@@ -238,7 +245,12 @@
       maxLackingMs: MAX_FAILING_WRITES_MS,
       getLackingSince: () => this._commitQueue.failingSince,
     };
-    return new SchedulerWatch({ clock, getConfirmedAt, onUnable, requirements: [writes] });
+    const agents = {
+      reason: "none of the pool's agents responds to this entry",
+      maxLackingMs: MAX_SILENT_AGENTS_MS,
+      getLackingSince: () => this._sessions.silentSince,
+    };
+    return new SchedulerWatch({ clock, getConfirmedAt, onUnable, requirements: [writes, agents] });
   }
 
   private _createOrderSender(): OrderSender {
--- a/tests/coordination/pool/schedulerWatchTests.ts
+++ b/tests/coordination/pool/schedulerWatchTests.ts
@@ -7,13 +7,17 @@
 import { RefusedWritesStore } from "../../support/RefusedWritesStore.ts";
 import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
 
-/** Time after which a scheduler gives a pool up that it cannot schedule, in milliseconds. */
-const RESIGNATION_MS = 4_000;
+/** Time after which a scheduler gives a pool up if all its writes fail, in milliseconds. */
+const FAILING_WRITES_MS = 4_000;
+/** Time after which a scheduler gives a pool up if no agent responds, in milliseconds. */
+const SILENT_AGENTS_MS = 5_000;
 /**
  * Time within which another entry schedules after a resignation whose lease cannot be revoked, in
  * milliseconds: the lease of 2 s, the interval of the checks and the claim.
  */
 const SUCCESSION_MS = 4_000;
+/** Time within which all tasks run again after a takeover, whatever has to expire, in milliseconds. */
+const RECOVERY_MS = 15_000;
 const TASK_COUNT = 6;
 
 interface Fixture {
@@ -70,7 +74,7 @@
   leaderStore.isRefusing = true;
   await submitJob(fixture, successor, 2);
   t.true(isScheduler(leader), "the scheduler resigned too early");
-  await simulation.clock.advance(RESIGNATION_MS + SUCCESSION_MS);
+  await simulation.clock.advance(FAILING_WRITES_MS + SUCCESSION_MS);
   t.false(isScheduler(leader));
   t.true(isScheduler(successor), "no other entry schedules the pool");
   t.is(countRunning(simulation), 2 * TASK_COUNT);
@@ -85,7 +89,41 @@
   leaderStore.isRefusing = true;
   await submitJob(fixture, successor, 2);
   leaderStore.isRefusing = false;
-  await simulation.clock.advance(RESIGNATION_MS + SUCCESSION_MS);
+  await simulation.clock.advance(FAILING_WRITES_MS + SUCCESSION_MS);
   t.true(isScheduler(leader));
   t.is(countRunning(simulation), 2 * TASK_COUNT);
 });
+
+// Guards against tasks that end with their workers' leases and never run again, because the
+// scheduler reaches the store but no agent.
+test("SchedulerWatch leaves the pool to another entry when no agent answers", async (t) => {
+  const { simulation, leader, successor } = await createPool();
+  t.is(countRunning(simulation), TASK_COUNT);
+  leader.isDisconnected = true;
+  await simulation.clock.advance(SILENT_AGENTS_MS + SUCCESSION_MS);
+  t.false(isScheduler(leader));
+  t.true(isScheduler(successor), "no other entry schedules the pool");
+  await simulation.clock.advance(RECOVERY_MS);
+  t.is(countRunning(simulation), TASK_COUNT);
+  t.deepEqual(simulation.findViolations(), []);
+});
+
+// Guards against a takeover, with its waits, as long as some agents are down.
+test("SchedulerWatch keeps the pool while one of the agents answers", async (t) => {
+  const { simulation, leader } = await createPool();
+  simulation.agents.slice(1).forEach((agent) => {
+    agent.isDisconnected = true;
+  });
+  await simulation.clock.advance(RECOVERY_MS);
+  t.true(isScheduler(leader));
+  t.false(simulation.log.lines.some(({ sentence }) => sentence.includes("gives up a pool")));
+});
+
+// Guards against an election after each bound in a pool to which no agent has been added yet.
+test("SchedulerWatch keeps a pool without agents", async (t) => {
+  const simulation = new PoolSimulation();
+  const entry = simulation.addEntry("entry-0");
+  await simulation.clock.advance(RECOVERY_MS);
+  t.true(isScheduler(entry));
+  t.false(simulation.log.lines.some(({ sentence }) => sentence.includes("gives up a pool")));
+});
