--- a/src/protocol/platform/Log.ts
+++ b/src/protocol/platform/Log.ts
@@ -40,4 +40,9 @@
    * @param fields - Structured fields.
    */
   abstract error(message: string, fields?: LogFields): void;
+
+  /** Waits until all lines have been written; a log that writes at once has none to wait for. */
+  flush(): Promise<void> {
+    return Promise.resolve();
+  }
 }
--- a/src/transport/log/BoundedLogStream.ts
+++ b/src/transport/log/BoundedLogStream.ts
@@ -31,6 +31,7 @@
   private _pendingBytes = 0;
   private _droppedLines = 0;
   private _droppedSevereLines = 0;
+  private _flushCallbacks: readonly (() => void)[] = [];
 
   /**
    * Creates a stream.
@@ -42,9 +43,19 @@
     this._maxPendingBytes = maxPendingBytes;
     sink.on("write", (bytes) => {
       this._pendingBytes = Math.max(0, this._pendingBytes - bytes);
+      this._callBackIfFlushed();
     });
   }
 
+  /**
+   * Waits until no line waits for the reader; called by pino.
+   * @param callback - Called then, which may be never if the reader is stuck.
+   */
+  flush(callback: () => void): void {
+    this._flushCallbacks = [...this._flushCallbacks, callback];
+    this._callBackIfFlushed();
+  }
+
   /**
    * Writes a line, or drops it if too many bytes wait.
    * @param line - Line with its line break.
@@ -61,6 +72,17 @@
     }
   }
 
+  private _callBackIfFlushed(): void {
+    if (this._pendingBytes > 0) {
+      return;
+    }
+    const callbacks = this._flushCallbacks;
+    this._flushCallbacks = [];
+    callbacks.forEach((callback) => {
+      callback();
+    });
+  }
+
   private _reportDropped(): void {
     const hasFreeSpace = this._pendingBytes <= REPORT_SHARE * this._maxPendingBytes;
     if (this._droppedLines === 0 || !hasFreeSpace) {
--- a/src/transport/log/PinoLog.ts
+++ b/src/transport/log/PinoLog.ts
@@ -65,6 +65,14 @@
     this._logger.error(fields, this._format(message));
   }
 
+  override flush(): Promise<void> {
+    return new Promise((resolve) => {
+      this._logger.flush(() => {
+        resolve();
+      });
+    });
+  }
+
   /** Gets the level of all components. */
   getLevel(): LogLevel {
     return parseLogLevel(this._logger.level) ?? "info";
