Wait for records of jobs without a promise that nothing handles

JobRoutes cancelled its timer in a second promise, whose rejection nothing handled; an unhandled rejection now ends the process. It uses waitUntil, which moves to the platform's abstractions.

--- a/src/coordination/pool/JobFollower.ts
+++ b/src/coordination/pool/JobFollower.ts
@@ -10,7 +10,7 @@
 import type { JobCatalog } from "../../state/pool/JobCatalog.ts";
 import { INTAKE_PREFIX, PROGRESS_PREFIX } from "../../state/pool/PoolKeys.ts";
 import { StoreFollower } from "./StoreFollower.ts";
-import { waitUntil } from "./waitUntil.ts";
+import { waitUntil } from "../../protocol/platform/waitUntil.ts";
 
 /** Minimum time between two watch calls for progress, in milliseconds, so that changes arrive in groups. */
 const PROGRESS_WATCH_INTERVAL_MS = 120;
--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -15,7 +15,7 @@
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
 import type { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
 import { UnresolvedWriteTable } from "./UnresolvedWriteTable.ts";
-import { waitUntil } from "./waitUntil.ts";
+import { waitUntil } from "../../protocol/platform/waitUntil.ts";
 
 /** Delay before a write with an unknown outcome is retried, in milliseconds. */
 const RETRY_MS = 50;
--- a/src/coordination/pool/waitUntil.ts
+++ b/src/protocol/platform/waitUntil.ts
@@ -1,7 +1,7 @@
 /**
  * Bounds the wait for a result by a deadline. The work that produces the result is not stopped.
  */
-import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Clock } from "./Clock.ts";
 
 /**
  * Waits for a result, at most until a deadline.
--- a/src/transport/entry/batch/JobRoutes.ts
+++ b/src/transport/entry/batch/JobRoutes.ts
@@ -9,6 +9,7 @@
 import type { AppendFailure } from "../../../coordination/batch/PartitionLog.ts";
 import { jobSpecSchema, type JobSpec } from "../../../protocol/jobs/JobSpec.ts";
 import type { Clock } from "../../../protocol/platform/Clock.ts";
+import { waitUntil } from "../../../protocol/platform/waitUntil.ts";
 import { getJobId, getPartition } from "../../../state/batch/BatchIds.ts";
 import type { BatchJob } from "../../../state/batch/BatchJob.ts";
 import type { ApiReply, ApiRequest, ApiRoute } from "../../http/ApiRoute.ts";
@@ -217,15 +218,7 @@
   /** Resolves to undefined if the outcome takes longer than `RECORD_TIMEOUT_MS`. */
   private async _withTimeout<T>(outcome: Promise<T>): Promise<T | undefined> {
     const { clock } = this._deps;
-    const timeout = new Promise<undefined>((resolve) => {
-      const timer = clock.after(RECORD_TIMEOUT_MS, () => {
-        resolve(undefined);
-      });
-      void outcome.finally(() => {
-        timer.cancel();
-      });
-    });
-    return Promise.race([outcome, timeout]);
+    return waitUntil(clock, clock.now() + RECORD_TIMEOUT_MS, outcome);
   }
 }
 
