Release a worker on which a long-running probe works on probation only

A run at work counts for its kind of job, but only the probe of a quarantined worker releases it, with a score at which the next failures quarantine it again, for twice as long. Only a run that is done clears the failures.

--- a/src/coordination/placement/WorkerQuarantine.ts
+++ b/src/coordination/placement/WorkerQuarantine.ts
@@ -14,6 +14,11 @@
 const MAX_PERIOD_MS = 600_000;
 /** Time after which a probe without a result is repeated, in milliseconds. */
 const PROBE_TIMEOUT_MS = 60_000;
+/**
+ * Failure score of a worker on which a probe is at work but has not ended: another failure
+ * quarantines it again.
+ */
+const PROBATION_SCORE = QUARANTINE_SCORE - 0.5;
 /** Time after a failure from which a quarantined worker is a reserve, in milliseconds. */
 const RESERVE_DELAY_MS = 1_000;
 /** Maximum share of the fleet in quarantine. */
@@ -49,6 +54,15 @@
   | "reserve"
   | "closed";
 
+/** An attempt that is at work and may never end. */
+export interface AttemptAtWork {
+  readonly agent: string;
+  /** Kind of its job. */
+  readonly kind: string;
+  /** Name of the attempt, as given to `recordProbe`. */
+  readonly probe: string;
+}
+
 /** What the result of an attempt changes for its worker. */
 export type QuarantineChange = "none" | "quarantined" | "released";
 
@@ -80,6 +94,24 @@
     return wasQuarantined ? "released" : "quarantined";
   }
 
+  /**
+   * Records that an attempt without an end has been at work for some time. If it is the probe of a
+   * quarantined worker, the worker is released on probation: its next failures quarantine it again,
+   * for twice as long.
+   * @param attempt - Agent of the VM, kind of job, and name of the attempt.
+   * @returns What this changes for the worker.
+   */
+  recordWork({ agent, kind, probe }: AttemptAtWork): QuarantineChange {
+    this._outcomes.record(agent, kind, true);
+    const health = this._workers.get(agent);
+    if (health?.until === undefined || health.probe !== probe) {
+      return "none";
+    }
+    const periodMs = Math.min(2 * health.periodMs, MAX_PERIOD_MS);
+    this._workers.set(agent, { ...HEALTHY, failureScore: PROBATION_SCORE, periodMs });
+    return "released";
+  }
+
   /**
    * Gets how each quarantined VM may be used; VMs that are absent from the result are open. If too
    * many VMs would be quarantined, those with the lowest failure scores are admitted.
--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -8,7 +8,7 @@
 import type { EndedRun, RunOutcome } from "../../protocol/platform/PoolWorker.ts";
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
 import type { TaskState } from "../../state/pool/TaskState.ts";
-import type { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
+import type { QuarantineChange, WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import type { CommitQueue } from "./CommitQueue.ts";
 import type { PoolState } from "./PoolState.ts";
 import { getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
@@ -120,14 +120,17 @@
   }
 
   /**
-   * Counts a long-running run that has been at work for some time as a success of its worker: it
-   * has no end that could count.
+   * Handles a long-running run that has been at work for some time: it has no end that could show
+   * that its worker is sound.
    * @param taskRun - The run.
    */
   handleRunAtWork(taskRun: ActiveTaskRun): void {
-    const job = this._deps.state.getJobOf(taskRun.task);
+    const { state, quarantine } = this._deps;
+    const job = state.getJobOf(taskRun.task);
     if (job !== undefined) {
-      this._recordOutcome(job, taskRun, "done");
+      const { agent } = taskRun.active;
+      const attempt = { agent, kind: job.record.queue, probe: getRunKey(taskRun) };
+      this._logQuarantine(taskRun, quarantine.recordWork(attempt));
     }
   }
 
@@ -187,19 +190,24 @@
   }
 
   private _recordOutcome(job: JobState, taskRun: ActiveTaskRun, runOutcome: RunOutcome): void {
-    const { quarantine, clock, log } = this._deps;
-    const { agent, run } = taskRun.active;
+    const { quarantine, clock } = this._deps;
+    const { agent } = taskRun.active;
     const outcome = RESULT_BY_OUTCOME[runOutcome];
     if (outcome === undefined) {
       quarantine.releaseProbe(agent, getRunKey(taskRun));
       return;
     }
-    const change = quarantine.record({ agent, kind: job.record.queue, outcome, now: clock.now() });
-    const fields = { agent, task: taskRun.task.id, run };
+    const kind = job.record.queue;
+    this._logQuarantine(taskRun, quarantine.record({ agent, kind, outcome, now: clock.now() }));
+  }
+
+  private _logQuarantine({ task, active }: ActiveTaskRun, change: QuarantineChange): void {
+    const { log } = this._deps;
+    const fields = { agent: active.agent, task: task.id, run: active.run };
     if (change === "quarantined") {
       log.warn("Worker is quarantined, since runs fail on it.", fields);
     } else if (change === "released") {
-      log.info("Worker is out of quarantine, since a run succeeded on it.", fields);
+      log.info("Worker is out of quarantine, since a run succeeds on it.", fields);
     }
   }
 }
--- a/tests/coordination/placement/workerQuarantineTests.ts
+++ b/tests/coordination/placement/workerQuarantineTests.ts
@@ -62,3 +62,30 @@
   t.is(getAdmission(2 * RESERVE_DELAY_MS), "reserve");
   t.is(getAdmission(QUARANTINE_MS), "probe", "a failure of a reserve prolonged the quarantine");
 });
+
+// Guards against a worker that fails each long-running task after it has begun to work, and is never
+// quarantined for long.
+test("WorkerQuarantine releases a worker with a probe at work on probation only", (t) => {
+  const quarantine = createQuarantine();
+  const attempt = { agent: "agent-0", kind: "kind" } as const;
+  const now = QUARANTINE_MS;
+  quarantine.recordProbe("agent-0", now, "run 1");
+  t.is(quarantine.recordWork({ ...attempt, probe: "run 0" }), "none");
+  t.is(quarantine.recordWork({ ...attempt, probe: "run 1" }), "released");
+  t.is(quarantine.getAdmissions(AGENTS, now).get("agent-0"), undefined);
+  t.is(quarantine.record({ ...attempt, outcome: "failed", now }), "quarantined");
+  const getAdmission = (time: number) => quarantine.getAdmissions(AGENTS, time).get("agent-0");
+  t.is(getAdmission(now + 2 * QUARANTINE_MS - 1), "reserve");
+  t.is(getAdmission(now + 2 * QUARANTINE_MS), "probe");
+});
+
+test("WorkerQuarantine keeps the failures of a worker on which other attempts are at work", (t) => {
+  const quarantine = new WorkerQuarantine();
+  const attempt = { agent: "agent-0", kind: "kind" } as const;
+  const changes = Array.from({ length: 8 }, (_, number) => {
+    quarantine.recordWork({ ...attempt, probe: `run ${number}` });
+    quarantine.recordWork({ agent: "agent-1", kind: "kind", probe: `run ${number}` });
+    return quarantine.record({ ...attempt, outcome: "failed", now: 0 });
+  });
+  t.true(changes.includes("quarantined"));
+});
