Give a pool up when accepted jobs no longer reach its scheduler

The review showed in virtual time that leadership was still kept by the lease alone once a takeover was over: a scheduler whose calls for accepted jobs and cancellations fail, while it reads its key and renews its lease, kept the pool; a job accepted at another entry had not run after 60 s.

The scheduler's watch has a third requirement: after 3 s without complete knowledge of accepted jobs, while the store confirms the election, it resigns.

'SchedulerWatch leaves the pool to another entry when accepted jobs do not arrive' failed before.

--- a/src/coordination/pool/JobFollower.ts
+++ b/src/coordination/pool/JobFollower.ts
@@ -31,6 +31,7 @@
 /** Follows the jobs of all pools. */
 export class JobFollower {
   private readonly _deps: JobFollowerDependencies;
+  private readonly _intake: StoreFollower;
   private readonly _followers: readonly StoreFollower[];
 
   /**
@@ -41,17 +42,18 @@
     this._deps = deps;
     const { catalog, onListed, ...shared } = deps;
     const onChanges = catalog.apply.bind(catalog);
+    this._intake = new StoreFollower({
+      ...shared,
+      prefix: INTAKE_PREFIX,
+      minIntervalMs: 0,
+      onListing: (entries, revision) => {
+        catalog.applyIntakeListing(entries, revision);
+        onListed();
+      },
+      onChanges,
+    });
     this._followers = [
-      new StoreFollower({
-        ...shared,
-        prefix: INTAKE_PREFIX,
-        minIntervalMs: 0,
-        onListing: (entries, revision) => {
-          catalog.applyIntakeListing(entries, revision);
-          onListed();
-        },
-        onChanges,
-      }),
+      this._intake,
       new StoreFollower({
         ...shared,
         prefix: PROGRESS_PREFIX,
@@ -70,6 +72,14 @@
     return this._followers.every((follower) => follower.isSynced);
   }
 
+  /**
+   * Since when accepted jobs and cancellations may be missing, on the monotonic clock, in
+   * milliseconds; undefined if they are complete.
+   */
+  get intakeBehindSince(): number | undefined {
+    return this._intake.behindSince;
+  }
+
   /** Starts following. */
   start(): void {
     this._followers.forEach((follower) => {
--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -274,6 +274,7 @@
       ...{ pool, epoch, store, clock, log, timings, channel, getTimeOfDay, priors },
       confirmationGuard: this._confirmationGuard,
       getConfirmedAt: () => this._elections.get(pool)?.confirmedAt ?? Number.NEGATIVE_INFINITY,
+      getIntakeBehindSince: () => this._jobFollower.intakeBehindSince,
       onRecorded: this.catalog.updateProgress.bind(this.catalog),
       onUnable: (reason: string) => {
         this._elections.get(pool)?.resign(reason);
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -33,6 +33,12 @@
 const CYCLE_DELAY_MS = 3;
 /** Interval of the checks for overdue orders, due occurrences and due writes, in milliseconds. */
 const TICK_INTERVAL_MS = 150;
+/**
+ * Time for which accepted jobs and cancellations may be missing while the store confirms the
+ * election, in milliseconds: long enough for three calls that time out, or a listing after the store
+ * has compacted its changes.
+ */
+const MAX_INTAKE_BEHIND_MS = 3_000;
 /**
  * Time for which all writes of progress may fail while the store confirms the election, in
  * milliseconds. It is longer than what a store answers for a moment when it is overloaded or
@@ -239,7 +245,12 @@
   }
 
   private _createWatch(): SchedulerWatch {
-    const { clock, getConfirmedAt, onUnable } = this._deps;
+    const { clock, getConfirmedAt, getIntakeBehindSince, onUnable } = this._deps;
+    const intake = {
+      reason: "accepted jobs and cancellations do not reach this entry",
+      maxLackingMs: MAX_INTAKE_BEHIND_MS,
+      getLackingSince: getIntakeBehindSince,
+    };
     const writes = {
       reason: "the store refuses or loses all writes of progress, though it responds to reads",
       maxLackingMs: MAX_FAILING_WRITES_MS,
@@ -250,7 +261,8 @@
       maxLackingMs: MAX_SILENT_AGENTS_MS,
       getLackingSince: () => this._sessions.silentSince,
     };
-    return new SchedulerWatch({ clock, getConfirmedAt, onUnable, requirements: [writes, agents] });
+    const requirements = [intake, writes, agents];
+    return new SchedulerWatch({ clock, getConfirmedAt, onUnable, requirements });
   }
 
   private _createOrderSender(): OrderSender {
--- a/src/coordination/pool/PoolSchedulerDependencies.ts
+++ b/src/coordination/pool/PoolSchedulerDependencies.ts
@@ -25,6 +25,11 @@
   readonly priors: readonly PairInterference[];
   /** Gets when the store last confirmed the election, on the monotonic clock, in milliseconds. */
   readonly getConfirmedAt: () => number;
+  /**
+   * Gets since when accepted jobs and cancellations may be missing, on the monotonic clock, in
+   * milliseconds; undefined if they are complete.
+   */
+  readonly getIntakeBehindSince: () => number | undefined;
   /** Called with recorded progress. */
   readonly onRecorded: (job: string, progress: ProgressRecord, revision: number) => void;
   /** Called when this scheduler cannot do its work, so that another entry should be elected. */
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -63,6 +63,7 @@
   private _isStopped = false;
   private _isReachable = true;
   private _answeredAt = Number.NEGATIVE_INFINITY;
+  private _behindSince: number | undefined;
 
   /**
    * Creates a follower; it is inactive until `start` is called.
@@ -99,6 +100,14 @@
     return this._revision === undefined ? NOT_LISTED : this._watch(CATCH_UP_WAIT_MS);
   }
 
+  /**
+   * Since when changes may be missing, on the monotonic clock, in milliseconds: since the first call
+   * that failed after one that succeeded. Undefined if the last call succeeded.
+   */
+  get behindSince(): number | undefined {
+    return this._behindSince;
+  }
+
   /** Starts following the keys. */
   start(): void {
     void this._run();
@@ -124,6 +133,7 @@
   ): Promise<void> {
     const { clock, random, minIntervalMs } = this._deps;
     this._updateReachability(failure);
+    this._behindSince = failure && (this._behindSince ?? clock.now());
     if (failure === undefined) {
       this._retryMs = INITIAL_RETRY_MS;
       const leftMs = startedAt + minIntervalMs - clock.now();
--- a/tests/coordination/pool/schedulerWatchTests.ts
+++ b/tests/coordination/pool/schedulerWatchTests.ts
@@ -3,12 +3,16 @@
  * pool must go to an entry that can.
  */
 import test from "ava";
+import { INTAKE_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
+import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { createStep } from "../../support/poolFixtures.ts";
 import { RefusedWritesStore } from "../../support/RefusedWritesStore.ts";
 import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
 
 /** Time after which a scheduler gives a pool up if all its writes fail, in milliseconds. */
 const FAILING_WRITES_MS = 4_000;
+/** Time after which a scheduler gives a pool up if accepted jobs do not arrive, in milliseconds. */
+const INTAKE_BEHIND_MS = 3_000;
 /** Time after which a scheduler gives a pool up if no agent responds, in milliseconds. */
 const SILENT_AGENTS_MS = 5_000;
 /**
@@ -33,7 +37,7 @@
 
 /** Submits a job of long-running tasks to an entry. */
 async function submitJob(
-  { simulation }: Fixture,
+  { simulation }: Pick<Fixture, "simulation">,
   entry: SimulatedEntry,
   number: number,
 ): Promise<void> {
@@ -127,3 +131,25 @@
   t.true(isScheduler(entry));
   t.false(simulation.log.lines.some(({ sentence }) => sentence.includes("gives up a pool")));
 });
+
+// Guards against accepted jobs that never start and cancelled ones that go on, because the changes
+// of the jobs do not reach the scheduler while it renews its lease.
+test("SchedulerWatch leaves the pool to another entry when accepted jobs do not arrive", async (t) => {
+  const simulation = new PoolSimulation();
+  const { clock, storeModel } = simulation;
+  const leaderStore = new NarrowLinkStore(clock, storeModel, Number.POSITIVE_INFINITY);
+  const leader = simulation.addEntry("leader", leaderStore);
+  await Promise.all(["agent-0", "agent-1"].map((name) => simulation.addAgent(name)));
+  await clock.advance(2_000);
+  const successor = simulation.addEntry("successor");
+  const fixture = { simulation, leader, successor };
+  t.true(isScheduler(leader));
+  leaderStore.silentPrefixes = [INTAKE_PREFIX];
+  leaderStore.failWatches();
+  await submitJob(fixture, successor, 1);
+  await clock.advance(INTAKE_BEHIND_MS + SUCCESSION_MS);
+  t.false(isScheduler(leader));
+  t.true(isScheduler(successor), "no other entry schedules the pool");
+  t.is(countRunning(simulation), TASK_COUNT);
+  t.deepEqual(simulation.findViolations(), []);
+});
--- a/tests/support/NarrowLinkStore.ts
+++ b/tests/support/NarrowLinkStore.ts
@@ -60,6 +60,12 @@
       );
   }
 
+  /** Ends all watches in progress with a failure. */
+  failWatches(): void {
+    this.startOutage();
+    this.endOutage();
+  }
+
   private _timeOut(): ResultAsync<never, StoreFailure> {
     const failure: StoreFailure = {
       kind: "timeout",
