--- a/src/state/pool/JobState.ts
+++ b/src/state/pool/JobState.ts
@@ -7,6 +7,18 @@
 import type { JobPhase, JobRecord, ProgressRecord, TaskRecord } from "./records.ts";
 import { TaskState } from "./TaskState.ts";
 
+/**
+ * Maximum number of tasks in the occurrences that one call opens, unless a single occurrence has
+ * more. A job of which very many occurrences are due at once takes no more of a tick than this.
+ */
+const MAX_OPENED_TASKS = 1_000;
+/**
+ * Maximum number of tasks that are not done in the open occurrences of a job, unless a single
+ * occurrence has more; further ones open as tasks are done. It bounds the memory that a job takes
+ * and what each scheduling cycle has to consider.
+ */
+const MAX_UNFINISHED_TASKS = 10_000;
+
 /** The tasks of a step in one occurrence. */
 export interface StepState {
   readonly occurrence: number;
@@ -82,24 +94,29 @@
    * @param step - Index of the step.
    */
   getStep(occurrence: number, step: number): StepState | undefined {
-    return this._steps.find((state) => state.occurrence === occurrence && state.step === step);
+    const { steps } = this.record;
+    // The steps of all occurrences are kept in order, from the first occurrence on.
+    return step < steps.length ? this._steps[occurrence * steps.length + step] : undefined;
   }
 
   /**
-   * Opens the occurrences that are due.
+   * Opens the next of the occurrences that are due. If they are many, each call opens a part of
+   * them, in order.
    * @param timeOfDayMs - Time of day in Unix milliseconds.
    * @returns Whether one was opened.
    */
   openDueOccurrences(timeOfDayMs: number): boolean {
-    const { schedule } = this.record;
-    if (schedule === undefined) {
+    const { schedule, steps } = this.record;
+    if (schedule === undefined || steps.length === 0) {
       return false;
     }
     const { firstRunAtMs, intervalMs, runCount } = schedule;
     const lastDueOccurrence = Math.floor((timeOfDayMs - firstRunAtMs) / Math.max(1, intervalMs));
-    const before = this._steps.length;
-    this._openOccurrences(Math.min(lastDueOccurrence, runCount - 1));
-    return this._steps.length > before;
+    const next = this._steps.length / steps.length;
+    const dueCount = Math.min(lastDueOccurrence, runCount - 1) - next + 1;
+    const openedCount = dueCount > 0 ? Math.min(dueCount, this._getOpenableCount()) : 0;
+    this._openOccurrences(next + openedCount - 1);
+    return openedCount > 0;
   }
 
   /** Gets the steps that are not done and whose preceding steps are all done. */
@@ -169,6 +186,15 @@
     return state !== undefined && isStepDone(state);
   }
 
+  /** Gets the number of occurrences that may be opened now. */
+  private _getOpenableCount(): number {
+    const occurrenceTasks = this.record.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+    const unfinishedTasks = [...this.tasks].filter((task) => !task.isDone).length;
+    const room = Math.floor((MAX_UNFINISHED_TASKS - unfinishedTasks) / occurrenceTasks);
+    const portion = Math.max(1, Math.floor(MAX_OPENED_TASKS / occurrenceTasks));
+    return Math.max(unfinishedTasks === 0 ? 1 : 0, Math.min(portion, room));
+  }
+
   private _openOccurrences(last: number): void {
     const stepCount = this.record.steps.length;
     const first = stepCount === 0 ? last + 1 : this._steps.length / stepCount;
--- a/tests/coordination/pool/poolSchedulerTests.ts
+++ b/tests/coordination/pool/poolSchedulerTests.ts
@@ -233,3 +233,19 @@
   t.is(await getPhase(getLeader(simulation), createId(1)), "not-found");
   t.is(await getPhase(getLeader(simulation), createId(2)), "running");
 });
+
+// Guards against a scheduler that ends, and the next one too, because of one job of which more
+// occurrences are due than any process can hold.
+test("PoolScheduler runs other jobs beside one with endless occurrences that are due", async (t) => {
+  const simulation = await createSimulation();
+  const leader = getLeader(simulation);
+  // The simulated time of day begins at 0, so that the occurrences were due long before.
+  const schedule = { firstRunAtMs: -1e12, intervalMs: 0, runCount: 1e10 };
+  const endless = { payload: "payload", steps: [createStep()], schedule };
+  await simulation.submit(leader, createId(1), endless, 100);
+  await simulation.submit(leader, createId(2), createJob(3), 500);
+  await simulation.clock.advance(3_000);
+  t.is(await getPhase(leader, createId(2)), "completed");
+  t.true(simulation.journal.some(({ task }) => task.startsWith(`${createId(1)}.0.`)));
+  t.deepEqual(simulation.findViolations(), []);
+});
