Let a large request take as long as its connection needs

Cause: connecting, sending and waiting for the headers of a response shared one timeout, and no byte of the request counted as progress. A large write on a narrow link was aborted and repeated from nothing, which is the writing side of docs/incidents/lost-long-running.md.

Change: a body of more than 64 KB is sent in chunks of 16 KB, with its length in the headers; each chunk that the connection takes begins the time without progress anew. Smaller bodies are sent as before. ProgressTimeout ignores progress after its end, since a chunk may be taken after an early response.

What the kernel has taken but not yet sent counts as sent: after the last chunk the rest of the send buffer and the response share one timeout.

Measured: with the code before, "JsonClient sends a body that takes longer than the timeout but keeps flowing" fails with kind "timeout" (timeout 1 s, 32 MiB, of which the server reads the first half in 2.5 s); with the change it passes. The failure of "HttpStore reports a value that exceeds the store's size limit" at load 25 to 36 was not reproduced here.

--- a/src/transport/http/JsonClient.ts
+++ b/src/transport/http/JsonClient.ts
@@ -1,10 +1,12 @@
 /**
  * Client for services of the platform with JSON over HTTP. Distinguishes calls that never left this
- * process from those that may have arrived. The timeout of a call bounds how long the service may be
- * silent, not the whole transfer: a large response on a narrow link takes as long as it needs.
+ * process from those that may have arrived. The timeout of a call bounds how long there may be no
+ * progress, not the whole transfer: a large request or response on a narrow link takes as long as it
+ * needs.
  */
 import { ResultAsync } from "neverthrow";
 import { Pool } from "undici";
+import { createSentBody } from "./createSentBody.ts";
 import { isUnsent } from "./isUnsent.ts";
 import { ProgressTimeout } from "./ProgressTimeout.ts";
 import { ResponseBody } from "./ResponseBody.ts";
@@ -17,7 +19,10 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Body, sent as JSON; undefined for none. */
   readonly body: unknown;
-  /** Longest time without a byte of the response, in milliseconds. */
+  /**
+   * Longest time without progress, in milliseconds: without a byte of the response, or without a
+   * chunk of a large body that the connection takes.
+   */
   readonly timeoutMs: number;
 }
 
@@ -81,11 +86,14 @@
     received: ResponseBody,
     timeout: ProgressTimeout,
   ): Promise<JsonResponse> {
+    const sent = createSentBody(call.body, () => {
+      timeout.restart();
+    });
     const { statusCode, body } = await this._pool.request({
       method: call.method,
       path: call.path,
-      headers: { "content-type": "application/json", ...call.headers },
-      body: call.body === undefined ? null : JSON.stringify(call.body),
+      headers: { ...sent.headers, ...call.headers },
+      body: sent.body,
       signal: timeout.signal,
     });
     timeout.restart();
--- a/src/transport/http/ProgressTimeout.ts
+++ b/src/transport/http/ProgressTimeout.ts
@@ -10,6 +10,7 @@
   private readonly _timer: NodeJS.Timeout;
   /** Aborts once the event loop has read what had arrived when the time was over. */
   private _abort: NodeJS.Immediate | undefined;
+  private _isStopped = false;
 
   /**
    * Starts the timeout.
@@ -29,14 +30,21 @@
     return this._controller.signal;
   }
 
-  /** Begins the time anew, as there is progress; not to be called once the timeout is stopped. */
+  /**
+   * Begins the time anew, as there is progress. Has no effect once the timeout is stopped: a chunk of
+   * a request may still be taken after the response.
+   */
   restart(): void {
+    if (this._isStopped) {
+      return;
+    }
     clearImmediate(this._abort);
     this._timer.refresh();
   }
 
   /** Stops the timeout; nothing of it is left behind. */
   stop(): void {
+    this._isStopped = true;
     clearImmediate(this._abort);
     clearTimeout(this._timer);
   }
--- a/src/transport/store/HttpStore.ts
+++ b/src/transport/store/HttpStore.ts
@@ -54,7 +54,7 @@
   /** Address as "host:port". */
   readonly address: string;
   /**
-   * Longest time without a byte of a response, in milliseconds; in a watch, in addition to the time
+   * Longest time without progress of a call, in milliseconds; in a watch, in addition to the time
    * that the store may wait for changes.
    */
   readonly timeoutMs: number;
