Test that an entry claims no pool before it has listed all jobs

Change: an entry whose listings fail must neither write the key of the free pool nor acquire a lease for it; once its listings come through it is elected, once.

Measured: with isEligible always true the test fails, with 21 writes of the entry in 15 s of virtual time in place of 0; poolTakeoverTests pass with the mutation.

--- a/tests/coordination/pool/poolCatchUpTests.ts
+++ b/tests/coordination/pool/poolCatchUpTests.ts
@@ -4,7 +4,12 @@
  */
 import test, { type ExecutionContext } from "ava";
 import type { CatalogJob } from "../../../src/state/pool/JobCatalog.ts";
-import { formatJobKey, INTAKE_PREFIX, PROGRESS_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
+import {
+  formatJobKey,
+  INTAKE_PREFIX,
+  PROGRESS_PREFIX,
+  SCHEDULER_PREFIX,
+} from "../../../src/state/pool/PoolKeys.ts";
 import { createStep, POOL } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
@@ -150,3 +155,20 @@
   t.is(simulation.journal.length, 0);
   assertSchedulesSteadily(t, simulation, late);
 });
+
+// Guards against an entry that claims a pool without knowing its jobs, and keeps it from entries that
+// do until it gives it up again.
+test("PoolCoordinator claims no pool before its entry has listed all jobs", async (t) => {
+  const { simulation, leader, late } = await createFixture(AGENT_NAMES, undefined);
+  const { clock, storeModel } = simulation;
+  simulation.killEntry(leader);
+  simulation.killEntry(late);
+  const link = new NarrowLinkStore(clock, storeModel, 0);
+  const newcomer = simulation.addEntry("newcomer", link);
+  await clock.advance(SETTLE_MS);
+  t.deepEqual(storeModel.list(SCHEDULER_PREFIX).entries, []);
+  t.is(link.counts.writes, 0, "the entry has acquired a lease or written the key");
+  link.maxListedKeys = MANY_KEYS;
+  await clock.advance(SETTLE_MS);
+  assertSchedulesSteadily(t, simulation, newcomer);
+});
