Reset call numbers with the first report of a new agent process

Cause: callers saw an accepted long-running task that did not run though there was room. The first report of a new agent process usually has no lists yet, and only that report was marked as one of a new process, so that the reconciliation, which did the reset, never learned of it. A run in phase "ordered" or "stopping" kept the call number of the former process: it was neither resent nor found lost until the new process had made as many calls.

Change: AgentReportHandler has the call numbers reset as soon as a new process reports, with or without lists (ActiveRunTable.resetCallNumbers). The mark is not kept until the first lists instead: a run that the new process was ordered to start meanwhile would lose its own call number, and lists of a call in progress would make it lost while it starts.

--- a/src/coordination/pool/ActiveRunTable.ts
+++ b/src/coordination/pool/ActiveRunTable.ts
@@ -62,6 +62,20 @@
     );
   }
 
+  /**
+   * Makes all lists of an agent's next process count as later than the calls of the former one. It
+   * is due as soon as the process is known: runs ordered from then on have call numbers of its own,
+   * which must stay, as a call in progress may return lists that were made before the order.
+   * @param agent - Name of the agent.
+   */
+  resetCallNumbers(agent: string): void {
+    this.getByAgent(agent)
+      .filter(({ active }) => active.callNumber !== undefined)
+      .forEach(({ task, active }) => {
+        task.updateRun(active.run, { callNumber: 0 });
+      });
+  }
+
   /** Returns all active runs. */
   getAll(): readonly ActiveTaskRun[] {
     return [...this._byAgent.keys()].flatMap((agent) => this.getByAgent(agent));
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -87,13 +87,17 @@
         worker: report.worker?.worker,
       });
     }
+    // The first report of a process usually has no lists yet, and no later one tells it from its
+    // predecessor.
+    if (change.isNewProcess) {
+      state.activeRuns.resetCallNumbers(agent);
+    }
     // The lists of a worker that does not respond are out of date or missing.
     if (report.worker?.answers !== true || change.worker === undefined) {
       return;
     }
     const { lastHandledEnd } = change.worker;
-    const { isNewProcess } = change;
-    this._reconcile({ agent, report: report.worker, lastHandledEnd, isNewProcess, now });
+    this._reconcile({ agent, report: report.worker, lastHandledEnd, now });
     state.workerTable.recordHandledEnds(agent, report.worker.ended.at(-1)?.number ?? 0);
     paceController.handleReport(agent, report.worker, now);
   }
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -36,7 +36,6 @@
   readonly report: WorkerReport;
   /** Run ends up to this number were handled before. */
   readonly lastHandledEnd: number;
-  readonly isNewProcess: boolean;
   /** Monotonic time in milliseconds. */
   readonly now: number;
 }
@@ -61,10 +60,7 @@
    * @param input - The report.
    */
   reconcile(input: ReportInput): void {
-    const { agent, report, isNewProcess } = input;
-    if (isNewProcess) {
-      this._resetCallNumbers(agent);
-    }
+    const { report } = input;
     report.ended
       .filter((ended) => ended.number > input.lastHandledEnd)
       .forEach((ended) => {
@@ -76,16 +72,6 @@
     this._reportMissing(input);
   }
 
-  /** The lists of a new process of the agent are later than all calls of the previous process. */
-  private _resetCallNumbers(agent: string): void {
-    this._activeRuns
-      .getByAgent(agent)
-      .filter(({ active }) => active.callNumber !== undefined)
-      .forEach(({ task, active }) => {
-        task.updateRun(active.run, { callNumber: 0 });
-      });
-  }
-
   private _handleEnd(input: ReportInput, ended: EndedRun): void {
     const taskRun = this._findActiveRun(input, ended.task, ended.run);
     if (taskRun === undefined) {
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -55,6 +55,7 @@
    * Incarnation of the worker that was replaced; undefined if none was.
    */
   readonly replacedWorker: string | undefined;
+  /** Whether this is the first report of a process that replaced another one. */
   readonly isNewProcess: boolean;
 }
 
