Start long-running tasks again when a run of theirs is done

Cause: submitters saw a long-running task that never ran again after one of its runs ended by itself, and its job "completed". JobUpdater marked the task done, as that of any other step. PROTOCOL: such tasks "must be restarted however they end".

Change: where the outcome is applied, a long-running task is not marked done, and no other run of it is stopped: it waits again, alone or with its gang, and its job stays running. The end still counts as a success of the worker.

--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -1,6 +1,6 @@
 /**
  * Updates jobs when their runs end or are lost, and enqueues their progress for writing. A task is
- * done once, a job fails when a task has failed as often as its queue allows, and the runs of a job
+ * done once, except that a long-running one never is; a job fails when a task has failed as often as its queue allows, and the runs of a job
  * that has ended are stopped.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
@@ -132,6 +132,10 @@
   }
 
   private _complete(job: JobState, task: TaskState): void {
+    // A long-running task is started again however its run ends, until the job is cancelled.
+    if (task.definition.longRunning) {
+      return;
+    }
     const step = getStepOf(job, task);
     // The tasks of a gang end together, so the end of one counts for all.
     const done = task.definition.gang && step !== undefined ? step.tasks : [task];
