--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -1,7 +1,7 @@
 /**
  * Updates jobs when their runs end or are lost, and enqueues their progress for writing. A task is
- * done once, except that a long-running one never is; a job fails when a task has failed as often as its queue allows, and the runs of a job
- * that has ended are stopped.
+ * done once, except that a long-running one never is; a job fails when a task has failed as often as
+ * its queue allows, and the runs of a job that has ended are stopped.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -112,6 +112,7 @@
       ...{ pool: POOL, store, clock, log, channel, getTimeOfDay, timings: TIMINGS, priors: [] },
       epoch: elected.kind === "written" ? elected.revision : 0,
       confirmationGuard: new ConfirmationGuard(clock, getTimeOfDay),
+      getIntakeBehindSince: () => undefined,
       getConfirmedAt: () => clock.now(),
       ...{ onRecorded: ignore, onUnable: ignore, onSuperseded: ignore },
     },
