List the jobs anew when the store holds progress of another writer

Cause: callers saw a pool in which no accepted job started any more. When the store held progress that the elected scheduler had not written, its entry treated that as the end of the epoch, and claimed the pool again at once with the same catalog. One value that cannot be parsed sufficed, as the catalog did not take its revision, and so did one wrong revision in the catalog.

Change: - CommitQueue tells this conflict (onForeignProgress) from a lost election. The entry gives the pool up with its hold-off (resign), and its job followers list anew before it claims again (JobFollower.relist, StoreFollower.relist). The call in progress is not awaited, since a watch lasts for seconds, and its response is ignored. The error line names only the keys at fault. - JobCatalog takes the revision of progress that cannot be parsed and marks the job. The scheduler leaves only that job out, with one error line naming it. The line for the key at each entry that receives the value stays as it was. - A complete listing of progress also decides on revisions that were wrong and too high (JobCatalog.applyProgressListing); a later change alone did not correct them. - A queue that was closed reports no conflict any more.

--- a/src/coordination/pool/CommitQueue.ts
+++ b/src/coordination/pool/CommitQueue.ts
@@ -49,6 +49,11 @@
   readonly onWritten: (job: string, value: string, revision: number) => void;
   /** Called once when the key no longer names this scheduler. */
   readonly onSuperseded: () => void;
+  /**
+   * Called once when the store holds progress that this scheduler did not write, though it is the
+   * elected one: what is known of the jobs is wrong, and no further write is tried.
+   */
+  readonly onForeignProgress: (reason: string) => void;
 }
 
 interface JobWrite {
@@ -215,7 +220,10 @@
 
   /** Handles a conflict; an earlier attempt at the same transaction may have succeeded. */
   private _handleConflict(batch: Batch, sentAt: number, current: readonly StoreEntry[]): void {
-    const { schedulerKey, epoch, log, onSuperseded } = this._deps;
+    if (this._isClosed) {
+      return;
+    }
+    const { schedulerKey, epoch, onSuperseded } = this._deps;
     const byKey = new Map(current.map((entry) => [entry.key, entry]));
     const isElected = byKey.get(schedulerKey)?.revision === epoch;
     const isWritten = batch.every(({ write }) => byKey.get(write.key)?.value === write.value);
@@ -223,16 +231,23 @@
       this._completeBatch(batch, sentAt, (key) => byKey.get(key)?.revision ?? 0);
       return;
     }
-    if (isElected) {
-      log.error(
-        "The store holds progress that this scheduler did not write; the scheduler stops.",
-        {
-          keys: batch.map(({ write }) => write.key).join(" "),
-        },
-      );
-    }
     this.close();
-    onSuperseded();
+    if (!isElected) {
+      onSuperseded();
+      return;
+    }
+    const foreign = batch.filter(
+      ({ write }) => (byKey.get(write.key)?.revision ?? 0) !== write.expected,
+    );
+    this._reportForeignProgress(foreign.map(({ write }) => write.key).join(" "));
+  }
+
+  private _reportForeignProgress(keys: string): void {
+    const { log, onForeignProgress } = this._deps;
+    log.error("The store holds progress that this scheduler did not write; the scheduler stops.", {
+      keys,
+    });
+    onForeignProgress("the store holds progress that this scheduler did not write");
   }
 
   private _completeBatch(batch: Batch, sentAt: number, getRevision: (key: string) => number): void {
--- a/src/coordination/pool/JobFollower.ts
+++ b/src/coordination/pool/JobFollower.ts
@@ -56,8 +56,8 @@
         ...shared,
         prefix: PROGRESS_PREFIX,
         minIntervalMs: PROGRESS_WATCH_INTERVAL_MS,
-        onListing: (entries) => {
-          catalog.apply(entries);
+        onListing: (entries, revision) => {
+          catalog.applyProgressListing(entries, revision);
           onListed();
         },
         onChanges,
@@ -84,6 +84,13 @@
     });
   }
 
+  /** Lists all keys anew; the catalog does not count as complete until that has ended. */
+  relist(): void {
+    this._followers.forEach((follower) => {
+      follower.relist();
+    });
+  }
+
   /**
    * Waits until the catalog contains all changes up to a revision. Changes that were received are
    * kept, so that a later attempt starts where this one ended.
--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -278,6 +278,9 @@
       onUnable: (reason: string) => {
         this._elections.get(pool)?.resign(reason);
       },
+      onJobsOutdated: () => {
+        this._jobFollower.relist();
+      },
       onSuperseded: () => {
         this._elections.get(pool)?.handleSuperseded();
       },
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -162,10 +162,16 @@
    * @param catalogJob - The job with its progress.
    */
   addJob(catalogJob: CatalogJob): void {
-    const { record, id, isCancelled, progress } = catalogJob;
+    const { record, id, isCancelled, progress, isProgressUnreadable } = catalogJob;
     if (record === undefined || this._state.getJob(id) !== undefined || this._isStopped) {
       return;
     }
+    if (isProgressUnreadable) {
+      this._deps.log.error("Progress of a job cannot be parsed; only this job is not scheduled.", {
+        job: id,
+      });
+      return;
+    }
     const job = new JobState(id, record, progress, this._deps.clock.now());
     this._state.addJob(job);
     if (isCancelled && !job.isEnded) {
@@ -201,7 +207,8 @@
   }
 
   private _createCommitQueue(jobs: readonly CatalogJob[]): CommitQueue {
-    const { store, clock, log, pool, epoch, timings, onRecorded } = this._deps;
+    const { store, clock, log, pool, epoch, timings } = this._deps;
+    const { onRecorded, onJobsOutdated, onUnable } = this._deps;
     const recorded = jobs.filter(({ progressRevision }) => progressRevision > 0);
     const revisions = new Map(recorded.map(({ id, progressRevision }) => [id, progressRevision]));
     const queueDeps = {
@@ -219,6 +226,10 @@
       onSuperseded: () => {
         this._handleSuperseded();
       },
+      onForeignProgress: (reason: string) => {
+        onJobsOutdated();
+        onUnable(reason);
+      },
     };
     return new CommitQueue(queueDeps, revisions);
   }
--- a/src/coordination/pool/PoolSchedulerDependencies.ts
+++ b/src/coordination/pool/PoolSchedulerDependencies.ts
@@ -29,6 +29,8 @@
   readonly onRecorded: (job: string, progress: ProgressRecord, revision: number) => void;
   /** Called when this scheduler cannot do its work, so that another entry should be elected. */
   readonly onUnable: (reason: string) => void;
+  /** Called when the store contradicts the known jobs, so that they must be listed anew. */
+  readonly onJobsOutdated: () => void;
   /** Called when this scheduler is no longer the elected one. */
   readonly onSuperseded: () => void;
 }
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -1,6 +1,6 @@
 /**
  * Follows the keys under a prefix of the store: lists them, then watches for changes. It lists them
- * again if the store has compacted the changes in between, and retries after every failure. A listing
+ * again if the store has compacted the changes in between or on request, and retries after every failure. A listing
  * that fails is resumed at the page that failed.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
@@ -61,6 +61,8 @@
   private _revision: number | undefined;
   private _retryMs = INITIAL_RETRY_MS;
   private _isStopped = false;
+  /** Number of requests to list anew; responses to calls sent before the last one are ignored. */
+  private _relistCount = 0;
   private _isReachable = true;
   private _answeredAt = Number.NEGATIVE_INFINITY;
 
@@ -109,15 +111,41 @@
     this._isStopped = true;
   }
 
+  /**
+   * Lists the keys anew. The call in progress is not awaited, as a watch without changes lasts for
+   * seconds; its response is ignored.
+   */
+  relist(): void {
+    if (this._isStopped) {
+      return;
+    }
+    this._relistCount += 1;
+    this._dropListing();
+    void this._run();
+  }
+
   private async _run(): Promise<void> {
-    while (!this._isStopped) {
+    const relistCount = this._relistCount;
+    while (this._isCurrent(relistCount)) {
       const startedAt = this._deps.clock.now();
       const waitMs = this._isReachable ? undefined : CATCH_UP_WAIT_MS;
       const failure = this._revision === undefined ? await this._list() : await this._watch(waitMs);
-      await this._waitForNextCall(failure, startedAt);
+      if (this._isCurrent(relistCount)) {
+        await this._waitForNextCall(failure, startedAt);
+      }
     }
   }
 
+  /** Whether calls that were sent after so many requests to list anew still count. */
+  private _isCurrent(relistCount: number): boolean {
+    return !this._isStopped && relistCount === this._relistCount;
+  }
+
+  private _dropListing(): void {
+    this._revision = undefined;
+    this._listing.reset();
+  }
+
   private async _waitForNextCall(
     failure: StoreFailure | undefined,
     startedAt: number,
@@ -131,8 +159,7 @@
       return;
     }
     if (failure.kind === "compacted") {
-      this._revision = undefined;
-      this._listing.reset();
+      this._dropListing();
       return;
     }
     await clock.sleep(this._retryMs * (0.5 + random.next() / 2));
@@ -140,28 +167,31 @@
   }
 
   private async _list(): Promise<StoreFailure | undefined> {
+    const relistCount = this._relistCount;
     const pagesBefore = this._listing.keptPages;
     const listing = await this._listing.read();
+    if (!this._isCurrent(relistCount)) {
+      return undefined;
+    }
     if (listing.isErr()) {
       this._retryMs = this._listing.keptPages > pagesBefore ? INITIAL_RETRY_MS : this._retryMs;
       return listing.error;
     }
-    if (!this._isStopped) {
-      const { entries, revision } = listing.value;
-      this._answeredAt = this._deps.clock.now();
-      this._revision = revision;
-      this._deps.onListing(entries, revision);
-    }
+    const { entries, revision } = listing.value;
+    this._answeredAt = this._deps.clock.now();
+    this._revision = revision;
+    this._deps.onListing(entries, revision);
     return undefined;
   }
 
   private async _watch(waitMs?: number): Promise<StoreFailure | undefined> {
+    const relistCount = this._relistCount;
     const after = this._revision ?? 0;
     const changes = await this._deps.store.watch(this._deps.prefix, after, waitMs);
     if (changes.isErr()) {
       return changes.error;
     }
-    if (!this._isStopped) {
+    if (this._isCurrent(relistCount)) {
       this._answeredAt = this._deps.clock.now();
       this._applyChanges(after, changes.value);
     }
--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -26,8 +26,10 @@
   readonly phase: JobPhase;
   /** Progress as last recorded; undefined if none is known. */
   readonly progress: ProgressRecord | undefined;
-  /** Revision of the known progress; 0 if none is known. */
+  /** Revision of the stored progress, whether or not it can be parsed; 0 if none is known. */
   readonly progressRevision: number;
+  /** Whether the stored progress cannot be parsed; `progress` is the last that could be. */
+  readonly isProgressUnreadable: boolean;
 }
 
 /** Callbacks of a catalog. */
@@ -36,7 +38,10 @@
   readonly onAccepted: (job: CatalogJob) => void;
   /** Called when a cancellation becomes known. */
   readonly onCancelled: (job: CatalogJob) => void;
-  /** Called for a key of an unknown kind or a value that cannot be parsed; both are ignored. */
+  /**
+   * Called for a key of an unknown kind or a value that cannot be parsed; both are ignored, except
+   * that the job of such progress is marked.
+   */
   readonly onUnreadable: (key: string, reason: RecordError) => void;
 }
 
@@ -112,6 +117,21 @@
     this.apply(entries);
   }
 
+  /**
+   * Applies a complete listing of progress. It decides on all revisions that are not later than the
+   * listing, also if a wrong one was known.
+   * @param entries - All keys.
+   * @param revision - Revision of the listing.
+   */
+  applyProgressListing(entries: readonly StoreChange[], revision: number): void {
+    const listed = new Map(entries.map((entry) => [parseJobKey(entry.key)?.job, entry.revision]));
+    [...this._jobs.values()]
+      .filter((job) => job.progressRevision <= revision)
+      .filter((job) => job.progressRevision !== (listed.get(job.id) ?? 0))
+      .forEach((job) => this._jobs.set(job.id, { ...job, progressRevision: 0 }));
+    this.apply(entries);
+  }
+
   /**
    * Updates the progress of a job that a scheduler in this process has recorded.
    * @param id - Id of the job.
@@ -121,8 +141,7 @@
   updateProgress(id: string, progress: ProgressRecord, revision: number): void {
     const job = this._jobs.get(id);
     if (job !== undefined && job.progressRevision < revision) {
-      const { phase } = progress;
-      this._jobs.set(id, { ...job, phase, progress, progressRevision: revision });
+      this._setProgress(job, progress, revision);
     }
   }
 
@@ -170,15 +189,23 @@
     }
     parseProgressRecord(value).match(
       (progress: ProgressRecord) => {
-        const { phase } = progress;
-        this._jobs.set(job.id, { ...job, phase, progress, progressRevision: change.revision });
+        this._setProgress(job, progress, change.revision);
       },
       (reason) => {
+        // Without the revision, each write of a scheduler to this key would be a conflict.
+        const { revision: progressRevision } = change;
+        this._jobs.set(job.id, { ...job, progressRevision, isProgressUnreadable: true });
         this._listener.onUnreadable(change.key, reason);
       },
     );
   }
 
+  private _setProgress(job: CatalogJob, progress: ProgressRecord, progressRevision: number): void {
+    const { phase } = progress;
+    const isProgressUnreadable = false;
+    this._jobs.set(job.id, { ...job, phase, progress, progressRevision, isProgressUnreadable });
+  }
+
   private _remove(key: JobKey): void {
     if (key.kind === "job") {
       this._jobs.delete(key.job);
@@ -206,5 +233,6 @@
     phase: "queued",
     progress: undefined,
     progressRevision: 0,
+    isProgressUnreadable: false,
   };
 }
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -113,7 +113,7 @@
       epoch: elected.kind === "written" ? elected.revision : 0,
       confirmationGuard: new ConfirmationGuard(clock, getTimeOfDay),
       getConfirmedAt: () => clock.now(),
-      ...{ onRecorded: ignore, onUnable: ignore, onSuperseded: ignore },
+      ...{ onRecorded: ignore, onUnable: ignore, onJobsOutdated: ignore, onSuperseded: ignore },
     },
     [],
   );
@@ -138,6 +138,7 @@
     ...{ id: JOB, pool: POOL, record, acceptedRevision: 1, isCancelled: false, phase: "queued" },
     progress: undefined,
     progressRevision: 0,
+    isProgressUnreadable: false,
   });
   await clock.advance(HANDLED_MS);
 }
--- a/tests/coordination/pool/commitQueueTests.ts
+++ b/tests/coordination/pool/commitQueueTests.ts
@@ -55,6 +55,7 @@
       getValue: (job) => values.get(job) ?? "",
       onWritten: (job) => events.push(`written ${job}`),
       onSuperseded: () => events.push("superseded"),
+      onForeignProgress: () => events.push("foreign"),
     },
     new Map(),
   );
@@ -190,3 +191,20 @@
     [rejected],
   );
 });
+
+// Guards against an elected scheduler that takes foreign progress for the end of its epoch, so that
+// its entry claims the pool again at once with the same state.
+test("CommitQueue stops at progress that it did not write, and names its key", async (t) => {
+  const fixture = await createFixture();
+  const { clock, store, events, log } = fixture;
+  const [, foreign = ""] = createJobs(2);
+  store.model.write({ key: foreign, value: "foreign", expected: 0 });
+  enqueueJobs(fixture, 3, SMALL_JOB_BYTES);
+  await clock.advance(TEST_MS);
+  t.deepEqual(events, ["foreign"]);
+  t.is(store.model.read(foreign)?.value, "foreign");
+  t.deepEqual(
+    log.lines.map(({ level, fields }) => [level, fields.keys]),
+    [["error", foreign]],
+  );
+});
--- a/tests/state/pool/jobCatalogTests.ts
+++ b/tests/state/pool/jobCatalogTests.ts
@@ -63,3 +63,40 @@
   t.is(job?.progressRevision, 9);
   t.is(job?.phase, "completed");
 });
+
+function createProgressEntry(job: string, value: string, revision: number) {
+  return { key: formatJobKey({ kind: "progress", pool: POOL, job }), value, revision };
+}
+
+// Guards against writes of progress that conflict for ever, since the revision of a value that
+// cannot be parsed is not known.
+test("JobCatalog marks a job whose progress cannot be parsed, until it can be again", (t) => {
+  const catalog = createCatalog();
+  const running = JSON.stringify({ phase: "running", tasks: {} });
+  catalog.apply([createJobEntry("a", 5), createProgressEntry("a", running, 6)]);
+  t.false(catalog.getJob("a")?.isProgressUnreadable);
+  catalog.apply([createProgressEntry("a", "foreign", 7)]);
+  t.true(catalog.getJob("a")?.isProgressUnreadable);
+  t.is(catalog.getJob("a")?.progressRevision, 7);
+  t.is(catalog.getJob("a")?.phase, "running");
+  catalog.apply([createProgressEntry("a", running, 8)]);
+  t.false(catalog.getJob("a")?.isProgressUnreadable);
+  t.is(catalog.getJob("a")?.progressRevision, 8);
+});
+
+// Guards against a wrong revision of progress that stays, since only later ones are taken.
+test("JobCatalog takes the revisions of a listing of progress that is not older than its own", (t) => {
+  const catalog = createCatalog();
+  const running = { phase: "running", tasks: {} } as const;
+  catalog.apply(["a", "b", "c"].map((job) => createJobEntry(job, 1)));
+  ["a", "b", "c"].forEach((job, position) => {
+    catalog.updateProgress(job, running, 10 + position);
+  });
+  const entries = ["a", "b"].map((job) => createProgressEntry(job, JSON.stringify(running), 5));
+  catalog.applyProgressListing(entries, 10);
+  const getRevisions = (): readonly (number | undefined)[] =>
+    ["a", "b", "c"].map((job) => catalog.getJob(job)?.progressRevision);
+  t.deepEqual(getRevisions(), [5, 11, 12]);
+  catalog.applyProgressListing(entries, 12);
+  t.deepEqual(getRevisions(), [5, 5, 0]);
+});
