--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -114,7 +114,7 @@
       confirmationGuard: new ConfirmationGuard(clock, getTimeOfDay),
       getIntakeBehindSince: () => undefined,
       getConfirmedAt: () => clock.now(),
-      ...{ onRecorded: ignore, onUnable: ignore, onSuperseded: ignore },
+      ...{ onRecorded: ignore, onUnable: ignore, onJobsOutdated: ignore, onSuperseded: ignore },
     },
     [],
   );
@@ -139,6 +139,7 @@
     ...{ id: JOB, pool: POOL, record, acceptedRevision: 1, isCancelled: false, phase: "queued" },
     progress: undefined,
     progressRevision: 0,
+    isProgressUnreadable: false,
   });
   await clock.advance(HANDLED_MS);
 }
