Test that an entry needs both listings before it claims a pool

Change: NarrowLinkStore can refuse the listings of single prefixes; an entry that lacks accepted jobs or progress must not claim the pool.

--- a/tests/coordination/pool/poolCatchUpTests.ts
+++ b/tests/coordination/pool/poolCatchUpTests.ts
@@ -172,3 +172,22 @@
   await clock.advance(SETTLE_MS);
   assertSchedulesSteadily(t, simulation, newcomer);
 });
+
+// Guards against an entry that takes part of the jobs' keys for all of them: without the progress it
+// would start what runs, without the accepted jobs it would schedule nothing.
+for (const prefix of [INTAKE_PREFIX, PROGRESS_PREFIX]) {
+  test(`PoolCoordinator claims no pool while its entry has yet to list ${prefix}`, async (t) => {
+    const { simulation, leader, late } = await createFixture(AGENT_NAMES, undefined);
+    const { clock, storeModel } = simulation;
+    simulation.killEntry(leader);
+    simulation.killEntry(late);
+    const link = new NarrowLinkStore(clock, storeModel, MANY_KEYS);
+    link.unlistedPrefixes = [prefix];
+    const newcomer = simulation.addEntry("newcomer", link);
+    await clock.advance(SETTLE_MS);
+    t.is(link.counts.writes, 0, "the entry has acquired a lease or written the key");
+    link.unlistedPrefixes = [];
+    await clock.advance(SETTLE_MS);
+    assertSchedulesSteadily(t, simulation, newcomer);
+  });
+}
--- a/tests/support/NarrowLinkStore.ts
+++ b/tests/support/NarrowLinkStore.ts
@@ -14,6 +14,8 @@
 export class NarrowLinkStore extends MemoryStore {
   /** Number of keys that a listing can transfer before the timeout. */
   maxListedKeys: number;
+  /** Prefixes whose listings time out whatever their size. */
+  unlistedPrefixes: readonly string[] = [];
   /** Prefixes whose watches time out. */
   silentPrefixes: readonly string[] = [];
   /** Duration of the transfer of changes by prefix, in milliseconds; 0 for other prefixes. */
@@ -34,7 +36,8 @@
 
   override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
     return super.listPage(prefix, after).andThen((page) => {
-      if (page.entries.length <= this.maxListedKeys) {
+      const isListed = !this.unlistedPrefixes.includes(prefix);
+      if (isListed && page.entries.length <= this.maxListedKeys) {
         return ResultAsync.fromSafePromise(Promise.resolve(page));
       }
       return this._timeOut();
