Count an election as confirmed only by a call of the store

A new scheduler's queue of commits took the time of its creation for a confirmation of the election, so that it could have granted leases up to 10 s later on the strength of nothing. It has none before its first transaction; the election's own confirmations count from the start.

'CommitQueue confirms the election only with a transaction that succeeded' failed before. The requirements of a scheduler move out of PoolScheduler.

--- a/src/coordination/pool/CommitQueue.ts
+++ b/src/coordination/pool/CommitQueue.ts
@@ -72,18 +72,17 @@
   private readonly _pending = new Map<string, (() => void)[]>();
   private _isRunning = false;
   private _isClosed = false;
-  private _confirmedAt: number;
+  private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _retryMs = INITIAL_RETRY_MS;
   private _failingSince: number | undefined;
 
   /**
    * Creates a queue.
    * @param deps - Dependencies.
-   * @param revisions - Revisions of the jobs' progress keys as read after the election.
+   * @param revisions - Revisions of the jobs' progress keys as known after the election.
    */
   constructor(deps: CommitQueueDependencies, revisions: ReadonlyMap<string, number>) {
     this._deps = deps;
-    this._confirmedAt = deps.clock.now();
     revisions.forEach((revision, job) => this._revisions.set(job, revision));
   }
 
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -23,6 +23,7 @@
 import type { PlannedRun } from "./taskPlacement.ts";
 import { CyclePlanner } from "./CyclePlanner.ts";
 import { getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import { getSchedulerRequirements } from "./schedulerRequirements.ts";
 import { SchedulerWatch } from "./SchedulerWatch.ts";
 import { RunController } from "./RunController.ts";
 
@@ -33,26 +34,6 @@
 const CYCLE_DELAY_MS = 3;
 /** Interval of the checks for overdue orders, due occurrences and due writes, in milliseconds. */
 const TICK_INTERVAL_MS = 150;
-/**
- * Time for which accepted jobs and cancellations may be missing while the store confirms the
- * election, in milliseconds: long enough for three calls that time out, or a listing after the store
- * has compacted its changes.
- */
-const MAX_INTAKE_BEHIND_MS = 3_000;
-/**
- * Time for which all writes of progress may fail while the store confirms the election, in
- * milliseconds. It is longer than what a store answers for a moment when it is overloaded or
- * restarts, and shorter than the leases of workers, so that their runs go on under another entry.
- */
-const MAX_FAILING_WRITES_MS = 4_000;
-/**
- * Time for which no agent at all may respond while the store confirms the election, in milliseconds.
- * Two successive calls to each agent, of 2 s at most, have timed out by then. If some agents respond,
- * another entry would hardly fare better, and each takeover begins the waits for the leases at the
- * others anew.
- */
-const MAX_SILENT_AGENTS_MS = 5_000;
-
 /** Scheduler of one pool in one epoch. */
 export class PoolScheduler {
   private readonly _deps: PoolSchedulerDependencies;
@@ -257,22 +238,11 @@
 
   private _createWatch(): SchedulerWatch {
     const { clock, getConfirmedAt, getIntakeBehindSince, onUnable } = this._deps;
-    const intake = {
-      reason: "accepted jobs and cancellations do not reach this entry",
-      maxLackingMs: MAX_INTAKE_BEHIND_MS,
-      getLackingSince: getIntakeBehindSince,
-    };
-    const writes = {
-      reason: "the store refuses or loses all writes of progress, though it responds to reads",
-      maxLackingMs: MAX_FAILING_WRITES_MS,
-      getLackingSince: () => this._commitQueue.failingSince,
-    };
-    const agents = {
-      reason: "none of the pool's agents responds to this entry",
-      maxLackingMs: MAX_SILENT_AGENTS_MS,
-      getLackingSince: () => this._sessions.silentSince,
-    };
-    const requirements = [intake, writes, agents];
+    const requirements = getSchedulerRequirements({
+      getIntakeBehindSince,
+      getWritesFailingSince: () => this._commitQueue.failingSince,
+      getAgentsSilentSince: () => this._sessions.silentSince,
+    });
     return new SchedulerWatch({ clock, getConfirmedAt, onUnable, requirements });
   }
 
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -1,7 +1,7 @@
 /**
  * Follows the keys under a prefix of the store: lists them, then watches for changes. It lists them
- * again if the store has compacted the changes in between or on request, and retries after every failure. A listing
- * that fails is resumed at the page that failed.
+ * again on request, and if the store has compacted the changes in between, and retries after every
+ * failure. A listing that fails is resumed at the page that failed.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
--- a/tests/coordination/pool/commitQueueTests.ts
+++ b/tests/coordination/pool/commitQueueTests.ts
@@ -208,3 +208,13 @@
     [["error", foreign]],
   );
 });
+
+// Guards against leases that are granted on the strength of an election that nothing has confirmed.
+test("CommitQueue confirms the election only with a transaction that succeeded", async (t) => {
+  const fixture = await createFixture();
+  const { clock, queue } = fixture;
+  t.is(queue.confirmedAt, Number.NEGATIVE_INFINITY);
+  enqueueJobs(fixture, 1, 100);
+  await clock.advance(TEST_MS);
+  t.true(queue.confirmedAt > Number.NEGATIVE_INFINITY);
+});
