Read the pages of a listing with one loop

Store.list and ListingReader had the same loop; both call readPages now, which keeps the pages that it has read for the next try. No change of behaviour.

--- a/src/coordination/pool/ListingReader.ts
+++ b/src/coordination/pool/ListingReader.ts
@@ -2,14 +2,14 @@
  * Lists the keys under a prefix of the store and resumes after a failure at the page that failed, so
  * that each try makes progress however large the listing is.
  */
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import type {
   Store,
   StoreFailure,
   StoreListing,
   StorePage,
 } from "../../protocol/platform/Store.ts";
-import { addListedKeys, getNextKey, toListing } from "../../protocol/platform/storePages.ts";
+import { readPages } from "../../protocol/platform/storePages.ts";
 
 /** Reader of the listing of one prefix; one read at a time. */
 export class ListingReader {
@@ -41,17 +41,11 @@
    */
   async read(): Promise<Result<StoreListing, StoreFailure>> {
     const pages = this._pages;
-    for (let after = getNextKey(pages); after !== undefined; after = getNextKey(pages)) {
-      const page = await this._store.listPage(this._prefix, after);
-      if (page.isErr()) {
-        return err(addListedKeys(page.error, pages));
-      }
-      pages.push(page.value);
-    }
-    if (this._pages === pages) {
+    const listing = await readPages(this._store, this._prefix, pages);
+    if (listing.isOk() && this._pages === pages) {
       this.reset();
     }
-    return ok(toListing(pages));
+    return listing;
   }
 
   /** Drops the pages so far: the next read begins from the start. */
--- a/src/protocol/platform/Store.ts
+++ b/src/protocol/platform/Store.ts
@@ -2,8 +2,8 @@
  * Interface to the platform's key-value store: compare-and-swap, transactions, leases and watches.
  * Each platform protocol is implemented by a subclass.
  */
-import { err, ok, ResultAsync, type Result } from "neverthrow";
-import { addListedKeys, getNextKey, toListing } from "./storePages.ts";
+import { ResultAsync } from "neverthrow";
+import { readPages } from "./storePages.ts";
 
 /** A key with its value and the store revision at which the value was written. */
 export interface StoreEntry {
@@ -111,7 +111,7 @@
    * @param prefix - The prefix.
    */
   list(prefix: string): ResultAsync<StoreListing, StoreFailure> {
-    return new ResultAsync(this._listPages(prefix));
+    return new ResultAsync(readPages(this, prefix, []));
   }
 
   /**
@@ -163,16 +163,4 @@
    * @param lease - Id of the lease.
    */
   abstract revokeLease(lease: string): ResultAsync<void, StoreFailure>;
-
-  private async _listPages(prefix: string): Promise<Result<StoreListing, StoreFailure>> {
-    const pages: StorePage[] = [];
-    for (let after = getNextKey(pages); after !== undefined; after = getNextKey(pages)) {
-      const page = await this.listPage(prefix, after);
-      if (page.isErr()) {
-        return err(addListedKeys(page.error, pages));
-      }
-      pages.push(page.value);
-    }
-    return ok(toListing(pages));
-  }
 }
