--- a/tests/support/PausableProcess.ts
+++ b/tests/support/PausableProcess.ts
@@ -12,16 +12,10 @@
 } from "../../src/coordination/batch/AgentGateway.ts";
 import { Clock, type Timer } from "../../src/protocol/platform/Clock.ts";
 import {
-  Store,
-  type StoreChanges,
-  type StoreEntry,
-  type StoreFailure,
-  type StorePage,
-  type StoreTransaction,
-  type StoreWrite,
-  type TransactionResult,
-  type WriteResult,
-} from "../../src/protocol/platform/Store.ts";
+  DelegatingStore,
+  type StoreOperation,
+} from "../../src/protocol/platform/DelegatingStore.ts";
+import type { Store, StoreFailure } from "../../src/protocol/platform/Store.ts";
 
 /** Process with its own clock, store and gateway. */
 export class PausableProcess {
@@ -97,59 +91,19 @@
   }
 }
 
-class PausableStore extends Store {
-  private readonly _store: Store;
+class PausableStore extends DelegatingStore {
   private readonly _waitUntilResumed: () => Promise<void>;
 
   constructor(store: Store, waitUntilResumed: () => Promise<void>) {
-    super();
-    this._store = store;
+    super(store);
     this._waitUntilResumed = waitUntilResumed;
   }
 
-  override read(key: string): ResultAsync<StoreEntry | undefined, StoreFailure> {
-    return this._deliverWhenResumed(this._store.read(key));
-  }
-
-  override listPage(prefix: string, after: string): ResultAsync<StorePage, StoreFailure> {
-    return this._deliverWhenResumed(this._store.listPage(prefix, after));
-  }
-
-  override write(write: StoreWrite): ResultAsync<WriteResult, StoreFailure> {
-    return this._deliverWhenResumed(this._store.write(write));
-  }
-
-  override transact(transaction: StoreTransaction): ResultAsync<TransactionResult, StoreFailure> {
-    return this._deliverWhenResumed(this._store.transact(transaction));
-  }
-
-  override remove(key: string, expected: number): ResultAsync<WriteResult, StoreFailure> {
-    return this._deliverWhenResumed(this._store.remove(key, expected));
-  }
-
-  override watch(
-    prefix: string,
-    after: number,
-    waitMs?: number,
-  ): ResultAsync<StoreChanges, StoreFailure> {
-    return this._deliverWhenResumed(this._store.watch(prefix, after, waitMs));
-  }
-
-  override grantLease(ttlMs: number): ResultAsync<string, StoreFailure> {
-    return this._deliverWhenResumed(this._store.grantLease(ttlMs));
-  }
-
-  override renewLease(lease: string): ResultAsync<void, StoreFailure> {
-    return this._deliverWhenResumed(this._store.renewLease(lease));
-  }
-
-  override revokeLease(lease: string): ResultAsync<void, StoreFailure> {
-    return this._deliverWhenResumed(this._store.revokeLease(lease));
-  }
-
-  private _deliverWhenResumed<T>(
-    response: ResultAsync<T, StoreFailure>,
+  protected override _intercept<T>(
+    _operation: StoreOperation,
+    call: () => ResultAsync<T, StoreFailure>,
   ): ResultAsync<T, StoreFailure> {
+    const response = call();
     const deliver = async (): Promise<Result<T, StoreFailure>> => {
       const result = await response;
       await this._waitUntilResumed();
