Keep exchanging the fleet with entries that the store has lost sight of

Callers saw: an entry that was cut off from the store for longer than its lease and the expiry of reports refused every request with no server available, although agents and other entries could reach it. Until then its view of the VMs grew old.

Cause: entries sent digests only to the entries registered in the store, and announced only those to agents. A registration is bound to a lease, so an entry without the store fell out of both, and its own view of the fleet expired.

Change: an entry also keeps to those whose digests it receives, unless they drain. They are forgotten with the expiry of their reports.

--- a/src/transport/entry/FleetService.ts
+++ b/src/transport/entry/FleetService.ts
@@ -1,6 +1,7 @@
 /**
  * Maintains an entry's fleet view and table of backend servers from the heartbeats of agents and the
- * digests of other entries.
+ * digests of other entries. An entry that is cut off from the store loses its registration there,
+ * but still serves requests; therefore entries also keep to those whose digests they receive.
  */
 import { create } from "@bufbuild/protobuf";
 import type { EntryRegistration } from "../../coordination/batch/EntryMembership.ts";
@@ -23,10 +24,16 @@
 export interface PeerRevision {
   readonly revision: number;
   readonly zone: string;
+  /** Address of the entry's control service, as host:port. */
+  readonly control: string;
+  readonly draining: boolean;
   /** Monotonic time of the report in milliseconds. */
   readonly reportedAt: number;
 }
 
+/** What the exchange needs to know of an entry. */
+type EntryAddress = Pick<EntryRegistration, "name" | "zone" | "control">;
+
 const MIN_TIMEOUT_MS = 1_000;
 
 /** Dependencies of `FleetService`. */
@@ -40,7 +47,7 @@
   readonly intervalMs: number;
   readonly expiryMs: number;
   readonly getConfigRevision: () => number;
-  /** Returns the live entries, including this one. */
+  /** Returns the entries that are registered in the store, including this one. */
   readonly getEntries: () => readonly EntryRegistration[];
   readonly getOwners: () => readonly PartitionOwner[];
   readonly isDraining: () => boolean;
@@ -124,15 +131,26 @@
   }
 
   private _recordPeerRevision(digest: Digest): void {
+    const { zone, controlAddress: control, draining } = digest;
     const revision = Number(digest.configRevision);
-    const at = this._deps.clock.now();
-    this._peerRevisions.set(digest.entry, { revision, zone: digest.zone, reportedAt: at });
+    const reportedAt = this._deps.clock.now();
+    this._peerRevisions.set(digest.entry, { revision, zone, control, draining, reportedAt });
     this._deps.onPeerRevision(revision, digest.controlAddress);
   }
 
+  /** Gets the entries that are registered, and those that report although they are not. */
+  private _getLiveEntries(): readonly EntryAddress[] {
+    const registered = this._deps.getEntries();
+    const names = new Set(registered.map(({ name }) => name));
+    const reporting = [...this._peerRevisions]
+      .filter(([name, { draining }]) => !names.has(name) && !draining)
+      .map(([name, { zone, control }]) => ({ name, zone, control }));
+    return [...registered, ...reporting];
+  }
+
   /** Gets the addresses of the live entries, those in the agent's zone first, then the others. */
   private _getEntryAddresses(zone: string): string[] {
-    const entries = this._deps.getEntries();
+    const entries = this._getLiveEntries();
     const near = entries.filter((entry) => entry.zone === zone);
     const far = entries.filter((entry) => entry.zone !== zone);
     return [...near, ...far].map((entry) => entry.control);
@@ -155,10 +173,10 @@
   }
 
   private async _sendDigests(): Promise<void> {
-    const { entry, getEntries } = this._deps;
+    const { entry } = this._deps;
     const agents = [...this._reportedAgents];
     this._reportedAgents.clear();
-    const peers = getEntries().filter((peer) => peer.name !== entry.name);
+    const peers = this._getLiveEntries().filter((peer) => peer.name !== entry.name);
     if (peers.length === 0) {
       return;
     }
@@ -166,7 +184,7 @@
     await Promise.all(peers.map((peer) => this._sendDigest(peer, digest)));
   }
 
-  private async _sendDigest(peer: EntryRegistration, digest: Digest): Promise<void> {
+  private async _sendDigest(peer: EntryAddress, digest: Digest): Promise<void> {
     const { clients, intervalMs, log } = this._deps;
     try {
       const timeoutMs = Math.max(MIN_TIMEOUT_MS, intervalMs);
--- a/tests/integration/pathTests.ts
+++ b/tests/integration/pathTests.ts
@@ -15,17 +15,25 @@
 
 const STREAM_BYTES = 5_000_000;
 const RESPONSE_TIMEOUT_MS = 20_000;
+/** Shorter than the default, so that the test needs not wait as long. */
+const OWNER_LEASE_MS = 1_500;
+/** Time after which an entry forgets what nobody reports to it, in milliseconds. */
+const EXPIRY_MS = 1_500;
 
 const KINDS: CallerLoadOptions["kinds"] = [
   { method: "GET", name: "check", requestClass: "urgent", tenant: "paper-surat" },
   { method: "POST", name: "swap", requestClass: "normal", tenant: "paper-ahmedabad" },
 ];
 
-function createLoad(cluster: Cluster, random: SeededRandom): CallerLoad {
+function createLoad(
+  cluster: Cluster,
+  random: SeededRandom,
+  entries = cluster.entries.map((entry) => entry.listen),
+): CallerLoad {
   return new CallerLoad({
     clock: new MachineClock(),
     random,
-    entries: cluster.entries.map((entry) => entry.listen),
+    entries,
     service: "rota-desk",
     callers: 24,
     thinkMs: 5,
@@ -167,3 +175,27 @@
     [],
   );
 });
+
+// Guards against an entry that loses sight of all VMs and refuses requests, because the others take
+// the end of its lease in the store for the end of the entry.
+test.serial("an entry that is cut off from the store for long still serves requests", async (t) => {
+  const cluster = await Cluster.start({
+    entries: 3,
+    proxyStore: true,
+    entrySettings: {
+      batch: { owner_lease_ms: String(OWNER_LEASE_MS) },
+      fleet: { expiry_ms: String(EXPIRY_MS) },
+    },
+  });
+  t.teardown(() => cluster.stop());
+  const entry = cluster.getEntry(2);
+  await entry.storeProxy?.setFaults({ newConnections: "refuse" });
+  entry.storeProxy?.cutAll();
+  await new MachineClock().sleep(2 * (OWNER_LEASE_MS + EXPIRY_MS));
+  const load = createLoad(cluster, new SeededRandom(1), [entry.listen]);
+  load.start();
+  await waitForOutcomes(load, 500);
+  const outcomes = await load.stop();
+  const failed = outcomes.filter((outcome) => outcome.status !== 200);
+  t.is(failed.length, 0, `${failed.length} of ${outcomes.length} requests failed`);
+});
