--- a/tests/integration/configTests.ts
+++ b/tests/integration/configTests.ts
@@ -67,13 +67,15 @@
 /** Waits until every entry has a revision and knows that all processes have it. */
 async function waitUntilInForce(t: ExecutionContext, revision: number): Promise<void> {
   const startedAt = performance.now();
-  await waitUntil(`revision ${revision} in force everywhere`, IN_FORCE_TIMEOUT_MS, async () => {
+  let lastSeen = "no answer";
+  const isInForce = async () => {
     const revisions = await getRevisions();
     const coverages = await Promise.all(
       cluster.entries.map((entry) =>
         callJson("GET", `http://${entry.api}/v1/config/coverage?revision=${revision}`),
       ),
     );
+    lastSeen = JSON.stringify({ revisions, coverages: coverages.map(({ body }) => body) });
     return (
       revisions.every((current) => current >= revision) &&
       coverages.every(({ body }) => {
@@ -81,7 +83,13 @@
         return coverage.complete && coverage.total === cluster.entries.length + cluster.vms.length;
       })
     );
-  });
+  };
+  await waitUntil(`revision ${revision} in force everywhere`, IN_FORCE_TIMEOUT_MS, isInForce).catch(
+    (err: unknown) => {
+      t.log(lastSeen);
+      throw err;
+    },
+  );
   t.log(`in force everywhere after ${Math.round(performance.now() - startedAt)} ms`);
 }
 
