Let agents report how long ago their worker was last read

Operators saw long-running tasks that did not run though there was room for them. One way to that: a worker is lost for good, its agent goes on, and 0.5 to 6 s later the scheduler of the pool dies.

Cause: a new scheduler counted the leases of every worker from the first report of its agent, though a worker that does not answer may have been given none for seconds. The wait for a lease began anew with the takeover.

An agent now reports how long ago it received the last reading of its worker's clock, and keeps that time when a later epoch makes the lists outdated. Each lease, of whichever scheduler, ends a lease's length after a reading that the agent had received and reported before. A report that says that the last reading is older than that (less 2% drift, plus the margin of 300 ms) therefore shows that all leases have ended, without regard to what happens after it.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -40,6 +40,11 @@
   readonly labels: readonly string[];
   /** Worker's clock when it created the lists of runs, in milliseconds. */
   readonly clockMs: number;
+  /**
+   * Time since the agent received the last reading of the worker's clock, in milliseconds; 0 if it
+   * has received none. No lease of any scheduler is counted from a later reading.
+   */
+  readonly readingAgeMs: number;
   /** Number of the agent's call that returned the lists. */
   readonly callNumber: number;
   /** Whether the worker responds to its agent. */
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -25,6 +25,7 @@
 } from "./AgentChannel.ts";
 import { formatIncarnation } from "./runMonitor.ts";
 import { Signal } from "./Signal.ts";
+import { describeRuns, isNewer } from "./workerChanges.ts";
 
 /** Wait time of a call for lists until a scheduler has specified one, in milliseconds. */
 const DEFAULT_LIST_WAIT_MS = 400;
@@ -58,6 +59,11 @@
   private _announced: WorkerAnnouncement | undefined;
   private _announcedAt = 0;
   private _lists: NumberedLists | undefined;
+  /**
+   * When the last lists arrived, on the monotonic clock, in milliseconds; kept when a scheduler of a
+   * later epoch makes the lists outdated.
+   */
+  private _listedAt: number | undefined;
   private _epoch = 0;
   private _isFenced = false;
   private _responds = false;
@@ -233,6 +239,7 @@
 
   private _resetIncarnation(): void {
     this._lists = undefined;
+    this._listedAt = undefined;
     this._responds = false;
     this._leaseUntilMs = undefined;
     this._ackedEnd = 0;
@@ -304,7 +311,9 @@
       return;
     }
     this._lists = lists;
-    const isNew = !this._responds || known === undefined || describe(known) !== describe(lists);
+    this._listedAt = this._deps.clock.now();
+    const isNew =
+      !this._responds || known === undefined || describeRuns(known) !== describeRuns(lists);
     this._responds = true;
     if (isNew) {
       this._publishChange();
@@ -343,6 +352,7 @@
       capacity,
       labels,
       clockMs: this._lists?.clockMs ?? 0,
+      readingAgeMs: this._getReadingAgeMs(),
       callNumber: this._lists?.callNumber ?? 0,
       answers: this._responds && this._lists !== undefined,
       running: this._lists?.running ?? [],
@@ -350,6 +360,10 @@
     };
   }
 
+  private _getReadingAgeMs(now = this._deps.clock.now()): number {
+    return now - (this._listedAt ?? now);
+  }
+
   private _getDrainRemainingMs({ drainRemainingMs = 0 }: WorkerAnnouncement): number {
     return Math.max(0, drainRemainingMs - (this._deps.clock.now() - this._announcedAt));
   }
@@ -359,16 +373,3 @@
     this._reportChanged.raise();
   }
 }
-
-/** Returns whether an announcement is newer than the last one. */
-function isNewer(next: WorkerAnnouncement, known: WorkerAnnouncement): boolean {
-  return next.startedAtMs !== known.startedAtMs
-    ? next.startedAtMs > known.startedAtMs
-    : next.sequence > known.sequence;
-}
-
-/** Formats the lists so that the text differs when a run has started or ended. */
-function describe({ running, ended }: WorkerRuns): string {
-  const runs = running.map(({ task, run }) => `${task}:${run}`).join(",");
-  return `${runs};${ended.at(-1)?.number ?? 0}`;
-}
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -10,7 +10,7 @@
 } from "../../protocol/Resources.ts";
 import type { AgentRecord } from "../../state/pool/records.ts";
 import type { AgentReport, WorkerReport } from "./AgentChannel.ts";
-import { getLeaseExpiryWaitMs, type PoolTimings } from "./PoolTimings.ts";
+import { getLeaseExpiryWaitMs, MAX_CLOCK_DRIFT, type PoolTimings } from "./PoolTimings.ts";
 
 /** Time without a report after which nothing new is placed on a worker, in milliseconds. */
 const MAX_SILENCE_MS = 2_000;
@@ -246,9 +246,24 @@
       mayExitAt: report.draining ? now + report.drainRemainingMs : undefined,
       lastHandledEnd: isKnown ? known.lastHandledEnd : 0,
       backoffUntil: isKnown ? known.backoffUntil : 0,
+      ...this._findEndedLeases(report, now),
     };
   }
 
+  /**
+   * Returns when all leases of a worker have ended; undefined if one may still be valid. Whichever
+   * scheduler granted them, they are counted from readings of the worker's clock that its agent had
+   * received, so that none can outlast a report without a reading for the time of a lease.
+   */
+  private _findEndedLeases(
+    { readingAgeMs }: WorkerReport,
+    now: number,
+  ): Pick<WorkerState, "answeredAt" | "leasesExpireBy"> | undefined {
+    const answeredAt = now - readingAgeMs * (1 - MAX_CLOCK_DRIFT);
+    const leasesExpireBy = answeredAt + getLeaseExpiryWaitMs(this._timings.workerLeaseMs);
+    return now < leasesExpireBy ? undefined : { answeredAt, leasesExpireBy };
+  }
+
   private _update(agent: string, getChange: (worker: WorkerState) => Partial<WorkerState>): void {
     const worker = this._workers.get(agent);
     if (worker !== undefined) {
--- /dev/null
+++ b/src/coordination/pool/workerChanges.ts
@@ -0,0 +1,24 @@
+/**
+ * Decides whether what a worker sends is newer than, or differs from, what its agent knows.
+ */
+import type { WorkerAnnouncement, WorkerRuns } from "../../protocol/platform/PoolWorker.ts";
+
+/**
+ * Returns whether an announcement is newer than the last one.
+ * @param next - The announcement.
+ * @param known - The last one.
+ */
+export function isNewer(next: WorkerAnnouncement, known: WorkerAnnouncement): boolean {
+  return next.startedAtMs !== known.startedAtMs
+    ? next.startedAtMs > known.startedAtMs
+    : next.sequence > known.sequence;
+}
+
+/**
+ * Formats lists so that the text differs when a run has started or ended.
+ * @param lists - The lists.
+ */
+export function describeRuns({ running, ended }: WorkerRuns): string {
+  const runs = running.map(({ task, run }) => `${task}:${run}`).join(",");
+  return `${runs};${ended.at(-1)?.number ?? 0}`;
+}
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -127,7 +127,7 @@
 
 function readWorker(state: PoolWorkerState): WorkerReport {
   const { worker, pool, zone, rack, draining, drainRemainingMs, labels } = state;
-  const { clockMs, callNumber, answers, running } = state;
+  const { clockMs, readingAgeMs, callNumber, answers, running } = state;
   return {
     worker,
     pool,
@@ -137,6 +137,7 @@
     drainRemainingMs,
     labels,
     clockMs,
+    readingAgeMs,
     callNumber,
     answers,
     running,
--- /dev/null
+++ b/tests/coordination/pool/poolLateReplacementTests.ts
@@ -0,0 +1,101 @@
+/**
+ * Tests of how soon long-running tasks run again whose worker is lost for good around the time at
+ * which the scheduler of their pool dies, in virtual time and with the timings of an entry.
+ */
+import test from "ava";
+import { createStep } from "../../support/poolFixtures.ts";
+import { PoolSimulation, type SimulatedAgent } from "./PoolSimulation.ts";
+
+const JOB_COUNT = 6;
+const TASKS_PER_JOB = 4;
+const AGENT_COUNT = 8;
+/** Timings of an entry (`getTimings` in PoolEntryProcess) where workers accept leases of 6 s. */
+const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 10_000 };
+/** Time after the end of its last run from which a long-running task has to run, in milliseconds. */
+const MAX_IDLE_MS = 6_000;
+/** Time without an impairment before a task counts as not running, in milliseconds. */
+const CALM_BEFORE_MS = 4_000;
+/** Time for which a task has to be without a run to count as lost, in milliseconds. */
+const MAX_OVERDUE_MS = 3_000;
+/** Longer than any wait for the leases of a former scheduler, in milliseconds. */
+const OBSERVATION_MS = 25_000;
+/** Times of the crash of the scheduler after the loss of the worker, in milliseconds. */
+const CRASH_DELAYS_MS = [0, 500, 1_000, 1_500, 2_000, 3_000, 5_000];
+
+function createId(number: number): string {
+  return number.toString(16).padStart(16, "0");
+}
+
+/** Creates a pool with two entries and long-running tasks that take a part of its room. */
+async function createBusyPool(): Promise<PoolSimulation> {
+  const simulation = new PoolSimulation(1, ENTRY_TIMINGS);
+  const entry = simulation.addEntry("entry-0");
+  const names = Array.from({ length: AGENT_COUNT }, (_, position) => `agent-${position}`);
+  await Promise.all(names.map((name) => simulation.addAgent(name)));
+  await simulation.clock.advance(3_000);
+  const steps = [createStep({ taskCount: TASKS_PER_JOB, longRunning: true })];
+  const definition = { payload: "", steps, schedule: undefined };
+  const numbers = Array.from({ length: JOB_COUNT }, (_, position) => position + 1);
+  await numbers.reduce<Promise<unknown>>(
+    (before, number) =>
+      before.then(() => simulation.submit(entry, createId(number), definition, undefined)),
+    Promise.resolve(),
+  );
+  simulation.addEntry("entry-1");
+  await simulation.clock.advance(3_000);
+  return simulation;
+}
+
+/** Ends a worker for good; its agent goes on. */
+function loseWorker(agent: SimulatedAgent): void {
+  agent.worker.crash();
+  agent.worker.faults.isUnresponsive = true;
+}
+
+/** What is lost for good, by what the title of a test calls it. */
+const LOSSES = { worker: loseWorker };
+
+/** Returns how long each task was without a run after the loss of its worker, in milliseconds. */
+function getIdleTimes({ journal }: PoolSimulation, lostAt: number): readonly number[] {
+  return journal
+    .filter(({ endedAt }) => endedAt === lostAt)
+    .map(({ task }) => {
+      const starts = journal
+        .filter((run) => run.task === task && run.startedAt > lostAt)
+        .map(({ startedAt }) => startedAt - lostAt);
+      return Math.min(...starts);
+    });
+}
+
+const CASES = Object.entries(LOSSES).flatMap(([lost, lose]) =>
+  CRASH_DELAYS_MS.map((delayMs) => ({ lost, lose, delayMs })),
+);
+
+CASES.forEach(({ lost, lose, delayMs }) => {
+  // Guards against long-running tasks that wait, with room for them, for leases that nobody can have
+  // extended. A task has to run from 6 s after its last run; it counts as lost after 3 s without a
+  // run, if those and the 4 s before them are without an impairment.
+  test(`PoolScheduler replaces long-running runs if their ${lost} is lost ${delayMs} ms before the scheduler`, async (t) => {
+    const simulation = await createBusyPool();
+    const { clock, agents, entries } = simulation;
+    const [agent] = agents;
+    const [leader] = entries;
+    if (agent === undefined || leader === undefined) {
+      t.fail("the pool has no agent or no entry");
+      return;
+    }
+    t.is(leader.coordinator.schedulers.size, 1);
+    const lostAt = clock.now();
+    lose(agent);
+    await clock.advance(delayMs);
+    simulation.killEntry(leader);
+    await clock.advance(OBSERVATION_MS);
+    const idleTimes = getIdleTimes(simulation, lostAt);
+    const limitMs = Math.max(MAX_IDLE_MS, delayMs + CALM_BEFORE_MS) + MAX_OVERDUE_MS;
+    const maxIdleMs = Math.max(...idleTimes);
+    t.log(`${idleTimes.length} tasks without a run for up to ${Math.round(maxIdleMs)} ms`);
+    t.true(idleTimes.length > 0, "the worker had no runs");
+    t.deepEqual(simulation.findViolations(), []);
+    t.true(maxIdleMs < limitMs, `${Math.round(maxIdleMs)} ms without a run, limit ${limitMs} ms`);
+  });
+});
--- a/tests/support/poolFixtures.ts
+++ b/tests/support/poolFixtures.ts
@@ -72,6 +72,7 @@
     capacity: { processorsMilli: 16_000, memoryBytes: 64_000, accelerators: 0 },
     labels: ["kind-a", "rack-1"],
     clockMs: 1_000,
+    readingAgeMs: 0,
     callNumber: 1,
     answers: true,
     running: [],
