Print the log of a failed end-to-end test of the platform

A failed test of the platform now prints the log of its entry and its agent with times. No check is changed.

--- a/tests/platform/PlatformFixture.ts
+++ b/tests/platform/PlatformFixture.ts
@@ -88,8 +88,9 @@
   await store.start();
   await workerServer.start();
   store.put("op/config", MANIFEST);
-  const entry = createEntry({ kv, submissions, readiness }, clients.entryStore);
-  const agent = createAgent({ kv, control, announcements, worker }, clients);
+  const log = new MemoryLog();
+  const entry = createEntry({ kv, submissions, readiness }, clients.entryStore, log);
+  const agent = createAgent({ kv, control, announcements, worker }, clients, log);
   t.true((await entry.start()).isOk());
   t.true((await agent.start()).isOk());
   const clock = new SystemClock();
@@ -101,6 +102,9 @@
   };
   await sendHeartbeats();
   t.teardown(async () => {
+    if (!t.passed) {
+      t.log(log.format());
+    }
     hasEnded = true;
     timer?.cancel();
     await Promise.all([entry.stop(), agent.stop()]);
@@ -161,6 +165,7 @@
     readonly readiness: string;
   },
   store: PlatformStore,
+  log: MemoryLog,
 ): PoolEntryProcess {
   const { kv, submissions, readiness } = addresses;
   const text = `[entry]\nname = entry-1\nzone = zone-a\nsubmissions = ${submissions}
@@ -168,7 +173,7 @@
   const settings = readPoolEntrySettings("entry.ini", text)._unsafeUnwrap();
   return new PoolEntryProcess({
     settings,
-    log: new MemoryLog(),
+    log,
     store,
     decoder: new ManifestDecoder(),
     createFrontend: (deps) => new ClientServer(settings.entry, deps),
@@ -183,6 +188,7 @@
     readonly worker: string;
   },
   clients: { readonly agentStore: PlatformStore; readonly worker: PlatformWorker },
+  log: MemoryLog,
 ): PoolAgentProcess {
   const { kv, control, announcements, worker } = addresses;
   const text = `[agent]\nname = agent-1\nzone = zone-a\npool = ${POOL}\ncontrol = ${control}
@@ -190,7 +196,7 @@
   const settings = readPoolAgentSettings("agent.ini", text)._unsafeUnwrap();
   return new PoolAgentProcess({
     settings,
-    log: new MemoryLog(),
+    log,
     store: clients.agentStore,
     worker: clients.worker,
     createListener: (workerAgent, log) =>
--- a/tests/support/MemoryLog.ts
+++ b/tests/support/MemoryLog.ts
@@ -10,6 +10,8 @@
   readonly level: "debug" | "info" | "warn" | "error";
   readonly sentence: string;
   readonly fields: LogFields;
+  /** Time of this process, in milliseconds. */
+  readonly at: number;
 }
 
 /** In-memory log; logs created with `child` share its lines. */
@@ -33,6 +35,15 @@
     return this._lines;
   }
 
+  /** Formats the lines, one in a row, with their times in milliseconds. */
+  format(): string {
+    return this._lines
+      .map(({ at, part, level, sentence, fields }) =>
+        [at.toFixed(0), level, part, sentence, JSON.stringify(fields)].join(" "),
+      )
+      .join("\n");
+  }
+
   override child(name: string): Log {
     return new MemoryLog(name, this._lines);
   }
@@ -54,6 +65,6 @@
   }
 
   private _add(level: MemoryLogLine["level"], sentence: string, fields: LogFields): void {
-    this._lines.push({ part: this._component, level, sentence, fields });
+    this._lines.push({ part: this._component, level, sentence, fields, at: performance.now() });
   }
 }
