Send neither leases nor starts to a worker that has stopped responding

A worker ends and starts again under its id, and its clock begins anew. Until its agent hears the new announcement, it kept sending the lease of the former incarnation, which the new one shortens to the platform's maximum, counted from then: longer than any lease that a scheduler knows of. If that worker is then cut off, its runs count as lost while they still run. A start without a response was repeated in the same way to an incarnation that it was not meant for.

Cause: the platform identifies a worker in calls by its id, which does not tell incarnations apart; the agent relied on its own idea of the incarnation. Class: what was learnt before a loss of contact is used after it.

Change: once a call for the lists has failed, the agent sends no lease and no start until the worker has answered one and thus told its incarnation. That call does not wait. A repeated lease has no use meanwhile, as a later one needs a later reading of the worker's clock.

Not covered: a call of the agent that the platform carries out only after the worker has started again.

--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -3,7 +3,7 @@
  * of the highest epoch, and reports the runs that the worker lists. It has no persistent state, so
  * that a new process of the agent continues where the former one ended.
  */
-import type { ResultAsync } from "neverthrow";
+import { errAsync, type ResultAsync } from "neverthrow";
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type {
@@ -20,6 +20,7 @@
   OrderCall,
   OrderReport,
   RunOrder,
+  StartOrder,
   RunResult,
   WorkerReport,
 } from "./AgentChannel.ts";
@@ -39,6 +40,11 @@
 /** Maximum number of attempts at an order while its outcome is unknown. */
 const MAX_ORDER_TRIES = 2;
 
+const NOT_RESPONDING: WorkerCallFailure = {
+  kind: "unhealthy",
+  detail: "the worker does not respond; it was not called",
+};
+
 /** Dependencies of PoolWorkerAgent. */
 export interface PoolWorkerAgentDependencies {
   readonly worker: PoolWorker;
@@ -66,6 +72,11 @@
   private _listedAt: number | undefined;
   private _epoch = 0;
   private _isFenced = false;
+  /**
+   * Whether the worker has responded to the last call for its lists. After a call that failed, the
+   * next incarnation may be at its address, although it has not announced itself: it must get neither
+   * a lease nor a start that was meant for the one before.
+   */
   private _responds = false;
   private _leaseUntilMs: number | undefined;
   private _ackedEnd = 0;
@@ -165,16 +176,7 @@
     const paces = call.paces.map((pace) =>
       this._execute(call, pace, (run) => this._deps.worker.pace(run, pace.percent)),
     );
-    const starts = call.starts.map((order) =>
-      this._start(call, order, () =>
-        this._deps.worker.start({
-          ...order,
-          worker: this._announced?.id ?? "",
-          fencingToken: call.epoch,
-          leaseUntilMs: call.leaseUntilMs,
-        }),
-      ),
-    );
+    const starts = call.starts.map((order) => this._start(call, order));
     const results = {
       stops: await Promise.all(stops),
       paces: await Promise.all(paces),
@@ -183,15 +185,16 @@
     return { kind: "answered", value: { callNumber: this._callNumber, ...results } };
   }
 
-  private async _start(
-    call: OrderCall,
-    order: RunOrder,
-    send: () => ResultAsync<void, WorkerCallFailure>,
-  ): Promise<RunResult> {
+  private async _start(call: OrderCall, order: StartOrder): Promise<RunResult> {
+    const { epoch: fencingToken, leaseUntilMs } = call;
     const { task, run } = order;
     return this._announced?.draining === true
       ? { task, run, failure: "draining" }
-      : this._execute(call, order, send);
+      : this._execute(call, order, ({ worker }) =>
+          this._responds
+            ? this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs })
+            : errAsync(NOT_RESPONDING),
+        );
   }
 
   private async _stop(call: OrderCall, order: RunOrder): Promise<RunResult> {
@@ -283,9 +286,9 @@
     const result = await this._deps.worker.sync({
       worker: worker.id,
       fencingToken: epoch,
-      leaseUntilMs: this._leaseUntilMs,
+      leaseUntilMs: this._responds ? this._leaseUntilMs : undefined,
       ackedEnd: this._ackedEnd,
-      waitMs,
+      waitMs: this._responds ? waitMs : 0,
     });
     const isCurrent = this._epoch === epoch && this._announced?.startedAtMs === worker.startedAtMs;
     if (!isCurrent || this._isStopped) {
