Keep a worker with valid leases when an earlier incarnation is reported

An agent that has restarted may first hear a late announcement of a former incarnation of its worker, or one without a start time, and reports that. The scheduler then forgot the present incarnation with the lease that it had granted it, and took its runs for lost at once: for them only the leases of former schedulers counted, which had long ended.

Change: such a report changes nothing as long as the known incarnation may hold a lease. After that, the known one is replaced as before. The names of incarnations have a module of their own.

Evidence: the new test failed before (the known incarnation was replaced at once).

--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -92,8 +92,9 @@
     if (change.isNewProcess) {
       state.activeRuns.resetCallNumbers(agent);
     }
-    // The lists of a worker that does not respond are out of date or missing.
-    if (report.worker?.answers !== true || change.worker === undefined) {
+    // The lists of a worker that does not respond are out of date or missing, and those of an
+    // incarnation that was not accepted do not count.
+    if (report.worker?.answers !== true || change.worker?.report !== report.worker) {
       return;
     }
     const { lastHandledEnd } = change.worker;
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -24,7 +24,7 @@
   RunResult,
   WorkerReport,
 } from "./AgentChannel.ts";
-import { formatIncarnation } from "./runMonitor.ts";
+import { formatIncarnation } from "./incarnations.ts";
 import { Signal } from "./Signal.ts";
 import { describeRuns, isNewer } from "./workerChanges.ts";
 
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -10,6 +10,7 @@
 } from "../../protocol/Resources.ts";
 import type { AgentRecord } from "../../state/pool/records.ts";
 import type { AgentReport, WorkerReport } from "./AgentChannel.ts";
+import { getStartTime } from "./incarnations.ts";
 import { getLeaseExpiryWaitMs, MAX_CLOCK_DRIFT, type PoolTimings } from "./PoolTimings.ts";
 
 /** Time without a report after which nothing new is placed on a worker, in milliseconds. */
@@ -120,7 +121,8 @@
   }
 
   /**
-   * Applies a report of an agent.
+   * Applies a report of an agent. A worker that may hold a lease is kept if an earlier incarnation is
+   * reported: an agent that restarted may have heard a late announcement.
    * @param agent - Its name.
    * @param report - The report.
    * @param now - Monotonic time of its arrival in milliseconds.
@@ -133,7 +135,7 @@
       this._agents.set(agent, { ...state, process, version, answeredAt: now });
     }
     const known = this._workers.get(agent);
-    if (report.worker === undefined) {
+    if (report.worker === undefined || isEarlier(report.worker, known, now)) {
       return { worker: known, replacedWorker: undefined, isNewProcess };
     }
     const worker = this._merge(agent, report.worker, known, now);
@@ -271,3 +273,12 @@
     }
   }
 }
+
+/** Returns whether a report is of an incarnation before the known one, whose lease may be valid. */
+function isEarlier({ worker }: WorkerReport, known: WorkerState | undefined, now: number): boolean {
+  return (
+    known !== undefined &&
+    getStartTime(worker) < getStartTime(known.report.worker) &&
+    now < known.leasesExpireBy
+  );
+}
--- /dev/null
+++ b/src/coordination/pool/incarnations.ts
@@ -0,0 +1,20 @@
+/**
+ * Names of the incarnations of workers.
+ */
+
+/**
+ * Returns the start of an incarnation, in Unix milliseconds.
+ * @param worker - Name of the incarnation.
+ */
+export function getStartTime(worker: string): number {
+  return Number(worker.slice(worker.lastIndexOf("@") + 1));
+}
+
+/**
+ * Returns the name of an incarnation of a worker.
+ * @param id - Id of the worker.
+ * @param startedAtMs - Start of its process, in Unix milliseconds.
+ */
+export function formatIncarnation(id: string, startedAtMs: number): string {
+  return `${id}@${startedAtMs}`;
+}
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -3,6 +3,7 @@
  * because they make no progress, and which have certainly ended because no lease covers them any
  * more.
  */
+import { getStartTime } from "./incarnations.ts";
 import type { ActiveTaskRun } from "./ActiveRunTable.ts";
 import type { WorkerState } from "./WorkerTable.ts";
 
@@ -160,17 +161,3 @@
   const limitMs = Math.max(minMs, STALL_ESTIMATE_SHARE * definition.estimateMs);
   return lastAnsweredAt - active.progressedAt > limitMs;
 }
-
-/** Returns the start of an incarnation, in Unix milliseconds; see formatIncarnation. */
-function getStartTime(worker: string): number {
-  return Number(worker.slice(worker.lastIndexOf("@") + 1));
-}
-
-/**
- * Returns the name of an incarnation of a worker.
- * @param id - Id of the worker.
- * @param startedAtMs - Start of its process, in Unix milliseconds.
- */
-export function formatIncarnation(id: string, startedAtMs: number): string {
-  return `${id}@${startedAtMs}`;
-}
--- a/tests/coordination/pool/workerTableTests.ts
+++ b/tests/coordination/pool/workerTableTests.ts
@@ -39,3 +39,21 @@
   // An agent that restarted knows no reading.
   t.is(reportFirst({ readingAgeMs: 0 })?.leasesExpireBy, NOW + LEASE_WAIT_MS);
 });
+
+// Guards against tasks that run twice: an agent that restarts may first hear a late announcement of
+// a former incarnation, while the present one has runs and a lease.
+test("WorkerTable keeps a worker whose leases are valid although an earlier incarnation is reported", (t) => {
+  const table = new WorkerTable(POOL, TIMINGS);
+  const apply = (worker: string, at: number) =>
+    table.applyReport(
+      AGENT,
+      { process: "p-1", version: 1, worker: createWorkerReport({ worker }) },
+      at,
+    );
+  apply("i-1@2", NOW);
+  table.grantLease(AGENT);
+  t.is(apply("i-1@1", NOW + LEASE_WAIT_MS - 1).replacedWorker, undefined);
+  t.is(table.getWorker(AGENT)?.report.worker, "i-1@2");
+  t.is(apply("i-1@1", NOW + LEASE_WAIT_MS).replacedWorker, "i-1@2");
+  t.is(apply("i-1@3", NOW + LEASE_WAIT_MS + 1).replacedWorker, "i-1@1");
+});
