--- a/src/transport/entry/FleetService.ts
+++ b/src/transport/entry/FleetService.ts
@@ -20,7 +20,7 @@
 import { readVm, writeVm } from "../control/fleetMessages.ts";
 import type { EntryClients } from "../control/EntryClients.ts";
 
-/** Last configuration revision that another entry reported. */
+/** What another entry reported last: the revision of its configuration and how it is reached. */
 export interface PeerRevision {
   readonly revision: number;
   readonly zone: string;
