Name runs in one place

ReportReconciler and PaceController formatted the name of a run beside getRunKey, which does the same; formatRunKey serves a run as its worker lists it. The age of a reading is a plain condition, a comment is wrapped and a blank line is back. Behaviour is unchanged.

--- a/src/coordination/pool/ActiveRunTable.ts
+++ b/src/coordination/pool/ActiveRunTable.ts
@@ -87,7 +87,16 @@
  * @param taskRun - The run.
  */
 export function getRunKey({ task, active }: ActiveTaskRun): string {
-  return `${task.id} ${active.run}`;
+  return formatRunKey(task.id, active.run);
+}
+
+/**
+ * Returns the name of a run as its worker lists it.
+ * @param task - Id of its task.
+ * @param run - Number of the run.
+ */
+export function formatRunKey(task: string, run: number): string {
+  return `${task} ${run}`;
 }
 
 /**
--- a/src/coordination/pool/PaceController.ts
+++ b/src/coordination/pool/PaceController.ts
@@ -14,7 +14,7 @@
 import { InterferenceEstimator } from "./InterferenceEstimator.ts";
 import type { PairInterference } from "../../state/pool/records.ts";
 import type { PoolState } from "./PoolState.ts";
-import { getRunKey, getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import { formatRunKey, getRunKey, getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import { TailLatencyFilter } from "./TailLatencyFilter.ts";
 
 /** Minimum time between two evaluated measurements, in milliseconds: each covers half a second. */
@@ -82,7 +82,7 @@
       .getByAgent(agent)
       .filter(({ active }) => active.worker === worker && active.phase === "running");
     const measurements = new Map(
-      report.running.map((run) => [`${run.task} ${run.run}`, run.measure]),
+      report.running.map(({ task, run, measure }) => [formatRunKey(task, run), measure]),
     );
     const serving = activeRuns.flatMap((run) =>
       this._getServingMeasurements(run, measurements.get(getRunKey(run)), now),
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -34,6 +34,7 @@
 const CYCLE_DELAY_MS = 3;
 /** Interval of the checks for overdue orders, due occurrences and due writes, in milliseconds. */
 const TICK_INTERVAL_MS = 150;
+
 /** Scheduler of one pool in one epoch. */
 export class PoolScheduler {
   private readonly _deps: PoolSchedulerDependencies;
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -363,8 +363,8 @@
     };
   }
 
-  private _getReadingAgeMs(now = this._deps.clock.now()): number {
-    return now - (this._listedAt ?? now);
+  private _getReadingAgeMs(): number {
+    return this._listedAt === undefined ? 0 : this._deps.clock.now() - this._listedAt;
   }
 
   private _getDrainRemainingMs({ drainRemainingMs = 0 }: WorkerAnnouncement): number {
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -8,7 +8,12 @@
 import type { EndedRun, RunningRun } from "../../protocol/platform/PoolWorker.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
 import type { WorkerReport } from "./AgentChannel.ts";
-import type { ActiveTaskRun, ActiveRunTable } from "./ActiveRunTable.ts";
+import {
+  formatRunKey,
+  getRunKey,
+  type ActiveRunTable,
+  type ActiveTaskRun,
+} from "./ActiveRunTable.ts";
 
 const FULL_PERCENT = 100;
 /** Time for which a long-running run is at work before it counts as a success, in milliseconds. */
@@ -106,11 +111,11 @@
 
   private _reportMissing(input: ReportInput): void {
     const { agent, report } = input;
-    const listed = new Set(report.running.map(({ task, run }) => `${task} ${run}`));
+    const listed = new Set(report.running.map(({ task, run }) => formatRunKey(task, run)));
     this._activeRuns
       .getByAgent(agent)
       .filter(({ active }) => active.worker === report.worker)
-      .filter(({ task, active }) => !listed.has(`${task.id} ${active.run}`))
+      .filter((taskRun) => !listed.has(getRunKey(taskRun)))
       .filter(({ active }) => shouldBeListed(active, report.callNumber))
       .forEach((taskRun) => {
         this._callbacks.onRunLost(taskRun, `its worker does not list it (${taskRun.active.phase})`);
--- a/src/coordination/pool/StoreSilenceMonitor.ts
+++ b/src/coordination/pool/StoreSilenceMonitor.ts
@@ -1,7 +1,7 @@
 /**
  * Tells whether the store is known not to respond to this entry, from the results of the calls that
- * its components make anyway (MonitoredStore). While it is, reads are sent at an interval, so that the entry learns of the store's
- * return without a submission being tried.
+ * its components make anyway (MonitoredStore). While it is, reads are sent at an interval, so that
+ * the entry learns of the store's return without a submission being tried.
  */
 import type { ResultAsync } from "neverthrow";
 import type { Clock, Timer } from "../../protocol/platform/Clock.ts";
