--- a/tests/transport/http/jsonClientRequestTests.ts
+++ b/tests/transport/http/jsonClientRequestTests.ts
@@ -8,11 +8,8 @@
 import type { AddressInfo } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
-import {
-  JsonClient,
-  type JsonCall,
-  type JsonFailure,
-} from "../../../src/transport/http/JsonClient.ts";
+import { JsonClient, type JsonCall } from "../../../src/transport/http/JsonClient.ts";
+import { createServedClient, fail } from "./jsonCalls.ts";
 
 /** Size of a large body, of which the kernel's buffers on loopback hold several MB, in bytes. */
 const LARGE_BODY_BYTES = 33_554_432;
@@ -27,8 +24,6 @@
 const FAST_HALF_MS = 500;
 /** Deviation of a timer from the time that passes, in milliseconds. */
 const TIMER_TOLERANCE_MS = 10;
-/** Time after which a call that should have failed counts as hanging, in milliseconds. */
-const HANG_MS = 10_000;
 
 const LARGE_CALL: JsonCall = {
   method: "POST",
@@ -39,17 +34,10 @@
 
 type Responder = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
 
-async function createClient(t: ExecutionContext, respond: Responder): Promise<JsonClient> {
-  const server = createServer((req, res) => void respond(req, res).catch(() => res.destroy()));
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const client = new JsonClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, TIMEOUT_MS);
-  t.teardown(async () => {
-    await client.close();
-    server.closeAllConnections();
-    server.close();
+function createClient(t: ExecutionContext, respond: Responder): Promise<JsonClient> {
+  return createServedClient(t, TIMEOUT_MS, (req, res) => {
+    respond(req, res).catch(() => res.destroy());
   });
-  return client;
 }
 
 /**
@@ -71,19 +59,6 @@
   return performance.now();
 }
 
-/** Makes a call with a large body that fails, and returns its failure and when it failed. */
-async function fail(client: JsonClient): Promise<JsonFailure & { readonly failedAt: number }> {
-  const hang = new AbortController();
-  const response = await Promise.race([
-    client.call(LARGE_CALL),
-    sleep(HANG_MS, undefined, { signal: hang.signal }).then(() => {
-      throw new Error("the call hangs");
-    }),
-  ]);
-  hang.abort();
-  return { ...response._unsafeUnwrapErr(), failedAt: performance.now() };
-}
-
 // Guards against a timeout on the whole request, by which a large write on a narrow link was aborted
 // however often it was repeated.
 test.serial(
@@ -111,7 +86,7 @@
     const client = await createClient(t, async (req) => {
       lastReadAt = await readHalf(req, FAST_HALF_MS);
     });
-    const { kind, mayHaveArrived, detail, failedAt } = await fail(client);
+    const { kind, mayHaveArrived, detail, failedAt } = await fail(client, LARGE_CALL);
     t.deepEqual([kind, mayHaveArrived, detail], ["timeout", true, "no response in time"]);
     t.true(failedAt > lastReadAt);
   },
@@ -151,7 +126,7 @@
     await once(server, "close");
     const client = new JsonClient(`127.0.0.1:${port}`, TIMEOUT_MS);
     t.teardown(() => client.close());
-    const { kind, mayHaveArrived } = await fail(client);
+    const { kind, mayHaveArrived } = await fail(client, LARGE_CALL);
     t.deepEqual([kind, mayHaveArrived], ["unavailable", false]);
   },
 );
--- a/tests/transport/http/jsonClientTests.ts
+++ b/tests/transport/http/jsonClientTests.ts
@@ -2,12 +2,11 @@
  * Tests of the timeout of calls with JSON over HTTP, against a server that sends its response bit by
  * bit or goes silent.
  */
-import { once } from "node:events";
-import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { ServerResponse } from "node:http";
 import { setImmediate as runImmediate, setTimeout as sleep } from "node:timers/promises";
 import test, { type ExecutionContext } from "ava";
-import { JsonClient, type JsonFailure } from "../../../src/transport/http/JsonClient.ts";
+import type { JsonClient } from "../../../src/transport/http/JsonClient.ts";
+import { createServedClient, fail } from "./jsonCalls.ts";
 
 const TIMEOUT_MS = 400;
 const CHUNK_INTERVAL_MS = 20;
@@ -16,22 +15,11 @@
 const CHUNK = " ".repeat(1_000);
 /** Deviation of a timer from the time that passes, in milliseconds. */
 const TIMER_TOLERANCE_MS = 10;
-/** Time after which a call that should have failed counts as hanging, in milliseconds. */
-const HANG_MS = 10_000;
 
 type Responder = (res: ServerResponse) => Promise<void>;
 
-async function createClient(t: ExecutionContext, respond: Responder): Promise<JsonClient> {
-  const server = createServer((_req, res) => void respond(res));
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const client = new JsonClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, TIMEOUT_MS);
-  t.teardown(async () => {
-    await client.close();
-    server.closeAllConnections();
-    server.close();
-  });
-  return client;
+function createClient(t: ExecutionContext, respond: Responder): Promise<JsonClient> {
+  return createServedClient(t, TIMEOUT_MS, (_req, res) => void respond(res));
 }
 
 async function sendChunks(res: ServerResponse, chunks: number): Promise<void> {
@@ -43,19 +31,6 @@
 
 const CALL = { method: "GET", path: "/", body: undefined, timeoutMs: TIMEOUT_MS } as const;
 
-/** Makes a call that fails, and returns its failure and when it failed. */
-async function fail(client: JsonClient): Promise<JsonFailure & { readonly failedAt: number }> {
-  const hang = new AbortController();
-  const response = await Promise.race([
-    client.call(CALL),
-    sleep(HANG_MS, undefined, { signal: hang.signal }).then(() => {
-      throw new Error("the call hangs");
-    }),
-  ]);
-  hang.abort();
-  return { ...response._unsafeUnwrapErr(), failedAt: performance.now() };
-}
-
 // Guards against a timeout on the whole transfer, by which a large response on a narrow link failed
 // however often it was asked for.
 test("JsonClient receives a body that takes longer than the timeout but keeps flowing", async (t) => {
@@ -92,7 +67,7 @@
     lastByteAt = performance.now();
     res.write(CHUNK);
   });
-  const { kind, mayHaveArrived, detail, failedAt } = await fail(client);
+  const { kind, mayHaveArrived, detail, failedAt } = await fail(client, CALL);
   t.deepEqual([kind, mayHaveArrived], ["timeout", true]);
   t.is(detail, `no response in time after ${sent * CHUNK.length} bytes of it`);
   t.true(failedAt - lastByteAt >= TIMEOUT_MS - TIMER_TOLERANCE_MS);
@@ -104,14 +79,14 @@
     res.flushHeaders();
     return Promise.resolve();
   });
-  const { kind, detail } = await fail(client);
+  const { kind, detail } = await fail(client, CALL);
   t.deepEqual([kind, detail], ["timeout", "no response in time"]);
 });
 
 // Guards against a call that waits for ever on a server that never begins its response.
 test("JsonClient fails in time if the server never responds", async (t) => {
   const client = await createClient(t, () => Promise.resolve());
-  const { kind, mayHaveArrived, detail } = await fail(client);
+  const { kind, mayHaveArrived, detail } = await fail(client, CALL);
   t.deepEqual([kind, mayHaveArrived, detail], ["timeout", true, "no response in time"]);
 });
 
