Share the ids and the busy pool of the pool tests

Eight test files made the ids of jobs in the same way, and two created the same pool with long-running tasks.

--- a/tests/coordination/pool/poolCatchUpTests.ts
+++ b/tests/coordination/pool/poolCatchUpTests.ts
@@ -10,11 +10,11 @@
   PROGRESS_PREFIX,
   SCHEDULER_PREFIX,
 } from "../../../src/state/pool/PoolKeys.ts";
-import { createStep, POOL } from "../../support/poolFixtures.ts";
+import { createJobId, createStep, POOL } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
 
-const JOB_ID = "1".padStart(16, "0");
+const JOB_ID = createJobId(1);
 const TASK_COUNT = 4;
 /** Run time of a task that ends after the submission of its job has been awaited, in milliseconds. */
 const WORK_MS = 4_000;
--- a/tests/coordination/pool/poolHistoryTests.ts
+++ b/tests/coordination/pool/poolHistoryTests.ts
@@ -7,7 +7,7 @@
  */
 import test from "ava";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
 import {
   PoolSimulation,
@@ -61,7 +61,7 @@
 const ACTIONS_BY_NAME: Readonly<Record<string, Action>> = {
   submit: async (history) => {
     const { simulation, random, accepted } = history;
-    const id = (accepted.size + 1).toString(16).padStart(16, "0");
+    const id = createJobId(accepted.size + 1);
     const workMs = 200 + random.nextInt(2_000);
     const outcome = await simulation.submit(
       choose(random, getLiveEntries(history)),
--- a/tests/coordination/pool/poolLateReplacementTests.ts
+++ b/tests/coordination/pool/poolLateReplacementTests.ts
@@ -3,12 +3,11 @@
  * which the scheduler of their pool dies, in virtual time and with the timings of an entry.
  */
 import test from "ava";
-import { createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, type SimulatedAgent } from "./PoolSimulation.ts";
+import { createBusyPool } from "./createBusyPool.ts";
+import type { PoolSimulation, SimulatedAgent } from "./PoolSimulation.ts";
 
 const JOB_COUNT = 6;
 const TASKS_PER_JOB = 4;
-const AGENT_COUNT = 8;
 /** Timings of an entry (`getTimings` in PoolEntryProcess) where workers accept leases of 6 s. */
 const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 10_000 };
 /** Time after the end of its last run from which a long-running task has to run, in milliseconds. */
@@ -22,25 +21,9 @@
 /** Times of the crash of the scheduler after the loss of the worker, in milliseconds. */
 const CRASH_DELAYS_MS = [0, 500, 1_000, 1_500, 2_000, 3_000, 5_000];
 
-function createId(number: number): string {
-  return number.toString(16).padStart(16, "0");
-}
-
 /** Creates a pool with two entries and long-running tasks that take a part of its room. */
-async function createBusyPool(): Promise<PoolSimulation> {
-  const simulation = new PoolSimulation(1, ENTRY_TIMINGS);
-  const entry = simulation.addEntry("entry-0");
-  const names = Array.from({ length: AGENT_COUNT }, (_, position) => `agent-${position}`);
-  await Promise.all(names.map((name) => simulation.addAgent(name)));
-  await simulation.clock.advance(3_000);
-  const steps = [createStep({ taskCount: TASKS_PER_JOB, longRunning: true })];
-  const definition = { payload: "", steps, schedule: undefined };
-  const numbers = Array.from({ length: JOB_COUNT }, (_, position) => position + 1);
-  await numbers.reduce<Promise<unknown>>(
-    (before, number) =>
-      before.then(() => simulation.submit(entry, createId(number), definition, undefined)),
-    Promise.resolve(),
-  );
+async function createPool(): Promise<PoolSimulation> {
+  const simulation = await createBusyPool(JOB_COUNT, TASKS_PER_JOB, ENTRY_TIMINGS);
   simulation.addEntry("entry-1");
   await simulation.clock.advance(3_000);
   return simulation;
@@ -80,7 +63,7 @@
 
 /** Loses what an agent's tasks run on, then the scheduler of the pool. */
 async function playLoss(lose: (agent: SimulatedAgent) => void, delayMs: number): Promise<Outage> {
-  const simulation = await createBusyPool();
+  const simulation = await createPool();
   const { clock, agents, entries } = simulation;
   const [agent] = agents;
   const [leader] = entries;
--- a/tests/coordination/pool/poolQuarantineTests.ts
+++ b/tests/coordination/pool/poolQuarantineTests.ts
@@ -4,7 +4,7 @@
  */
 import test from "ava";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
 
 /** Time within which a long-running task runs if there is room for it, in milliseconds. */
@@ -22,10 +22,6 @@
   readonly entry: SimulatedEntry;
 }
 
-function createId(number: number): string {
-  return number.toString(16).padStart(16, "0");
-}
-
 function createJob(taskCount: number, longRunning: boolean): JobDefinition {
   return {
     payload: "",
@@ -47,9 +43,9 @@
   );
   await simulation.clock.advance(3_000);
   // Jobs of the kind succeed elsewhere, so the failures are attributed to the worker.
-  await simulation.submit(entry, createId(1), createJob(24, false), 200);
+  await simulation.submit(entry, createJobId(1), createJob(24, false), 200);
   failing.worker.faults.failEveryRun = true;
-  await simulation.submit(entry, createId(2), createJob(8, false), 200);
+  await simulation.submit(entry, createJobId(2), createJob(8, false), 200);
   failing.worker.faults.failEveryRun = false;
   return { simulation, entry };
 }
@@ -68,7 +64,7 @@
   const { simulation, entry } = await createQuarantinedPool();
   t.true(countFailures(simulation) >= MIN_FAILURES, "the worker was not quarantined");
   await simulation.clock.advance(QUARANTINE_MS);
-  await simulation.submit(entry, createId(3), createJob(TASK_COUNT, true), undefined);
+  await simulation.submit(entry, createJobId(3), createJob(TASK_COUNT, true), undefined);
   await simulation.clock.advance(RESTART_TARGET_MS - 3_000);
   t.is(countLongRunning(simulation), TASK_COUNT);
 });
@@ -77,7 +73,7 @@
 test("WorkerQuarantine admits long-running tasks that no other worker has room for", async (t) => {
   const { simulation, entry } = await createQuarantinedPool();
   t.true(countFailures(simulation) >= MIN_FAILURES, "the worker was not quarantined");
-  await simulation.submit(entry, createId(3), createJob(TASK_COUNT, true), undefined);
+  await simulation.submit(entry, createJobId(3), createJob(TASK_COUNT, true), undefined);
   await simulation.clock.advance(RESTART_TARGET_MS - 3_000);
   t.is(countLongRunning(simulation), TASK_COUNT);
 });
--- a/tests/coordination/pool/poolTakeoverTests.ts
+++ b/tests/coordination/pool/poolTakeoverTests.ts
@@ -5,9 +5,10 @@
 import test from "ava";
 import { INTAKE_PREFIX, PROGRESS_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
-import { createStep, POOL } from "../../support/poolFixtures.ts";
+import { createJobId, POOL } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
-import { PoolSimulation } from "./PoolSimulation.ts";
+import { createBusyPool } from "./createBusyPool.ts";
+import type { PoolSimulation } from "./PoolSimulation.ts";
 
 const JOB_COUNT = 12;
 const TASKS_PER_JOB = 2;
@@ -22,28 +23,6 @@
 /** Time within which another entry takes over after a crash of the scheduler, in milliseconds. */
 const TAKEOVER_MS = 3_000;
 
-function createId(number: number): string {
-  return number.toString(16).padStart(16, "0");
-}
-
-/** Creates a pool with long-running jobs. */
-async function createBusyPool(): Promise<PoolSimulation> {
-  const simulation = new PoolSimulation();
-  const entry = simulation.addEntry("entry-0");
-  const names = Array.from({ length: 8 }, (_, position) => `agent-${position}`);
-  await Promise.all(names.map((name) => simulation.addAgent(name)));
-  await simulation.clock.advance(3_000);
-  const steps = [createStep({ taskCount: TASKS_PER_JOB, longRunning: true })];
-  const definition = { payload: "", steps, schedule: undefined };
-  const numbers = Array.from({ length: JOB_COUNT }, (_, position) => position + 1);
-  await numbers.reduce<Promise<unknown>>(
-    (before, number) =>
-      before.then(() => simulation.submit(entry, createId(number), definition, undefined)),
-    Promise.resolve(),
-  );
-  return simulation;
-}
-
 function countRunning({ journal }: PoolSimulation): number {
   return journal.filter(({ endedAt }) => endedAt === undefined).length;
 }
@@ -51,7 +30,7 @@
 // Guards against accepted long-running tasks that never run again after all entries have restarted,
 // because an entry that cannot read the pool's state is elected its scheduler and stays it.
 test("PoolCoordinator leaves a pool to an entry that can read its state", async (t) => {
-  const simulation = await createBusyPool();
+  const simulation = await createBusyPool(JOB_COUNT, TASKS_PER_JOB);
   t.is(countRunning(simulation), JOB_COUNT * TASKS_PER_JOB);
   simulation.entries.forEach((entry) => {
     simulation.killEntry(entry);
@@ -71,7 +50,7 @@
 
 // Guards against an entry that learns only with its next read of the key that it may claim a pool.
 test("PoolCoordinator claims a free pool as soon as its entry holds all jobs", async (t) => {
-  const simulation = await createBusyPool();
+  const simulation = await createBusyPool(JOB_COUNT, TASKS_PER_JOB);
   simulation.entries.forEach((entry) => {
     simulation.killEntry(entry);
   });
@@ -87,7 +66,7 @@
 
 // Guards against a pool that waits for as long as the last changes take on the elected entry's link.
 test("PoolCoordinator gives a pool up whose changes arrive too slowly", async (t) => {
-  const simulation = await createBusyPool();
+  const simulation = await createBusyPool(JOB_COUNT, TASKS_PER_JOB);
   const { clock, storeModel } = simulation;
   const [leader] = simulation.entries;
   const store = new NarrowLinkStore(clock, storeModel, JOB_COUNT);
@@ -96,7 +75,7 @@
   store.changesDelayMs = new Map([[INTAKE_PREFIX, 2 * RECOVERY_MS]]);
   // A change that the entry has not received when it is elected.
   storeModel.write({
-    key: `${INTAKE_PREFIX}${POOL}/cancel/${createId(1)}`,
+    key: `${INTAKE_PREFIX}${POOL}/cancel/${createJobId(1)}`,
     value: "{}",
     expected: 0,
   });
@@ -112,7 +91,7 @@
 
 // Guards against a takeover whose duration grows with the state of the pool.
 test("PoolCoordinator takes a pool over without listing its jobs again", async (t) => {
-  const simulation = await createBusyPool();
+  const simulation = await createBusyPool(JOB_COUNT, TASKS_PER_JOB);
   const { clock, storeModel } = simulation;
   const store = new NarrowLinkStore(clock, storeModel, JOB_COUNT);
   const successor = simulation.addEntry("entry-1", store);
@@ -133,7 +112,7 @@
 
 // Guards against a pool that stays with an entry that cannot fetch the last changes of its jobs.
 test("PoolCoordinator gives a pool up whose changes it cannot fetch, and another entry takes it", async (t) => {
-  const simulation = await createBusyPool();
+  const simulation = await createBusyPool(JOB_COUNT, TASKS_PER_JOB);
   const { clock, storeModel } = simulation;
   const [leader] = simulation.entries;
   const store = new NarrowLinkStore(clock, storeModel, JOB_COUNT);
--- a/tests/coordination/pool/progressConflictTests.ts
+++ b/tests/coordination/pool/progressConflictTests.ts
@@ -4,7 +4,7 @@
  */
 import test from "ava";
 import { formatJobKey } from "../../../src/state/pool/PoolKeys.ts";
-import { createStep, POOL } from "../../support/poolFixtures.ts";
+import { createJobId, createStep, POOL } from "../../support/poolFixtures.ts";
 import { PoolSimulation, QUEUE, TIMINGS, type SimulatedEntry } from "./PoolSimulation.ts";
 
 const TASK_COUNT = 3;
@@ -18,11 +18,7 @@
 const WORK_MS = 8_000;
 /** Time in which an entry that claims again at once is elected many times, in milliseconds. */
 const OBSERVED_MS = 30_000;
-const FAULTY_JOB = createId(1);
-
-function createId(number: number): string {
-  return number.toString(16).padStart(16, "0");
-}
+const FAULTY_JOB = createJobId(1);
 
 /** Creates a pool with entries, and submits the job that becomes the faulty one. */
 async function createPool(entryCount: number): Promise<PoolSimulation> {
@@ -46,7 +42,7 @@
   const definition = { payload: "", steps, schedule: undefined };
   const entry = simulation.entries.find(({ isStopped }) => !isStopped);
   if (entry !== undefined) {
-    await simulation.submit(entry, createId(number), definition, undefined);
+    await simulation.submit(entry, createJobId(number), definition, undefined);
   }
 }
 
@@ -65,7 +61,7 @@
 }
 
 function countRunning({ journal }: PoolSimulation, number: number): number {
-  const runs = journal.filter(({ task }) => task.startsWith(createId(number)));
+  const runs = journal.filter(({ task }) => task.startsWith(createJobId(number)));
   return runs.filter(({ endedAt }) => endedAt === undefined).length;
 }
 
--- a/tests/coordination/pool/schedulerWatchTests.ts
+++ b/tests/coordination/pool/schedulerWatchTests.ts
@@ -5,7 +5,7 @@
 import test from "ava";
 import { INTAKE_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { RefusedWritesStore } from "../../support/RefusedWritesStore.ts";
 import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
 
@@ -31,10 +31,6 @@
   readonly successor: SimulatedEntry;
 }
 
-function createId(number: number): string {
-  return number.toString(16).padStart(16, "0");
-}
-
 /** Submits a job of long-running tasks to an entry. */
 async function submitJob(
   { simulation }: Pick<Fixture, "simulation">,
@@ -43,7 +39,7 @@
 ): Promise<void> {
   const steps = [createStep({ taskCount: TASK_COUNT, longRunning: true })];
   const definition = { payload: "", steps, schedule: undefined };
-  await simulation.submit(entry, createId(number), definition, undefined);
+  await simulation.submit(entry, createJobId(number), definition, undefined);
 }
 
 /** Creates a pool with a job of long-running tasks, its scheduler and a second entry. */
--- a/tests/coordination/pool/taskPlacementTests.ts
+++ b/tests/coordination/pool/taskPlacementTests.ts
@@ -18,7 +18,12 @@
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
 import { JobState } from "../../../src/state/pool/JobState.ts";
 import type { JobRecord } from "../../../src/state/pool/records.ts";
-import { createJobRecord, createStep, createWorkerReport } from "../../support/poolFixtures.ts";
+import {
+  createJobId,
+  createJobRecord,
+  createStep,
+  createWorkerReport,
+} from "../../support/poolFixtures.ts";
 
 const NO_DISTURBANCE: Pick<PlacementContext, "getToleratedMilli"> = {
   getToleratedMilli: () => Number.POSITIVE_INFINITY,
@@ -56,8 +61,12 @@
   step: Partial<StepDefinition>,
   record: Partial<JobRecord> = {},
 ): JobState {
-  const id = number.toString(16).padStart(16, "0");
-  return new JobState(id, createJobRecord([createStep(step)], record), undefined, 0);
+  return new JobState(
+    createJobId(number),
+    createJobRecord([createStep(step)], record),
+    undefined,
+    0,
+  );
 }
 
 function placeJobs(jobs: readonly JobState[], placement: PlacementState, now = 0): PlacementResult {
--- a/tests/support/poolFixtures.ts
+++ b/tests/support/poolFixtures.ts
@@ -8,6 +8,14 @@
 /** Name of the pool of all fixtures. */
 export const POOL = "pool-a";
 
+/**
+ * Returns the id of a job.
+ * @param number - Number of the job, the same for the same id.
+ */
+export function createJobId(number: number): string {
+  return number.toString(16).padStart(16, "0");
+}
+
 /**
  * Creates a step of one small task.
  * @param overrides - Properties to override.
