--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -230,7 +230,7 @@
       activeConfig: this._activeConfig,
       fleet: this._fleet,
       traces: this._traces,
-      getPeerRevisions: () => this._fleetService.getPeerRevisions(),
+      getPeerReports: () => this._fleetService.getPeerReports(),
       getInFlight: () => this._requests.inFlight,
       explainAgent: (address) => explainAgent(this._connections, address),
     });
--- a/src/transport/entry/EntryRoutes.ts
+++ b/src/transport/entry/EntryRoutes.ts
@@ -8,7 +8,7 @@
 import type { FleetView, VmRecord } from "../../state/FleetView.ts";
 import type { RequestTraces } from "../../state/RequestTraces.ts";
 import type { ApiReply, ApiRoute } from "../http/ApiRoute.ts";
-import type { PeerRevision } from "./FleetService.ts";
+import type { PeerReport } from "./FleetService.ts";
 
 /** Dependencies of `EntryRoutes`. */
 export interface EntryRoutesDependencies {
@@ -17,7 +17,7 @@
   readonly activeConfig: ActiveConfig;
   readonly fleet: FleetView;
   readonly traces: RequestTraces;
-  readonly getPeerRevisions: () => ReadonlyMap<string, PeerRevision>;
+  readonly getPeerReports: () => ReadonlyMap<string, PeerReport>;
   readonly getInFlight: () => number;
   /** Asks an agent how batch work yields to serving tasks on its VM; never rejects. */
   readonly explainAgent: (controlAddress: string) => Promise<unknown>;
@@ -54,7 +54,7 @@
 
   /** Gets the configuration revision of every live process. */
   getProcesses(): readonly ProcessRevision[] {
-    const { clock, entry, fleet, activeConfig, getPeerRevisions } = this._deps;
+    const { clock, entry, fleet, activeConfig, getPeerReports } = this._deps;
     const now = clock.now();
     const own: ProcessRevision = {
       role: "entry",
@@ -63,7 +63,7 @@
       revision: activeConfig.getRevision() ?? 0,
       ageMs: 0,
     };
-    const peers = [...getPeerRevisions()].map(([name, peer]): ProcessRevision => {
+    const peers = [...getPeerReports()].map(([name, peer]): ProcessRevision => {
       return {
         role: "entry",
         name,
--- a/src/transport/entry/FleetService.ts
+++ b/src/transport/entry/FleetService.ts
@@ -21,7 +21,7 @@
 import type { EntryClients } from "../control/EntryClients.ts";
 
 /** What another entry reported last: the revision of its configuration and how it is reached. */
-export interface PeerRevision {
+export interface PeerReport {
   readonly revision: number;
   readonly zone: string;
   /** Address of the entry's control service, as host:port. */
@@ -61,7 +61,7 @@
   private readonly _deps: FleetServiceDependencies;
   /** Agents that sent a heartbeat to this entry since its last digest. */
   private readonly _reportedAgents = new Set<string>();
-  private readonly _peerRevisions = new Map<string, PeerRevision>();
+  private readonly _peerReports = new Map<string, PeerReport>();
   private _timer: Timer | undefined;
   private _isStopped = false;
 
@@ -91,9 +91,9 @@
     this._timer?.cancel();
   }
 
-  /** Gets the last configuration revision that each other entry reported. */
-  getPeerRevisions(): ReadonlyMap<string, PeerRevision> {
-    return this._peerRevisions;
+  /** Gets the last report of each other entry, by name. */
+  getPeerReports(): ReadonlyMap<string, PeerReport> {
+    return this._peerReports;
   }
 
   /**
@@ -120,7 +120,7 @@
     digest.vms.forEach((vm) => {
       this._apply(readVm(vm, now - vm.ageMs));
     });
-    this._recordPeerRevision(digest);
+    this._recordPeerReport(digest);
     return this._createDigest([]);
   }
 
@@ -130,11 +130,11 @@
     }
   }
 
-  private _recordPeerRevision(digest: Digest): void {
+  private _recordPeerReport(digest: Digest): void {
     const { zone, controlAddress: control, draining } = digest;
     const revision = Number(digest.configRevision);
     const reportedAt = this._deps.clock.now();
-    this._peerRevisions.set(digest.entry, { revision, zone, control, draining, reportedAt });
+    this._peerReports.set(digest.entry, { revision, zone, control, draining, reportedAt });
     this._deps.onPeerRevision(revision, digest.controlAddress);
   }
 
@@ -142,7 +142,7 @@
   private _getLiveEntries(): readonly EntryAddress[] {
     const registered = this._deps.getEntries();
     const names = new Set(registered.map(({ name }) => name));
-    const reporting = [...this._peerRevisions]
+    const reporting = [...this._peerReports]
       .filter(([name, { draining }]) => !names.has(name) && !draining)
       .map(([name, { zone, control }]) => ({ name, zone, control }));
     return [...registered, ...reporting];
@@ -159,9 +159,9 @@
   private _expire(): void {
     const { clock, expiryMs, fleet, table, log, onVmExpired } = this._deps;
     const reportedBefore = clock.now() - expiryMs;
-    [...this._peerRevisions]
+    [...this._peerReports]
       .filter(([, peer]) => peer.reportedAt < reportedBefore)
-      .forEach(([name]) => this._peerRevisions.delete(name));
+      .forEach(([name]) => this._peerReports.delete(name));
     fleet.expire(reportedBefore).forEach((vm) => {
       table.remove(vm.agent);
       log.info("A VM was not reported in time and was removed from the fleet.", {
@@ -189,7 +189,7 @@
     try {
       const timeoutMs = Math.max(MIN_TIMEOUT_MS, intervalMs);
       const reply = await clients.getClient(peer.control).exchangeDigest(digest, { timeoutMs });
-      this._recordPeerRevision(reply);
+      this._recordPeerReport(reply);
     } catch (err) {
       log.debug("Failed to exchange a digest with another entry.", {
         entry: peer.name,
