Log the end of a run that is not active

What callers would see: nothing. An end that nobody waits for was acknowledged and left no line, so that operators could not tell from a log whether a task had been started again although it was known to be done.

Class of fault: information is discarded without a trace.

A line now names task, run, agent, worker, outcome and number, once for each end that the scheduler handles. The test failed before: it expected one line and found none.

--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -104,7 +104,7 @@
   }
 
   private _reconcile(input: ReportInput): void {
-    const { state, updater, runController } = this._deps;
+    const { state, log, updater, runController } = this._deps;
     const { agent, report } = input;
     const ackTracker = this._getAckTracker(report);
     const reconciler = new ReportReconciler(state.activeRuns, {
@@ -116,6 +116,11 @@
         });
       },
       onUnknownRunEnded: (ended) => {
+        const { task, run, outcome, number } = ended;
+        const { worker } = report;
+        log.info("A run that is not active has ended; its end is acknowledged without effect.", {
+          ...{ task, run, agent, worker, outcome, number },
+        });
         ackTracker.addEnd(ended.number);
         ackTracker.markRecorded(ended.number);
       },
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -3,8 +3,8 @@
  * time, with scripted reports.
  */
 import test from "ava";
-import { createWorkerReport } from "../../support/poolFixtures.ts";
-import { addJob, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
+import { createEndedRun, createWorkerReport } from "../../support/poolFixtures.ts";
+import { addJob, AGENT, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
 
 /** Number of the call of the first process after which its worker was given the run. */
 const FORMER_CALL = 50;
@@ -53,3 +53,23 @@
   t.deepEqual(getLostReasons(), [REASON]);
   scheduler.stop();
 });
+
+// Guards against the end of a run that is acknowledged without a trace because nothing waits for it.
+test("AgentReportHandler logs each end of a run that is not active once", async (t) => {
+  const fixture = await createScriptedScheduler();
+  const { clock, log, channel, scheduler } = fixture;
+  const ended = createEndedRun({ run: 7, outcome: "failed" });
+  // Agents repeat ends until these are acknowledged.
+  channel.setReport("a", createWorkerReport({ ended: [ended] }));
+  await clock.advance(HANDLED_MS);
+  channel.setReport("a", createWorkerReport({ callNumber: 2, ended: [ended] }));
+  await clock.advance(HANDLED_MS);
+  const { task, run, outcome, number } = ended;
+  t.deepEqual(
+    log.lines
+      .filter(({ sentence }) => sentence.startsWith("A run that is not active has ended"))
+      .map(({ fields }) => fields),
+    [{ task, run, agent: AGENT, worker: createWorkerReport().worker, outcome, number }],
+  );
+  scheduler.stop();
+});
--- a/tests/support/poolFixtures.ts
+++ b/tests/support/poolFixtures.ts
@@ -3,6 +3,7 @@
  */
 import type { WorkerReport } from "../../src/coordination/pool/AgentChannel.ts";
 import type { StepDefinition } from "../../src/protocol/pool/JobDefinition.ts";
+import type { EndedRun } from "../../src/protocol/platform/PoolWorker.ts";
 import type { JobRecord } from "../../src/state/pool/records.ts";
 
 /** Name of the pool of all fixtures. */
@@ -88,3 +89,12 @@
     ...overrides,
   };
 }
+
+/**
+ * Creates the end of the first run of the first task of job 1, as its worker lists it.
+ * @param overrides - Properties to override.
+ */
+export function createEndedRun(overrides: Partial<EndedRun> = {}): EndedRun {
+  const task = `${createJobId(1)}.0.0.0`;
+  return { number: 1, task, run: 1, outcome: "done", checkpoint: "", ...overrides };
+}
