Handle each end of an incarnation once

What callers would see: a task that was done starts again after a change of the scheduler. While the write of an end was under way, another incarnation was reported in between, as by an agent that restarted; the end was then handled again, found no active run, and counted as recorded. It was acknowledged and forgotten by its worker before it was stored.

Class of fault: one fact kept in two places with different lives. The count of handled ends was in WorkerTable and began at 0 again with each change of the incarnation, the tracker of acknowledgements lived on.

The tracker of an incarnation now holds both. The test failed before: end 1 was acknowledged ("- 1 + 0") while the store was away.

--- a/src/coordination/pool/AckTracker.ts
+++ b/src/coordination/pool/AckTracker.ts
@@ -1,24 +1,30 @@
 /**
- * Tracks which run ends of a worker may be acknowledged: all those before the first one whose
- * consequences are not stored yet.
+ * Tracks which run ends of an incarnation of a worker were handled, and which may be acknowledged:
+ * all those before the first one whose consequences are not stored yet. It is kept while other
+ * incarnations are reported, so that no end is handled twice.
  */
 
-/** Tracks the run ends of one worker. */
+/** Tracks the run ends of one incarnation. */
 export class AckTracker {
   private readonly _unrecorded = new Set<number>();
-  private _lastNumber = 0;
+  private _lastHandledEnd = 0;
+
+  /** Run ends up to this number were handled. */
+  get lastHandledEnd(): number {
+    return this._lastHandledEnd;
+  }
 
   /** Number up to which the consequences of all ends are stored. */
   get ackedEnd(): number {
-    return Math.min(this._lastNumber, ...[...this._unrecorded].map((number) => number - 1));
+    return Math.min(this._lastHandledEnd, ...[...this._unrecorded].map((number) => number - 1));
   }
 
   /**
-   * Adds an end that the worker reported.
+   * Adds an end that is being handled.
    * @param number - Number of the end.
    */
   addEnd(number: number): void {
-    this._lastNumber = Math.max(this._lastNumber, number);
+    this._lastHandledEnd = Math.max(this._lastHandledEnd, number);
     this._unrecorded.add(number);
   }
 
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -11,7 +11,7 @@
 import type { PaceController } from "./PaceController.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
 import type { PoolState } from "./PoolState.ts";
-import { ReportReconciler, type ReportInput } from "./ReportReconciler.ts";
+import { ReportReconciler } from "./ReportReconciler.ts";
 import type { RunController } from "./RunController.ts";
 
 /** Dependencies of a report handler. */
@@ -97,15 +97,12 @@
     if (report.worker?.answers !== true || change.worker?.report !== report.worker) {
       return;
     }
-    const { lastHandledEnd } = change.worker;
-    this._reconcile({ agent, report: report.worker, lastHandledEnd, now });
-    state.workerTable.recordHandledEnds(agent, report.worker.ended.at(-1)?.number ?? 0);
+    this._reconcile(agent, report.worker, now);
     paceController.handleReport(agent, report.worker, now);
   }
 
-  private _reconcile(input: ReportInput): void {
+  private _reconcile(agent: string, report: WorkerReport, now: number): void {
     const { state, log, updater, runController } = this._deps;
-    const { agent, report } = input;
     const ackTracker = this._getAckTracker(report);
     const reconciler = new ReportReconciler(state.activeRuns, {
       getTask: (id) => state.getTask(id),
@@ -134,7 +131,7 @@
         runController.stopUnknownRun(agent, report.worker, { task, run });
       },
     });
-    reconciler.reconcile(input);
+    reconciler.reconcile({ agent, report, lastHandledEnd: ackTracker.lastHandledEnd, now });
   }
 
   private _getAckTracker({ worker }: WorkerReport): AckTracker {
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -32,8 +32,6 @@
   readonly leasesExpireBy: number;
   /** Earliest time at which a draining worker may exit; undefined for others. */
   readonly mayExitAt: number | undefined;
-  /** Run ends up to this number have been handled. */
-  readonly lastHandledEnd: number;
   /** Nothing is placed on it before this time. */
   readonly backoffUntil: number;
 }
@@ -167,17 +165,6 @@
     return worker.report.clockMs + workerLeaseMs;
   }
 
-  /**
-   * Records that run ends of a worker were handled.
-   * @param agent - Name of the agent.
-   * @param lastHandledEnd - Number of the last one.
-   */
-  recordHandledEnds(agent: string, lastHandledEnd: number): void {
-    this._update(agent, (worker) => ({
-      lastHandledEnd: Math.max(worker.lastHandledEnd, lastHandledEnd),
-    }));
-  }
-
   /**
    * Records that a worker refused a start, so that nothing is placed on it for a while.
    * @param agent - Name of the agent.
@@ -246,7 +233,6 @@
         ? known.leasesExpireBy
         : now + getLeaseExpiryWaitMs(this._timings.workerLeaseMs),
       mayExitAt: report.draining ? now + report.drainRemainingMs : undefined,
-      lastHandledEnd: isKnown ? known.lastHandledEnd : 0,
       backoffUntil: isKnown ? known.backoffUntil : 0,
       ...this._findEndedLeases(report, now),
     };
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -3,8 +3,10 @@
  * time, with scripted reports.
  */
 import test from "ava";
+import { getLeaseExpiryWaitMs } from "../../../src/coordination/pool/PoolTimings.ts";
 import { createEndedRun, createWorkerReport } from "../../support/poolFixtures.ts";
 import { addJob, AGENT, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
+import { TIMINGS } from "./PoolSimulation.ts";
 
 /** Number of the call of the first process after which its worker was given the run. */
 const FORMER_CALL = 50;
@@ -73,3 +75,28 @@
   );
   scheduler.stop();
 });
+
+// Guards against an end that is acknowledged before it is stored, so that its task runs again after
+// a takeover: it was handled again once another incarnation had been reported in between.
+test("AgentReportHandler handles an end once although another incarnation is reported in between", async (t) => {
+  const fixture = await createScriptedScheduler();
+  const { clock, channel, scheduler, store } = fixture;
+  const former = createWorkerReport({ worker: "i-1@100", ended: [createEndedRun()] });
+  const later = createWorkerReport({ worker: "i-1@200" });
+  await addJob(fixture);
+  t.is(channel.starts.length, 1);
+  store.faults.outage = true;
+  channel.setReport("a", former);
+  await clock.advance(HANDLED_MS);
+  channel.setReport("a", later);
+  // The former incarnation counts again once no lease of the later one can be valid.
+  await clock.advance(getLeaseExpiryWaitMs(TIMINGS.workerLeaseMs) + HANDLED_MS);
+  channel.setReport("b", former);
+  await clock.advance(TIMINGS.observeWaitMs);
+  t.is(scheduler.state.workerTable.getWorker(AGENT)?.report.worker, former.worker);
+  t.is(channel.ackedEnds.get(former.worker), 0);
+  store.faults.outage = false;
+  await clock.advance(TIMINGS.observeWaitMs + HANDLED_MS);
+  t.is(channel.ackedEnds.get(former.worker), 1);
+  scheduler.stop();
+});
--- a/tests/coordination/pool/runMonitorTests.ts
+++ b/tests/coordination/pool/runMonitorTests.ts
@@ -31,7 +31,6 @@
     answeredAt: 0,
     leasesExpireBy: 6_000,
     mayExitAt: undefined,
-    lastHandledEnd: 0,
     backoffUntil: 0,
     ...overrides,
   };
--- a/tests/coordination/pool/taskPlacementTests.ts
+++ b/tests/coordination/pool/taskPlacementTests.ts
@@ -39,7 +39,6 @@
     answeredAt: 0,
     leasesExpireBy: 6_000,
     mayExitAt: undefined,
-    lastHandledEnd: 0,
     backoffUntil: 0,
   };
 }
