Do not take a run for lost while its worker may have ends that it did not list

What callers would see: tasks that are done start again on other workers after more than 500 runs ended between two acknowledgements. A worker returns 500 ends at a time; a run whose end comes after these is in neither list and counted as lost.

Class of fault: an incomplete answer is taken as proof that something does not exist.

The field goes through the agent's report to the reconciler, which then finds no run lost. Its absence in a report of an agent of an earlier build means what it meant before. The stand-in of the worker has a limit too, which tests lower.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -51,6 +51,8 @@
   readonly answers: boolean;
   readonly running: readonly RunningRun[];
   readonly ended: readonly EndedRun[];
+  /** Whether further runs may have ended that are not listed; they are in neither list. */
+  readonly mayLackEnds: boolean;
 }
 
 /** State of an agent and its worker. */
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -360,6 +360,7 @@
       answers: this._responds && this._lists !== undefined,
       running: this._lists?.running ?? [],
       ended: this._lists?.ended ?? [],
+      mayLackEnds: this._lists?.mayLackEnds ?? false,
     };
   }
 
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -1,8 +1,8 @@
 /**
  * Reconciles the lists of a worker with the active runs that are assigned to it. A run that is
  * listed as running is running, and one that is listed as ended has ended. A run in neither list is
- * lost, but only if the lists were certainly made after the last moment at which the worker could
- * have started it.
+ * lost, but only if the lists are complete and were certainly made after the last moment at which the
+ * worker could have started it.
  */
 import { parseTaskId } from "../../protocol/pool/TaskId.ts";
 import type { EndedRun, RunningRun } from "../../protocol/platform/PoolWorker.ts";
@@ -74,7 +74,10 @@
     report.running.forEach((running) => {
       this._handleRunning(input, running);
     });
-    this._reportMissing(input);
+    // A run that is not listed may be among ends that are listed once others are acknowledged.
+    if (!report.mayLackEnds) {
+      this._reportMissing(input);
+    }
   }
 
   private _handleEnd(input: ReportInput, ended: EndedRun): void {
--- a/src/coordination/pool/workerChanges.ts
+++ b/src/coordination/pool/workerChanges.ts
@@ -15,10 +15,11 @@
 }
 
 /**
- * Formats lists so that the text differs when a run has started or ended.
+ * Formats lists so that the text differs when a run has started or ended, or when the lists have
+ * become complete.
  * @param lists - The lists.
  */
-export function describeRuns({ running, ended }: WorkerRuns): string {
+export function describeRuns({ running, ended, mayLackEnds }: WorkerRuns): string {
   const runs = running.map(({ task, run }) => `${task}:${run}`).join(",");
-  return `${runs};${ended.at(-1)?.number ?? 0}`;
+  return `${runs};${ended.at(-1)?.number ?? 0}${mayLackEnds ? "+" : ""}`;
 }
--- a/src/protocol/platform/PoolWorker.ts
+++ b/src/protocol/platform/PoolWorker.ts
@@ -70,7 +70,10 @@
   /** Start of the incarnation that responded; undefined where the response lacks it. */
   readonly startedAtMs: number | undefined;
   readonly running: readonly RunningRun[];
+  /** Ended runs in the order of their ends, beginning with the first one. */
   readonly ended: readonly EndedRun[];
+  /** Whether further runs may have ended that are not listed; they are in neither list. */
+  readonly mayLackEnds: boolean;
 }
 
 /** Call that extends the lease, acknowledges ended runs and lists the runs. */
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -127,7 +127,7 @@
 
 function readWorker(state: PoolWorkerState): WorkerReport {
   const { worker, pool, zone, rack, draining, drainRemainingMs, labels } = state;
-  const { clockMs, readingAgeMs, callNumber, answers, running } = state;
+  const { clockMs, readingAgeMs, callNumber, answers, running, mayLackEnds } = state;
   return {
     worker,
     pool,
@@ -141,6 +141,7 @@
     callNumber,
     answers,
     running,
+    mayLackEnds,
     capacity: {
       processorsMilli: Number(state.processorsMilli),
       memoryBytes: Number(state.memoryBytes),
--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -24,6 +24,9 @@
 /** Interval at which due ends are checked, and at which a sync call that waits for an end polls. */
 const POLL_MS = 20;
 
+/** Number of ended runs that a response lists at most. */
+const MAX_LISTED_ENDS = 500;
+
 /** Faults of a worker; each can be changed at any time. */
 export interface PoolWorkerFaults {
   /** No call is executed or gets a response. */
@@ -34,6 +37,8 @@
   lateMs: number;
   /** Every run ends with the outcome "failed". */
   failEveryRun: boolean;
+  /** Number of ended runs that a response lists at most, beginning with the first one. */
+  maxListedEnds: number;
 }
 
 /** Run as it actually took place. */
@@ -88,6 +93,7 @@
     lateOrders: 0,
     lateMs: 3_000,
     failEveryRun: false,
+    maxListedEnds: MAX_LISTED_ENDS,
   };
   private readonly _deps: PoolWorkerModelDependencies;
   private readonly _createdAt: number;
@@ -185,6 +191,7 @@
     if (await this._isUnresponsive(call.worker)) {
       return err({ kind: "unknown", detail: "no response" });
     }
+    const ended = this._unacknowledgedEnds.slice(0, this.faults.maxListedEnds);
     return ok({
       clockMs: this._clockMs,
       startedAtMs: this._deps.startedAtMs,
@@ -195,7 +202,8 @@
         percent: this._getPercent(entry.startedAt, endsAt),
         measure: 0,
       })),
-      ended: [...this._unacknowledgedEnds],
+      ended,
+      mayLackEnds: ended.length >= this.faults.maxListedEnds,
     });
   }
 
--- /dev/null
+++ b/tests/platform/platformWorkerTests.ts
@@ -0,0 +1,47 @@
+/**
+ * Tests of the adapter to the users' worker over loopback.
+ */
+import test, { type ExecutionContext } from "ava";
+import { PlatformWorker } from "../../platform/PlatformWorker.ts";
+import { findFreeAddress } from "../../standins/support/freePorts.ts";
+import { createReply, JsonServer } from "../../standins/support/JsonServer.ts";
+
+const TIMEOUT_MS = 10_000;
+/** Number of ends that a worker returns at a time. */
+const MAX_ENDED_ROWS = 500;
+const CALL = { worker: "i-1", fencingToken: 1, leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 };
+
+/** Creates the adapter to a worker that lists ended runs. */
+async function createWorker(t: ExecutionContext, endCount: number): Promise<PlatformWorker> {
+  const address = await findFreeAddress();
+  const ended = Array.from({ length: endCount }, (_, position) => {
+    return [position + 1, `0000000000000001.0.0.${position}`, 1, "done", ""];
+  });
+  const server = new JsonServer(address, () => createReply({ clock_ms: 1, running: [], ended }));
+  await server.start();
+  const worker = new PlatformWorker(address, TIMEOUT_MS);
+  t.teardown(async () => {
+    await worker.close();
+    await server.stop();
+  });
+  return worker;
+}
+
+// Guards against tasks that run again because their ends come after those of one response.
+test("PlatformWorker says that ends may be missing from a response with as many as it can have", async (t) => {
+  const counts = [0, MAX_ENDED_ROWS - 1, MAX_ENDED_ROWS];
+  const lists = await Promise.all(
+    counts.map(async (count) => (await createWorker(t, count)).sync(CALL)),
+  );
+  t.deepEqual(
+    lists.map((result) => {
+      const { ended, mayLackEnds } = result._unsafeUnwrap();
+      return [ended.length, mayLackEnds];
+    }),
+    [
+      [0, false],
+      [MAX_ENDED_ROWS - 1, false],
+      [MAX_ENDED_ROWS, true],
+    ],
+  );
+});
--- a/tests/support/poolFixtures.ts
+++ b/tests/support/poolFixtures.ts
@@ -86,6 +86,7 @@
     answers: true,
     running: [],
     ended: [],
+    mayLackEnds: false,
     ...overrides,
   };
 }
