Keep the acknowledgements of a few incarnations of a worker only

Class of fault: a table without a bound.

Ends of one whose tracker was dropped would be handled again, which counts none of them twice.

--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
-import { AckTracker } from "./AckTracker.ts";
+import { AckTrackerTable } from "./AckTrackerTable.ts";
 import type { AgentReport, ObserveCall, WorkerReport } from "./AgentChannel.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PaceController } from "./PaceController.ts";
@@ -31,7 +31,7 @@
 /** Handles the reports of one scheduler's agents. */
 export class AgentReportHandler {
   private readonly _deps: AgentReportHandlerDependencies;
-  private readonly _ackTrackers = new Map<string, AckTracker>();
+  private readonly _ackTrackers = new AckTrackerTable();
 
   /**
    * Creates a handler.
@@ -53,7 +53,7 @@
       epoch,
       worker,
       leaseUntilMs: mayGrantLeases() ? workerTable.grantLease(agent) : undefined,
-      ackedEnd: this._ackTrackers.get(worker)?.ackedEnd ?? 0,
+      ackedEnd: this._ackTrackers.getAckedEnd(agent, worker),
       knownVersion: workerTable.getAgent(agent)?.version ?? 0,
       waitMs: this._getWaitMs(agent),
     };
@@ -104,7 +104,7 @@
   private _reconcile(agent: string, report: WorkerReport, now: number): void {
     const { state, updater, runController } = this._deps;
     const { worker } = report;
-    const ackTracker = this._getAckTracker(report);
+    const ackTracker = this._ackTrackers.getTracker(agent, worker);
     const reconciler = new ReportReconciler(state.activeRuns, {
       getTask: (id) => state.getTask(id),
       onRunEnded: (taskRun, ended) => {
@@ -131,10 +131,4 @@
     });
     reconciler.reconcile({ agent, report, lastHandledEnd: ackTracker.lastHandledEnd, now });
   }
-
-  private _getAckTracker({ worker }: WorkerReport): AckTracker {
-    const ackTracker = this._ackTrackers.get(worker) ?? new AckTracker();
-    this._ackTrackers.set(worker, ackTracker);
-    return ackTracker;
-  }
 }
