--- a/tests/coordination/pool/inactiveRunEndTests.ts
+++ b/tests/coordination/pool/inactiveRunEndTests.ts
@@ -222,3 +222,20 @@
   t.is(getTask(fixture).checkpoint, "second");
   fixture.scheduler.stop();
 });
+
+// Guards against an end that is acknowledged while what it is thought to have changed is not stored.
+test("JobUpdater acknowledges an end that changes nothing once its job is stored", async (t) => {
+  const fixture = await createScriptedScheduler();
+  await addJob(fixture);
+  fixture.store.faults.outage = true;
+  await report(fixture, [createEndedRun()]);
+  t.true(getTask(fixture).isDone);
+  const later = { worker: "i-1@200" };
+  await report(fixture, [createEndedRun({ run: 7 })], [], later);
+  await fixture.clock.advance(TIMINGS.observeWaitMs);
+  t.is(fixture.channel.ackedEnds.get(later.worker), 0);
+  fixture.store.faults.outage = false;
+  await fixture.clock.advance(TIMINGS.observeWaitMs + HANDLED_MS);
+  t.is(fixture.channel.ackedEnds.get(later.worker), 1);
+  fixture.scheduler.stop();
+});
