--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -5,13 +5,13 @@
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
-import { AckTracker } from "./AckTracker.ts";
+import { AckTrackerTable } from "./AckTrackerTable.ts";
 import type { AgentReport, ObserveCall, WorkerReport } from "./AgentChannel.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PaceController } from "./PaceController.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
 import type { PoolState } from "./PoolState.ts";
-import { ReportReconciler, type ReportInput } from "./ReportReconciler.ts";
+import { ReportReconciler } from "./ReportReconciler.ts";
 import type { RunController } from "./RunController.ts";
 
 /** Dependencies of a report handler. */
@@ -31,7 +31,7 @@
 /** Handles the reports of one scheduler's agents. */
 export class AgentReportHandler {
   private readonly _deps: AgentReportHandlerDependencies;
-  private readonly _ackTrackers = new Map<string, AckTracker>();
+  private readonly _ackTrackers = new AckTrackerTable();
 
   /**
    * Creates a handler.
@@ -53,7 +53,7 @@
       epoch,
       worker,
       leaseUntilMs: mayGrantLeases() ? workerTable.grantLease(agent) : undefined,
-      ackedEnd: this._ackTrackers.get(worker)?.ackedEnd ?? 0,
+      ackedEnd: this._ackTrackers.getAckedEnd(agent, worker),
       knownVersion: workerTable.getAgent(agent)?.version ?? 0,
       waitMs: this._getWaitMs(agent),
     };
@@ -97,16 +97,14 @@
     if (report.worker?.answers !== true || change.worker?.report !== report.worker) {
       return;
     }
-    const { lastHandledEnd } = change.worker;
-    this._reconcile({ agent, report: report.worker, lastHandledEnd, now });
-    state.workerTable.recordHandledEnds(agent, report.worker.ended.at(-1)?.number ?? 0);
+    this._reconcile(agent, report.worker, now);
     paceController.handleReport(agent, report.worker, now);
   }
 
-  private _reconcile(input: ReportInput): void {
+  private _reconcile(agent: string, report: WorkerReport, now: number): void {
     const { state, updater, runController } = this._deps;
-    const { agent, report } = input;
-    const ackTracker = this._getAckTracker(report);
+    const { worker } = report;
+    const ackTracker = this._ackTrackers.getTracker(agent, worker);
     const reconciler = new ReportReconciler(state.activeRuns, {
       getTask: (id) => state.getTask(id),
       onRunEnded: (taskRun, ended) => {
@@ -117,7 +115,9 @@
       },
       onUnknownRunEnded: (ended) => {
         ackTracker.addEnd(ended.number);
-        ackTracker.markRecorded(ended.number);
+        updater.handleInactiveRunEnd({ agent, worker }, ended, () => {
+          ackTracker.markRecorded(ended.number);
+        });
       },
       onRunAtWork: (taskRun) => {
         updater.handleRunAtWork(taskRun);
@@ -126,15 +126,9 @@
         updater.handleLostRun(taskRun, reason);
       },
       onUnknownRun: ({ task, run }) => {
-        runController.stopUnknownRun(agent, report.worker, { task, run });
+        runController.stopUnknownRun(agent, worker, { task, run });
       },
     });
-    reconciler.reconcile(input);
-  }
-
-  private _getAckTracker({ worker }: WorkerReport): AckTracker {
-    const ackTracker = this._ackTrackers.get(worker) ?? new AckTracker();
-    this._ackTrackers.set(worker, ackTracker);
-    return ackTracker;
+    reconciler.reconcile({ agent, report, lastHandledEnd: ackTracker.lastHandledEnd, now });
   }
 }
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -1,8 +1,8 @@
 /**
  * Reconciles the lists of a worker with the active runs that are assigned to it. A run that is
  * listed as running is running, and one that is listed as ended has ended. A run in neither list is
- * lost, but only if the lists were certainly made after the last moment at which the worker could
- * have started it.
+ * lost, but only if the lists are complete and were certainly made after the last moment at which the
+ * worker could have started it.
  */
 import { parseTaskId } from "../../protocol/pool/TaskId.ts";
 import type { EndedRun, RunningRun } from "../../protocol/platform/PoolWorker.ts";
@@ -25,7 +25,7 @@
   readonly getTask: (id: string) => TaskState | undefined;
   /** An active run has ended. */
   readonly onRunEnded: (taskRun: ActiveTaskRun, ended: EndedRun) => void;
-  /** A run that is not active has ended; nothing needs to be recorded. */
+  /** A run that is not active has ended: it was given up, or its end was handled before. */
   readonly onUnknownRunEnded: (ended: EndedRun) => void;
   /** A long-running run has been at work for some time. */
   readonly onRunAtWork: (taskRun: ActiveTaskRun) => void;
@@ -74,7 +74,10 @@
     report.running.forEach((running) => {
       this._handleRunning(input, running);
     });
-    this._reportMissing(input);
+    // A run that is not listed may be among ends that are listed once others are acknowledged.
+    if (!report.mayLackEnds) {
+      this._reportMissing(input);
+    }
   }
 
   private _handleEnd(input: ReportInput, ended: EndedRun): void {
