Keep the ends that an agent has read of a worker that was replaced or left

What callers saw: a task ran a second time although its agent had read that it was done, where no scheduler could record the end before the worker was replaced, or left without a successor.

Cause: the agent forgot the lists of an incarnation with the announcement of the next one and with the first call of a scheduler of a later epoch, and the scheduler handled no ends of a worker that did not respond. Class: what was seen is kept only until it is overwritten.

The agent keeps what it has read and nobody has acknowledged (ListedEnds). It reports the ends of the present incarnation also while that does not respond, and those of former ones (500 at most, for ten minutes) to each scheduler that does not know them yet; for this a scheduler names the process whose report it knows. The scheduler handles them before it calls runs of that incarnation lost. Ends in a response that arrives after the next announcement, or after the first call of a later epoch, are kept too, unless the response may be from the next incarnation under the same id.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -23,6 +23,8 @@
   readonly ackedEnd: number;
   /** Version of the last report received; 0 for none. */
   readonly knownVersion: number;
+  /** Identity of the process that sent the last report; empty for none. */
+  readonly knownProcess: string;
   readonly waitMs: number;
 }
 
@@ -50,6 +52,7 @@
   /** Whether the worker responds to its agent. */
   readonly answers: boolean;
   readonly running: readonly RunningRun[];
+  /** Ended runs that the worker has listed, also while it does not respond. */
   readonly ended: readonly EndedRun[];
 }
 
@@ -60,6 +63,18 @@
   readonly version: number;
   /** The worker; undefined if none has announced itself. */
   readonly worker: WorkerReport | undefined;
+  /**
+   * Ends that former incarnations of the worker had listed, as far as the report that the scheduler
+   * knows lacks them. They may have been recorded before, and no acknowledgement of them is due.
+   */
+  readonly formerEnds: readonly FormerEnds[];
+}
+
+/** Ended runs of a former incarnation of a worker. */
+export interface FormerEnds {
+  /** The incarnation. */
+  readonly worker: string;
+  readonly ended: readonly EndedRun[];
 }
 
 /** Outcome of a call to an agent. */
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import { AckTracker } from "./AckTracker.ts";
-import type { AgentReport, ObserveCall, WorkerReport } from "./AgentChannel.ts";
+import type { AgentReport, FormerEnds, ObserveCall } from "./AgentChannel.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PaceController } from "./PaceController.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
@@ -49,12 +49,14 @@
     const { epoch, mayGrantLeases } = this._deps;
     const { workerTable } = this._deps.state;
     const worker = workerTable.getWorker(agent)?.report.worker ?? "";
+    const known = workerTable.getAgent(agent);
     return {
       epoch,
       worker,
       leaseUntilMs: mayGrantLeases() ? workerTable.grantLease(agent) : undefined,
       ackedEnd: this._ackTrackers.get(worker)?.ackedEnd ?? 0,
-      knownVersion: workerTable.getAgent(agent)?.version ?? 0,
+      knownVersion: known?.version ?? 0,
+      knownProcess: known?.process ?? "",
       waitMs: this._getWaitMs(agent),
     };
   }
@@ -80,6 +82,10 @@
   handleReport(agent: string, report: AgentReport): void {
     const { clock, log, state, paceController } = this._deps;
     const now = clock.now();
+    // Before the runs of a former incarnation count as lost, which ended before it was replaced.
+    report.formerEnds.forEach((former) => {
+      this._handleFormerEnds(agent, former);
+    });
     const change = state.workerTable.applyReport(agent, report, now);
     if (change.replacedWorker !== undefined) {
       log.info("Worker of the agent was replaced by another one.", {
@@ -92,22 +98,34 @@
     if (change.isNewProcess) {
       state.activeRuns.resetCallNumbers(agent);
     }
-    // The lists of a worker that does not respond are out of date or missing, and those of an
-    // incarnation that was not accepted do not count.
-    if (report.worker?.answers !== true || change.worker?.report !== report.worker) {
+    // The lists of an incarnation that was not accepted do not count.
+    if (report.worker === undefined || change.worker?.report !== report.worker) {
       return;
     }
     const { lastHandledEnd } = change.worker;
     this._reconcile({ agent, report: report.worker, lastHandledEnd, now });
     state.workerTable.recordHandledEnds(agent, report.worker.ended.at(-1)?.number ?? 0);
-    paceController.handleReport(agent, report.worker, now);
+    if (report.worker.answers) {
+      paceController.handleReport(agent, report.worker, now);
+    }
   }
 
   private _reconcile(input: ReportInput): void {
+    this._createReconciler(input.agent, input.report.worker).reconcile(input);
+  }
+
+  private _handleFormerEnds(agent: string, { worker, ended }: FormerEnds): void {
+    const { log } = this._deps;
+    log.info("Agent reported ended runs of a former incarnation.", {
+      ...{ agent, worker, ends: ended.length },
+    });
+    this._createReconciler(agent, worker).handleEnds(worker, ended);
+  }
+
+  private _createReconciler(agent: string, worker: string): ReportReconciler {
     const { state, updater, runController } = this._deps;
-    const { agent, report } = input;
-    const ackTracker = this._getAckTracker(report);
-    const reconciler = new ReportReconciler(state.activeRuns, {
+    const ackTracker = this._getAckTracker(worker);
+    return new ReportReconciler(state.activeRuns, {
       getTask: (id) => state.getTask(id),
       onRunEnded: (taskRun, ended) => {
         ackTracker.addEnd(ended.number);
@@ -126,13 +144,12 @@
         updater.handleLostRun(taskRun, reason);
       },
       onUnknownRun: ({ task, run }) => {
-        runController.stopUnknownRun(agent, report.worker, { task, run });
+        runController.stopUnknownRun(agent, worker, { task, run });
       },
     });
-    reconciler.reconcile(input);
   }
 
-  private _getAckTracker({ worker }: WorkerReport): AckTracker {
+  private _getAckTracker(worker: string): AckTracker {
     const ackTracker = this._ackTrackers.get(worker) ?? new AckTracker();
     this._ackTrackers.set(worker, ackTracker);
     return ackTracker;
--- /dev/null
+++ b/src/coordination/pool/ListedEnds.ts
@@ -0,0 +1,123 @@
+/**
+ * Ended runs that the incarnations of an agent's worker have listed and that are not acknowledged.
+ * An end that was read remains true, although later lists are missing or the worker was replaced.
+ */
+import type { Clock } from "../../protocol/platform/Clock.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
+import type {
+  EndedRun,
+  WorkerAnnouncement,
+  WorkerRuns,
+} from "../../protocol/platform/PoolWorker.ts";
+import type { FormerEnds } from "./AgentChannel.ts";
+import { FormerEndTable } from "./FormerEndTable.ts";
+import { formatIncarnation } from "./incarnations.ts";
+import { UnacknowledgedEnds } from "./UnacknowledgedEnds.ts";
+
+/** Dependencies of ListedEnds. */
+export interface ListedEndsDependencies {
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Gets the version of the agent's report that includes the next change. */
+  readonly getNextVersion: () => number;
+}
+
+/** Ended runs that one agent has read. */
+export class ListedEnds {
+  private readonly _deps: ListedEndsDependencies;
+  private readonly _formerEnds = new FormerEndTable();
+  private _present = new UnacknowledgedEnds();
+  private _announced: WorkerAnnouncement | undefined;
+
+  /**
+   * Creates a table without ends.
+   * @param deps - Dependencies.
+   */
+  constructor(deps: ListedEndsDependencies) {
+    this._deps = deps;
+  }
+
+  /** Number up to which the ends of the present incarnation are acknowledged. */
+  get ackedEnd(): number {
+    return this._present.ackedEnd;
+  }
+
+  /** Ends of the present incarnation, in the order of their numbers. */
+  get ends(): readonly EndedRun[] {
+    return this._present.ends;
+  }
+
+  /**
+   * Handles the announcement of the next incarnation. The ends of the one before are kept, whose
+   * runs would count as lost without them.
+   * @param announcement - The announcement.
+   */
+  replaceWorker(announcement: WorkerAnnouncement): void {
+    if (this._announced !== undefined) {
+      this._addFormerEnds({ worker: getIncarnation(this._announced), ended: this._present.ends });
+    }
+    this._announced = announcement;
+    this._present = new UnacknowledgedEnds();
+  }
+
+  /**
+   * Acknowledges the ends of the present incarnation up to a number. Returns whether they were not
+   * acknowledged before.
+   * @param ackedEnd - The number.
+   */
+  acknowledge(ackedEnd: number): boolean {
+    return this._present.acknowledge(ackedEnd);
+  }
+
+  /**
+   * Adds the ends of a response; the next incarnation may have announced itself since the call.
+   * Returns whether one of them was not known.
+   * @param called - The incarnation that was called.
+   * @param lists - The response.
+   */
+  add(called: WorkerAnnouncement, { startedAtMs, ended }: WorkerRuns): boolean {
+    if (startedAtMs !== undefined && startedAtMs !== called.startedAtMs) {
+      return false;
+    }
+    const worker = getIncarnation(called);
+    if (this._announced !== undefined && worker === getIncarnation(this._announced)) {
+      return this._present.add(ended);
+    }
+    // Without its start, the response may be from a later incarnation with the same id.
+    const isCertain = startedAtMs !== undefined || this._announced?.id !== called.id;
+    return isCertain && this._addFormerEnds({ worker, ended });
+  }
+
+  /**
+   * Returns the ends of former incarnations that a version of the agent's report did not include.
+   * @param knownVersion - The version; 0 returns all ends.
+   */
+  getFormerEnds(knownVersion: number): readonly FormerEnds[] {
+    return this._formerEnds.getLaterThan(knownVersion, this._deps.clock.now());
+  }
+
+  private _addFormerEnds(former: FormerEnds): boolean {
+    const { clock, log, getNextVersion } = this._deps;
+    const { worker, ended } = former;
+    if (ended.length === 0) {
+      return false;
+    }
+    log.info(
+      "Ended runs of a former incarnation are not acknowledged; schedulers are told of them.",
+      {
+        ...{ worker, ends: ended.length },
+      },
+    );
+    const droppedCount = this._formerEnds.add(former, getNextVersion(), clock.now());
+    if (droppedCount > 0) {
+      log.warn("Ended runs of former incarnations were dropped; their tasks may run again.", {
+        ends: droppedCount,
+      });
+    }
+    return true;
+  }
+}
+
+function getIncarnation({ id, startedAtMs }: WorkerAnnouncement): string {
+  return formatIncarnation(id, startedAtMs);
+}
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -11,7 +11,6 @@
   RunCall,
   WorkerAnnouncement,
   WorkerCallFailure,
-  WorkerRuns,
 } from "../../protocol/platform/PoolWorker.ts";
 import type {
   AgentOutcome,
@@ -22,11 +21,12 @@
   RunOrder,
   StartOrder,
   RunResult,
-  WorkerReport,
 } from "./AgentChannel.ts";
 import { formatIncarnation } from "./incarnations.ts";
+import { ListedEnds } from "./ListedEnds.ts";
 import { Signal } from "./Signal.ts";
 import { describeRuns, isNewer } from "./workerChanges.ts";
+import { createWorkerReport, type NumberedLists } from "./workerReport.ts";
 
 /** Wait time of a call for lists until a scheduler has specified one, in milliseconds. */
 const DEFAULT_LIST_WAIT_MS = 400;
@@ -54,11 +54,6 @@
   readonly process: string;
 }
 
-/** Lists of runs with the number of the call that returned them. */
-interface NumberedLists extends WorkerRuns {
-  readonly callNumber: number;
-}
-
 /** Agent of one pool worker. */
 export class PoolWorkerAgent {
   private readonly _deps: PoolWorkerAgentDependencies;
@@ -79,7 +74,7 @@
    */
   private _responds = false;
   private _leaseUntilMs: number | undefined;
-  private _ackedEnd = 0;
+  private readonly _ends: ListedEnds;
   private _listWaitMs = DEFAULT_LIST_WAIT_MS;
   private _callNumber = 0;
   private _version = 1;
@@ -95,6 +90,8 @@
    */
   constructor(deps: PoolWorkerAgentDependencies) {
     this._deps = deps;
+    const { clock, log } = deps;
+    this._ends = new ListedEnds({ clock, log, getNextVersion: () => this._version + 1 });
     this._reportChanged = new Signal(deps.clock);
     this._listDue = new Signal(deps.clock);
   }
@@ -129,6 +126,7 @@
     this._announced = announcement;
     this._announcedAt = this._deps.clock.now();
     if (!isSame) {
+      this._ends.replaceWorker(announcement);
       this._resetIncarnation();
     }
     if (!isSame || known.draining !== announcement.draining) {
@@ -153,12 +151,14 @@
       this._acknowledge(call.ackedEnd);
     }
     this._listWaitMs = call.waitMs;
-    if (call.knownVersion === this._version) {
+    // An entry of a former version does not name the process whose report it knows.
+    const isKnownProcess = ["", this._deps.process].includes(call.knownProcess);
+    if (isKnownProcess && call.knownVersion === this._version) {
       await this._reportChanged.wait(call.waitMs);
     }
     return this._epoch > call.epoch || this._isFenced
       ? { kind: "deposed" }
-      : { kind: "answered", value: this._createReport() };
+      : { kind: "answered", value: this._createReport(call) };
   }
 
   /**
@@ -245,7 +245,6 @@
     this._listedAt = undefined;
     this._responds = false;
     this._leaseUntilMs = undefined;
-    this._ackedEnd = 0;
   }
 
   private _extendLease(leaseUntilMs: number | undefined): void {
@@ -255,8 +254,7 @@
   }
 
   private _acknowledge(ackedEnd: number): void {
-    if (ackedEnd > this._ackedEnd) {
-      this._ackedEnd = ackedEnd;
+    if (this._ends.acknowledge(ackedEnd)) {
       this._listDue.raise();
     }
   }
@@ -266,7 +264,9 @@
       if (this._announced === undefined || this._epoch === 0) {
         await this._listDue.wait();
       } else if (await this._fetchLists(this._listWaitMs)) {
-        const hasUnackedEnds = this._lists?.ended.some(({ number }) => number > this._ackedEnd);
+        const hasUnackedEnds = this._lists?.ended.some(
+          ({ number }) => number > this._ends.ackedEnd,
+        );
         await (hasUnackedEnds === true ? this._listDue.wait(ACK_POLL_INTERVAL_MS) : undefined);
       } else {
         await this._listDue.wait(RETRY_MS);
@@ -287,10 +287,15 @@
       worker: worker.id,
       fencingToken: epoch,
       leaseUntilMs: this._responds ? this._leaseUntilMs : undefined,
-      ackedEnd: this._ackedEnd,
+      ackedEnd: this._ends.ackedEnd,
       waitMs: this._responds ? waitMs : 0,
     });
-    const isCurrent = this._epoch === epoch && this._announced?.startedAtMs === worker.startedAtMs;
+    if (result.isOk() && this._ends.add(worker, result.value)) {
+      this._publishChange();
+    }
+    const isCurrent =
+      this._epoch === epoch &&
+      this.incarnation === formatIncarnation(worker.id, worker.startedAtMs);
     if (!isCurrent || this._isStopped) {
       return result.isOk();
     }
@@ -335,42 +340,21 @@
     }
   }
 
-  private _createReport(): AgentReport {
-    return { process: this._deps.process, version: this._version, worker: this._createWorker() };
-  }
-
-  private _createWorker(): WorkerReport | undefined {
+  private _createReport({ knownProcess, knownVersion }: ObserveCall): AgentReport {
+    const { process, clock } = this._deps;
     const announced = this._announced;
-    if (announced === undefined) {
-      return undefined;
-    }
-    const { pool, zone, rack, draining, capacity, labels } = announced;
+    const known = {
+      ...{ announcedAt: this._announcedAt, lists: this._lists, listedAt: this._listedAt },
+      ...{ responds: this._responds, ended: this._ends.ends },
+    };
     return {
-      worker: this.incarnation ?? "",
-      pool,
-      zone,
-      rack,
-      draining,
-      drainRemainingMs: this._getDrainRemainingMs(announced),
-      capacity,
-      labels,
-      clockMs: this._lists?.clockMs ?? 0,
-      readingAgeMs: this._getReadingAgeMs(),
-      callNumber: this._lists?.callNumber ?? 0,
-      answers: this._responds && this._lists !== undefined,
-      running: this._lists?.running ?? [],
-      ended: this._lists?.ended ?? [],
+      process,
+      version: this._version,
+      worker: announced && createWorkerReport({ ...known, announced }, clock.now()),
+      formerEnds: this._ends.getFormerEnds(knownProcess === process ? knownVersion : 0),
     };
   }
 
-  private _getReadingAgeMs(): number {
-    return this._listedAt === undefined ? 0 : this._deps.clock.now() - this._listedAt;
-  }
-
-  private _getDrainRemainingMs({ drainRemainingMs = 0 }: WorkerAnnouncement): number {
-    return Math.max(0, drainRemainingMs - (this._deps.clock.now() - this._announcedAt));
-  }
-
   private _publishChange(): void {
     this._version += 1;
     this._reportChanged.raise();
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -61,24 +61,38 @@
   }
 
   /**
-   * Handles a report.
+   * Handles a report. If the worker does not respond, its lists are out of date or missing, but the
+   * ends that it has listed remain true.
    * @param input - The report.
    */
   reconcile(input: ReportInput): void {
-    const { report } = input;
-    report.ended
-      .filter((ended) => ended.number > input.lastHandledEnd)
-      .forEach((ended) => {
-        this._handleEnd(input, ended);
-      });
+    const { report, lastHandledEnd } = input;
+    this.handleEnds(
+      report.worker,
+      report.ended.filter(({ number }) => number > lastHandledEnd),
+    );
+    if (!report.answers) {
+      return;
+    }
     report.running.forEach((running) => {
       this._handleRunning(input, running);
     });
     this._reportMissing(input);
   }
 
-  private _handleEnd(input: ReportInput, ended: EndedRun): void {
-    const taskRun = this._findActiveRun(input, ended.task, ended.run);
+  /**
+   * Handles ends that an incarnation has listed.
+   * @param worker - The incarnation.
+   * @param ended - The ends.
+   */
+  handleEnds(worker: string, ended: readonly EndedRun[]): void {
+    ended.forEach((end) => {
+      this._handleEnd(worker, end);
+    });
+  }
+
+  private _handleEnd(worker: string, ended: EndedRun): void {
+    const taskRun = this._findActiveRun(worker, ended.task, ended.run);
     if (taskRun === undefined) {
       this._callbacks.onUnknownRunEnded(ended);
     } else {
@@ -87,8 +101,8 @@
   }
 
   private _handleRunning(input: ReportInput, running: RunningRun): void {
-    const { now } = input;
-    const taskRun = this._findActiveRun(input, running.task, running.run);
+    const { now, report } = input;
+    const taskRun = this._findActiveRun(report.worker, running.task, running.run);
     if (taskRun === undefined) {
       this._callbacks.onUnknownRun(running);
       return;
@@ -122,12 +136,10 @@
       });
   }
 
-  private _findActiveRun(input: ReportInput, id: string, run: number): ActiveTaskRun | undefined {
+  private _findActiveRun(worker: string, id: string, run: number): ActiveTaskRun | undefined {
     const task = parseTaskId(id) === undefined ? undefined : this._callbacks.getTask(id);
     const active = task?.getRun(run);
-    return task !== undefined && active?.worker === input.report.worker
-      ? { task, active }
-      : undefined;
+    return task !== undefined && active?.worker === worker ? { task, active } : undefined;
   }
 }
 
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -4,6 +4,7 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import type {
   AgentReport,
+  FormerEnds,
   ObserveCall,
   OrderCall,
   OrderReport,
@@ -19,35 +20,44 @@
   type ObserveRequest,
   type OrderReply,
   type OrderRequest,
+  type PoolEndedRun,
+  type PoolFormerEnds,
   type PoolRunResult,
   type PoolWorkerState,
   type PoolWorkerStateSchema,
 } from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
-import type { RunOutcome, WorkerCallFailure } from "../../protocol/platform/PoolWorker.ts";
+import type {
+  EndedRun,
+  RunOutcome,
+  WorkerCallFailure,
+} from "../../protocol/platform/PoolWorker.ts";
 
 /** Writes an observe call into its request. */
 export function writeObserveRequest(call: ObserveCall): ObserveRequest {
-  const { leaseUntilMs, epoch, ...others } = call;
+  const { leaseUntilMs, epoch, knownProcess, ...others } = call;
   return create(ObserveRequestSchema, {
     ...others,
     epoch: BigInt(epoch),
+    knownAgentIncarnation: knownProcess,
     leaseUntilMs: leaseUntilMs ?? 0,
   });
 }
 
 /** Reads an observe call from its request. */
 export function readObserveRequest(req: ObserveRequest): ObserveCall {
-  const { worker, ackedEnd, knownVersion, waitMs } = req;
+  const { worker, ackedEnd, knownVersion, knownAgentIncarnation: knownProcess, waitMs } = req;
   const leaseUntilMs = req.leaseUntilMs > 0 ? req.leaseUntilMs : undefined;
-  return { epoch: Number(req.epoch), worker, leaseUntilMs, ackedEnd, knownVersion, waitMs };
+  const known = { knownVersion, knownProcess };
+  return { epoch: Number(req.epoch), worker, leaseUntilMs, ackedEnd, ...known, waitMs };
 }
 
 /** Writes the report of an agent into the reply to an observe call. */
 export function writeObserveReply(report: AgentReport): ObserveReply {
-  const { worker, version, process: agentIncarnation } = report;
+  const { worker, version, process: agentIncarnation, formerEnds } = report;
   return create(ObserveReplySchema, {
     agentIncarnation,
     version,
+    formerEnds: formerEnds.map((former) => ({ worker: former.worker, ended: [...former.ended] })),
     ...(worker === undefined ? {} : { worker: writeWorker(worker) }),
   });
 }
@@ -55,7 +65,12 @@
 /** Reads the report of an agent from the reply to an observe call. */
 export function readObserveReply(reply: ObserveReply): AgentReport {
   const { agentIncarnation, version, worker } = reply;
-  return { process: agentIncarnation, version, worker: worker && readWorker(worker) };
+  return {
+    process: agentIncarnation,
+    version,
+    worker: worker && readWorker(worker),
+    formerEnds: reply.formerEnds.map(readFormerEnds),
+  };
 }
 
 /** Writes an order call into its request. */
@@ -146,6 +161,14 @@
       memoryBytes: Number(state.memoryBytes),
       accelerators: state.accelerators,
     },
-    ended: state.ended.map((ended) => ({ ...ended, outcome: ended.outcome as RunOutcome })),
+    ended: state.ended.map(readEnded),
   };
 }
+
+function readFormerEnds({ worker, ended }: PoolFormerEnds): FormerEnds {
+  return { worker, ended: ended.map(readEnded) };
+}
+
+function readEnded(ended: PoolEndedRun): EndedRun {
+  return { ...ended, outcome: ended.outcome as RunOutcome };
+}
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -30,6 +30,7 @@
   type JournalRun,
   type TaskRequirements,
 } from "../../../standins/pool/PoolWorkerModel.ts";
+import { PoolWorkerAddress } from "../../../standins/pool/PoolWorkerAddress.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
@@ -81,6 +82,8 @@
   readonly name: string;
   workerAgent: PoolWorkerAgent;
   worker: PoolWorkerModel;
+  /** Where its agent calls its worker. */
+  readonly address: PoolWorkerAddress;
   isDisconnected: boolean;
 }
 
@@ -175,10 +178,10 @@
    */
   async addAgent(name: string, processorsMilli = 4_000): Promise<SimulatedAgent> {
     const worker = this._createWorker(name, processorsMilli);
+    const address = new PoolWorkerAddress(worker);
     const agent = {
-      name,
-      worker,
-      workerAgent: this._createWorkerAgent(worker),
+      ...{ name, worker, address },
+      workerAgent: this._createWorkerAgent(address),
       isDisconnected: false,
     };
     this.agents.push(agent);
@@ -193,20 +196,30 @@
    */
   async restartAgent(agent: SimulatedAgent): Promise<void> {
     agent.workerAgent.stop();
-    agent.workerAgent = this._createWorkerAgent(agent.worker);
+    agent.workerAgent = this._createWorkerAgent(agent.address);
     await this._register(agent.name);
   }
 
   /**
-   * Replaces a worker by a new incarnation with the same id.
-   * @param agent - Its agent.
+   * Replaces a worker and the process of its agent; the new incarnation has the same id.
+   * @param agent - The agent.
    */
   async crashWorker(agent: SimulatedAgent): Promise<void> {
-    agent.worker.crash();
-    agent.worker = this._createWorker(agent.name, 4_000);
+    this.replaceWorker(agent);
     await this.restartAgent(agent);
   }
 
+  /**
+   * Replaces a worker by a new incarnation, which announces itself later; its agent continues.
+   * @param agent - The agent.
+   * @param id - Id of the new incarnation; the same by default.
+   */
+  replaceWorker(agent: SimulatedAgent, id = agent.name): void {
+    agent.worker.crash();
+    agent.worker = this._createWorker(id, 4_000);
+    agent.address.worker = agent.worker;
+  }
+
   /**
    * Submits a job.
    * @param entry - Entry to which the job is submitted.
@@ -282,7 +295,7 @@
     );
   }
 
-  private _createWorkerAgent(worker: PoolWorkerModel): PoolWorkerAgent {
+  private _createWorkerAgent(worker: PoolWorkerAddress): PoolWorkerAgent {
     this._processCount += 1;
     const { clock, log } = this;
     const process = `agent-${this._processCount}`;
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -38,7 +38,9 @@
   orderCallNumber = FORMER_CALL;
   orderCount = 0;
   private readonly _clock: ManualClock;
-  private _report: AgentReport = { process: "a", version: 1, worker: createWorkerReport() };
+  private _report: AgentReport = {
+    ...{ process: "a", version: 1, worker: createWorkerReport(), formerEnds: [] },
+  };
 
   constructor(clock: ManualClock) {
     super();
@@ -51,7 +53,7 @@
    * @param worker - The worker; undefined if none has announced itself.
    */
   setReport(process: string, worker: WorkerReport | undefined): void {
-    this._report = { process, version: this._report.version + 1, worker };
+    this._report = { process, version: this._report.version + 1, worker, formerEnds: [] };
   }
 
   override async observe(_: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -3,8 +3,9 @@
  * have been replaced by another incarnation, in virtual time.
  */
 import test from "ava";
-import type { WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
+import type { AgentReport, WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
+import type { EndedRun } from "../../../src/protocol/platform/PoolWorker.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
@@ -15,9 +16,11 @@
 const SILENCE_MS = 4_000;
 /** Longer than the time between two readings, in milliseconds. */
 const READING_MS = 1_500;
+/** What a scheduler says that has received no report. */
+const NOTHING_KNOWN = { knownVersion: 0, knownProcess: "" };
 
 async function observe(agent: SimulatedAgent, epoch: number): Promise<WorkerReport | undefined> {
-  const call = { epoch, worker: "", leaseUntilMs: undefined, ackedEnd: 0, knownVersion: 0 };
+  const call = { epoch, worker: "", leaseUntilMs: undefined, ackedEnd: 0, ...NOTHING_KNOWN };
   const outcome = await agent.workerAgent.observe({ ...call, waitMs: 0 });
   return outcome.kind === "answered" ? outcome.value.worker : undefined;
 }
@@ -60,6 +63,16 @@
 });
 
 const LEASE_UNTIL_MS = 6_000;
+/** Time that a call of the silent worker takes, in milliseconds. */
+const CALL_MS = 100;
+
+function announce(agent: PoolWorkerAgent, startedAtMs: number): void {
+  agent.handleAnnouncement({
+    ...{ id: "i-1", startedAtMs, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
+    ...{ draining: false, drainRemainingMs: undefined, labels: [] },
+    capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
+  });
+}
 
 /** Creates an agent of a worker without a response, whose scheduler has granted a lease. */
 async function createSilentWorker() {
@@ -67,13 +80,9 @@
   const worker = new SilentWorker(clock);
   const agent = new PoolWorkerAgent({ worker, clock, log: new MemoryLog(), process: "p-1" });
   agent.start();
-  agent.handleAnnouncement({
-    ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-    ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-    capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-  });
+  announce(agent, 1);
   const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, ackedEnd: 0 };
-  await agent.observe({ ...call, knownVersion: 0, waitMs: 0 });
+  await agent.observe({ ...call, ...NOTHING_KNOWN, waitMs: 0 });
   await clock.advance(READING_MS);
   return { clock, worker, agent };
 }
@@ -109,3 +118,109 @@
   t.is(worker.starts.length, 1);
   agent.stop();
 });
+
+function createEnd(number: number): EndedRun {
+  return { number, task: `task-${number}`, run: 1, outcome: "done", checkpoint: "" };
+}
+
+/** Lists of the first incarnation with ends of the given numbers. */
+function createLists(numbers: readonly number[], startedAtMs: number | undefined = 1) {
+  return { clockMs: 0, startedAtMs, running: [], ended: numbers.map(createEnd) };
+}
+
+/** Returns the report to a scheduler of an epoch that knows another one. */
+async function getReport(
+  agent: PoolWorkerAgent,
+  epoch: number,
+  known: { readonly knownVersion: number; readonly knownProcess: string } = NOTHING_KNOWN,
+): Promise<AgentReport | undefined> {
+  const { knownVersion, knownProcess } = known;
+  const call = { epoch, worker: "", leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 };
+  const outcome = await agent.observe({ ...call, knownVersion, knownProcess });
+  return outcome.kind === "answered" ? outcome.value : undefined;
+}
+
+// Guards against tasks that start again although they are done: the ends of the former incarnation
+// would be known to nobody once the next one has announced itself.
+test("PoolWorkerAgent reports unacknowledged ends of a former incarnation to each scheduler once", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1, 2, 3]);
+  await clock.advance(READING_MS);
+  const acked = { epoch: 1, worker: "i-1@1", leaseUntilMs: undefined, ackedEnd: 1 };
+  await agent.observe({ ...acked, ...NOTHING_KNOWN, waitMs: 0 });
+  announce(agent, 2);
+  const formerEnds = [{ worker: "i-1@1", ended: [createEnd(2), createEnd(3)] }];
+  const first = await getReport(agent, 1);
+  t.deepEqual(first?.formerEnds, formerEnds);
+  const known = { knownVersion: first?.version ?? 0, knownProcess: "p-1" };
+  const repeated = getReport(agent, 1, known);
+  await clock.advance(1);
+  t.deepEqual((await repeated)?.formerEnds, []);
+  const ofFormerProcess = { ...known, knownProcess: "p-0" };
+  t.deepEqual((await getReport(agent, 1, ofFormerProcess))?.formerEnds, formerEnds);
+  t.deepEqual((await getReport(agent, 2))?.formerEnds, formerEnds);
+  agent.stop();
+});
+
+// Guards against the same for ends that arrive when the next incarnation has announced itself.
+test("PoolWorkerAgent reports ends of a response that arrives after the next incarnation", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1]);
+  await clock.advance(CALL_MS + 1);
+  announce(agent, 2);
+  worker.lists = createLists([], 2);
+  const known = { knownVersion: (await getReport(agent, 1))?.version ?? 0, knownProcess: "p-1" };
+  await clock.advance(READING_MS);
+  const ended = [createEnd(1)];
+  t.deepEqual((await getReport(agent, 1, known))?.formerEnds, [{ worker: "i-1@1", ended }]);
+  agent.stop();
+});
+
+// Guards against ends of one incarnation that are taken for those of another.
+test("PoolWorkerAgent ignores ends of a late response that does not name its incarnation", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = { ...createLists([1]), startedAtMs: undefined };
+  await clock.advance(CALL_MS + 1);
+  announce(agent, 2);
+  worker.lists = createLists([], 2);
+  await clock.advance(READING_MS);
+  t.deepEqual((await getReport(agent, 1))?.formerEnds, []);
+  agent.stop();
+});
+
+// Guards against tasks that start again although they are done, where the worker left before a
+// scheduler of a later epoch called.
+test("PoolWorkerAgent reports the ends that a worker listed while it does not respond", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1, 2]);
+  await clock.advance(READING_MS);
+  worker.isSilent = true;
+  await clock.advance(READING_MS);
+  const report = (await getReport(agent, 2))?.worker;
+  t.is(report?.answers, false);
+  t.deepEqual(report?.ended, [createEnd(1), createEnd(2)]);
+  agent.stop();
+});
+
+// Guards against an agent whose memory and reports grow with every worker that it replaces.
+test("PoolWorkerAgent drops the oldest ends of former incarnations beyond their maximum", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  const numbers = Array.from({ length: 300 }, (_, position) => position + 1);
+  worker.lists = createLists(numbers);
+  await clock.advance(READING_MS);
+  announce(agent, 2);
+  worker.lists = createLists(numbers, 2);
+  await clock.advance(READING_MS);
+  announce(agent, 3);
+  const formerEnds = (await getReport(agent, 1))?.formerEnds ?? [];
+  t.deepEqual(
+    formerEnds.map(({ worker: incarnation, ended }) => [incarnation, ended.at(0)?.number]),
+    [
+      ["i-1@1", 101],
+      ["i-1@2", 1],
+    ],
+  );
+  await clock.advance(600_001);
+  t.deepEqual((await getReport(agent, 1))?.formerEnds, []);
+  agent.stop();
+});
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -68,7 +68,11 @@
   const record = { address: AGENT, zone: "zone-a", pool: POOL, process: "p-1" };
   state.workerTable.setAgent(AGENT, record);
   const worker = createWorkerReport();
-  state.workerTable.applyReport(AGENT, { process: "p-1", version: 1, worker }, clock.now());
+  state.workerTable.applyReport(
+    AGENT,
+    { process: "p-1", version: 1, worker, formerEnds: [] },
+    clock.now(),
+  );
   const job = new JobState(JOB, createJobRecord(), undefined, clock.now());
   state.addJob(job);
   const ignore = (): void => undefined;
--- a/tests/coordination/pool/workerTableTests.ts
+++ b/tests/coordination/pool/workerTableTests.ts
@@ -22,7 +22,7 @@
   const table = new WorkerTable(POOL, TIMINGS);
   table.setAgent(AGENT, { address: AGENT, zone: "zone-a", pool: POOL, process: "p-1" });
   const worker = createWorkerReport({ answers: false, clockMs: 0, ...overrides });
-  table.applyReport(AGENT, { process: "p-1", version: 1, worker }, NOW);
+  table.applyReport(AGENT, { process: "p-1", version: 1, worker, formerEnds: [] }, NOW);
   table.grantLease(AGENT);
   return table.getWorker(AGENT);
 }
@@ -47,7 +47,7 @@
   const apply = (worker: string, at: number) =>
     table.applyReport(
       AGENT,
-      { process: "p-1", version: 1, worker: createWorkerReport({ worker }) },
+      { process: "p-1", version: 1, worker: createWorkerReport({ worker }), formerEnds: [] },
       at,
     );
   apply("i-1@2", NOW);
--- a/tests/support/SilentWorker.ts
+++ b/tests/support/SilentWorker.ts
@@ -16,11 +16,13 @@
 /** Time after which a call of the lists ends without a change, in milliseconds. */
 const CALL_MS = 100;
 
-/** Worker without runs. */
+/** Worker whose lists the test sets; without runs at first. */
 export class SilentWorker extends PoolWorker {
   readonly syncs: SyncCall[] = [];
   readonly starts: StartCall[] = [];
   isSilent = false;
+  /** Lists that the worker returns. */
+  lists: WorkerRuns = { clockMs: 0, startedAtMs: undefined, running: [], ended: [] };
   private readonly _clock: Clock;
 
   /**
@@ -34,7 +36,7 @@
 
   override sync(call: SyncCall): ResultAsync<WorkerRuns, WorkerCallFailure> {
     this.syncs.push(call);
-    const lists = { clockMs: 0, startedAtMs: undefined, running: [], ended: [] };
+    const { lists } = this;
     return okAsync(undefined)
       .map(() => this._clock.sleep(CALL_MS))
       .andThen(() => (this.isSilent ? errAsync(NO_RESPONSE) : okAsync(lists)));
--- /dev/null
+++ b/tests/transport/pool/agentMessagesTests.ts
@@ -0,0 +1,30 @@
+/**
+ * Tests of the messages between schedulers and agents.
+ */
+import test from "ava";
+import type { AgentReport, ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
+import {
+  readObserveReply,
+  readObserveRequest,
+  writeObserveReply,
+  writeObserveRequest,
+} from "../../../src/transport/pool/agentMessages.ts";
+import { createWorkerReport } from "../../support/poolFixtures.ts";
+
+// Guards against ends of former incarnations, and the process that sent them, that get lost on the
+// way, so that tasks start again although they are done.
+test("agentMessages carry the ends of former incarnations and the process of the known report", (t) => {
+  const end = { number: 7, task: "task", run: 2, outcome: "done", checkpoint: "c" } as const;
+  const report: AgentReport = {
+    ...{ process: "p-1", version: 3, worker: undefined },
+    formerEnds: [{ worker: "i-1@1", ended: [end] }],
+  };
+  t.like(readObserveReply(writeObserveReply(report)), report);
+  const withWorker = { ...report, worker: createWorkerReport({ ended: [end] }) };
+  t.like(readObserveReply(writeObserveReply(withWorker)), withWorker);
+  const call: ObserveCall = {
+    ...{ epoch: 1, worker: "i-1@2", leaseUntilMs: undefined, ackedEnd: 4 },
+    ...{ knownVersion: 3, knownProcess: "p-1", waitMs: 400 },
+  };
+  t.deepEqual(readObserveRequest(writeObserveRequest(call)), call);
+});
