Acknowledge no ends to a worker that has not responded since a failed call

What callers would see: a task that is done starts again, since its end is in no list. Seen in tests only.

Cause: after a call that failed the agent withheld leases and starts, as the next incarnation may be there under the same id, but it still sent the number of the last recorded end. The next incarnation numbers its ends from 1 and forgets those up to that number, which nobody has read. Class: what is meant for one incarnation reaches the next one.

Until the worker has responded the agent now acknowledges nothing; this holds for acknowledgements that a scheduler sends meanwhile for the incarnation.

Failed before (tests of this commit on its parent): ackedEnd was 2 instead of 0 in the first call after one without a response, and five calls with ackedEnd 2 went to the incarnation that had not announced itself. Now both pass.

--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -69,8 +69,8 @@
   private _isFenced = false;
   /**
    * Whether the worker has responded to the last call for its lists. After a call that failed, the
-   * next incarnation may be at its address, although it has not announced itself: it must get neither
-   * a lease nor a start that was meant for the one before.
+   * next incarnation may be at its address, although it has not announced itself: it must get no
+   * lease, start or acknowledgement that was meant for the one before.
    */
   private _responds = false;
   private _leaseUntilMs: number | undefined;
@@ -287,7 +287,7 @@
       worker: worker.id,
       fencingToken: epoch,
       leaseUntilMs: this._responds ? this._leaseUntilMs : undefined,
-      ackedEnd: this._ends.ackedEnd,
+      ackedEnd: this._responds ? this._ends.ackedEnd : 0,
       waitMs: this._responds ? waitMs : 0,
     });
     if (result.isOk() && this._ends.add(worker, result.value)) {
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -224,3 +224,56 @@
   t.deepEqual((await getReport(agent, 1))?.formerEnds, []);
   agent.stop();
 });
+
+/** Acknowledges ends of the first incarnation for a scheduler. */
+async function acknowledge(agent: PoolWorkerAgent, ackedEnd: number): Promise<void> {
+  const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: undefined, ackedEnd, waitMs: 0 };
+  await agent.observe({ ...call, ...NOTHING_KNOWN });
+}
+
+// Guards against tasks that start again although they are done: the next incarnation numbers its
+// ends from 1 and would forget those up to the number that was meant for the one before.
+test("PoolWorkerAgent acknowledges no end after a call without a response until the worker responds", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1, 2, 3]);
+  await clock.advance(READING_MS);
+  await acknowledge(agent, 2);
+  await clock.advance(READING_MS);
+  t.is(worker.syncs.at(-1)?.ackedEnd, 2);
+  worker.isSilent = true;
+  await clock.advance(READING_MS);
+  t.is(worker.syncs.at(-1)?.ackedEnd, 0);
+  // An acknowledgement that arrives meanwhile is meant for the same incarnation.
+  await acknowledge(agent, 3);
+  await clock.advance(READING_MS);
+  t.is(worker.syncs.at(-1)?.ackedEnd, 0);
+  worker.lists = createLists([3]);
+  worker.isSilent = false;
+  await clock.advance(READING_MS);
+  t.is(worker.syncs.at(-1)?.ackedEnd, 3);
+  agent.stop();
+});
+
+// Guards against the same where the next incarnation responds before it announces itself.
+test("PoolWorkerAgent acknowledges no end to an incarnation that has not announced itself", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1, 2]);
+  await clock.advance(READING_MS);
+  await acknowledge(agent, 2);
+  await clock.advance(READING_MS);
+  worker.isSilent = true;
+  await clock.advance(READING_MS);
+  worker.lists = createLists([1], 2);
+  await clock.advance(READING_MS);
+  const position = worker.syncs.length;
+  worker.isSilent = false;
+  await clock.advance(READING_MS);
+  announce(agent, 2);
+  await clock.advance(READING_MS);
+  t.deepEqual(
+    worker.syncs.slice(position).filter(({ ackedEnd }) => ackedEnd > 0),
+    [],
+  );
+  t.deepEqual((await getReport(agent, 1))?.worker?.ended, [createEnd(1)]);
+  agent.stop();
+});
