Warn of a gap in the numbers of the ends that a worker lists

A call for lists that a worker carries out late can still acknowledge ends of its next incarnation. Nothing showed it: the ends are in no list, and their runs count as lost.

The agent warns once for each incarnation if the first listed number is beyond the last acknowledged one plus one. For the first incarnation that a process of the agent meets, the numbers count from the first list, since the process before may have acknowledged ends.

--- a/src/coordination/pool/ListedEnds.ts
+++ b/src/coordination/pool/ListedEnds.ts
@@ -26,7 +26,7 @@
 export class ListedEnds {
   private readonly _deps: ListedEndsDependencies;
   private readonly _formerEnds = new FormerEndTable();
-  private _present = new UnacknowledgedEnds();
+  private _present = new UnacknowledgedEnds(false);
   private _announced: WorkerAnnouncement | undefined;
 
   /**
@@ -56,8 +56,8 @@
     if (this._announced !== undefined) {
       this._addFormerEnds({ worker: getIncarnation(this._announced), ended: this._present.ends });
     }
+    this._present = new UnacknowledgedEnds(this._announced !== undefined);
     this._announced = announcement;
-    this._present = new UnacknowledgedEnds();
   }
 
   /**
@@ -81,6 +81,7 @@
     }
     const worker = getIncarnation(called);
     if (this._announced !== undefined && worker === getIncarnation(this._announced)) {
+      this._warnOfGap(worker, ended);
       return this._present.add(ended);
     }
     // Without its start, the response may be from a later incarnation with the same id.
@@ -96,6 +97,16 @@
     return this._formerEnds.getLaterThan(knownVersion, this._deps.clock.now());
   }
 
+  private _warnOfGap(worker: string, ended: readonly EndedRun[]): void {
+    const gap = this._present.findGap(ended);
+    if (gap !== undefined) {
+      this._deps.log.warn(
+        "Ends are missing in the list of a worker; it has forgotten ends that were not read.",
+        { worker, ...gap },
+      );
+    }
+  }
+
   private _addFormerEnds(former: FormerEnds): boolean {
     const { clock, log, getNextVersion } = this._deps;
     const { worker, ended } = former;
--- a/src/coordination/pool/UnacknowledgedEnds.ts
+++ b/src/coordination/pool/UnacknowledgedEnds.ts
@@ -4,10 +4,32 @@
  */
 import type { EndedRun } from "../../protocol/platform/PoolWorker.ts";
 
+/** Ends that are missing between those that were acknowledged and those that a worker lists. */
+export interface EndGap {
+  /** Number up to which the ends are acknowledged. */
+  readonly acked: number;
+  /** First number that the worker lists. */
+  readonly listed: number;
+}
+
 /** Ended runs of one incarnation. */
 export class UnacknowledgedEnds {
   private readonly _ends = new Map<number, EndedRun>();
   private _ackedEnd = 0;
+  /**
+   * Number up to which the worker may have forgotten ends before this process could acknowledge any;
+   * undefined until it lists one, if a former process of the agent may have acknowledged some.
+   */
+  private _formerAckedEnd: number | undefined;
+  private _hasGap = false;
+
+  /**
+   * Creates a table without ends.
+   * @param isFirstReader - Whether no other process of the agent can have acknowledged ends.
+   */
+  constructor(isFirstReader: boolean) {
+    this._formerAckedEnd = isFirstReader ? 0 : undefined;
+  }
 
   /** Number up to which the ends are acknowledged. */
   get ackedEnd(): number {
@@ -31,6 +53,23 @@
     return added.length > 0;
   }
 
+  /**
+   * Returns the gap before the first end of a list, the first time that there is one. The worker has
+   * then forgotten ends that nobody has read: a call that was meant for another incarnation, or is
+   * carried out late, has acknowledged them.
+   * @param ended - Ends as the worker listed them.
+   */
+  findGap(ended: readonly EndedRun[]): EndGap | undefined {
+    const listed = ended.at(0)?.number;
+    if (listed === undefined || this._hasGap) {
+      return undefined;
+    }
+    this._formerAckedEnd ??= listed - 1;
+    const acked = Math.max(this._ackedEnd, this._formerAckedEnd);
+    this._hasGap = listed > acked + 1;
+    return this._hasGap ? { acked, listed } : undefined;
+  }
+
   /**
    * Removes the ends up to a number. Returns whether they were not acknowledged before.
    * @param ackedEnd - The number.
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -78,13 +78,14 @@
 async function createSilentWorker() {
   const clock = new ManualClock();
   const worker = new SilentWorker(clock);
-  const agent = new PoolWorkerAgent({ worker, clock, log: new MemoryLog(), process: "p-1" });
+  const log = new MemoryLog();
+  const agent = new PoolWorkerAgent({ worker, clock, log, process: "p-1" });
   agent.start();
   announce(agent, 1);
   const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, ackedEnd: 0 };
   await agent.observe({ ...call, ...NOTHING_KNOWN, waitMs: 0 });
   await clock.advance(READING_MS);
-  return { clock, worker, agent };
+  return { clock, log, worker, agent };
 }
 
 // Guards against tasks that run twice: the lease of a worker that has ended would be taken over by
@@ -277,3 +278,43 @@
   t.deepEqual((await getReport(agent, 1))?.worker?.ended, [createEnd(1)]);
   agent.stop();
 });
+
+function getGapLines(log: MemoryLog): readonly unknown[] {
+  return log.lines
+    .filter(({ sentence }) => sentence.startsWith("Ends are missing"))
+    .map(({ level, fields }) => ({ level, ...fields }));
+}
+
+// Guards against ends that nobody has read and that are lost without a trace, since a call for the
+// incarnation before, carried out late, acknowledged them.
+test("PoolWorkerAgent warns once if the numbers of the listed ends have a gap", async (t) => {
+  const { clock, log, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1, 2]);
+  await clock.advance(READING_MS);
+  await acknowledge(agent, 1);
+  announce(agent, 2);
+  worker.lists = createLists([], 2);
+  await clock.advance(READING_MS);
+  t.deepEqual(getGapLines(log), []);
+  worker.lists = createLists([3], 2);
+  await clock.advance(READING_MS);
+  worker.lists = createLists([3, 4, 7], 2);
+  await clock.advance(READING_MS);
+  t.deepEqual(getGapLines(log), [{ level: "warn", worker: "i-1@2", acked: 0, listed: 3 }]);
+  agent.stop();
+});
+
+// Guards against a warning without a fault: a former process of the agent has acknowledged ends.
+test("PoolWorkerAgent does not warn of ends that a former process may have acknowledged", async (t) => {
+  const { clock, log, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([5, 6]);
+  await clock.advance(READING_MS);
+  await acknowledge(agent, 6);
+  worker.lists = createLists([7]);
+  await clock.advance(READING_MS);
+  t.deepEqual(getGapLines(log), []);
+  worker.lists = createLists([9]);
+  await clock.advance(READING_MS);
+  t.deepEqual(getGapLines(log), [{ level: "warn", worker: "i-1@1", acked: 6, listed: 9 }]);
+  agent.stop();
+});
