Let the first executed stop of a run decide, not its repetitions

What callers would see: a task waits for up to 11 s although a worker has room for it, after its start got no response and was stopped on a worker without other runs.

Cause: a stop is repeated after 2 s while the run may still be listed. Each repetition discarded the call number of the executed stop, so that lists of a later call became necessary. On an idle worker a call for lists waits for 1 s and the report for another; the repetition came first, again and again. Class: certainty that was reached is given up by a repetition.

Failed before (test of this commit on its parent; virtual time, submissions at seven times): 'started after 2022, 2022, 11022, 11022, 11022, 11022, 2022 ms', limit 6,000. Now 2,022 to 3,022 ms.

--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -130,7 +130,10 @@
     report.stops.forEach((result) => {
       const taskRun = this._findActiveRun(result.task, result.run);
       const isStopping = taskRun?.active.worker === worker && taskRun.active.phase === "stopping";
-      if (isStopping && result.failure === undefined) {
+      // The first executed stop decides. If a repetition counted, lists would come too late where
+      // they take longer than the time after which a stop is repeated.
+      const isDecided = taskRun?.active.callNumber !== undefined;
+      if (isStopping && !isDecided && result.failure === undefined) {
         taskRun.task.updateRun(result.run, { callNumber: report.callNumber });
       }
     });
@@ -218,7 +221,8 @@
     const { orders, clock } = this._deps;
     const { run, agent, worker } = active;
     const tries = active.phase === "stopping" ? active.tries + 1 : 1;
-    const change = { phase: "stopping", since: clock.now(), callNumber: undefined } as const;
+    const callNumber = active.phase === "stopping" ? active.callNumber : undefined;
+    const change = { phase: "stopping", since: clock.now(), callNumber } as const;
     task.updateRun(run, { ...change, stopReason, tries });
     orders.stop(agent, worker, { task: task.id, run });
   }
--- /dev/null
+++ b/tests/coordination/pool/stopRepetitionTests.ts
@@ -0,0 +1,52 @@
+/**
+ * Tests of how soon a task runs elsewhere if its start was stopped on a worker without other runs,
+ * in virtual time.
+ */
+import test from "ava";
+import { createJobId, createStep } from "../../support/poolFixtures.ts";
+import { PoolSimulation, QUEUE } from "./PoolSimulation.ts";
+
+/** Longer than the test, in milliseconds: the start is not carried out. */
+const NEVER_MS = 600_000;
+/** Time in which the first order has no response, in milliseconds. */
+const FIRST_ORDER_MS = 250;
+/** Repetition and stop of the order, lists made after it by a waiting call, and a margin. */
+const MAX_START_MS = 6_000;
+const OBSERVATION_MS = 30_000;
+const JOB = createJobId(1);
+
+/** Times of the submission after the start of the pool, in milliseconds. */
+const SUBMITTED_AFTER_MS = [3_000, 3_150, 3_300, 3_450, 3_600, 3_750, 3_900];
+
+/** Returns the time from the first order of a task to its start on another worker. */
+async function playStop(submittedAfterMs: number): Promise<number> {
+  const simulation = new PoolSimulation();
+  const { clock } = simulation;
+  const entry = simulation.addEntry("entry-0");
+  const slow = await simulation.addAgent("agent-0");
+  await clock.advance(submittedAfterMs);
+  Object.assign(slow.worker.faults, { lateOrders: 2, lateMs: NEVER_MS });
+  const job = { payload: "", steps: [createStep()], schedule: undefined };
+  simulation.setRequirements(JOB, job, 1_000);
+  const submitted = entry.submissions.submit(QUEUE, JOB, job, clock.now() + 2_500);
+  await clock.advance(FIRST_ORDER_MS);
+  await submitted;
+  const orderedAt = clock.now();
+  await simulation.addAgent("agent-1");
+  slow.worker.drain();
+  slow.workerAgent.handleAnnouncement(slow.worker.announce());
+  await clock.advance(OBSERVATION_MS);
+  const [run] = simulation.journal;
+  return Math.round((run?.startedAt ?? Number.POSITIVE_INFINITY) - orderedAt);
+}
+
+// Guards against a task that does not run: each repetition of the stop made later lists necessary,
+// which took longer to arrive than the time after which a stop is repeated.
+test("PoolScheduler starts a task elsewhere after its start was stopped on an idle worker", async (t) => {
+  const waits = await Promise.all(SUBMITTED_AFTER_MS.map(playStop));
+  t.log(`started after ${waits.join(", ")} ms`);
+  t.true(
+    waits.every((waitMs) => waitMs < MAX_START_MS),
+    `started after ${waits.join(", ")} ms`,
+  );
+});
