--- a/tests/coordination/pool/ScriptedChannel.ts
+++ b/tests/coordination/pool/ScriptedChannel.ts
@@ -24,7 +24,12 @@
   /** Number up to which the last call of the scheduler acknowledged ended runs, by worker. */
   readonly ackedEnds = new Map<string, number>();
   private readonly _clock: ManualClock;
-  private _report: AgentReport = { process: "a", version: 1, worker: createWorkerReport() };
+  private _report: AgentReport = {
+    process: "a",
+    version: 1,
+    worker: createWorkerReport(),
+    formerEnds: [],
+  };
 
   /**
    * Creates a channel whose agent reports a worker without runs.
@@ -41,7 +46,7 @@
    * @param worker - The worker; undefined if none has announced itself.
    */
   setReport(process: string, worker: WorkerReport | undefined): void {
-    this._report = { process, version: this._report.version + 1, worker };
+    this._report = { process, version: this._report.version + 1, worker, formerEnds: [] };
   }
 
   override async observe(_: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
