Report lists that were made right after stops

What callers would see: a task waits for 2 to 3 s after its start got no response and was stopped, on a worker without other runs.

Cause: the scheduler waits for lists made after the stop. On an idle worker the call in progress waits for a change, and so does the report.

After orders with stops the agent fetches the lists without a wait and reports them, changed or not: one local call for each order call with stops.

--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -182,7 +182,21 @@
       paces: await Promise.all(paces),
       starts: await Promise.all(starts),
     };
-    return { kind: "answered", value: { callNumber: this._callNumber, ...results } };
+    const { _callNumber: callNumber } = this;
+    if (call.stops.length > 0) {
+      void this._reportStops();
+    }
+    return { kind: "answered", value: { callNumber, ...results } };
+  }
+
+  /**
+   * Reports lists that were made after stops. They may be the same as before, if a run had not
+   * started, but the scheduler waits for them: the call in progress waits for a change.
+   */
+  private async _reportStops(): Promise<void> {
+    if (await this._fetchLists(0)) {
+      this._publishChange();
+    }
   }
 
   private async _start(call: OrderCall, order: StartOrder): Promise<RunResult> {
--- a/tests/coordination/pool/stopRepetitionTests.ts
+++ b/tests/coordination/pool/stopRepetitionTests.ts
@@ -10,8 +10,8 @@
 const NEVER_MS = 600_000;
 /** Time in which the first order has no response, in milliseconds. */
 const FIRST_ORDER_MS = 250;
-/** Repetition and stop of the order, lists made after it by a waiting call, and a margin. */
-const MAX_START_MS = 6_000;
+/** Repetition and stop of the order, lists made right after it, and a margin, in milliseconds. */
+const MAX_START_MS = 1_500;
 const OBSERVATION_MS = 30_000;
 const JOB = createJobId(1);
 
@@ -41,7 +41,8 @@
 }
 
 // Guards against a task that does not run: each repetition of the stop made later lists necessary,
-// which took longer to arrive than the time after which a stop is repeated.
+// which took longer to arrive than the time after which a stop is repeated. Guards also against one
+// that waits until a call for lists without a change ends.
 test("PoolScheduler starts a task elsewhere after its start was stopped on an idle worker", async (t) => {
   const waits = await Promise.all(SUBMITTED_AFTER_MS.map(playStop));
   t.log(`started after ${waits.join(", ")} ms`);
