Stop the runs of a replaced worker at the next incarnation with its id

What callers would see: a task runs twice, or starts again after it was done, around a worker that starts again under its id. Shown in virtual time only.

Cause: an order without a response may be executed seconds later, and a call names a worker by its id. The next incarnation under the same id knows neither fencing tokens nor stops of the one before, and its clock begins anew, so it executes a late start. The scheduler took the replacement for the end of every run of the former incarnation. Class: certainty about one incarnation is used for another.

A run whose worker has started again under its id is ordered to be stopped there. It is lost once the present incarnation has executed the stop, which makes it refuse the start, and lists made afterwards lack the run; or once the lease of the present incarnation has ended without a response. It holds for all phases: an attempt without a response may precede one that was executed, and a scheduler that takes over does not know of attempts. An end that the present incarnation lists counts as that of the run. Another id rules a late start out, as before.

The stand-in now executes late orders in the next incarnation with the same id, and keeps two runs of one task apart, as the platform does.

One assertion in runMonitorTests was wrong: it expected a run to be ended at once that was replaced by an incarnation with the same id (i-1@200 for i-1@100). It now uses another id, and five tests state what holds for the same id.

--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -14,6 +14,7 @@
   type ActiveRunTable,
   type ActiveTaskRun,
 } from "./ActiveRunTable.ts";
+import { isSuccessor } from "./incarnations.ts";
 
 const FULL_PERCENT = 100;
 /** Time for which a long-running run is at work before it counts as a success, in milliseconds. */
@@ -95,7 +96,11 @@
   }
 
   private _handleEnd(worker: string, ended: EndedRun): void {
-    const taskRun = this._findActiveRun(worker, ended.task, ended.run);
+    // A late start may have been executed by the next incarnation under the same id.
+    const taskRun = this._findRun(
+      ended,
+      (active) => active.worker === worker || isSuccessor(worker, active.worker),
+    );
     if (taskRun === undefined) {
       this._callbacks.onUnknownRunEnded(ended);
     } else {
@@ -105,7 +110,7 @@
 
   private _handleRunning(input: ReportInput, running: RunningRun): void {
     const { now, report } = input;
-    const taskRun = this._findActiveRun(report.worker, running.task, running.run);
+    const taskRun = this._findRun(running, (active) => active.worker === report.worker);
     if (taskRun === undefined) {
       this._callbacks.onUnknownRun(running);
       return;
@@ -139,10 +144,15 @@
       });
   }
 
-  private _findActiveRun(worker: string, id: string, run: number): ActiveTaskRun | undefined {
+  private _findRun(
+    { task: id, run }: Pick<RunningRun, "task" | "run">,
+    isWanted: (active: ActiveRun) => boolean,
+  ): ActiveTaskRun | undefined {
     const task = parseTaskId(id) === undefined ? undefined : this._callbacks.getTask(id);
     const active = task?.getRun(run);
-    return task !== undefined && active?.worker === worker ? { task, active } : undefined;
+    return task !== undefined && active !== undefined && isWanted(active)
+      ? { task, active }
+      : undefined;
   }
 }
 
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -9,6 +9,7 @@
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
 import type { ActiveTaskRun } from "./ActiveRunTable.ts";
+import { isSuccessor } from "./incarnations.ts";
 import { getRunAction, STALLED_REASON } from "./runMonitor.ts";
 
 /** Dependencies of a run controller. */
@@ -129,11 +130,12 @@
     });
     report.stops.forEach((result) => {
       const taskRun = this._findActiveRun(result.task, result.run);
-      const isStopping = taskRun?.active.worker === worker && taskRun.active.phase === "stopping";
+      if (taskRun?.active.phase !== "stopping" || taskRun.active.stopWorker !== worker) {
+        return;
+      }
       // The first executed stop decides. If a repetition counted, lists would come too late where
       // they take longer than the time after which a stop is repeated.
-      const isDecided = taskRun?.active.callNumber !== undefined;
-      if (isStopping && !isDecided && result.failure === undefined) {
+      if (result.failure === undefined && taskRun.active.callNumber === undefined) {
         taskRun.task.updateRun(result.run, { callNumber: report.callNumber });
       }
     });
@@ -218,12 +220,15 @@
   }
 
   private _sendStop({ task, active }: ActiveTaskRun, stopReason: string): void {
-    const { orders, clock } = this._deps;
-    const { run, agent, worker } = active;
+    const { state, orders, clock } = this._deps;
+    const { run, agent } = active;
+    // The next incarnation under the same id may have the run, or be given its start.
+    const present = state.workerTable.getWorker(agent)?.report.worker ?? "";
+    const worker = isSuccessor(present, active.worker) ? present : active.worker;
     const tries = active.phase === "stopping" ? active.tries + 1 : 1;
-    const callNumber = active.phase === "stopping" ? active.callNumber : undefined;
+    const callNumber = active.stopWorker === worker ? active.callNumber : undefined;
     const change = { phase: "stopping", since: clock.now(), callNumber } as const;
-    task.updateRun(run, { ...change, stopReason, tries });
+    task.updateRun(run, { ...change, stopReason, stopWorker: worker, tries });
     orders.stop(agent, worker, { task: task.id, run });
   }
 
--- a/src/coordination/pool/incarnations.ts
+++ b/src/coordination/pool/incarnations.ts
@@ -18,3 +18,17 @@
 export function formatIncarnation(id: string, startedAtMs: number): string {
   return `${id}@${startedAtMs}`;
 }
+
+/**
+ * Returns whether an incarnation started later than another one under the same id, so that it may
+ * execute late calls to that one.
+ * @param next - Name of the incarnation.
+ * @param worker - Name of the other incarnation.
+ */
+export function isSuccessor(next: string, worker: string): boolean {
+  return getId(next) === getId(worker) && getStartTime(next) > getStartTime(worker);
+}
+
+function getId(worker: string): string {
+  return worker.slice(0, worker.lastIndexOf("@"));
+}
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -3,8 +3,8 @@
  * because they make no progress, and which have certainly ended because no lease covers them any
  * more.
  */
-import { getStartTime } from "./incarnations.ts";
-import type { ActiveTaskRun } from "./ActiveRunTable.ts";
+import { getStartTime, isSuccessor } from "./incarnations.ts";
+import { formatRunKey, getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import type { WorkerState } from "./WorkerTable.ts";
 
 /** Time after which an order without a result is sent again, in milliseconds. */
@@ -31,6 +31,8 @@
 const FULL_PERCENT = 100;
 /** Stop reason of a run that makes no progress. */
 export const STALLED_REASON = "it makes no progress";
+/** Stop reason of a run whose start the next incarnation of its worker may still execute. */
+const REPLACED_REASON = "its worker has started again under its id";
 
 /** Action that is due for a run. */
 export type RunAction =
@@ -64,6 +66,10 @@
   }
   const elapsedMs = now - active.since;
   const isDue = active.callNumber === undefined && elapsedMs >= RESEND_ORDER_MS;
+  const next = findSuccessor(taskRun, context.worker);
+  if (next !== undefined && active.phase !== "recording" && active.stopWorker !== next) {
+    return { kind: "stop", reason: REPLACED_REASON };
+  }
   switch (active.phase) {
     case "ordered":
       if (!isDue) {
@@ -94,12 +100,43 @@
   if (worker === undefined || getStartTime(active.worker) > getStartTime(worker.report.worker)) {
     return now >= formerLeasesExpireBy ? "all leases of former schedulers have ended" : undefined;
   }
-  if (worker.report.worker !== active.worker) {
+  if (worker.report.worker !== active.worker && !mayStartLate(taskRun, worker, now)) {
     return "its worker was replaced by another one";
   }
   return now >= worker.leasesExpireBy ? "the lease of its worker has ended" : undefined;
 }
 
+/** Returns the present incarnation if it has the id of the run's one; undefined otherwise. */
+function findSuccessor(
+  { active }: ActiveTaskRun,
+  worker: WorkerState | undefined,
+): string | undefined {
+  const next = worker?.report.worker;
+  return next !== undefined && isSuccessor(next, active.worker) ? next : undefined;
+}
+
+/**
+ * Returns whether the incarnation that replaced the run's one has the run, or may still be given its
+ * start: a call may be executed late, and names a worker by its id only. A stop that the present
+ * incarnation has executed makes it refuse the start; lists made afterwards show whether the start
+ * came before.
+ */
+function mayStartLate(taskRun: ActiveTaskRun, worker: WorkerState, now: number): boolean {
+  const { active } = taskRun;
+  const { report, leasesExpireBy } = worker;
+  if (findSuccessor(taskRun, worker) === undefined || now >= leasesExpireBy) {
+    return false;
+  }
+  const isStopped =
+    active.stopWorker === report.worker &&
+    active.callNumber !== undefined &&
+    report.callNumber > active.callNumber;
+  const isListed = report.running.some(
+    ({ task, run }) => formatRunKey(task, run) === getRunKey(taskRun),
+  );
+  return !isStopped || !report.answers || report.mayLackEnds || isListed;
+}
+
 function getRunningAction(
   taskRun: ActiveTaskRun,
   worker: WorkerState | undefined,
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -52,6 +52,8 @@
   readonly tries: number;
   /** Why it is being stopped; empty if it is not. */
   readonly stopReason: string;
+  /** Incarnation to which the last order to stop it was sent; empty for none. */
+  readonly stopWorker: string;
 }
 
 /** State of a task. */
@@ -134,6 +136,7 @@
       callNumber: undefined,
       tries: 0,
       stopReason: "",
+      stopWorker: "",
     }));
   }
 
@@ -161,6 +164,7 @@
       callNumber: undefined,
       tries: 0,
       stopReason: "",
+      stopWorker: "",
     };
     this._activeRuns = [...this._activeRuns, active];
     return active;
--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -97,6 +97,7 @@
   };
   private readonly _deps: PoolWorkerModelDependencies;
   private readonly _createdAt: number;
+  /** By task and run: several runs of one task may be there at a time. */
   private readonly _running = new Map<string, ActiveRun>();
   private readonly _lastRuns = new Map<string, number>();
   private _unacknowledgedEnds: EndedRun[] = [];
@@ -107,6 +108,7 @@
   private _sequence = 0;
   private _isDraining = false;
   private _isDead = false;
+  private _successor: PoolWorkerModel | undefined;
 
   /**
    * Creates a worker without runs.
@@ -138,9 +140,14 @@
     this._isDraining = true;
   }
 
-  /** Ends the worker and all of its runs immediately. */
-  crash(): void {
+  /**
+   * Ends the worker and all of its runs immediately.
+   * @param successor - Next incarnation at its address. If it has the same id, it executes the late
+   *   orders to this one.
+   */
+  crash(successor?: PoolWorkerModel): void {
     this._isDead = true;
+    this._successor = successor;
     this._running.forEach(({ entry }) => {
       entry.endedAt = this._deps.clock.now();
     });
@@ -152,15 +159,15 @@
   }
 
   override start(call: StartCall): ResultAsync<void, WorkerCallFailure> {
-    return this._executeOrder(() => this._start(call));
+    return this._executeOrder((worker) => worker._start(call));
   }
 
   override stop(call: RunCall): ResultAsync<void, WorkerCallFailure> {
-    return this._executeOrder(() => this._stop(call));
+    return this._executeOrder((worker) => worker._stop(call));
   }
 
   override pace(call: RunCall): ResultAsync<void, WorkerCallFailure> {
-    return this._executeOrder(() => this._fence(call.fencingToken));
+    return this._executeOrder((worker) => worker._fence(call.fencingToken));
   }
 
   private get _clockMs(): number {
@@ -216,7 +223,7 @@
   }
 
   private _executeOrder(
-    execute: () => Result<void, WorkerCallFailure>,
+    execute: (worker: PoolWorkerModel) => Result<void, WorkerCallFailure>,
   ): ResultAsync<void, WorkerCallFailure> {
     const { clock } = this._deps;
     const noResponse = { kind: "unknown", detail: "no response" } as const;
@@ -226,17 +233,26 @@
     if (this.faults.lateOrders > 0) {
       this.faults.lateOrders -= 1;
       clock.after(this.faults.lateMs, () => {
-        if (!this._isDead) {
-          execute();
+        const worker = this._findLive();
+        if (worker !== undefined) {
+          execute(worker);
         }
       });
       return ResultAsync.fromSafePromise(clock.sleep(100)).andThen(() => err(noResponse));
     }
     return ResultAsync.fromSafePromise(clock.sleep(1)).andThen(() =>
-      this._isDead ? err(noResponse) : execute(),
+      this._isDead ? err(noResponse) : execute(this),
     );
   }
 
+  /** Returns the incarnation with this id that is there now; undefined if there is none. */
+  private _findLive(): PoolWorkerModel | undefined {
+    if (!this._isDead) {
+      return this;
+    }
+    return this._successor?._deps.id === this._deps.id ? this._successor._findLive() : undefined;
+  }
+
   private _start(call: StartCall): Result<void, WorkerCallFailure> {
     const { task, run } = call;
     const fenced = this._fence(call.fencingToken);
@@ -246,7 +262,7 @@
     if (call.leaseUntilMs <= this._clockMs) {
       return err({ kind: "late", detail: "" });
     }
-    if (this._running.get(task)?.entry.run === run) {
+    if (this._running.has(`${task} ${run}`)) {
       return ok();
     }
     this._extendLease(call.leaseUntilMs);
@@ -260,25 +276,20 @@
     const startedAt = this._deps.clock.now();
     const worker = `${this._deps.id}@${this._deps.startedAtMs}`;
     const entry = {
-      worker,
-      task,
-      run,
-      startedAt,
-      endedAt: undefined,
-      outcome: undefined,
-      isAcknowledged: undefined,
+      ...{ worker, task, run, startedAt },
+      ...{ endedAt: undefined, outcome: undefined, isAcknowledged: undefined },
     };
     this._deps.journal.push(entry);
     const endsAt = startedAt + (workMs ?? Number.POSITIVE_INFINITY);
-    this._running.set(task, { entry, endsAt, resources, stopsAt: undefined });
+    this._running.set(`${task} ${run}`, { entry, endsAt, resources, stopsAt: undefined });
     return ok();
   }
 
   private _stop(call: RunCall): Result<void, WorkerCallFailure> {
     const { task, run } = call;
     return this._fence(call.fencingToken).map(() => {
-      const active = this._running.get(task);
-      if (active?.entry.run !== run) {
+      const active = this._running.get(`${task} ${run}`);
+      if (active === undefined) {
         this._lastRuns.set(task, Math.max(run, this._lastRuns.get(task) ?? 0));
       } else {
         active.stopsAt ??= this._deps.clock.now() + STOP_DURATION_MS;
@@ -351,7 +362,7 @@
     entry.endedAt = this._deps.clock.now();
     entry.outcome = outcome;
     const { task, run } = entry;
-    this._running.delete(task);
+    this._running.delete(`${task} ${run}`);
     this._lastRuns.set(task, Math.max(run, this._lastRuns.get(task) ?? 0));
     this._endCount += 1;
     this._allEnds.push({ number: this._endCount, entry });
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -215,9 +215,10 @@
    * @param id - Id of the new incarnation; the same by default.
    */
   replaceWorker(agent: SimulatedAgent, id = agent.name): void {
-    agent.worker.crash();
-    agent.worker = this._createWorker(id, 4_000);
-    agent.address.worker = agent.worker;
+    const successor = this._createWorker(id, 4_000);
+    agent.worker.crash(successor);
+    agent.worker = successor;
+    agent.address.worker = successor;
   }
 
   /**
--- a/tests/coordination/pool/runMonitorTests.ts
+++ b/tests/coordination/pool/runMonitorTests.ts
@@ -3,6 +3,7 @@
  */
 import test from "ava";
 import { getRunAction, type RunContext } from "../../../src/coordination/pool/runMonitor.ts";
+import type { WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
 import type { WorkerState } from "../../../src/coordination/pool/WorkerTable.ts";
 import { TaskState, type ActiveRun } from "../../../src/state/pool/TaskState.ts";
 import type { ActiveTaskRun } from "../../../src/coordination/pool/ActiveRunTable.ts";
@@ -82,13 +83,47 @@
 
 test("runMonitor treats a run as ended when its worker was replaced by a later incarnation, not by an earlier one", (t) => {
   const activeRun = createActiveRun({ phase: "unconfirmed", since: 0 });
-  const later = createContext({ report: createWorkerReport({ worker: "i-1@200" }) });
+  const later = createContext({ report: createWorkerReport({ worker: "i-2@200" }) });
   t.is(getRunAction(activeRun, later, 100).kind, "void");
   const earlier = createContext({ report: createWorkerReport({ worker: "i-0@50" }) });
   t.is(getRunAction(activeRun, earlier, 100).kind, "none");
   t.is(getRunAction(activeRun, earlier, 16_000).kind, "void");
 });
 
+/** Returns the action for a run of i-1@100 whose worker has started again under its id. */
+function getReplacedAction(
+  run: Partial<ActiveRun>,
+  report: Partial<WorkerReport>,
+  now = 100,
+): string {
+  const next = createWorkerReport({ worker: "i-1@200", callNumber: 6, ...report });
+  return getRunAction(createActiveRun(run), createContext({ report: next }), now).kind;
+}
+
+(["ordered", "running", "stopping", "unconfirmed"] as const).forEach((phase) => {
+  // Guards against tasks that run twice: the next incarnation under the id of a worker may execute a
+  // start that was meant for the one before, until it has been ordered to stop the run.
+  test(`runMonitor treats a run as ended after its worker has started again once the run is stopped there, phase ${phase}`, (t) => {
+    const stopWorker = phase === "stopping" ? "i-1@100" : "";
+    t.is(getReplacedAction({ phase, since: 0, stopWorker, callNumber: 5 }, {}), "stop");
+    const stopping = { phase: "stopping", since: 0, stopWorker: "i-1@200" } as const;
+    t.is(getReplacedAction(stopping, {}), "none");
+    t.is(getReplacedAction(stopping, {}, 5_000), "stop");
+    t.is(getReplacedAction({ ...stopping, callNumber: 6 }, {}), "none");
+    t.is(getReplacedAction({ ...stopping, callNumber: 5 }, {}), "void");
+  });
+});
+
+test("runMonitor does not treat a run as ended that the next incarnation lists, or while that does not respond", (t) => {
+  const stopped = { phase: "stopping", since: 0, stopWorker: "i-1@200", callNumber: 5 } as const;
+  const { task, active } = createActiveRun(stopped);
+  const listed = { task: task.id, run: active.run, checkpoint: "", percent: 0, measure: 0 };
+  t.is(getReplacedAction(stopped, { running: [listed] }), "none");
+  t.is(getReplacedAction(stopped, { answers: false }), "none");
+  t.is(getReplacedAction(stopped, { mayLackEnds: true }), "none");
+  t.is(getReplacedAction(stopped, { answers: false }, 6_000), "void");
+});
+
 test("runMonitor waits for the end of former schedulers' leases if the agent has not reported", (t) => {
   const activeRun = createActiveRun({ phase: "unconfirmed", since: 0 });
   const noReport = { worker: undefined, formerLeasesExpireBy: 16_000 };
