--- a/tests/coordination/pool/poolHistoryTests.ts
+++ b/tests/coordination/pool/poolHistoryTests.ts
@@ -1,6 +1,6 @@
 /**
  * Runs random sequences of faults against a pool in virtual time: entries crash and are replaced,
- * agents are disconnected and restart, workers crash, responses are lost, orders are delayed and
+ * agents are disconnected and restart, workers crash with their agents or alone, responses are lost, orders are delayed and
  * the store is unavailable, in any order and combination. In every sequence, no task runs twice at
  * the same time or is done twice, and once all faults have ended every job that was accepted and
  * not cancelled is completed.
@@ -16,7 +16,9 @@
   type SimulatedEntry,
 } from "./PoolSimulation.ts";
 
-const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [101, 102, 103, 104, 105, 106];
+const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [
+  ...[101, 102, 103, 104, 105, 106, 208, 483],
+];
 const ACTION_COUNT = 24;
 const MAX_PAUSE_MS = 1_500;
 /** Time that a submitter waits, in milliseconds. */
@@ -113,6 +115,9 @@
   },
   restartAgent: (history) => history.simulation.restartAgent(chooseAgent(history)),
   crashWorker: (history) => history.simulation.crashWorker(chooseAgent(history)),
+  replaceWorker: (history) => {
+    history.simulation.replaceWorker(chooseAgent(history));
+  },
   silentWorker: (history) => {
     chooseAgent(history).worker.faults.isUnresponsive = true;
   },
