Confirm a partition's owner from the first attempt of a repeated write

What callers would see: a batch task that runs on two VMs at the same time. An owner that lost the response to a write of its log and is then cut off from the store repeats the write. Meanwhile another entry takes the partition over. When the store is back, the repeated write finds its own record in its slot, and the former owner took that for a proof that it owned the partition when it sent the repetition. It granted leases for another horizon, which the new owner had counted from the takeover.

Class of fault: certainty about one attempt used for another. The record proves the ownership at the time of the attempt that was executed, which may be that of the first one.

Change: a write whose own record is found counts as confirmed from its first attempt that may have been executed.

--- a/src/coordination/batch/PartitionLog.ts
+++ b/src/coordination/batch/PartitionLog.ts
@@ -108,7 +108,7 @@
     return this._epoch;
   }
 
-  /** When the last confirmed write was sent, on the monotonic clock. */
+  /** When the last confirmed write was first sent, on the monotonic clock. */
   get confirmedAt(): number {
     return this._confirmedAt;
   }
@@ -228,7 +228,8 @@
   ): Promise<Result<void, AppendFailure>> {
     const { clock, store, partition } = this._deps;
     const key = getLogKey(partition, sequence);
-    let inDoubt = false;
+    /** When the first attempt that may have been executed was sent. */
+    let inDoubtSince: number | undefined;
     for (let delay = RETRY_MIN_MS; ; delay = Math.min(delay * 2, RETRY_MAX_MS)) {
       const expected = await this._getSlotRevision(sequence);
       if (expected === "deposed") {
@@ -239,12 +240,14 @@
       if (expected !== "unknown") {
         const written = await store.write({ key, value, expected });
         if (written.isOk()) {
-          return this._handleWriteResult(written.value, sequence, nonce, sentAt);
+          // Another owner may have taken over between the attempt that was executed and this one.
+          const confirmedAt = written.value.kind === "written" ? sentAt : (inDoubtSince ?? sentAt);
+          return this._handleWriteResult(written.value, sequence, nonce, confirmedAt);
         }
-        inDoubt ||= written.error.mayHaveWritten;
+        inDoubtSince ??= written.error.mayHaveWritten ? sentAt : undefined;
       }
       this._failing = true;
-      if (!inDoubt) {
+      if (inDoubtSince === undefined) {
         return err("unavailable");
       }
       if (this._failure !== undefined) {
@@ -258,7 +261,7 @@
     result: WriteResult,
     sequence: number,
     nonce: string,
-    sentAt: number,
+    confirmedAt: number,
   ): Result<void, AppendFailure> {
     const revision =
       result.kind === "written"
@@ -268,7 +271,7 @@
       return err("deposed");
     }
     this._failing = false;
-    this._confirmedAt = sentAt;
+    this._confirmedAt = confirmedAt;
     this._slotRevisions.set(sequence % LOG_SLOTS, revision);
     this._nextSequence = sequence + 1;
     return ok();
--- a/tests/coordination/batch/partitionLogTests.ts
+++ b/tests/coordination/batch/partitionLogTests.ts
@@ -15,11 +15,11 @@
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
   let supersededCount = 0;
-  const open = async (writer: string): Promise<PartitionLog> => {
-    const loaded = (await new PartitionReader(store, 0).read())._unsafeUnwrap();
+  const open = async (writer: string, from: MemoryStore = store): Promise<PartitionLog> => {
+    const loaded = (await new PartitionReader(from, 0).read())._unsafeUnwrap();
     const log = new PartitionLog(
       {
-        store,
+        store: from,
         clock,
         partition: 0,
         writer,
@@ -73,6 +73,25 @@
   t.is(next.epoch, 2);
 });
 
+// Guards against a repeated write that finds its first attempt in the log and is taken for a proof
+// that no other owner has taken over since: leases would be granted beyond the takeover horizon.
+test("PartitionLog confirms the ownership from the first attempt of a write whose response was lost", async (t) => {
+  const { clock, store, open } = createSetup();
+  const log = await open("a");
+  const sentAt = clock.now();
+  store.faults.lostAnswers = 1;
+  const appended = log.append([submit("x")]);
+  await clock.advance(0);
+  store.startOutage();
+  const next = await open("b", new MemoryStore(clock, store.model));
+  t.is(next.ledger.jobCount, 1);
+  await clock.advance(60_000);
+  store.endOutage();
+  await clock.advance(2_000);
+  t.true((await appended).isOk());
+  t.is(log.confirmedAt, sentAt);
+});
+
 test("PartitionLog rejects records at once while the store is known to be unavailable", async (t) => {
   const { store, open, append } = createSetup();
   const log = await open("a");
--- a/tests/coordination/batch/partitionOwnerTests.ts
+++ b/tests/coordination/batch/partitionOwnerTests.ts
@@ -1,80 +1,9 @@
 import test from "ava";
-import type { BatchSettings } from "../../../src/coordination/batch/BatchSettings.ts";
-import { DEFAULT_BATCH_SETTINGS } from "../../../src/coordination/batch/BatchSettings.ts";
-import { PartitionOwner } from "../../../src/coordination/batch/PartitionOwner.ts";
-import { jobSpecSchema, type JobSpec } from "../../../src/protocol/jobs/JobSpec.ts";
 import { getJobId, getTaskId } from "../../../src/state/batch/BatchIds.ts";
-import { FleetView } from "../../../src/state/FleetView.ts";
-import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
-import { FakeAgents } from "../../support/FakeAgents.ts";
-import { ManualClock } from "../../support/ManualClock.ts";
-import { MemoryLog } from "../../support/MemoryLog.ts";
-
-const CFG: BatchSettings = { ...DEFAULT_BATCH_SETTINGS, partitions: 1 };
-const TAKEOVER_MS = CFG.takeoverHorizonMs + CFG.taskLeaseMs;
-
-function createSpec(key: string, overrides: Partial<JobSpec> = {}): JobSpec {
-  const resources = { processorsMilli: 1_000, memoryBytes: 1, accelerators: 0 };
-  return jobSpecSchema.parse({
-    key,
-    tenant: "t",
-    kind: "k",
-    resources,
-    command: "c",
-    ...overrides,
-  });
-}
-
-function createSetup() {
-  const clock = new ManualClock();
-  const store = new MemoryStore(clock);
-  const agents = new FakeAgents(clock, [1, 1]);
-  const fleet = new FleetView();
-  const log = new MemoryLog();
-  let writers = 0;
-  const sendHeartbeats = (): void => {
-    agents.names.forEach((name) => fleet.apply(agents.getVm(name)));
-  };
-  const takeOver = async (isClaimed = true): Promise<PartitionOwner> => {
-    writers += 1;
-    const writer = `w${writers}`;
-    const takeover = PartitionOwner.takeOver({
-      cfg: CFG,
-      partition: 0,
-      entry: writer,
-      writer,
-      store,
-      clock,
-      log,
-      fleet,
-      gateway: agents,
-      onOutcome: () => undefined,
-      onSuperseded: () => undefined,
-    });
-    await clock.advance(1_000);
-    const owner = (await takeover)._unsafeUnwrap();
-    if (isClaimed) {
-      owner.recordClaim();
-    }
-    return owner;
-  };
-  const submit = async (owner: PartitionOwner, spec: JobSpec): Promise<string> => {
-    const id = getJobId(spec.tenant, spec.key, CFG.partitions);
-    const submitted = owner.submissions.submit(id, spec);
-    await clock.advance(CFG.commitIntervalMs);
-    await submitted;
-    return id;
-  };
-  const start = async (owner: PartitionOwner, task: string, agent: string): Promise<void> => {
-    sendHeartbeats();
-    void owner.runner.start(task, agent);
-    await clock.advance(CFG.commitIntervalMs);
-  };
-  return { clock, store, agents, fleet, sendHeartbeats, takeOver, submit, start };
-}
+import { CFG, createPartition, createSpec, TAKEOVER_MS } from "./createPartition.ts";
 
 test("PartitionOwner runs a job from submission to completion", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a", { tasks: 2 }));
   await start(owner, getTaskId(id, 0), "vm-0");
@@ -95,7 +24,7 @@
 });
 
 test("PartitionOwner returns the same job for a repeated submission and a conflict for a different body", async (t) => {
-  const { clock, takeOver, submit } = createSetup();
+  const { clock, takeOver, submit } = createPartition();
   const owner = await takeOver();
   const spec = createSpec("a");
   const id = await submit(owner, spec);
@@ -109,7 +38,7 @@
 });
 
 test("PartitionOwner sends no start order whose record is not in the log", async (t) => {
-  const { clock, store, agents, takeOver, submit, sendHeartbeats } = createSetup();
+  const { clock, store, agents, takeOver, submit, sendHeartbeats } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a"));
   sendHeartbeats();
@@ -121,7 +50,7 @@
 });
 
 test("PartitionOwner resumes an evicted task from its checkpoint in the next attempt only", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -141,7 +70,7 @@
 });
 
 test("PartitionOwner sends a stop order after the response to a start order was lost", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -158,7 +87,7 @@
 });
 
 test("PartitionOwner keeps an attempt whose agent was disconnected with the response to its start order", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -177,7 +106,7 @@
 });
 
 test("PartitionOwner releases a task of an unresponsive VM only when its lease has certainly expired", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -194,7 +123,7 @@
 });
 
 test("PartitionOwner waits for the whole takeover horizon before it releases tasks of a previous owner", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const first = await takeOver();
   const id = await submit(first, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -214,7 +143,7 @@
 });
 
 test("PartitionOwner releases no task of a previous owner before its own owner key is written", async (t) => {
-  const { clock, takeOver, submit, start } = createSetup();
+  const { clock, takeOver, submit, start } = createPartition();
   const first = await takeOver();
   const id = await submit(first, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -234,7 +163,7 @@
 });
 
 test("PartitionOwner does not treat its own lease grant as the last one before the agent knows its epoch", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const first = await takeOver();
   const id = await submit(first, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -252,7 +181,7 @@
 });
 
 test("PartitionOwner sends a stop order before it releases a task that is missing from delayed reports", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a"));
   const task = getTaskId(id, 0);
@@ -269,7 +198,7 @@
 });
 
 test("PartitionOwner is superseded at its next record after another owner has taken over", async (t) => {
-  const { takeOver, submit } = createSetup();
+  const { takeOver, submit } = createPartition();
   const first = await takeOver();
   const second = await takeOver();
   const id = await submit(first, createSpec("a"));
@@ -279,7 +208,7 @@
 });
 
 test("PartitionOwner stops the tasks of a cancelled job and never starts them again", async (t) => {
-  const { clock, agents, takeOver, submit, start } = createSetup();
+  const { clock, agents, takeOver, submit, start } = createPartition();
   const owner = await takeOver();
   const id = await submit(owner, createSpec("a", { tasks: 3 }));
   await start(owner, getTaskId(id, 0), "vm-0");
@@ -297,7 +226,7 @@
 });
 
 test("PartitionOwner combines simultaneous cancellations into one record", async (t) => {
-  const { clock, takeOver } = createSetup();
+  const { clock, takeOver } = createPartition();
   const owner = await takeOver();
   const keys = Array.from({ length: 1_000 }, (_, index) => `job-${index}`);
   const ids = keys.map((key) => getJobId("t", key, CFG.partitions));
