Take no lease of an attempt from a report on an earlier one

What callers would see: a batch task that runs on two VMs at the same time, or one that is never started again although its VM is gone. An agent that cannot stop an earlier attempt of a task yet, since its worker does not respond, keeps reporting it. Each report replaced the time by which the lease of the current attempt, on another VM, has certainly expired. After a takeover that cut the wait for the leases of the former owner from 45 s to 15 s; with one owner the reports put the end of the wait off for ever.

Class of fault: certainty about one attempt used for another.

Change: a grant is recorded only for the attempt that is the current one and runs on the VM that reports.

--- a/src/coordination/batch/ReportHandler.ts
+++ b/src/coordination/batch/ReportHandler.ts
@@ -82,15 +82,23 @@
     if (!mayGrant()) {
       return { leaseMs: 0, verdicts };
     }
-    this._recordGrants(verdicts, isEpochKnown);
+    this._recordGrants(agent, verdicts, isEpochKnown);
     return { leaseMs: cfg.taskLeaseMs, verdicts };
   }
 
-  private _recordGrants(verdicts: readonly ReportVerdict[], isEpochKnown: boolean): void {
+  /**
+   * Records the leases that a response grants. A report on an earlier attempt says nothing about the
+   * lease of the current one, which may run on another VM under a previous owner.
+   */
+  private _recordGrants(
+    agent: string,
+    verdicts: readonly ReportVerdict[],
+    isEpochKnown: boolean,
+  ): void {
     const { activeTasks, cfg, clock } = this._deps;
     const leaseExpiresBy = clock.now() + getLeaseExpiryWaitMs(cfg);
     verdicts
-      .filter((verdict) => !verdict.recorded)
+      .filter((verdict) => !verdict.recorded && this._findActive(agent, verdict) !== undefined)
       .forEach((verdict) => {
         if (isEpochKnown) {
           activeTasks.setLeaseExpiry(verdict.task, leaseExpiresBy);
@@ -104,8 +112,8 @@
   private _getVerdict(agent: string, reported: ReportedTask): ReportVerdict {
     const { task, attempt, phase } = reported;
     const isEnded = phase === "stopped" || phase === "completed" || phase === "failed";
-    const active = this._deps.activeTasks.get(task);
-    if (active?.attempt !== attempt || active.agent !== agent || active.state === "recording") {
+    const active = this._findActive(agent, reported);
+    if (active === undefined) {
       return { task, attempt, recorded: isEnded, stop: !isEnded };
     }
     if (!isEnded) {
@@ -115,6 +123,16 @@
     return { task, attempt, recorded: false, stop: false };
   }
 
+  /** Finds the task of a reported attempt if the attempt is the current one and on that VM. */
+  private _findActive(
+    agent: string,
+    { task, attempt }: Pick<ReportedTask, "task" | "attempt">,
+  ): ActiveTask | undefined {
+    const active = this._deps.activeTasks.get(task);
+    const isCurrent = active?.attempt === attempt && active.agent === agent;
+    return isCurrent && active.state !== "recording" ? active : undefined;
+  }
+
   private _handleRunning(active: ActiveTask, reported: ReportedTask): ReportVerdict {
     const { activeTasks, log, runner } = this._deps;
     const { task, attempt } = active;
--- a/tests/coordination/batch/partitionLeaseTests.ts
+++ b/tests/coordination/batch/partitionLeaseTests.ts
@@ -41,3 +41,65 @@
   await start(second, task, "vm-1");
   t.deepEqual(agents.violations, []);
 });
+
+// Guards against a report on an earlier attempt that replaces the bound of the current attempt's lease.
+test("PartitionOwner does not count the lease of an attempt from a report on an earlier one", async (t) => {
+  const { clock, agents, takeOver, submit, start } = createPartition();
+  const first = await takeOver();
+  const task = getTaskId(await submit(first, createSpec("a")), 0);
+  await start(first, task, "vm-0");
+  agents.getFaults("vm-0").isOffline = true;
+  await clock.advance(CFG.taskLeaseMs + 1_000);
+  first.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  await start(first, task, "vm-1");
+  const second = await takeOver();
+  // The agent of the first attempt is back and cannot stop it yet, as its worker does not respond.
+  agents.getFaults("vm-0").isOffline = false;
+  const stopping = {
+    task,
+    attempt: 1,
+    phase: "checkpointing",
+    checkpoint: "",
+    reason: "",
+  } as const;
+  second.handleReport("vm-0", [stopping], true);
+  // The other agent is connected to the previous owner only, which may grant leases.
+  await clock.advance(CFG.taskLeaseMs / 2);
+  agents.report("vm-1", first);
+  await clock.advance(CFG.taskLeaseMs / 2 + 1_000);
+  second.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  await start(second, task, "vm-0");
+  t.deepEqual(agents.violations, []);
+  t.is(second.getActiveTask(task)?.state, "unconfirmed");
+});
+
+// Guards against a report on an earlier attempt that keeps a task waiting for a VM that is gone.
+test("PartitionOwner releases a task of an unresponsive VM while another VM reports an earlier attempt", async (t) => {
+  const { clock, agents, takeOver, submit, start } = createPartition();
+  const owner = await takeOver();
+  const task = getTaskId(await submit(owner, createSpec("a")), 0);
+  await start(owner, task, "vm-0");
+  agents.getFaults("vm-0").isOffline = true;
+  await clock.advance(CFG.taskLeaseMs + 1_000);
+  owner.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  await start(owner, task, "vm-1");
+  agents.getFaults("vm-1").isPaused = true;
+  await clock.advance(CFG.taskLeaseMs - 1_000);
+  const stopping = {
+    task,
+    attempt: 1,
+    phase: "checkpointing",
+    checkpoint: "",
+    reason: "",
+  } as const;
+  t.deepEqual(owner.handleReport("vm-0", [stopping], true).verdicts, [
+    { task, attempt: 1, recorded: false, stop: true },
+  ]);
+  await clock.advance(2_000);
+  owner.tick();
+  await clock.advance(CFG.commitIntervalMs);
+  t.is(owner.ledger.getTask(task)?.phase, "waiting");
+});
