Tell the owner how a late task ended that it stops

What callers would see: a batch task that runs again after it was done. A start without a response may be executed by the worker after the agent that sent it has crashed and the next one has read the worker's report. If the task ends before the next report, the owner's stop finds an attempt that the agent does not list. The worker returned how it had ended, but the agent replied only that it does not run, and the owner released the task.

Class of fault: the answer to a later call (the stop) taken for the fate of an earlier one (the start).

Change: the reply has the state that the worker returned, as it has for attempts that the agent lists; the owner already reads it.

The new test failed before: the phase in the reply was undefined in place of "completed".

--- a/src/transport/agent/tasks/TaskService.ts
+++ b/src/transport/agent/tasks/TaskService.ts
@@ -279,9 +279,12 @@
   private async _stopUnknown(req: StopTaskRequest): Promise<StopTaskReply> {
     this._table.forbidStart(req);
     const result = await this._options.worker.stop(req.task, req.attempt);
+    // A start that the worker executed late may have ended on its own before the stop.
+    const task = result.unwrapOr(undefined);
     return create(StopTaskReplySchema, {
-      stopped: result.isOk() && result.value?.phase !== "running",
-      checkpoint: result.isOk() ? (result.value?.checkpoint ?? "") : "",
+      stopped: result.isOk() && task?.phase !== "running",
+      checkpoint: task?.checkpoint ?? "",
+      ...(task === undefined ? {} : { state: toTaskState(task) }),
     });
   }
 
--- a/src/transport/agent/tasks/taskMessages.ts
+++ b/src/transport/agent/tasks/taskMessages.ts
@@ -21,11 +21,17 @@
   failed: "failed",
 };
 
+/** Fields of a task in the agent's table or in a worker's response that owners are told. */
+type ReportedFields = Pick<
+  TaskRecord,
+  "task" | "attempt" | "phase" | "checkpoint" | "reason" | "progress" | "used" | "throttlePercent"
+>;
+
 /**
  * Creates the control message with the state of a task.
  * @param record - The task.
  */
-export function toTaskState(record: TaskRecord): TaskState {
+export function toTaskState(record: ReportedFields): TaskState {
   return create(TaskStateSchema, {
     task: record.task,
     attempt: record.attempt,
