Refuse no submission that an earlier write has stored meanwhile

What callers would see: a submitter is told that a job was not accepted and never runs, while it is stored and runs. A submitter that gets no response repeats its submission while the first write is under way. If the store then accepts the first write and refuses the second one, for example for its rate, the entry passed the refusal on: the first write was resolved by then, so that it no longer counted as one that may take effect. Cancellations likewise.

Class of fault: the answer to a later attempt taken for the fate of an earlier one.

Change: before it refuses, the entry looks into its catalog, to which the first write was applied.

Both new tests failed before: { kind: 'refused', reason: 'too many calls' } in place of { kind: 'stored', known: true }.

--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -11,7 +11,7 @@
 import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
 import type { QueueConfig } from "../../protocol/pool/QueueConfig.ts";
 import { getVisiblePhase, type CatalogJob, type JobCatalog } from "../../state/pool/JobCatalog.ts";
-import { formatJobKey } from "../../state/pool/PoolKeys.ts";
+import { formatJobKey, parseJobKey } from "../../state/pool/PoolKeys.ts";
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
 import type { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
 import { UnresolvedWriteTable } from "./UnresolvedWriteTable.ts";
@@ -245,10 +245,22 @@
       : this._write(key, value, deadline);
   }
 
-  /** Refuses to write a key, unless an earlier attempt to write it may still take effect. */
+  /**
+   * Refuses to write a key, unless an earlier attempt to write it has taken effect meanwhile or may
+   * still do so.
+   */
   private _refuse(key: string, reason: string): SubmissionOutcome {
+    if (this._isStored(key)) {
+      return { kind: "stored", known: true };
+    }
     return { kind: this._unresolvedWrites.has(key) ? "unknown" : "refused", reason };
   }
+
+  private _isStored(key: string): boolean {
+    const parsed = parseJobKey(key);
+    const job = parsed === undefined ? undefined : this._deps.catalog.getJob(parsed.job);
+    return parsed?.kind === "cancel" ? job?.isCancelled === true : job?.record !== undefined;
+  }
 }
 
 function toStoreChange(
