Take no entry's refusal for the outcome at one that did not respond

What operators would see: a command reports that a change was refused, and the change takes effect later. The command line sends a call to the next entry if one does not respond; all calls can be repeated safely. If the next entry refused it, for example since a profile did not exist, that refusal was reported as the outcome. The entry that did not respond may only be slow or paused, handle the change when the profile exists, and apply it.

Class of fault: the answer to a later attempt taken for the fate of an earlier one. For refusals with status 503 it was handled already.

Change: after an attempt that may have been executed, a refusal of any status is reported as an unknown outcome, with the command that settles it. Nothing changes if no entry may have executed the call, or if a later one succeeds.

The first of the new tests failed before: the client returned status 422 in place of a failure that may have acted.

--- a/src/commands/ApiClient.ts
+++ b/src/commands/ApiClient.ts
@@ -100,10 +100,14 @@
     for (const address of this._addresses) {
       last = await sendTo(address, call);
       if (last.isOk() && !shouldTryNextEntry(last.value, call)) {
-        return last;
+        break;
       }
       mayHaveActed ||= last.isErr() && last.error.mayHaveActed;
     }
+    if (last.isOk() && last.value.status < FIRST_ERROR) {
+      return last;
+    }
+    // A refusal says nothing about an entry that did not respond and may still execute the call.
     if (last.isErr() || !mayHaveActed) {
       return last.mapErr((problem) => ({ ...problem, mayHaveActed }));
     }
