Record a request as possibly run if its caller leaves during an attempt

What operators would see: a trace and the counter of requests say "not-run" with code "caller-gone" for a request that its agent had received and its backend server may have run. The verdict recorded was that of the earlier attempts, of which there usually were none. Callers were told nothing wrong: they had left.

Class of fault: certainty about some attempts used for another.

Change: the verdict is formed as at the deadline, from the earlier attempts and the one in progress.

The new test failed before: verdict 'not-run' in place of 'may-have-run'. With the change it and the tests of tests/coordination/requests pass (28).

--- a/src/transport/entry/requests/RequestHandler.ts
+++ b/src/transport/entry/requests/RequestHandler.ts
@@ -88,7 +88,8 @@
 
   /** Sends the first attempt. */
   start(): void {
-    this._deadlineTimer = this._deps.clock.after(this._getBudgetMs(), () => {
+    const { clock } = this._deps;
+    this._deadlineTimer = clock.after(this._routed.deadline - clock.now(), () => {
       this._onDeadline();
     });
     this._req.res.on("close", () => {
@@ -252,10 +253,9 @@
   }
 
   private _onDeadline(): void {
-    const mayHaveBeenSent = this._exchange?.mayHaveBeenSent ?? false;
     this._sendRefusal({
       code: "deadline-exceeded",
-      verdict: mayHaveBeenSent || this._progress.verdict !== "not-run" ? "may-have-run" : "not-run",
+      verdict: this._getOpenVerdict(),
       detail: `no response within ${this._req.caller.timeoutMs} ms`,
       retryAfterSeconds: 1,
     });
@@ -266,10 +266,16 @@
     if (this._isEnded) {
       return;
     }
-    this._finish("caller-gone", this._progress.verdict);
+    this._finish("caller-gone", this._getOpenVerdict());
     this._exchange?.abort(new Error("the caller closed the connection"));
   }
 
+  /** Gets the verdict of a request that ends during an attempt. */
+  private _getOpenVerdict(): Verdict {
+    const mayHaveBeenSent = this._exchange?.mayHaveBeenSent ?? false;
+    return mayHaveBeenSent || this._progress.verdict !== "not-run" ? "may-have-run" : "not-run";
+  }
+
   private _sendRefusal(refusal: Refusal): void {
     if (this._isEnded) {
       return;
@@ -309,10 +315,6 @@
     });
   }
 
-  private _getBudgetMs(): number {
-    return this._routed.deadline - this._deps.clock.now();
-  }
-
   private _getAttemptHeaders(server: ServerState, sentAt: number): readonly string[] {
     const { caller, id } = this._req;
     return [
