Pause a run again that works although it was paused

What callers would see: a serving task that stays over its latency target while our records say that everything beside it is paused. A pace order without a response may be executed seconds later, after newer orders. One that raised the pace, executed after the order that paused the run, stayed in force: the workers' lists do not contain the pace, and a run counted as paused got no further order.

Class of fault: the success of a later order taken for the fate of an earlier one. A late raise after a lower pace above 0 is already ended by the pause that follows 1.8 s after the target was missed.

Change: a run whose pace is to be 0 and that uses more than a tenth of what it requests is ordered to pause at each measurement. The measurement after a pause may still show its use from before, which costs one order more.

The new test failed before: no order in place of { key: 'run', percent: 0 }. With the change the tests of DisturbanceLimiter and InterferenceEstimator pass (13).

--- a/src/coordination/pool/DisturbanceLimiter.ts
+++ b/src/coordination/pool/DisturbanceLimiter.ts
@@ -52,6 +52,11 @@
 );
 /** Pace from which the usage of a run is representative of its usage at full speed, in percent. */
 const MIN_REPRESENTATIVE_PERCENT = 30;
+/**
+ * Share of its demand above which a run that should be paused is working: an earlier order that got
+ * no response may have been executed after the one that paused it.
+ */
+const WORKING_SHARE = 0.1;
 /** Bisection steps in the search for the tolerated share. */
 const BISECTION_STEPS = 6;
 
@@ -167,7 +172,7 @@
     return {
       moves: [...slowSince].filter(([, since]) => now - since >= MOVE_AFTER_MS).map(([key]) => key),
       paces: decided
-        .filter(({ percent, next }) => percent !== next)
+        .filter((run) => run.percent !== run.next || (run.next === 0 && isWorking(run)))
         .map(({ key, next }) => ({ key, percent: next })),
     };
   }
@@ -298,6 +303,10 @@
   }
 }
 
+function isWorking({ used, demand }: IdleProcessorRun): boolean {
+  return used > WORKING_SHARE * demand;
+}
+
 /** Returns the expected usage of a run at a pace. */
 function getUsage({ used, percent, demand }: IdleProcessorRun, targetPercent: number): number {
   const isRepresentative = percent >= MIN_REPRESENTATIVE_PERCENT && used > 0;
--- a/tests/coordination/pool/disturbanceLimiterTests.ts
+++ b/tests/coordination/pool/disturbanceLimiterTests.ts
@@ -135,6 +135,22 @@
   t.deepEqual(decide(2_000).paces, [{ key: "run", percent: 0 }]);
 });
 
+// Guards against an earlier order of a higher pace that the worker executes after the pause.
+test("DisturbanceLimiter pauses a run again that still works", (t) => {
+  const limiter = createLimiter();
+  const serving = [
+    { image: "serving-a", step: "job.0.0", targetMs: LATENCY_TARGET_MS, tailMs: 43, currentMs: 10 },
+  ];
+  const decide = (now: number, used: number) => {
+    const run = { key: "run", image: "idle-a", used, percent: 0, demand: 0.05 };
+    return limiter.decide({ worker: WORKER, serving, runs: [run], now }).paces;
+  };
+  decide(0, 0);
+  t.deepEqual(decide(2_000, 0), []);
+  t.deepEqual(decide(2_450, 0.05), [{ key: "run", percent: 0 }]);
+  t.deepEqual(decide(2_900, 0), []);
+});
+
 test("DisturbanceLimiter runs everything at full speed without serving tasks", (t) => {
   const limiter = createLimiter();
   const run = { key: "run", image: "idle-a", used: 0, percent: 50, demand: 0.5 };
