Do not refuse a repeated submission whose first one may be recorded

What callers would see: a job runs although the submitter was told "not-run". After an unknown outcome submitters are asked to repeat the request with the same key. While the write of the first submission was in doubt and the store away, the repetition was refused as "store-unavailable", "not-run", and the command line reported that; the record was in the log, or came into it later.

Class of fault: the answer to a later attempt taken for the fate of an earlier one.

Change: while the store does not accept records, the owner refuses only jobs that are neither recorded nor being recorded. The repetition of another one shares its outcome, which is unknown until the write is settled.

The new test failed before, at its first assertion on the repetition: "store-unavailable", "not-run" in place of "outcome-unknown", "may-have-run"; its last assertion, on a recorded job, held before too.

--- a/src/coordination/batch/JobSubmissionService.ts
+++ b/src/coordination/batch/JobSubmissionService.ts
@@ -52,6 +52,14 @@
     this._retentionMs = retentionMs;
   }
 
+  /**
+   * Returns whether a job is recorded or an earlier submission of it may still be.
+   * @param id - Id of the job.
+   */
+  isKnown(id: string): boolean {
+    return this._log.ledger.getJob(id) !== undefined || this._submissions.has(id);
+  }
+
   /**
    * Submits a job. The same submission may be repeated safely.
    * @param id - Id of the job.
--- a/src/transport/entry/batch/JobRoutes.ts
+++ b/src/transport/entry/batch/JobRoutes.ts
@@ -118,7 +118,8 @@
   }
 
   private async _submitTo(owner: PartitionOwner, id: string, spec: JobSpec): Promise<ApiReply> {
-    if (!owner.isAvailable) {
+    // A repeated submission must not be refused as one that is not recorded if the first one is.
+    if (!owner.isAvailable && !owner.submissions.isKnown(id)) {
       return storeUnavailable();
     }
     const outcome = await this._withTimeout(owner.submissions.submit(id, spec));
--- a/tests/transport/entry/batch/batchServiceTests.ts
+++ b/tests/transport/entry/batch/batchServiceTests.ts
@@ -134,6 +134,32 @@
   t.is((await second).status, 201);
 });
 
+// Guards against a repetition whose refusal is taken for the fate of the first submission.
+test("BatchService does not refuse a repeated submission while the first one may be recorded", async (t) => {
+  const { clock, store, startService, advance } = createSetup();
+  const service = await startService("e1");
+  store.faults.lostAnswers = 1;
+  const first = call(service, "POST", "/v1/jobs", { body: BODY });
+  while (store.faults.lostAnswers > 0) {
+    await clock.advance(1);
+  }
+  store.startOutage();
+  await advance(3_000);
+  t.like((await first).body, { code: "outcome-unknown", verdict: "may-have-run" });
+  const repeated = call(service, "POST", "/v1/jobs", { body: BODY });
+  const other = call(service, "POST", "/v1/jobs", { body: { ...BODY, key: "b" } });
+  await advance(3_000);
+  t.like((await repeated).body, { code: "outcome-unknown", verdict: "may-have-run" });
+  t.like((await other).body, { code: "store-unavailable", verdict: "not-run" });
+  store.endOutage();
+  await advance(LEASE_MS);
+  store.startOutage();
+  await advance(LEASE_MS);
+  const recorded = call(service, "POST", "/v1/jobs", { body: BODY });
+  await advance(3_000);
+  t.like((await recorded).body, { known: true });
+});
+
 test("BatchService reports an unknown outcome while responses of the store are lost", async (t) => {
   const { store, startService, advance } = createSetup();
   const service = await startService("e1");
