Move the execution of orders out of the agent

How an order is sent, repeated and answered is a job of its own (OrderExecutor). No change of behaviour; the tests of agents and start orders pass (41).

--- /dev/null
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -0,0 +1,97 @@
+/**
+ * Executes the orders of a scheduler at the worker of an agent. An order without a response is sent
+ * again; its result is unknown unless the worker has executed a repetition.
+ */
+import { errAsync, type ResultAsync } from "neverthrow";
+import type {
+  PoolWorker,
+  RunCall,
+  WorkerAnnouncement,
+  WorkerCallFailure,
+} from "../../protocol/platform/PoolWorker.ts";
+import type { OrderCall, OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
+import { formatIncarnation } from "./incarnations.ts";
+
+/** Maximum number of attempts at an order while its outcome is unknown. */
+const MAX_ORDER_TRIES = 2;
+
+const NOT_RESPONDING: WorkerCallFailure = {
+  kind: "unhealthy",
+  detail: "the worker does not respond; it was not called",
+};
+
+/** Dependencies of OrderExecutor. */
+export interface OrderExecutorDependencies {
+  readonly worker: PoolWorker;
+  /** Gets the last announcement of the worker; undefined for none. */
+  readonly getWorker: () => WorkerAnnouncement | undefined;
+  /** Returns whether the worker has responded to the last call for its lists. */
+  readonly isResponding: () => boolean;
+}
+
+/** Executes the orders for one worker. */
+export class OrderExecutor {
+  private readonly _deps: OrderExecutorDependencies;
+
+  /**
+   * Creates an executor.
+   * @param deps - Dependencies.
+   */
+  constructor(deps: OrderExecutorDependencies) {
+    this._deps = deps;
+  }
+
+  /**
+   * Executes orders.
+   * @param call - The orders.
+   */
+  async execute(call: OrderCall): Promise<Omit<OrderReport, "callNumber">> {
+    const stops = call.stops.map((order) => this._stop(call, order));
+    const paces = call.paces.map((pace) =>
+      this._execute(call, pace, (run) => this._deps.worker.pace(run, pace.percent)),
+    );
+    const starts = call.starts.map((order) => this._start(call, order));
+    return {
+      stops: await Promise.all(stops),
+      paces: await Promise.all(paces),
+      starts: await Promise.all(starts),
+    };
+  }
+
+  private async _start(call: OrderCall, order: StartOrder): Promise<RunResult> {
+    const { epoch: fencingToken, leaseUntilMs } = call;
+    const { task, run } = order;
+    return this._deps.getWorker()?.draining === true
+      ? { task, run, failure: "draining" }
+      : this._execute(call, order, ({ worker }) =>
+          this._deps.isResponding()
+            ? this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs })
+            : errAsync(NOT_RESPONDING),
+        );
+  }
+
+  private async _stop(call: OrderCall, order: RunOrder): Promise<RunResult> {
+    return this._execute(call, order, (run) => this._deps.worker.stop(run));
+  }
+
+  /** Sends an order until its outcome is known or the maximum number of attempts is reached. */
+  private async _execute(
+    call: OrderCall,
+    { task, run }: RunOrder,
+    send: (run: RunCall) => ResultAsync<void, WorkerCallFailure>,
+    attemptsLeft = MAX_ORDER_TRIES,
+    isRetry = false,
+  ): Promise<RunResult> {
+    const known = this._deps.getWorker();
+    if (known === undefined || call.worker !== formatIncarnation(known.id, known.startedAtMs)) {
+      return { task, run, failure: isRetry ? "unknown" : "wrong-worker" };
+    }
+    const result = await send({ worker: known.id, fencingToken: call.epoch, task, run });
+    const failure = result.isErr() ? result.error.kind : undefined;
+    if (failure === "unknown" && attemptsLeft > 1) {
+      return this._execute(call, { task, run }, send, attemptsLeft - 1, true);
+    }
+    // An earlier attempt may still be executed, whatever the result of a later one.
+    return { task, run, failure: failure !== undefined && isRetry ? "unknown" : failure };
+  }
+}
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -3,12 +3,10 @@
  * of the highest epoch, and reports the runs that the worker lists. It has no persistent state, so
  * that a new process of the agent continues where the former one ended.
  */
-import { errAsync, type ResultAsync } from "neverthrow";
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type {
   PoolWorker,
-  RunCall,
   WorkerAnnouncement,
   WorkerCallFailure,
 } from "../../protocol/platform/PoolWorker.ts";
@@ -18,12 +16,10 @@
   ObserveCall,
   OrderCall,
   OrderReport,
-  RunOrder,
-  StartOrder,
-  RunResult,
 } from "./AgentChannel.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { ListedEnds } from "./ListedEnds.ts";
+import { OrderExecutor } from "./OrderExecutor.ts";
 import { Signal } from "./Signal.ts";
 import { describeRuns, isNewer } from "./workerChanges.ts";
 import { createWorkerReport, type NumberedLists } from "./workerReport.ts";
@@ -37,14 +33,6 @@
 const ACK_POLL_INTERVAL_MS = 60;
 /** Delay after a failed call for lists, in milliseconds. */
 const RETRY_MS = 150;
-/** Maximum number of attempts at an order while its outcome is unknown. */
-const MAX_ORDER_TRIES = 2;
-
-const NOT_RESPONDING: WorkerCallFailure = {
-  kind: "unhealthy",
-  detail: "the worker does not respond; it was not called",
-};
-
 /** Dependencies of PoolWorkerAgent. */
 export interface PoolWorkerAgentDependencies {
   readonly worker: PoolWorker;
@@ -75,6 +63,7 @@
   private _responds = false;
   private _leaseUntilMs: number | undefined;
   private readonly _ends: ListedEnds;
+  private readonly _orders: OrderExecutor;
   private _listWaitMs = DEFAULT_LIST_WAIT_MS;
   private _callNumber = 0;
   private _version = 1;
@@ -92,6 +81,11 @@
     this._deps = deps;
     const { clock, log } = deps;
     this._ends = new ListedEnds({ clock, log, getNextVersion: () => this._version + 1 });
+    this._orders = new OrderExecutor({
+      worker: deps.worker,
+      getWorker: () => this._announced,
+      isResponding: () => this._responds,
+    });
     this._reportChanged = new Signal(deps.clock);
     this._listDue = new Signal(deps.clock);
   }
@@ -172,16 +166,7 @@
     if (call.worker === this.incarnation && call.leaseUntilMs > 0) {
       this._extendLease(call.leaseUntilMs);
     }
-    const stops = call.stops.map((order) => this._stop(call, order));
-    const paces = call.paces.map((pace) =>
-      this._execute(call, pace, (run) => this._deps.worker.pace(run, pace.percent)),
-    );
-    const starts = call.starts.map((order) => this._start(call, order));
-    const results = {
-      stops: await Promise.all(stops),
-      paces: await Promise.all(paces),
-      starts: await Promise.all(starts),
-    };
+    const results = await this._orders.execute(call);
     const { _callNumber: callNumber } = this;
     if (call.stops.length > 0) {
       void this._reportStops();
@@ -199,43 +184,6 @@
     }
   }
 
-  private async _start(call: OrderCall, order: StartOrder): Promise<RunResult> {
-    const { epoch: fencingToken, leaseUntilMs } = call;
-    const { task, run } = order;
-    return this._announced?.draining === true
-      ? { task, run, failure: "draining" }
-      : this._execute(call, order, ({ worker }) =>
-          this._responds
-            ? this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs })
-            : errAsync(NOT_RESPONDING),
-        );
-  }
-
-  private async _stop(call: OrderCall, order: RunOrder): Promise<RunResult> {
-    return this._execute(call, order, (run) => this._deps.worker.stop(run));
-  }
-
-  /** Sends an order until its outcome is known or the maximum number of attempts is reached. */
-  private async _execute(
-    call: OrderCall,
-    { task, run }: RunOrder,
-    send: (run: RunCall) => ResultAsync<void, WorkerCallFailure>,
-    attemptsLeft = MAX_ORDER_TRIES,
-    isRetry = false,
-  ): Promise<RunResult> {
-    const worker = this._announced?.id;
-    if (worker === undefined || call.worker !== this.incarnation) {
-      return { task, run, failure: isRetry ? "unknown" : "wrong-worker" };
-    }
-    const result = await send({ worker, fencingToken: call.epoch, task, run });
-    const failure = result.isErr() ? result.error.kind : undefined;
-    if (failure === "unknown" && attemptsLeft > 1) {
-      return this._execute(call, { task, run }, send, attemptsLeft - 1, true);
-    }
-    // An earlier attempt may still be executed, whatever the result of a later one.
-    return { task, run, failure: failure !== undefined && isRetry ? "unknown" : failure };
-  }
-
   /** Follows the highest epoch. Returns whether the given epoch is the highest. */
   private _acceptEpoch(epoch: number): boolean {
     if (epoch < this._epoch) {
