Let worker stand-ins crash under a task and change their capacity

Workers of the platform may do both, and no test could show it. Nothing in src/ changes.

A task can be marked as one that crashes its worker some time after each start. The worker ends with all its runs; its agent lives on and calls the next incarnation at the same address, under the same id or another one.

A worker's capacity can be changed while it runs, and its announcements show it. In a mode without a guard it starts whatever it is told to start.

--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -5,7 +5,6 @@
  * state of the system.
  */
 import { err, ok, ResultAsync, type Result } from "neverthrow";
-import type { Clock } from "../../src/protocol/platform/Clock.ts";
 import {
   PoolWorker,
   type EndedRun,
@@ -17,70 +16,25 @@
   type WorkerCallFailure,
   type WorkerRuns,
 } from "../../src/protocol/platform/PoolWorker.ts";
-import type { Resources } from "../../src/protocol/Resources.ts";
+import { addResources, NO_RESOURCES, type Resources } from "../../src/protocol/Resources.ts";
+import type { JournalRun } from "./poolJournal.ts";
+import type {
+  PoolWorkerFaults,
+  PoolWorkerModelDependencies,
+  TaskRequirements,
+} from "./PoolWorkerModelDependencies.ts";
 
 /** Time between a stop order and the end of the run, in milliseconds. */
 const STOP_DURATION_MS = 200;
 /** Interval at which due ends are checked, and at which a sync call that waits for an end polls. */
 const POLL_MS = 20;
 
-/** Faults of a worker; each can be changed at any time. */
-export interface PoolWorkerFaults {
-  /** No call is executed or gets a response. */
-  isUnresponsive: boolean;
-  /** Number of further orders that get no response and are executed after the delay below. */
-  lateOrders: number;
-  /** Delay of late orders, in milliseconds. */
-  lateMs: number;
-  /** Every run ends with the outcome "failed". */
-  failEveryRun: boolean;
-}
-
-/** Run as it actually took place. */
-export interface JournalRun {
-  readonly worker: string;
-  readonly task: string;
-  readonly run: number;
-  readonly startedAt: number;
-  endedAt: number | undefined;
-  outcome: RunOutcome | undefined;
-  /**
-   * Whether its end was acknowledged before the worker's lease expired; undefined while that is
-   * open. If it was not acknowledged in time, the task may run again on another worker.
-   */
-  isAcknowledged: boolean | undefined;
-}
-
 interface ActiveRun {
   readonly entry: JournalRun;
   readonly endsAt: number;
-  readonly resources: Resources;
   stopsAt: number | undefined;
 }
 
-/** Resources and duration of a task, as set by the test. */
-export interface TaskRequirements {
-  readonly resources: Resources;
-  /** Duration of the work in milliseconds; undefined for a task that does not end by itself. */
-  readonly workMs: number | undefined;
-}
-
-/** Dependencies of a worker model. */
-export interface PoolWorkerModelDependencies {
-  readonly clock: Clock;
-  readonly id: string;
-  /** Start time of the incarnation, as announced. */
-  readonly startedAtMs: number;
-  readonly pool: string;
-  readonly rack: string;
-  readonly capacity: Resources;
-  /** Rate of the worker's own clock; 1 is real time. */
-  readonly clockRate: number;
-  readonly getRequirements: (task: string) => TaskRequirements;
-  /** Journal to which every run is appended. */
-  readonly journal: JournalRun[];
-}
-
 /** Stand-in for one incarnation of a worker. */
 export class PoolWorkerModel extends PoolWorker {
   readonly faults: PoolWorkerFaults = {
@@ -88,6 +42,7 @@
     lateOrders: 0,
     lateMs: 3_000,
     failEveryRun: false,
+    startsWithoutRoom: false,
   };
   private readonly _deps: PoolWorkerModelDependencies;
   private readonly _createdAt: number;
@@ -101,6 +56,7 @@
   private _sequence = 0;
   private _isDraining = false;
   private _isDead = false;
+  private _capacity: Resources;
 
   /**
    * Creates a worker without runs.
@@ -110,13 +66,31 @@
     super();
     this._deps = deps;
     this._createdAt = deps.clock.now();
+    this._capacity = deps.capacity;
     this._endDueRuns();
   }
 
+  /** Whether the worker has crashed. */
+  get isDead(): boolean {
+    return this._isDead;
+  }
+
+  /** Capacity that the worker has now. */
+  get capacity(): Resources {
+    return this._capacity;
+  }
+
+  /** Id and start time of the incarnation, as in the journal. */
+  get incarnation(): string {
+    return `${this._deps.id}@${this._deps.startedAtMs}`;
+  }
+
   /** Creates the next announcement. */
   announce(): WorkerAnnouncement {
     this._sequence += 1;
-    const { id, startedAtMs, pool, rack, capacity } = this._deps;
+    const { id, startedAtMs, pool, rack, clock, capacityJournal } = this._deps;
+    const capacity = this._capacity;
+    capacityJournal?.push({ worker: this.incarnation, announcedAt: clock.now(), capacity });
     return {
       ...{ id, startedAtMs, pool, rack, capacity },
       zone: "zone-a",
@@ -132,11 +106,23 @@
     this._isDraining = true;
   }
 
-  /** Ends the worker and all of its runs immediately. */
-  crash(): void {
+  /**
+   * Changes the capacity; runs that no longer fit go on.
+   * @param processorsMilli - Processors, in thousandths.
+   */
+  resize(processorsMilli: number): void {
+    this._capacity = { ...this._capacity, processorsMilli };
+  }
+
+  /**
+   * Ends the worker and all of its runs immediately.
+   * @param crashedBy - Task that crashes it; undefined for a crash by itself.
+   */
+  crash(crashedBy?: string): void {
     this._isDead = true;
     this._running.forEach(({ entry }) => {
       entry.endedAt = this._deps.clock.now();
+      entry.crashedBy = crashedBy;
     });
     this._running.clear();
   }
@@ -146,7 +132,8 @@
   }
 
   override start(call: StartCall): ResultAsync<void, WorkerCallFailure> {
-    return this._executeOrder(() => this._start(call));
+    const orderedAt = this._deps.clock.now();
+    return this._executeOrder(() => this._start(call, orderedAt));
   }
 
   override stop(call: RunCall): ResultAsync<void, WorkerCallFailure> {
@@ -229,7 +216,7 @@
     );
   }
 
-  private _start(call: StartCall): Result<void, WorkerCallFailure> {
+  private _start(call: StartCall, orderedAt: number): Result<void, WorkerCallFailure> {
     const { task, run } = call;
     const fenced = this._fence(call.fencingToken);
     if (fenced.isErr()) {
@@ -245,25 +232,40 @@
     if (run <= (this._lastRuns.get(task) ?? 0)) {
       return err({ kind: "old-run", detail: "" });
     }
-    const { resources, workMs } = this._deps.getRequirements(task);
-    if (!this._hasFreeCapacity(resources)) {
+    const requirements = this._deps.getRequirements(task);
+    if (!this.faults.startsWithoutRoom && !this._hasFreeCapacity(requirements.resources)) {
       return err({ kind: "no-room", detail: "" });
     }
-    const startedAt = this._deps.clock.now();
-    const worker = `${this._deps.id}@${this._deps.startedAtMs}`;
-    const entry = {
-      worker,
-      task,
-      run,
-      startedAt,
+    this._run(call, requirements, orderedAt);
+    return ok();
+  }
+
+  private _run({ task, run }: StartCall, required: TaskRequirements, orderedAt: number): void {
+    const { clock, journal } = this._deps;
+    const { resources, workMs, crashesWorkerAfterMs } = required;
+    const startedAt = clock.now();
+    const entry: JournalRun = {
+      ...{ worker: this.incarnation, task, run, orderedAt, startedAt, resources },
       endedAt: undefined,
       outcome: undefined,
+      crashedBy: undefined,
       isAcknowledged: undefined,
     };
-    this._deps.journal.push(entry);
+    journal.push(entry);
     const endsAt = startedAt + (workMs ?? Number.POSITIVE_INFINITY);
-    this._running.set(task, { entry, endsAt, resources, stopsAt: undefined });
-    return ok();
+    this._running.set(task, { entry, endsAt, stopsAt: undefined });
+    if (crashesWorkerAfterMs !== undefined) {
+      clock.after(crashesWorkerAfterMs, () => {
+        this._crashDuring(entry);
+      });
+    }
+  }
+
+  private _crashDuring(entry: JournalRun): void {
+    if (this._running.get(entry.task)?.entry === entry) {
+      this.crash(entry.task);
+      this._deps.onCrashed?.();
+    }
   }
 
   private _stop(call: RunCall): Result<void, WorkerCallFailure> {
@@ -280,10 +282,10 @@
 
   private _hasFreeCapacity(required: Resources): boolean {
     const used = [...this._running.values()].reduce(
-      (sum, { resources }) => sum + resources.processorsMilli,
-      0,
+      (sum, { entry }) => addResources(sum, entry.resources),
+      NO_RESOURCES,
     );
-    return used + required.processorsMilli <= this._deps.capacity.processorsMilli;
+    return used.processorsMilli + required.processorsMilli <= this._capacity.processorsMilli;
   }
 
   private _fence(fencingToken: number): Result<void, WorkerCallFailure> {
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -11,30 +11,23 @@
   SubmissionService,
   type SubmissionOutcome,
 } from "../../../src/coordination/pool/SubmissionService.ts";
-import {
-  AgentChannel,
-  type AgentOutcome,
-  type AgentReport,
-  type ObserveCall,
-  type OrderCall,
-  type OrderReport,
-} from "../../../src/coordination/pool/AgentChannel.ts";
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import type { QueueConfig } from "../../../src/protocol/pool/QueueConfig.ts";
 import { getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { StoreModel } from "../../../standins/store/StoreModel.ts";
-import {
-  PoolWorkerModel,
-  type JournalRun,
-  type TaskRequirements,
-} from "../../../standins/pool/PoolWorkerModel.ts";
+import { PoolWorkerAddress } from "../../../standins/pool/PoolWorkerAddress.ts";
+import type { JournalCapacity, JournalRun } from "../../../standins/pool/poolJournal.ts";
+import { PoolWorkerModel } from "../../../standins/pool/PoolWorkerModel.ts";
+import type { TaskRequirements } from "../../../standins/pool/PoolWorkerModelDependencies.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
 import type { SharedLink } from "../../support/SharedLink.ts";
+import { findOverCapacity, findOverlaps, findStartsAfterEnd } from "./runViolations.ts";
+import { SimulatedChannel } from "./SimulatedChannel.ts";
 
 const HEARTBEAT_MS = 1_000;
 
@@ -81,19 +74,36 @@
   readonly name: string;
   workerAgent: PoolWorkerAgent;
   worker: PoolWorkerModel;
+  /** Where the agent calls the worker; leads to the incarnation above once that is up. */
+  readonly address: PoolWorkerAddress;
   isDisconnected: boolean;
 }
 
+/** A job to submit. */
+export interface SimulatedJob {
+  readonly id: string;
+  readonly definition: JobDefinition;
+  /** Run time of each task, in milliseconds; undefined for tasks that never end. */
+  readonly workMs: number | undefined;
+  /** Time after which each run crashes its worker, in milliseconds; undefined for none. */
+  readonly crashesWorkerAfterMs?: number;
+}
+
 /** A pool with its store, entries, agents and workers. */
 export class PoolSimulation {
   readonly clock = new ManualClock();
   readonly log = new MemoryLog();
   readonly storeModel = new StoreModel(this.clock);
   readonly journal: JournalRun[] = [];
+  readonly capacityJournal: JournalCapacity[] = [];
   readonly entries: SimulatedEntry[] = [];
   readonly agents: SimulatedAgent[] = [];
   /** Link that all orders to agents share; undefined for one without limits. */
   orderLink: SharedLink | undefined;
+  /** Time from a crash under a task to the next incarnation, in milliseconds. */
+  workerRestartMs = 3_000;
+  /** Whether the incarnation after a crash under a task has an id of its own. */
+  changesWorkerIds = false;
   private readonly _random: SeededRandom;
   private readonly _requirements = new Map<string, TaskRequirements>();
   private readonly _timings: PoolTimings;
@@ -137,6 +147,7 @@
       timings: this._timings,
       channel: new SimulatedChannel(
         this,
+        TIMINGS.agentTimeoutMs,
         (agent) => entry.isDisconnected || entry.isStopped || cutAgents.has(agent),
       ),
       getTimeOfDay,
@@ -174,11 +185,11 @@
    * @param processorsMilli - Processors of the worker, in thousandths.
    */
   async addAgent(name: string, processorsMilli = 4_000): Promise<SimulatedAgent> {
-    const worker = this._createWorker(name, processorsMilli);
+    const worker = this._createWorker(name, name, processorsMilli);
+    const address = new PoolWorkerAddress(worker);
     const agent = {
-      name,
-      worker,
-      workerAgent: this._createWorkerAgent(worker),
+      ...{ name, worker, address },
+      workerAgent: this._createWorkerAgent(address),
       isDisconnected: false,
     };
     this.agents.push(agent);
@@ -193,7 +204,7 @@
    */
   async restartAgent(agent: SimulatedAgent): Promise<void> {
     agent.workerAgent.stop();
-    agent.workerAgent = this._createWorkerAgent(agent.worker);
+    agent.workerAgent = this._createWorkerAgent(agent.address);
     await this._register(agent.name);
   }
 
@@ -203,10 +214,20 @@
    */
   async crashWorker(agent: SimulatedAgent): Promise<void> {
     agent.worker.crash();
-    agent.worker = this._createWorker(agent.name, 4_000);
+    this._replaceWorker(agent, agent.name, 4_000);
     await this.restartAgent(agent);
   }
 
+  /**
+   * Lets a worker crash by itself; its agent lives on, and the next incarnation is up after the
+   * time of a restart.
+   * @param agent - Its agent.
+   */
+  crashWorkerOnly(agent: SimulatedAgent): void {
+    agent.worker.crash();
+    this._scheduleRestart(agent);
+  }
+
   /**
    * Submits a job.
    * @param entry - Entry to which the job is submitted.
@@ -220,12 +241,27 @@
     definition: JobDefinition,
     workMs: number | undefined,
   ): Promise<SubmissionOutcome> {
-    definition.steps.forEach((step, position) => {
-      this._requirements.set(`${id}.${position}`, { resources: step.resources, workMs });
+    const [outcome] = await this.submitAll(entry, [{ id, definition, workMs }]);
+    return outcome ?? { kind: "not-found" };
+  }
+
+  /**
+   * Submits jobs at the same time.
+   * @param entry - Entry to which they are submitted.
+   * @param jobs - The jobs.
+   */
+  async submitAll(
+    entry: SimulatedEntry,
+    jobs: readonly SimulatedJob[],
+  ): Promise<readonly SubmissionOutcome[]> {
+    const outcomes = jobs.map(({ id, definition, workMs, crashesWorkerAfterMs }) => {
+      definition.steps.forEach(({ resources }, position) => {
+        this._requirements.set(`${id}.${position}`, { resources, workMs, crashesWorkerAfterMs });
+      });
+      return entry.submissions.submit(QUEUE, id, definition, this.clock.now() + 2_500);
     });
-    const outcome = entry.submissions.submit(QUEUE, id, definition, this.clock.now() + 2_500);
     await this.clock.advance(3_000);
-    return outcome;
+    return Promise.all(outcomes);
   }
 
   /**
@@ -248,7 +284,28 @@
     ]);
   }
 
-  private _createWorker(id: string, processorsMilli: number): PoolWorkerModel {
+  /** Finds starts that brought a worker over its capacity. */
+  findOverCapacity(): readonly string[] {
+    return findOverCapacity(this.journal, this.capacityJournal);
+  }
+
+  private _replaceWorker(agent: SimulatedAgent, id: string, processorsMilli: number): void {
+    agent.worker = this._createWorker(agent.name, id, processorsMilli);
+    agent.address.worker = agent.worker;
+  }
+
+  private _scheduleRestart(agent: SimulatedAgent): void {
+    const { processorsMilli } = agent.worker.capacity;
+    this.clock.after(this.workerRestartMs, () => {
+      if (agent.worker.isDead) {
+        this._processCount += 1;
+        const id = this.changesWorkerIds ? `${agent.name}-${this._processCount}` : agent.name;
+        this._replaceWorker(agent, id, processorsMilli);
+      }
+    });
+  }
+
+  private _createWorker(agent: string, id: string, processorsMilli: number): PoolWorkerModel {
     return new PoolWorkerModel({
       clock: this.clock,
       id,
@@ -259,6 +316,13 @@
       clockRate: 0.98,
       getRequirements: (task) => this._getRequirements(task),
       journal: this.journal,
+      capacityJournal: this.capacityJournal,
+      onCrashed: () => {
+        const crashed = this.getAgent(agent);
+        if (crashed !== undefined) {
+          this._scheduleRestart(crashed);
+        }
+      },
     });
   }
 
@@ -272,7 +336,7 @@
     );
   }
 
-  private _createWorkerAgent(worker: PoolWorkerModel): PoolWorkerAgent {
+  private _createWorkerAgent(worker: PoolWorkerAddress): PoolWorkerAgent {
     this._processCount += 1;
     const { clock, log } = this;
     const process = `agent-${this._processCount}`;
@@ -296,7 +360,7 @@
   }
 
   private _sendHeartbeats(agent: SimulatedAgent): void {
-    if (!agent.worker.faults.isUnresponsive) {
+    if (!agent.worker.faults.isUnresponsive && !agent.worker.isDead) {
       agent.workerAgent.handleAnnouncement(agent.worker.announce());
     }
     this.clock.after(HEARTBEAT_MS, () => {
@@ -304,73 +368,3 @@
     });
   }
 }
-
-/** In-process channel; calls over a broken connection time out. */
-class SimulatedChannel extends AgentChannel {
-  private readonly _simulation: PoolSimulation;
-  private readonly _isDisconnected: (agent: string) => boolean;
-
-  constructor(simulation: PoolSimulation, isDisconnected: (agent: string) => boolean) {
-    super();
-    this._simulation = simulation;
-    this._isDisconnected = isDisconnected;
-  }
-
-  override observe(address: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
-    return this._call(address, call.waitMs, (workerAgent) => workerAgent.observe(call));
-  }
-
-  override async order(address: string, call: OrderCall): Promise<AgentOutcome<OrderReport>> {
-    const bytes = Buffer.byteLength(JSON.stringify(call));
-    const { orderLink } = this._simulation;
-    const hasArrived = await (orderLink?.transfer(bytes, TIMINGS.agentTimeoutMs) ?? true);
-    return hasArrived
-      ? this._call(address, 0, (workerAgent) => workerAgent.order(call))
-      : { kind: "unreachable", detail: "no response before the timeout" };
-  }
-
-  override reset(): void {
-    // In-process calls have no connection.
-  }
-
-  private async _call<T>(
-    address: string,
-    waitMs: number,
-    send: (workerAgent: PoolWorkerAgent) => Promise<AgentOutcome<T>>,
-  ): Promise<AgentOutcome<T>> {
-    const { clock } = this._simulation;
-    const agent = this._simulation.getAgent(address);
-    const lost = { kind: "unreachable", detail: "no response before the timeout" } as const;
-    if (agent === undefined || this._isLost(agent)) {
-      await clock.sleep(TIMINGS.agentTimeoutMs);
-      return lost;
-    }
-    const timeout = clock.sleep(TIMINGS.agentTimeoutMs + waitMs).then(() => lost);
-    const outcome = await Promise.race([send(agent.workerAgent), timeout]);
-    return this._isLost(agent) ? lost : outcome;
-  }
-
-  private _isLost(agent: SimulatedAgent): boolean {
-    return agent.isDisconnected || this._isDisconnected(agent.name);
-  }
-}
-
-function findOverlaps(task: string, runs: readonly JournalRun[]): readonly string[] {
-  const inOrder = runs.toSorted((a, b) => a.startedAt - b.startedAt);
-  return inOrder.slice(1).flatMap((run, position) => {
-    const before = inOrder[position];
-    const endedAt = before?.endedAt ?? Number.POSITIVE_INFINITY;
-    return run.startedAt < endedAt
-      ? [`${task}: run ${run.run} on ${run.worker} started during run ${before?.run ?? 0}`]
-      : [];
-  });
-}
-
-function findStartsAfterEnd(task: string, runs: readonly JournalRun[]): readonly string[] {
-  const doneAt = runs
-    .filter(({ outcome, isAcknowledged }) => outcome === "done" && isAcknowledged === true)
-    .map(({ endedAt }) => endedAt ?? 0);
-  return runs
-    .filter(({ startedAt }) => doneAt.some((at) => startedAt > at))
-    .map(({ run, worker }) => `${task}: run ${run} on ${worker} started after the task was done`);
-}
