Test that tasks which crash their workers are started no more than twice after three crashes

A task under which two workers have crashed may be given up; after three there may be two more starts at most, and nobody else's job may fail.

--- /dev/null
+++ b/tests/coordination/pool/crashingTaskTests.ts
@@ -0,0 +1,340 @@
+/**
+ * Tests of tasks that crash each worker that starts them, in virtual time: such a task must not take
+ * one worker down after the other, and the tasks that are beside it, or on workers that end for
+ * other reasons, must not be blamed.
+ */
+import test, { type ExecutionContext } from "ava";
+import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
+import type { JournalRun } from "../../../standins/pool/poolJournal.ts";
+import { createJobId, createStep } from "../../support/poolFixtures.ts";
+import { SeededRandom } from "../../support/SeededRandom.ts";
+import {
+  PoolSimulation,
+  QUEUE,
+  type SimulatedAgent,
+  type SimulatedEntry,
+  type SimulatedJob,
+} from "./PoolSimulation.ts";
+
+const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [1, 2, 3];
+const AGENT_COUNT = 8;
+/** Time in which the entry becomes the scheduler and all agents report, in milliseconds. */
+const START_MS = 3_000;
+/** Crashed workers after which the further starts of a task are limited. */
+const CRASHES_UNTIL_LIMIT = 3;
+/** Starts of a task that are allowed after these crashes. */
+const MAX_STARTS_AFTER_LIMIT = 2;
+/** Crashed workers after which a task may be given up. */
+const MIN_CRASHES_TO_GIVE_UP = 2;
+const INNOCENT_JOB_COUNT = 12;
+const TASKS_PER_JOB = 4;
+/** Waves of innocent jobs, so that work waits whenever a worker is back. */
+const WAVE_COUNT = 10;
+/** Longer than the remaining work and every wait for a lease, in milliseconds. */
+const RECOVERY_MS = 120_000;
+/** Time that a caller waits, in milliseconds. */
+const CALL_MS = 2_500;
+
+interface Pool {
+  readonly simulation: PoolSimulation;
+  readonly random: SeededRandom;
+  readonly entry: SimulatedEntry;
+}
+
+interface CrashingTask {
+  readonly task: string;
+  readonly crashes: readonly JournalRun[];
+  readonly startsAfterLimit: number;
+}
+
+async function createPool(seed: number, agentCount = AGENT_COUNT): Promise<Pool> {
+  const simulation = new PoolSimulation(seed);
+  const entry = simulation.addEntry("entry-0");
+  const names = Array.from({ length: agentCount }, (_, position) => `agent-${position}`);
+  await Promise.all(names.map((name) => simulation.addAgent(name)));
+  await simulation.clock.advance(START_MS);
+  return { simulation, random: new SeededRandom(seed), entry };
+}
+
+function createJob(taskCount: number): JobDefinition {
+  return { payload: "", steps: [createStep({ taskCount })], schedule: undefined };
+}
+
+function createInnocentJobs(random: SeededRandom, wave: number): readonly SimulatedJob[] {
+  return Array.from({ length: INNOCENT_JOB_COUNT }, (_, position) => ({
+    id: createJobId(100 * (wave + 1) + position),
+    definition: createJob(TASKS_PER_JOB),
+    workMs: 1_000 + random.nextInt(1_800),
+  }));
+}
+
+function createCrashingJobs(random: SeededRandom, count: number): readonly SimulatedJob[] {
+  return Array.from({ length: count }, (_, position) => ({
+    id: createJobId(position + 1),
+    definition: createJob(1),
+    workMs: 1_000,
+    crashesWorkerAfterMs: 200 + random.nextInt(800),
+  }));
+}
+
+/** Returns the task that crashed workers, with the starts after the limit. */
+function findCrashingTasks({ journal }: PoolSimulation): readonly CrashingTask[] {
+  const tasks = new Set(journal.flatMap(({ crashedBy }) => crashedBy ?? []));
+  return [...tasks].map((task) => {
+    const runs = journal.filter((run) => run.task === task);
+    const crashes = runs
+      .filter(({ crashedBy }) => crashedBy === task)
+      .toSorted((a, b) => (a.endedAt ?? 0) - (b.endedAt ?? 0));
+    const limitedAt = crashes[CRASHES_UNTIL_LIMIT - 1]?.endedAt ?? Number.POSITIVE_INFINITY;
+    const startsAfterLimit = runs.filter(({ startedAt }) => startedAt > limitedAt).length;
+    return { task, crashes, startsAfterLimit };
+  });
+}
+
+async function getPhase({ simulation, entry }: Pool, id: string): Promise<string> {
+  const found = await entry.submissions.getPhase(QUEUE, id, simulation.clock.now() + CALL_MS);
+  return found.kind === "found" ? found.phase : found.kind;
+}
+
+async function getPhases(pool: Pool, jobs: readonly SimulatedJob[]): Promise<readonly string[]> {
+  return Promise.all(jobs.map(async ({ id }) => `${id} ${await getPhase(pool, id)}`));
+}
+
+/** Logs what the crashing tasks cost. */
+function logCost(
+  t: ExecutionContext,
+  { simulation }: Pool,
+  seed: number,
+  innocent: readonly SimulatedJob[],
+): void {
+  const { journal } = simulation;
+  const innocentIds = new Set(innocent.map(({ id }) => id));
+  const found = findCrashingTasks(simulation);
+  const workersDown = found.reduce((sum, { crashes }) => sum + crashes.length, 0);
+  const lost = journal.filter(
+    ({ task, crashedBy }) => crashedBy !== undefined && innocentIds.has(task.split(".")[0] ?? ""),
+  );
+  const hits = [...Map.groupBy(lost, ({ task }) => task).values()].map(({ length }) => length);
+  t.log(
+    `seed ${seed}: ${workersDown} workers went down, ${lost.length} innocent runs were lost, ` +
+      `${Math.max(0, ...hits)} at most of one task; by crashing task: ` +
+      found
+        .map(
+          (one) => `${one.crashes.length} crashes, ${one.startsAfterLimit} starts after the limit`,
+        )
+        .join("; "),
+  );
+}
+
+async function checkJobs(
+  t: ExecutionContext,
+  pool: Pool,
+  innocent: readonly SimulatedJob[],
+  crashing: readonly SimulatedJob[],
+): Promise<void> {
+  const found = findCrashingTasks(pool.simulation);
+  t.true(found.length > 0, "no worker crashed, so that the test shows nothing");
+  t.deepEqual(
+    found
+      .filter(({ startsAfterLimit }) => startsAfterLimit > MAX_STARTS_AFTER_LIMIT)
+      .map(({ task, startsAfterLimit }) => `${task} was started ${startsAfterLimit} times more`),
+    [],
+    "a task was started too often after three workers had crashed under it",
+  );
+  t.deepEqual(
+    await getPhases(pool, innocent),
+    innocent.map(({ id }) => `${id} completed`),
+  );
+  const phases = await Promise.all(crashing.map(async ({ id }) => getPhase(pool, id)));
+  t.false(phases.includes("completed"), "a job whose task never ends is shown as completed");
+  crashing.forEach(({ id }, position) => {
+    const crashes = found.find(({ task }) => task.startsWith(id))?.crashes.length ?? 0;
+    t.false(
+      phases[position] === "failed" && crashes < MIN_CRASHES_TO_GIVE_UP,
+      `${id} is shown as failed after ${crashes} crashes`,
+    );
+  });
+  t.deepEqual(pool.simulation.findViolations(), []);
+}
+
+/** Submits waves of innocent jobs, each with the next crashing one, and returns the innocent ones. */
+async function runWaves(
+  pool: Pool,
+  crashing: readonly SimulatedJob[],
+): Promise<readonly SimulatedJob[]> {
+  const waves = Array.from({ length: WAVE_COUNT }, (_, wave) =>
+    createInnocentJobs(pool.random, wave),
+  );
+  await waves.reduce<Promise<void>>(async (before, jobs, wave) => {
+    await before;
+    const [entry = pool.entry] = pool.simulation.entries.filter(({ isStopped }) => !isStopped);
+    await pool.simulation.submitAll(entry, [...jobs, ...crashing.slice(wave, wave + 1)]);
+  }, Promise.resolve());
+  return waves.flat();
+}
+
+SEEDS.forEach((seed) => {
+  // Guards against a task that is started without end although each worker that starts it crashes,
+  // since a run that is lost with its worker counted for nothing.
+  test(`PoolScheduler stops starting a task that crashes its workers, seed ${seed}`, async (t) => {
+    const pool = await createPool(seed);
+    const crashing = createCrashingJobs(pool.random, 1);
+    const innocent = await runWaves(pool, crashing);
+    await pool.simulation.clock.advance(RECOVERY_MS);
+    logCost(t, pool, seed, innocent);
+    await checkJobs(t, pool, innocent, crashing);
+  });
+
+  // Guards against the same where the next incarnation of the worker has another id.
+  test(`PoolScheduler stops starting a task that crashes its workers, which come back under other ids, seed ${seed}`, async (t) => {
+    const pool = await createPool(seed);
+    pool.simulation.changesWorkerIds = true;
+    const crashing = createCrashingJobs(pool.random, 1);
+    const innocent = await runWaves(pool, crashing);
+    await pool.simulation.clock.advance(RECOVERY_MS);
+    logCost(t, pool, seed, innocent);
+    await checkJobs(t, pool, innocent, crashing);
+  });
+
+  // Guards against counts of crashed workers that are lost with the scheduler that made them.
+  test(`PoolScheduler counts crashed workers beyond a takeover, seed ${seed}`, async (t) => {
+    const { simulation, random, entry } = await createPool(seed);
+    const successor = simulation.addEntry("entry-1");
+    const last = simulation.addEntry("entry-2");
+    const pool = { simulation, random, entry: last };
+    const crashing = createCrashingJobs(random, 1);
+    // The scheduler is killed after the first, the second and the third crash.
+    const restarted = [entry, successor];
+    const killed: number[] = [];
+    const kill = (): void => {
+      const count = findCrashingTasks(simulation)[0]?.crashes.length ?? 0;
+      const scheduling = simulation.entries.find(
+        ({ isStopped, coordinator }) => !isStopped && coordinator.schedulers.size > 0,
+      );
+      if (count > killed.length && scheduling !== undefined && killed.length < 3) {
+        killed.push(count);
+        simulation.killEntry(scheduling);
+        restarted.push(simulation.addEntry(`${scheduling.name}-again-${killed.length}`));
+      }
+      simulation.clock.after(500, kill);
+    };
+    kill();
+    const innocent = await runWaves(pool, crashing);
+    await simulation.clock.advance(RECOVERY_MS);
+    logCost(t, pool, seed, innocent);
+    t.log(`schedulers were killed at ${killed.join(", ")} crashes`);
+    t.true(killed.length > 0, "no scheduler was killed");
+    const [live = last] = simulation.entries.filter(({ isStopped }) => !isStopped);
+    await checkJobs(t, { ...pool, entry: live }, innocent, crashing);
+  });
+
+  // Guards against several crashing tasks that keep most of the pool down.
+  test(`PoolScheduler stops starting several tasks that crash their workers, seed ${seed}`, async (t) => {
+    const pool = await createPool(seed);
+    const crashing = createCrashingJobs(pool.random, 4);
+    const innocent = await runWaves(pool, crashing);
+    await pool.simulation.clock.advance(RECOVERY_MS);
+    logCost(t, pool, seed, innocent);
+    await checkJobs(t, pool, innocent, crashing);
+  });
+
+  // Guards against innocent tasks that are given up because they were beside crashing ones. With two
+  // workers, long tasks cannot avoid them.
+  test(`PoolScheduler completes tasks that were on workers that other tasks crashed, seed ${seed}`, async (t) => {
+    const pool = await createPool(seed, 2);
+    const { simulation, random, entry } = pool;
+    const crashing = createCrashingJobs(random, 3);
+    const innocent = [1, 2].map((number) => ({
+      id: createJobId(100 + number),
+      definition: createJob(3),
+      workMs: 6_000,
+    }));
+    await simulation.submitAll(entry, [...innocent, ...crashing]);
+    await simulation.clock.advance(RECOVERY_MS);
+    logCost(t, pool, seed, innocent);
+    await checkJobs(t, pool, innocent, crashing);
+  });
+});
+
+/** Finds the agent on whose worker a task runs. */
+function findAgent({ simulation }: Pool, job: string): SimulatedAgent | undefined {
+  const run = simulation.journal.findLast(
+    ({ task, endedAt }) => task.startsWith(job) && endedAt === undefined,
+  );
+  return simulation.agents.find(({ worker }) => worker.incarnation === run?.worker);
+}
+
+const FOLLOWED_ROUNDS = 4;
+const FOLLOWED_WORK_MS = 40_000;
+/** Time in which a task that was lost runs again, in milliseconds. */
+const RESTART_MS = 12_000;
+/** Time from the announcement that a worker drains to its end, in milliseconds. */
+const REPLACED_AFTER_MS = 100;
+/** Longer than the lease of a worker that is cut off, in milliseconds. */
+const CUT_MS = 12_000;
+
+type Fault = (pool: Pool, agent: SimulatedAgent, round: number) => Promise<void> | void;
+
+/** Applies a fault again and again to the worker on which one task runs, beside others. */
+async function followTask(t: ExecutionContext, fault: Fault): Promise<void> {
+  const pool = await createPool(1, 3);
+  const { simulation, entry } = pool;
+  const jobs = [1, 2, 3].map((number) => ({
+    id: createJobId(number),
+    definition: createJob(2),
+    workMs: FOLLOWED_WORK_MS,
+  }));
+  const [followed = ""] = jobs.map(({ id }) => id);
+  await simulation.submitAll(entry, jobs);
+  const hits: string[] = [];
+  await Array.from({ length: FOLLOWED_ROUNDS }).reduce<Promise<void>>(async (before, _, round) => {
+    await before;
+    const agent = findAgent(pool, followed);
+    if (agent !== undefined) {
+      hits.push(agent.worker.incarnation);
+      await fault(pool, agent, round);
+      await simulation.clock.advance(RESTART_MS);
+    }
+  }, Promise.resolve());
+  t.true(hits.length >= CRASHES_UNTIL_LIMIT, `only ${hits.length} workers of the task were hit`);
+  await simulation.clock.advance(RECOVERY_MS);
+  t.log(`workers hit: ${hits.join(", ")}`);
+  t.deepEqual(
+    await getPhases(pool, jobs),
+    jobs.map(({ id }) => `${id} completed`),
+  );
+  t.deepEqual(simulation.findViolations(), []);
+}
+
+const FAULTS_BY_TITLE: Readonly<Record<string, Fault>> = {
+  // An ordinary crash leaves the same traces as one under a task.
+  "crashed by themselves, beside others": ({ simulation }, agent) => {
+    simulation.crashWorkerOnly(agent);
+  },
+  "were replaced while draining": async ({ simulation }, agent) => {
+    agent.worker.drain();
+    agent.workerAgent.handleAnnouncement(agent.worker.announce());
+    // It ends before its runs have been stopped.
+    await simulation.clock.advance(REPLACED_AFTER_MS);
+    simulation.crashWorkerOnly(agent);
+  },
+  "lost their VM with their agent": async ({ simulation }, agent, round) => {
+    agent.isDisconnected = true;
+    agent.worker.crash();
+    await simulation.addAgent(`replacement-${round}`);
+  },
+  "were cut off with their agent": async ({ simulation }, agent) => {
+    agent.isDisconnected = true;
+    agent.worker.faults.isUnresponsive = true;
+    await simulation.clock.advance(CUT_MS);
+    agent.isDisconnected = false;
+    agent.worker.faults.isUnresponsive = false;
+  },
+};
+
+// Guards against tasks that are given up although nothing shows that they crash workers.
+Object.entries(FAULTS_BY_TITLE).forEach(([title, fault]) => {
+  test(`PoolScheduler gives no task up whose workers ${title}`, async (t) => {
+    await followTask(t, fault);
+  });
+});
