--- a/standins/pool/PoolWorkerAddress.ts
+++ b/standins/pool/PoolWorkerAddress.ts
@@ -1,6 +1,6 @@
 /**
- * Stand-in for the address of a worker: each call reaches the incarnation that is there at that
- * time.
+ * Stand-in for the address of a worker: calls go to the incarnation that is there, or was there
+ * last. The agent that uses the address does not change with the incarnation.
  */
 import type { ResultAsync } from "neverthrow";
 import {
@@ -19,7 +19,7 @@
 
   /**
    * Creates an address.
-   * @param worker - The first incarnation.
+   * @param worker - First worker at the address.
    */
   constructor(worker: PoolWorker) {
     super();
