Start nothing on a worker that has announced less capacity

What operators would see: a start brings a worker that does not guard its capacity over it, seconds after it has shrunk.

Cause: an agent reported a new announcement early only if it began to drain, and a start that was recorded or repeated after the capacity had become smaller was sent all the same. Class: a decision is carried out on what was known when it was made.

Change: an agent reports a changed capacity or label at once. A start order names the capacity that it relies on, and an agent whose worker has announced less refuses it. A recorded start is dropped, and one that would be repeated is stopped, if what is committed on the worker no longer fits. Runs that are already there go on.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -114,6 +114,8 @@
   readonly worker: string;
   /** End of the lease under which runs are started, on the worker's clock. */
   readonly leaseUntilMs: number;
+  /** Capacity on which the starts rely; none is executed if the worker has announced less. */
+  readonly capacity: Resources;
   readonly starts: readonly StartOrder[];
   readonly stops: readonly RunOrder[];
   readonly paces: readonly PaceOrder[];
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -9,6 +9,7 @@
   WorkerAnnouncement,
   WorkerCallFailure,
 } from "../../protocol/platform/PoolWorker.ts";
+import { fits } from "../../protocol/Resources.ts";
 import type { OrderCall, OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
 import { formatIncarnation } from "./incarnations.ts";
 
@@ -61,13 +62,19 @@
   private async _start(call: OrderCall, order: StartOrder): Promise<RunResult> {
     const { epoch: fencingToken, leaseUntilMs } = call;
     const { task, run } = order;
-    return this._deps.getWorker()?.draining === true
-      ? { task, run, failure: "draining" }
-      : this._execute(call, order, ({ worker }) =>
-          this._deps.isResponding()
-            ? this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs })
-            : errAsync(NOT_RESPONDING),
-        );
+    const known = this._deps.getWorker();
+    if (known?.draining === true) {
+      return { task, run, failure: "draining" };
+    }
+    // The worker has shrunk since the scheduler heard of its capacity, and may not guard it.
+    if (known !== undefined && !fits(call.capacity, known.capacity)) {
+      return { task, run, failure: "no-room" };
+    }
+    return this._execute(call, order, ({ worker }) =>
+      this._deps.isResponding()
+        ? this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs })
+        : errAsync(NOT_RESPONDING),
+    );
   }
 
   private async _stop(call: OrderCall, order: RunOrder): Promise<RunResult> {
--- a/src/coordination/pool/OrderSender.ts
+++ b/src/coordination/pool/OrderSender.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
+import { NO_RESOURCES } from "../../protocol/Resources.ts";
 import type {
   AgentChannel,
   AgentOutcome,
@@ -113,12 +114,14 @@
     if (batch === undefined || address === undefined || this._isClosed) {
       return;
     }
-    const isCurrent = workerTable.getWorker(agent)?.report.worker === batch.worker;
+    const report = workerTable.getWorker(agent)?.report;
+    const isCurrent = report?.worker === batch.worker;
     const leaseUntilMs =
       isCurrent && this._deps.mayGrantLeases() ? workerTable.grantLease(agent) : undefined;
     // A start without a lease would be refused; it is ordered again later.
     const starts = leaseUntilMs === undefined ? [] : batch.starts;
-    const call: OrderCall = { epoch, ...batch, leaseUntilMs: leaseUntilMs ?? 0, starts };
+    const capacity = report?.capacity ?? NO_RESOURCES;
+    const call: OrderCall = { epoch, ...batch, leaseUntilMs: leaseUntilMs ?? 0, capacity, starts };
     const outcome = await channel.order(address, call);
     this._handleOutcome(agent, batch, outcome);
   }
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -21,7 +21,7 @@
 import { ListedEnds } from "./ListedEnds.ts";
 import { OrderExecutor } from "./OrderExecutor.ts";
 import { Signal } from "./Signal.ts";
-import { describeRuns, isNewer } from "./workerChanges.ts";
+import { describeRuns, hasChanged, isNewer } from "./workerChanges.ts";
 import { createWorkerReport, type NumberedLists } from "./workerReport.ts";
 
 /** Wait time of a call for lists until a scheduler has specified one, in milliseconds. */
@@ -123,9 +123,9 @@
       this._ends.replaceWorker(announcement);
       this._resetIncarnation();
     }
-    if (!isSame || known.draining !== announcement.draining) {
-      const { id: worker, draining } = announcement;
-      this._deps.log.info("Worker announced itself.", { worker, draining });
+    if (!isSame || hasChanged(announcement, known)) {
+      const { id: worker, draining, capacity } = announcement;
+      this._deps.log.info("Worker announced itself.", { worker, draining, ...capacity });
       this._publishChange();
     }
     this._listDue.raise();
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -10,8 +10,12 @@
 import type { PoolState } from "./PoolState.ts";
 import type { ActiveTaskRun } from "./ActiveRunTable.ts";
 import { isSuccessor } from "./incarnations.ts";
+import { getCommittedResources } from "./PlacementState.ts";
 import { getRunAction, STALLED_REASON } from "./runMonitor.ts";
 
+/** Why a run is not started on a worker that has become too small. */
+const NO_ROOM_REASON = "its worker has room for it no more";
+
 /** Dependencies of a run controller. */
 export interface RunControllerDependencies {
   readonly state: PoolState;
@@ -54,6 +58,10 @@
       this._deps.onRunLost(taskRun, taskRun.active.stopReason);
       return;
     }
+    if (!this._hasRoom(taskRun)) {
+      this._deps.onRunLost(taskRun, NO_ROOM_REASON);
+      return;
+    }
     this._sendStart(taskRun);
   }
 
@@ -102,7 +110,11 @@
       const action = getRunAction(taskRun, { worker, formerLeasesExpireBy }, now);
       switch (action.kind) {
         case "start":
-          this._sendStart(taskRun);
+          if (this._hasRoom(taskRun)) {
+            this._sendStart(taskRun);
+          } else {
+            this._orderStop(taskRun, NO_ROOM_REASON);
+          }
           return;
         case "stop":
           if (action.reason === STALLED_REASON) {
@@ -232,6 +244,11 @@
     orders.stop(agent, worker, { task: task.id, run });
   }
 
+  private _hasRoom({ task, active }: ActiveTaskRun): boolean {
+    const { workerTable } = this._deps.state;
+    return workerTable.hasRoomFor(active.agent, getCommittedResources(task.definition));
+  }
+
   private _findActiveRun(id: string, run: number): ActiveTaskRun | undefined {
     const task = this._deps.state.getTask(id);
     const active = task?.getRun(run);
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -202,6 +202,25 @@
     return this._committed.get(worker) ?? NO_RESOURCES;
   }
 
+  /**
+   * Returns whether all that is committed on a worker fits its capacity, in the resources that a run
+   * takes. The capacity may have become smaller since the run was placed.
+   * @param agent - Name of the agent.
+   * @param resources - Resources of the run, which are committed.
+   */
+  hasRoomFor(agent: string, resources: Resources): boolean {
+    const report = this._workers.get(agent)?.report;
+    if (report === undefined) {
+      return true;
+    }
+    const free = subtractResources(report.capacity, this.getCommitted(report.worker));
+    return (
+      (resources.processorsMilli === 0 || free.processorsMilli >= 0) &&
+      (resources.memoryBytes === 0 || free.memoryBytes >= 0) &&
+      (resources.accelerators === 0 || free.accelerators >= 0)
+    );
+  }
+
   /**
    * Returns the workers that may be given new runs.
    * @param now - Monotonic time in milliseconds.
--- a/src/coordination/pool/workerChanges.ts
+++ b/src/coordination/pool/workerChanges.ts
@@ -1,6 +1,7 @@
 /**
  * Decides whether what a worker sends is newer than, or differs from, what its agent knows.
  */
+import { isDeepStrictEqual } from "node:util";
 import type { WorkerAnnouncement, WorkerRuns } from "../../protocol/platform/PoolWorker.ts";
 
 /**
@@ -14,6 +15,19 @@
     : next.sequence > known.sequence;
 }
 
+/**
+ * Returns whether an announcement of the same incarnation changes what may be placed on it.
+ * @param next - The announcement.
+ * @param known - The last one.
+ */
+export function hasChanged(next: WorkerAnnouncement, known: WorkerAnnouncement): boolean {
+  return (
+    next.draining !== known.draining ||
+    !isDeepStrictEqual(next.capacity, known.capacity) ||
+    !isDeepStrictEqual(next.labels, known.labels)
+  );
+}
+
 /**
  * Formats lists so that the text differs when a run has started or ended, or when the lists have
  * become complete.
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -11,6 +11,7 @@
   RunResult,
   WorkerReport,
 } from "../../coordination/pool/AgentChannel.ts";
+import type { Resources } from "../../protocol/Resources.ts";
 import {
   ObserveReplySchema,
   ObserveRequestSchema,
@@ -79,6 +80,7 @@
     epoch: BigInt(call.epoch),
     worker: call.worker,
     leaseUntilMs: call.leaseUntilMs,
+    ...writeResources(call.capacity),
     starts: [...call.starts],
     stops: [...call.stops],
     paces: [...call.paces],
@@ -88,7 +90,8 @@
 /** Reads an order call from its request. */
 export function readOrderRequest(req: OrderRequest): OrderCall {
   const { worker, leaseUntilMs, starts, stops, paces } = req;
-  return { epoch: Number(req.epoch), worker, leaseUntilMs, starts, stops, paces };
+  const capacity = readResources(req);
+  return { epoch: Number(req.epoch), worker, leaseUntilMs, capacity, starts, stops, paces };
 }
 
 /** Writes the results of orders into the reply to an order call. */
@@ -116,6 +119,29 @@
   };
 }
 
+/** Resources as messages have them. */
+interface ResourceFields {
+  readonly processorsMilli: bigint;
+  readonly memoryBytes: bigint;
+  readonly accelerators: number;
+}
+
+function writeResources(resources: Resources): ResourceFields {
+  return {
+    processorsMilli: BigInt(resources.processorsMilli),
+    memoryBytes: BigInt(resources.memoryBytes),
+    accelerators: resources.accelerators,
+  };
+}
+
+function readResources(fields: ResourceFields): Resources {
+  return {
+    processorsMilli: Number(fields.processorsMilli),
+    memoryBytes: Number(fields.memoryBytes),
+    accelerators: fields.accelerators,
+  };
+}
+
 interface RunResultInit {
   readonly task: string;
   readonly run: number;
@@ -132,9 +158,7 @@
   return {
     ...others,
     labels: [...labels],
-    processorsMilli: BigInt(capacity.processorsMilli),
-    memoryBytes: BigInt(capacity.memoryBytes),
-    accelerators: capacity.accelerators,
+    ...writeResources(capacity),
     running: [...running],
     ended: [...ended],
   };
@@ -157,11 +181,7 @@
     answers,
     running,
     mayLackEnds,
-    capacity: {
-      processorsMilli: Number(state.processorsMilli),
-      memoryBytes: Number(state.memoryBytes),
-      accelerators: state.accelerators,
-    },
+    capacity: readResources(state),
     ended: state.ended.map(readEnded),
   };
 }
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -6,6 +6,7 @@
 import type { AgentReport, WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
 import type { EndedRun } from "../../../src/protocol/platform/PoolWorker.ts";
+import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
@@ -107,7 +108,10 @@
 test("PoolWorkerAgent sends no start to a worker that does not respond", async (t) => {
   const { clock, worker, agent } = await createSilentWorker();
   const start = { task: "task", run: 1, payload: "", checkpoint: "", ticket: "" };
-  const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, stops: [], paces: [] };
+  const call = {
+    ...{ epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, capacity: NO_RESOURCES },
+    ...{ stops: [], paces: [] },
+  };
   worker.isSilent = true;
   const first = agent.order({ ...call, starts: [start] });
   await clock.advance(READING_MS);
