Stop recent runs at the next incarnation with the id of their worker

What callers would see: a task starts again after it was done and its end was acknowledged, or runs twice, when its worker starts again under its id.

Class: certainty about one attempt, or one incarnation, used for another.

Failed before: 'run 1 on agent-0@6757 started after the task was done' for all three tasks at all delays (agent continues, agent restarted), and 'started during run 2' after an executed stop. A start that is executed before the stop arrives is still possible.

--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -10,7 +10,8 @@
 import type { PoolState } from "./PoolState.ts";
 import type { ActiveTaskRun } from "./ActiveRunTable.ts";
 import { isSuccessor } from "./incarnations.ts";
-import { getRunAction, STALLED_REASON } from "./runMonitor.ts";
+import { RecentStartTable } from "./RecentStartTable.ts";
+import { getRunAction, RESEND_ORDER_MS, STALLED_REASON } from "./runMonitor.ts";
 
 /** Dependencies of a run controller. */
 export interface RunControllerDependencies {
@@ -31,6 +32,7 @@
 /** Starts and stops the runs of one scheduler. */
 export class RunController {
   private readonly _deps: RunControllerDependencies;
+  private readonly _recentStarts = new RecentStartTable();
 
   /**
    * Creates a controller.
@@ -116,6 +118,24 @@
         case "none":
       }
     });
+    this._stopLateStarts(now);
+  }
+
+  /**
+   * Stops runs that are not active any more at the next incarnation under the id of their worker, so
+   * that it refuses starts of them that are executed late.
+   */
+  private _stopLateStarts(now: number): void {
+    const { state, orders } = this._deps;
+    this._recentStarts.getAll(now).forEach((start) => {
+      const { agent, task, run, stoppedAt = Number.NEGATIVE_INFINITY } = start;
+      const worker = state.workerTable.getWorker(agent)?.report.worker ?? start.worker;
+      const isDue = worker !== start.worker && now - stoppedAt >= RESEND_ORDER_MS;
+      if (isDue && isSuccessor(worker, start.worker) && !this._findActiveRun(task, run)) {
+        this._recentStarts.update(start, { stoppedAt: now });
+        orders.stop(agent, worker, { task, run });
+      }
+    });
   }
 
   /**
@@ -129,6 +149,9 @@
       this._handleStartResult(agent, worker, result, report.callNumber);
     });
     report.stops.forEach((result) => {
+      if (result.failure === undefined) {
+        this._recentStarts.update(result, { worker });
+      }
       const taskRun = this._findActiveRun(result.task, result.run);
       if (taskRun?.active.phase !== "stopping" || taskRun.active.stopWorker !== worker) {
         return;
@@ -208,7 +231,9 @@
   private _sendStart({ task, active }: ActiveTaskRun): void {
     const { state, orders, clock } = this._deps;
     const { run, agent, worker, tries } = active;
-    task.updateRun(run, { phase: "ordered", since: clock.now(), tries: tries + 1 });
+    const now = clock.now();
+    task.updateRun(run, { phase: "ordered", since: now, tries: tries + 1 });
+    this._recentStarts.add({ agent, worker, task: task.id, run, orderedAt: now });
     const payload = state.getJobOf(task)?.record.payload ?? "";
     orders.start(agent, worker, {
       task: task.id,
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -8,7 +8,7 @@
 import type { WorkerState } from "./WorkerTable.ts";
 
 /** Time after which an order without a result is sent again, in milliseconds. */
-const RESEND_ORDER_MS = 700;
+export const RESEND_ORDER_MS = 700;
 /**
  * Time after which the order to stop a run is sent again if the worker still lists it, in
  * milliseconds.
--- a/tests/coordination/pool/lateStartReplacementTests.ts
+++ b/tests/coordination/pool/lateStartReplacementTests.ts
@@ -14,11 +14,15 @@
 const SHORT_DELAYS_MS = [220, 250, 280, 300, 320, 350, 400];
 /** Times after which orders are carried out, in milliseconds; they carry a lease of 10 s. */
 const DELAYS_MS = [1_000, 1_500, 2_500, 4_000, 6_000, 8_000];
+/** Those that end after a short run was done, and its worker replaced. */
+const LONG_DELAYS_MS = [4_000, 6_000, 8_000];
 const TIMINGS = { workerLeaseMs: 10_000, grantHorizonMs: 10_000 };
 /** Time in which the first order, and its repetition by the agent, have a result or none. */
 const FIRST_ORDER_MS = 250;
 /** Time in which the scheduler repeats an order that has no result, in milliseconds. */
 const REPEATED_MS = 900;
+/** Time in which a short run ends and its end is acknowledged, in milliseconds. */
+const ACKED_MS = 2_500;
 /** Longer than the delay of any order and the work after it, in milliseconds. */
 const RECOVERY_MS = 30_000;
 /** Time from the end of an incarnation to the first announcement of the next one. */
@@ -43,6 +47,21 @@
   agent.workerAgent.handleAnnouncement(agent.worker.announce());
 }
 
+/** Replaces the worker and the process of its agent. */
+async function replaceWithAgent(agent: SimulatedAgent, simulation: PoolSimulation): Promise<void> {
+  await simulation.crashWorker(agent);
+  await simulation.clock.advance(ANNOUNCED_MS);
+  agent.workerAgent.handleAnnouncement(agent.worker.announce());
+}
+
+/** Replaces the worker after it has executed stops of the runs, as it drains. */
+async function replaceAfterStop(agent: SimulatedAgent, simulation: PoolSimulation): Promise<void> {
+  agent.worker.drain();
+  agent.workerAgent.handleAnnouncement(agent.worker.announce());
+  await simulation.clock.advance(ACKED_MS);
+  await replaceWorker(agent, simulation);
+}
+
 /** Replaces the worker while another entry takes over. */
 async function replaceWithTakeover(
   agent: SimulatedAgent,
@@ -113,6 +132,31 @@
   });
 });
 
+[
+  { title: "its agent continues", replace: replaceWorker },
+  { title: "its agent restarted", replace: replaceWithAgent },
+].forEach(({ title, replace }) => {
+  // Guards against a task that starts after it was done: the scheduler forgot a run whose end was
+  // recorded, although the next incarnation could still be given a start of it without a response.
+  test(`PoolScheduler does not start a done task again if the next incarnation carries out its start and ${title}`, async (t) => {
+    const faults = { lateAttempts: 1, crashAfterMs: ACKED_MS, workMs: SHORT_WORK_MS, replace };
+    t.deepEqual(
+      await playDelays(faults, LONG_DELAYS_MS),
+      LONG_DELAYS_MS.map((delayMs) => [delayMs, "completed"]),
+    );
+  });
+});
+
+// Guards against a task that runs twice: the run counted as lost once a stop was executed, which the
+// next incarnation knows nothing of.
+test("PoolScheduler runs no task twice if the next incarnation carries out a start that was stopped before", async (t) => {
+  const faults = { lateAttempts: 2, crashAfterMs: 0, replace: replaceAfterStop };
+  t.deepEqual(
+    await playDelays({ ...faults, workMs: WORK_MS }, LONG_DELAYS_MS),
+    LONG_DELAYS_MS.map((delayMs) => [delayMs, "completed"]),
+  );
+});
+
 // Guards against the same where the run ends at the next incarnation before it is stopped.
 test("PoolScheduler runs no task twice if it is done at the next incarnation", async (t) => {
   const faults = { lateAttempts: 2, crashAfterMs: 0, replace: replaceWorker };
