Report lists after stops only if a stopped run is not in them

What callers would see: dozens of orders, calls to the worker, reports and warnings for each run that is stopped because it is not active, as long as the worker takes to end it.

Cause: since each order with a stop is followed by a report, and each report that lists such a run by another stop of it.

An agent now reports unchanged lists after stops only if a stopped run is not in them; the end of one that is listed is a change anyway.

--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -22,6 +22,7 @@
   StartOrder,
   RunResult,
 } from "./AgentChannel.ts";
+import { formatRunKey } from "./ActiveRunTable.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { ListedEnds } from "./ListedEnds.ts";
 import { Signal } from "./Signal.ts";
@@ -184,17 +185,20 @@
     };
     const { _callNumber: callNumber } = this;
     if (call.stops.length > 0) {
-      void this._reportStops();
+      void this._reportStops(call.stops);
     }
     return { kind: "answered", value: { callNumber, ...results } };
   }
 
   /**
    * Reports lists that were made after stops. They may be the same as before, if a run had not
-   * started, but the scheduler waits for them: the call in progress waits for a change.
+   * started, but the scheduler waits for them: the call in progress waits for a change. The end of a
+   * run that is still listed will be one.
    */
-  private async _reportStops(): Promise<void> {
-    if (await this._fetchLists(0)) {
+  private async _reportStops(stops: readonly RunOrder[]): Promise<void> {
+    const hasListed = await this._fetchLists(0);
+    const running = new Set(this._lists?.running.map(({ task, run }) => formatRunKey(task, run)));
+    if (hasListed && stops.some(({ task, run }) => !running.has(formatRunKey(task, run)))) {
       this._publishChange();
     }
   }
--- a/tests/coordination/pool/stopRepetitionTests.ts
+++ b/tests/coordination/pool/stopRepetitionTests.ts
@@ -51,3 +51,25 @@
     `started after ${waits.join(", ")} ms`,
   );
 });
+
+// Guards against orders and reports in quick succession: each stop of a run was followed by a report
+// that listed the run until it had ended, and each report by another stop.
+test("PoolScheduler stops a run that is not active once while the worker ends it", async (t) => {
+  const simulation = new PoolSimulation();
+  const { clock, log, storeModel } = simulation;
+  simulation.addEntry("entry-0");
+  const { worker } = await simulation.addAgent("agent-0");
+  await clock.advance(SUBMITTED_AFTER_MS[0] ?? 0);
+  const fencingToken = storeModel.list("scheduler/").entries[0]?.revision ?? 0;
+  const task = `${JOB}.0.0.0`;
+  simulation.setRequirements(JOB, { payload: "", steps: [createStep()], schedule: undefined }, 5e3);
+  const started = worker.start({
+    ...{ worker: "agent-0", task, run: 1, payload: "", checkpoint: "", ticket: "" },
+    ...{ fencingToken, leaseUntilMs: OBSERVATION_MS },
+  });
+  await clock.advance(MAX_START_MS);
+  t.true((await started).isOk());
+  const stops = log.lines.filter(({ sentence }) => sentence.startsWith("Worker lists a run that"));
+  t.is(simulation.journal[0]?.outcome, "stopped");
+  t.true(stops.length > 0 && stops.length <= 2, `stopped ${stops.length} times`);
+});
