Rely on lists of an agent's next process after a repeated stop

What callers would see: a task whose start was stopped waits until the next process of an agent has called its worker as often as the former one, which can be minutes.

Cause: since the number of the first executed stop stays. If its result comes from a process of the agent that has ended, and arrives after the first report of the next one, no list of that one counts as later.

The lowest number counts: within one process that of the first executed stop.

--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -157,9 +157,12 @@
         return;
       }
       // The first executed stop decides. If a repetition counted, lists would come too late where
-      // they take longer than the time after which a stop is repeated.
-      if (result.failure === undefined && taskRun.active.callNumber === undefined) {
-        taskRun.task.updateRun(result.run, { callNumber: report.callNumber });
+      // they take longer than the time after which a stop is repeated. A lower number is one of the
+      // agent's next process.
+      if (result.failure === undefined) {
+        const { callNumber = Number.POSITIVE_INFINITY } = taskRun.active;
+        const change = { callNumber: Math.min(callNumber, report.callNumber) };
+        taskRun.task.updateRun(result.run, change);
       }
     });
   }
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -57,6 +57,8 @@
   readonly advance: (durationMs: number) => Promise<void>;
   /** Hands in the result of a start order. */
   readonly handleStart: (failure: RunResult["failure"]) => void;
+  /** Stops the run and hands in the result of an executed stop order. */
+  readonly handleStop: (callNumber: number) => void;
 }
 
 /** Creates a controller that has ordered the start of a run once. */
@@ -107,6 +109,14 @@
       const report = { callNumber: CALL_NUMBER, starts, stops: [], paces: [] };
       controller.handleOrderReport(AGENT, worker.worker, report);
     },
+    handleStop: (callNumber) => {
+      task.activeRuns.forEach((active) => {
+        controller.stop({ task, active }, "");
+      });
+      const stops = [{ task: task.id, run: RUN, failure: undefined }];
+      const report = { callNumber, starts: [], stops, paces: [] };
+      controller.handleOrderReport(AGENT, worker.worker, report);
+    },
   };
 }
 
@@ -176,3 +186,15 @@
   t.deepEqual(fixture.lost, []);
   t.is(getRun(fixture).callNumber, undefined);
 });
+
+// Guards against a task that waits for minutes: the result of a stop that a former process of the
+// agent had sent arrived after the first report of the next one, whose calls are numbered anew.
+test("RunController relies on lists made after a stop that the next process of an agent has executed", async (t) => {
+  const fixture = await createFixture();
+  fixture.handleStop(CALL_NUMBER);
+  await fixture.advance(REPEATED_MS);
+  fixture.handleStop(CALL_NUMBER + 1);
+  t.is(getRun(fixture).callNumber, CALL_NUMBER);
+  fixture.handleStop(1);
+  t.is(getRun(fixture).callNumber, 1);
+});
