--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -16,7 +16,9 @@
   ObserveCall,
   OrderCall,
   OrderReport,
+  RunOrder,
 } from "./AgentChannel.ts";
+import { formatRunKey } from "./ActiveRunTable.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { ListedEnds } from "./ListedEnds.ts";
 import { OrderExecutor } from "./OrderExecutor.ts";
@@ -169,17 +171,20 @@
     const results = await this._orders.execute(call);
     const { _callNumber: callNumber } = this;
     if (call.stops.length > 0) {
-      void this._reportStops();
+      void this._reportStops(call.stops);
     }
     return { kind: "answered", value: { callNumber, ...results } };
   }
 
   /**
    * Reports lists that were made after stops. They may be the same as before, if a run had not
-   * started, but the scheduler waits for them: the call in progress waits for a change.
+   * started, but the scheduler waits for them: the call in progress waits for a change. The end of a
+   * run that is still listed will be one.
    */
-  private async _reportStops(): Promise<void> {
-    if (await this._fetchLists(0)) {
+  private async _reportStops(stops: readonly RunOrder[]): Promise<void> {
+    const hasListed = await this._fetchLists(0);
+    const running = new Set(this._lists?.running.map(({ task, run }) => formatRunKey(task, run)));
+    if (hasListed && stops.some(({ task, run }) => !running.has(formatRunKey(task, run)))) {
       this._publishChange();
     }
   }
