Give up tasks that crash the workers that start them

What operators would see: one task crashes worker after worker without end, and each takes all other runs on it with it.

Cause: a run that was lost with its worker counted for nothing. Class: a failure is handled as the loss of a run and not as a result of the task.

The time since the start does not tell the task from others, as the runs that were lost together start together again: 9.3 innocent runs a crash had been started within 15 ms before.

Change: an agent that lives on while its worker is replaced without a drain reports how long each run had been started. A task that crashes workers does so at the same time after each start and never works for longer; crashes at the same time are counted in its stored progress. Suspected tasks are tried apart from others on few, empty workers, so that the second crash convicts one alone; those that work for longer are cleared. The job of one that is convicted fails.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -70,6 +70,25 @@
    * knows lacks them. They may have been recorded before, and no acknowledgement of them is due.
    */
   readonly formerEnds: readonly FormerEnds[];
+  /**
+   * Crashes of former incarnations, as far as the report that the scheduler knows lacks them. They
+   * may have been handled before.
+   */
+  readonly crashes: readonly WorkerCrash[];
+}
+
+/** Crash of an incarnation of a worker. */
+export interface WorkerCrash {
+  /** The incarnation. */
+  readonly worker: string;
+  /** Runs that were on it. */
+  readonly runs: readonly CrashedRun[];
+}
+
+/** A run that was on a worker when it crashed. */
+export interface CrashedRun extends RunOrder {
+  /** Time from its start order to the crash, in milliseconds. */
+  readonly elapsedMs: number;
 }
 
 /** Ended runs of a former incarnation of a worker. */
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -7,6 +7,7 @@
 import type { Log } from "../../protocol/platform/Log.ts";
 import { AckTrackerTable } from "./AckTrackerTable.ts";
 import type { AgentReport, FormerEnds, ObserveCall, WorkerReport } from "./AgentChannel.ts";
+import type { CrashHandler } from "./CrashHandler.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PaceController } from "./PaceController.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
@@ -14,6 +15,9 @@
 import { ReportReconciler } from "./ReportReconciler.ts";
 import type { RunController } from "./RunController.ts";
 
+/** Longest wait for a report of a worker on which a suspected task is tried, in milliseconds. */
+const TRIAL_WAIT_MS = 100;
+
 /** Dependencies of a report handler. */
 export interface AgentReportHandlerDependencies {
   readonly state: PoolState;
@@ -22,6 +26,7 @@
   readonly epoch: number;
   readonly timings: PoolTimings;
   readonly updater: JobUpdater;
+  readonly crashHandler: CrashHandler;
   readonly runController: RunController;
   readonly paceController: PaceController;
   /** Returns whether the scheduler's election was confirmed recently enough to extend leases. */
@@ -62,12 +67,16 @@
   }
 
   /**
-   * Returns a shorter wait where tasks may disturb each other: measurements are then needed as
-   * often as they change.
+   * Returns a shorter wait where tasks may disturb each other, as measurements are then needed as
+   * often as they change, and where a suspected task is tried, which keeps its worker from others.
    */
   private _getWaitMs(agent: string): number {
     const { state, timings } = this._deps;
-    const definitions = state.activeRuns.getByAgent(agent).map(({ task }) => task.definition);
+    const tasks = state.activeRuns.getByAgent(agent).map(({ task }) => task);
+    if (tasks.some(({ isSuspected }) => isSuspected)) {
+      return TRIAL_WAIT_MS;
+    }
+    const definitions = tasks.map(({ definition }) => definition);
     const mayDisturb =
       definitions.some(({ usesIdleProcessors }) => usesIdleProcessors) &&
       definitions.some(({ latencyTargetMs }) => latencyTargetMs !== undefined);
@@ -80,12 +89,15 @@
    * @param report - The report.
    */
   handleReport(agent: string, report: AgentReport): void {
-    const { clock, log, state, paceController } = this._deps;
+    const { clock, log, state, crashHandler, paceController } = this._deps;
     const now = clock.now();
     // Before the runs of a former incarnation count as lost, which ended before it was replaced.
     report.formerEnds.forEach((former) => {
       this._handleFormerEnds(agent, former);
     });
+    report.crashes.forEach((crash) => {
+      crashHandler.handleCrash(agent, crash);
+    });
     const change = state.workerTable.applyReport(agent, report, now);
     if (change.replacedWorker !== undefined) {
       log.info("Worker of the agent was replaced by another one.", {
--- a/src/coordination/pool/CyclePlanner.ts
+++ b/src/coordination/pool/CyclePlanner.ts
@@ -4,11 +4,13 @@
  */
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
 import type { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
+import { NEW_RUN_MS } from "./CrashHandler.ts";
 import type { PaceController } from "./PaceController.ts";
 import { PlacementState } from "./PlacementState.ts";
 import type { PoolState } from "./PoolState.ts";
 import {
   getSpeculativeSteps,
+  getSuspicion,
   getWaitingSteps,
   placeSteps,
   toPlacementTask,
@@ -88,7 +90,13 @@
       const { task, active } = taskRun;
       const isMeasured = this._paceController.isMeasured(taskRun);
       placement.addRun(active.agent, getStepKey(task.address), task.definition, isMeasured);
+      placement.addSuspicion(active.agent, getSuspicion(task), isNew(active, now));
     });
     return placement;
   }
 }
+
+/** Returns whether a run was started a moment ago. */
+function isNew({ phase, since }: ActiveRun, now: number): boolean {
+  return phase !== "unconfirmed" && phase !== "stopping" && now - since < NEW_RUN_MS;
+}
--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -5,7 +5,7 @@
  * a known end is remembered, so that its end still counts when a worker lists it.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
-import type { Log } from "../../protocol/platform/Log.ts";
+import type { Log, LogFields } from "../../protocol/platform/Log.ts";
 import type { EndedRun, RunOutcome } from "../../protocol/platform/PoolWorker.ts";
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
@@ -138,6 +138,19 @@
     commits.enqueue(task.address.job);
   }
 
+  /**
+   * Opens the occurrences of scheduled jobs that are due.
+   * @param timeOfDayMs - Time of day in Unix milliseconds.
+   */
+  openDueOccurrences(timeOfDayMs: number): void {
+    const { state, commits } = this._deps;
+    state.jobs
+      .filter((job) => !job.isEnded && job.openDueOccurrences(timeOfDayMs))
+      .forEach((job) => {
+        commits.enqueue(job.id);
+      });
+  }
+
   /**
    * Cancels a job and stops its runs.
    * @param job - The job.
@@ -155,6 +168,24 @@
     this._deps.commits.enqueue(job.id);
   }
 
+  /**
+   * Lets a job fail and stops its runs, unless it has ended or the task is done.
+   * @param job - The job.
+   * @param task - The task that is given up.
+   * @param counts - What was counted against the task, for the log.
+   */
+  failJob(job: JobState, task: TaskState, counts: LogFields): void {
+    if (job.isEnded || task.isDone) {
+      return;
+    }
+    job.fail();
+    this._deps.log.info("Job has failed; its runs are being stopped.", {
+      ...{ job: job.id, task: task.id },
+      ...counts,
+    });
+    this._stopRuns([...job.tasks], "the job has failed");
+  }
+
   /**
    * Counts a run that makes no progress as a failure of its worker; its task avoids the worker's
    * agent from then on.
@@ -224,14 +255,8 @@
     }
     task.countFailure();
     const failures = getMembers(job, task).reduce((sum, member) => sum + member.failures, 0);
-    if (failures >= job.record.maxAttempts && !job.isEnded && !task.isDone) {
-      job.fail();
-      this._deps.log.info("Job has failed; its runs are being stopped.", {
-        job: job.id,
-        task: task.id,
-        failures,
-      });
-      this._stopRuns([...job.tasks], "the job has failed");
+    if (failures >= job.record.maxAttempts) {
+      this.failJob(job, task, { failures });
     }
   }
 
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -11,6 +11,7 @@
 } from "../../protocol/platform/PoolWorker.ts";
 import { fits } from "../../protocol/Resources.ts";
 import type { OrderCall, OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
+import type { CrashDetector } from "./CrashDetector.ts";
 import { formatIncarnation } from "./incarnations.ts";
 
 /** Maximum number of attempts at an order while its outcome is unknown. */
@@ -24,6 +25,7 @@
 /** Dependencies of OrderExecutor. */
 export interface OrderExecutorDependencies {
   readonly worker: PoolWorker;
+  readonly crashDetector: CrashDetector;
   /** Gets the last announcement of the worker; undefined for none. */
   readonly getWorker: () => WorkerAnnouncement | undefined;
   /** Returns whether the worker has responded to the last call for its lists. */
@@ -70,11 +72,17 @@
     if (known !== undefined && !fits(call.capacity, known.capacity)) {
       return { task, run, failure: "no-room" };
     }
-    return this._execute(call, order, ({ worker }) =>
-      this._deps.isResponding()
-        ? this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs })
-        : errAsync(NOT_RESPONDING),
-    );
+    const result = await this._execute(call, order, ({ worker }) => {
+      if (!this._deps.isResponding()) {
+        return errAsync(NOT_RESPONDING);
+      }
+      this._deps.crashDetector.recordStart(order);
+      return this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs });
+    });
+    if (result.failure !== undefined && result.failure !== "unknown") {
+      this._deps.crashDetector.recordRefusal(order);
+    }
+    return result;
   }
 
   private async _stop(call: OrderCall, order: RunOrder): Promise<RunResult> {
--- a/src/coordination/pool/PlacementState.ts
+++ b/src/coordination/pool/PlacementState.ts
@@ -23,6 +23,13 @@
  * processors.
  */
 const MIN_TOLERATED_SHARE = 0.8;
+/** Share of the workers on which suspected tasks are tried at the same time; at least one is. */
+const MAX_TRIAL_SHARE = 0.2;
+/**
+ * Penalty for each suspected task on a worker if another one is placed, in thousandths of a core: if
+ * both started together again, the next crash could not tell them apart.
+ */
+const SUSPECT_PENALTY_MILLI = 50_000;
 /** Penalty for a worker whose agent the task avoids, in thousandths of a core. */
 const AVOIDED_AGENT_PENALTY_MILLI = 100_000;
 /** Penalty for a rack other than that of the data, in thousandths of a core. */
@@ -42,6 +49,12 @@
   /** Number of serving tasks by image. */
   readonly servingCounts: ReadonlyMap<string, number>;
   readonly admission: Admission;
+  /** Whether a suspected task is tried on it; nothing else may be placed there meanwhile. */
+  readonly isTrying: boolean;
+  /** Whether a task was started or placed on it a moment ago. */
+  readonly hasNewTasks: boolean;
+  /** Number of tasks on it that are suspected without being tried. */
+  readonly suspectCount: number;
   /** Number of tasks by step. */
   readonly stepCounts: ReadonlyMap<string, number>;
 }
@@ -60,8 +73,17 @@
    * than none.
    */
   readonly isFirstOfStep: boolean;
+  readonly suspicion: Suspicion;
 }
 
+/** Whether a task is suspected of crashing the workers that start it. */
+export type Suspicion =
+  | "none"
+  /** Soon after its start: it is tried on a worker on which nothing else starts. */
+  | "soon"
+  /** After some time of work: it is kept apart from others that are suspected. */
+  | "later";
+
 /** Data about the workers that their reports do not contain. */
 export interface PlacementContext {
   /** How quarantined workers may be used. */
@@ -100,6 +122,9 @@
         unmeasuredMilli: 0,
         servingCounts: new Map(),
         admission: admissions.get(agent) ?? "open",
+        isTrying: false,
+        hasNewTasks: false,
+        suspectCount: 0,
         stepCounts: new Map(),
       });
     });
@@ -128,6 +153,19 @@
     }
   }
 
+  /**
+   * Adds what a run that is already on a worker means for tasks that may crash workers.
+   * @param agent - Agent of the worker.
+   * @param suspicion - Whether its task is suspected.
+   * @param isNew - Whether it was started a moment ago.
+   */
+  addSuspicion(agent: string, suspicion: Suspicion, isNew: boolean): void {
+    const worker = this._workers.get(agent);
+    if (worker !== undefined) {
+      this._workers.set(agent, addSuspicion(worker, suspicion, isNew));
+    }
+  }
+
   /**
    * Chooses a worker for a task and subtracts the task's resources from its free capacity.
    * @param task - The task.
@@ -142,6 +180,7 @@
     const required = getCommittedResources(task.definition);
     const candidates = this.workers
       .filter((worker) => fits(required, worker.free) && isSuitable(worker, task))
+      .filter((worker) => this._mayBeTried(worker, task))
       .filter((worker) => task.isFirstOfStep || this._tolerates(worker, task.definition));
     const best =
       this._chooseBest(candidates, task, ["open", "probe"]) ??
@@ -149,7 +188,8 @@
     if (best !== undefined) {
       const remaining = { ...best, free: subtractResources(best.free, required) };
       const committedMilli = required.processorsMilli;
-      const placed = addTask(remaining, task.stepKey, task.definition);
+      const marked = addSuspicion(remaining, task.suspicion, true);
+      const placed = addTask(marked, task.stepKey, task.definition);
       const idleMilli = placed.idleMilli - committedMilli;
       this._workers.set(best.agent, {
         ...placed,
@@ -187,6 +227,20 @@
       )?.worker;
   }
 
+  /**
+   * Returns whether a task may start on a worker as far as tasks are concerned that may crash it
+   * soon after their start. These are tried apart from all others, so that another crash convicts no
+   * other task, and on few workers at a time.
+   */
+  private _mayBeTried(worker: CandidateWorker, { suspicion }: PlacementTask): boolean {
+    if (worker.isTrying || suspicion !== "soon") {
+      return !worker.isTrying;
+    }
+    const maxCount = Math.max(1, Math.floor(this._workers.size * MAX_TRIAL_SHARE));
+    const count = this.workers.filter(({ isTrying }) => isTrying).length;
+    return !worker.hasNewTasks && count < maxCount;
+  }
+
   private _tolerates(worker: CandidateWorker, definition: StepDefinition): boolean {
     const minMilli = MIN_TOLERATED_SHARE * definition.resources.processorsMilli;
     return (
@@ -202,8 +256,13 @@
   }
 
   /** Returns the score of a worker for a task; higher is better. */
-  private _score(worker: CandidateWorker, { definition, avoidedAgents }: PlacementTask): number {
+  private _score(worker: CandidateWorker, task: PlacementTask): number {
+    const { definition, avoidedAgents } = task;
     const { dataRack } = definition;
+    if (task.suspicion !== "none") {
+      // Where the least is lost if it crashes the worker.
+      return worker.free.processorsMilli - worker.suspectCount * SUSPECT_PENALTY_MILLI;
+    }
     const isRemote = dataRack !== undefined && dataRack !== worker.rack;
     const penalty =
       (avoidedAgents.has(worker.agent) ? AVOIDED_AGENT_PENALTY_MILLI : 0) +
@@ -238,6 +297,19 @@
   return usesIdleProcessors ? resources.processorsMilli : 0;
 }
 
+function addSuspicion(
+  worker: CandidateWorker,
+  suspicion: Suspicion,
+  isNew: boolean,
+): CandidateWorker {
+  return {
+    ...worker,
+    isTrying: worker.isTrying || suspicion === "soon",
+    hasNewTasks: worker.hasNewTasks || isNew,
+    suspectCount: worker.suspectCount + Number(suspicion === "later"),
+  };
+}
+
 function addTask(
   worker: CandidateWorker,
   stepKey: string,
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -10,6 +10,7 @@
 import type { AgentRecord, ProgressRecord } from "../../state/pool/records.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import { AgentSessionTable } from "./AgentSessionTable.ts";
+import { CrashHandler } from "./CrashHandler.ts";
 import { CommitQueue } from "./CommitQueue.ts";
 import { JobRetention } from "./JobRetention.ts";
 import { JobUpdater } from "./JobUpdater.ts";
@@ -43,6 +44,7 @@
   private readonly _orders: OrderSender;
   private readonly _runController: RunController;
   private readonly _jobUpdater: JobUpdater;
+  private readonly _crashHandler: CrashHandler;
   private readonly _reportHandler: AgentReportHandler;
   private readonly _retention: JobRetention;
   private readonly _interferenceWriter: InterferenceWriter;
@@ -80,6 +82,8 @@
       quarantine: this._quarantine,
       stopRun,
     });
+    const { _commitQueue: commits, _jobUpdater: updater } = this;
+    this._crashHandler = new CrashHandler({ ...shared, commits, updater });
     this._runController = new RunController({
       ...shared,
       orders: this._orders,
@@ -98,9 +102,7 @@
     this._cyclePlanner = new CyclePlanner(this._state, this._quarantine, this._pacing);
     this._retention = new JobRetention({
       ...shared,
-      pool,
-      store: deps.store,
-      retentionMs: timings.retentionMs,
+      ...{ pool, store: deps.store, retentionMs: timings.retentionMs },
       onRemoved: (job) => {
         this._commitQueue.removeJob(job);
       },
@@ -115,6 +117,7 @@
       timings,
       updater: this._jobUpdater,
       runController: this._runController,
+      crashHandler: this._crashHandler,
       paceController: this._pacing,
       mayGrantLeases: () => this._mayGrantLeases,
     });
@@ -329,13 +332,10 @@
   private _tick(): void {
     const timeOfDayMs = this._deps.getTimeOfDay();
     this._runController.tick();
+    this._crashHandler.tick();
     this._retention.sweepIfDue();
     this._interferenceWriter.tick();
-    this._state.jobs
-      .filter((job) => !job.isEnded && job.openDueOccurrences(timeOfDayMs))
-      .forEach((job) => {
-        this._commitQueue.enqueue(job.id);
-      });
+    this._jobUpdater.openDueOccurrences(timeOfDayMs);
     this._scheduleCycle();
   }
 
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -19,6 +19,7 @@
   RunOrder,
 } from "./AgentChannel.ts";
 import { formatRunKey } from "./ActiveRunTable.ts";
+import { CrashDetector } from "./CrashDetector.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { ListedEnds } from "./ListedEnds.ts";
 import { OrderExecutor } from "./OrderExecutor.ts";
@@ -65,6 +66,7 @@
   private _responds = false;
   private _leaseUntilMs: number | undefined;
   private readonly _ends: ListedEnds;
+  private readonly _crashDetector: CrashDetector;
   private readonly _orders: OrderExecutor;
   private _listWaitMs = DEFAULT_LIST_WAIT_MS;
   private _callNumber = 0;
@@ -82,9 +84,12 @@
   constructor(deps: PoolWorkerAgentDependencies) {
     this._deps = deps;
     const { clock, log } = deps;
-    this._ends = new ListedEnds({ clock, log, getNextVersion: () => this._version + 1 });
+    const versioned = { clock, log, getNextVersion: (): number => this._version + 1 };
+    this._ends = new ListedEnds(versioned);
+    this._crashDetector = new CrashDetector(versioned);
     this._orders = new OrderExecutor({
       worker: deps.worker,
+      crashDetector: this._crashDetector,
       getWorker: () => this._announced,
       isResponding: () => this._responds,
     });
@@ -122,6 +127,7 @@
     this._announced = announcement;
     this._announcedAt = this._deps.clock.now();
     if (!isSame) {
+      this._crashDetector.replaceWorker(known);
       this._ends.replaceWorker(announcement);
       this._resetIncarnation();
     }
@@ -287,6 +293,7 @@
     }
     this._lists = lists;
     this._listedAt = this._deps.clock.now();
+    this._crashDetector.recordLists(lists);
     const isNew =
       !this._responds || known === undefined || describeRuns(known) !== describeRuns(lists);
     this._responds = true;
@@ -299,6 +306,7 @@
     if (failure.kind === "fenced") {
       this._isFenced = true;
     }
+    this._crashDetector.recordSilence();
     if (this._responds) {
       const { kind, detail } = failure;
       this._deps.log.warn("Listing the worker's runs failed; it is retried.", { kind, detail });
@@ -314,11 +322,13 @@
       ...{ announcedAt: this._announcedAt, lists: this._lists, listedAt: this._listedAt },
       ...{ responds: this._responds, ended: this._ends.ends },
     };
+    const reportedVersion = knownProcess === process ? knownVersion : 0;
     return {
       process,
       version: this._version,
       worker: announced && createWorkerReport({ ...known, announced }, clock.now()),
-      formerEnds: this._ends.getFormerEnds(knownProcess === process ? knownVersion : 0),
+      formerEnds: this._ends.getFormerEnds(reportedVersion),
+      crashes: this._crashDetector.getLaterThan(reportedVersion),
     };
   }
 
--- a/src/coordination/pool/taskPlacement.ts
+++ b/src/coordination/pool/taskPlacement.ts
@@ -4,10 +4,20 @@
  */
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
-import type { PlacementTask, CandidateWorker, PlacementState } from "./PlacementState.ts";
+import type {
+  PlacementTask,
+  CandidateWorker,
+  PlacementState,
+  Suspicion,
+} from "./PlacementState.ts";
 import { getStepKey } from "./ActiveRunTable.ts";
 import { compareRanks, getSchedulingRank, type SchedulingRank } from "./schedulingOrder.ts";
 
+/**
+ * Time from its start to the crash up to which a suspected task is tried alone, in milliseconds: a
+ * worker can be kept from other tasks for so long.
+ */
+const MAX_TRIAL_MS = 1_500;
 /** Number of runs of a task from which no more speculative runs are started. */
 const MAX_RUNS_FOR_SPECULATION = 4;
 
@@ -47,13 +57,13 @@
     .filter((job) => !job.isEnded)
     .flatMap((job) =>
       job.getReadySteps().flatMap((step): readonly WaitingStep[] => {
-        const tasks = getWaitingTasks(step);
-        return tasks.length === 0
-          ? []
-          : [{ job, step, tasks, rank: getSchedulingRank(job, step, timeOfDayMs) }];
+        const rank = getSchedulingRank(job, step, timeOfDayMs);
+        return splitSuspects(getWaitingTasks(step), step).map((tasks) => {
+          return { job, step, tasks, rank };
+        });
       }),
     )
-    .sort((a, b) => compareRanks(a.rank, b.rank));
+    .sort(compareWaitingSteps);
 }
 
 /**
@@ -104,7 +114,39 @@
 }
 
 function maySpeculate(task: TaskState): boolean {
-  return !task.isDone && task.activeRuns.length === 1 && task.lastRun < MAX_RUNS_FOR_SPECULATION;
+  return (
+    !task.isDone &&
+    !task.isSuspected &&
+    task.activeRuns.length === 1 &&
+    task.lastRun < MAX_RUNS_FOR_SPECULATION
+  );
+}
+
+/**
+ * Separates the suspected tasks of a step from the others: they have workers of their own, so that
+ * one kind may find room where the other does not. A gang is not separated.
+ */
+function splitSuspects(
+  tasks: readonly TaskState[],
+  step: StepState,
+): readonly (readonly TaskState[])[] {
+  const groups = step.definition.gang
+    ? [tasks]
+    : [tasks.filter(isTried), tasks.filter((task) => !isTried(task))];
+  return groups.filter((group) => group.length > 0);
+}
+
+function isTried(task: TaskState): boolean {
+  return getSuspicion(task) === "soon";
+}
+
+/**
+ * Compares two steps; negative if the first one goes first. Suspected tasks are tried before others
+ * of their priority, since they need empty workers for a moment only.
+ */
+function compareWaitingSteps(a: WaitingStep, b: WaitingStep): number {
+  const suspicion = Number(b.tasks.some(isTried)) - Number(a.tasks.some(isTried));
+  return a.rank.priority - b.rank.priority || suspicion || compareRanks(a.rank, b.rank);
 }
 
 /** A gang waits until none of its tasks runs; its tasks start together. */
@@ -193,5 +235,19 @@
     avoidedAgents: new Set([...task.avoidedAgents, ...task.activeRuns.map(({ agent }) => agent)]),
     rack: undefined,
     isFirstOfStep: false,
+    suspicion: getSuspicion(task),
   };
 }
+
+/**
+ * Returns whether a task is suspected of crashing the workers that start it. The tasks of a gang start
+ * together on several workers, so that they cannot be tried alone.
+ * @param task - The task.
+ */
+export function getSuspicion(task: TaskState): Suspicion {
+  if (!task.isSuspected) {
+    return "none";
+  }
+  const isSoon = task.crashHistory.crashedAfterMs <= MAX_TRIAL_MS && !task.definition.gang;
+  return isSoon ? "soon" : "later";
+}
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -5,6 +5,7 @@
  */
 import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
 import { formatTaskPosition, formatTaskId, type TaskAddress } from "../../protocol/pool/TaskId.ts";
+import { CrashHistory } from "./CrashHistory.ts";
 import type { GivenUpRun, TaskRecord } from "./records.ts";
 
 /**
@@ -61,6 +62,7 @@
   readonly address: TaskAddress;
   readonly id: string;
   readonly definition: StepDefinition;
+  readonly crashHistory = new CrashHistory();
   /** Agents on which a run of the task failed or stalled. */
   private _avoidedAgents: ReadonlySet<string> = new Set();
   private _lastRun = 0;
@@ -98,6 +100,11 @@
     return this._isDone;
   }
 
+  /** Whether the task may crash the workers that start it. */
+  get isSuspected(): boolean {
+    return this.crashHistory.crashes > 0 && !this._isDone;
+  }
+
   get checkpoint(): string {
     return this._checkpoint;
   }
@@ -122,6 +129,7 @@
   restore(record: TaskRecord, now: number): void {
     this._lastRun = record.run ?? 0;
     this._failures = record.failures ?? 0;
+    this.crashHistory.restore(record);
     this._isDone = record.done ?? false;
     this._checkpoint = record.checkpoint ?? "";
     this._givenUpRuns = record.givenUp ?? [];
@@ -259,6 +267,7 @@
       run: this._lastRun,
       ...(this._isDone ? { done: true } : {}),
       ...(this._failures > 0 ? { failures: this._failures } : {}),
+      ...this.crashHistory.toRecord(),
       ...(this._checkpoint === "" ? {} : { checkpoint: this._checkpoint }),
       ...(active.length > 0 ? { active } : {}),
       ...(givenUp.length > 0 ? { givenUp } : {}),
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
+import type { CrashRecord } from "./CrashHistory.ts";
 
 const ResourcesSchema = z.object({
   processorsMilli: z.number(),
@@ -75,7 +76,7 @@
 }
 
 /** Progress of one task; absent properties are 0, false or empty. */
-export interface TaskRecord {
+export interface TaskRecord extends CrashRecord {
   /** Number of the last ordered run. */
   readonly run?: number | undefined;
   readonly done?: boolean | undefined;
@@ -101,6 +102,9 @@
       run: z.number().optional(),
       done: z.boolean().optional(),
       failures: z.number().optional(),
+      crashes: z.number().optional(),
+      crashedAfterMs: z.number().optional(),
+      crashedRun: z.number().optional(),
       checkpoint: z.string().optional(),
       active: z
         .array(z.object({ run: z.number(), agent: z.string(), worker: z.string() }))
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -54,11 +54,12 @@
 
 /** Writes the report of an agent into the reply to an observe call. */
 export function writeObserveReply(report: AgentReport): ObserveReply {
-  const { worker, version, process: agentIncarnation, formerEnds } = report;
+  const { worker, version, process: agentIncarnation, formerEnds, crashes } = report;
   return create(ObserveReplySchema, {
     agentIncarnation,
     version,
     formerEnds: formerEnds.map((former) => ({ worker: former.worker, ended: [...former.ended] })),
+    crashes: crashes.map((crash) => ({ worker: crash.worker, runs: [...crash.runs] })),
     ...(worker === undefined ? {} : { worker: writeWorker(worker) }),
   });
 }
@@ -71,6 +72,7 @@
     version,
     worker: worker && readWorker(worker),
     formerEnds: reply.formerEnds.map(readFormerEnds),
+    crashes: reply.crashes,
   };
 }
 
--- a/tests/coordination/pool/ScriptedChannel.ts
+++ b/tests/coordination/pool/ScriptedChannel.ts
@@ -29,6 +29,7 @@
     version: 1,
     worker: createWorkerReport(),
     formerEnds: [],
+    crashes: [],
   };
 
   /**
@@ -46,7 +47,13 @@
    * @param worker - The worker; undefined if none has announced itself.
    */
   setReport(process: string, worker: WorkerReport | undefined): void {
-    this._report = { process, version: this._report.version + 1, worker, formerEnds: [] };
+    this._report = {
+      process,
+      version: this._report.version + 1,
+      worker,
+      formerEnds: [],
+      crashes: [],
+    };
   }
 
   override async observe(_: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
--- a/tests/coordination/pool/crashingTaskTests.ts
+++ b/tests/coordination/pool/crashingTaskTests.ts
@@ -148,7 +148,9 @@
   const phases = await Promise.all(crashing.map(async ({ id }) => getPhase(pool, id)));
   t.false(phases.includes("completed"), "a job whose task never ends is shown as completed");
   crashing.forEach(({ id }, position) => {
-    const crashes = found.find(({ task }) => task.startsWith(id))?.crashes.length ?? 0;
+    const crashes = pool.simulation.journal.filter(
+      ({ task, crashedBy }) => task.startsWith(id) && crashedBy !== undefined,
+    ).length;
     t.false(
       phases[position] === "failed" && crashes < MIN_CRASHES_TO_GIVE_UP,
       `${id} is shown as failed after ${crashes} crashes`,
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -72,7 +72,7 @@
   const worker = createWorkerReport();
   state.workerTable.applyReport(
     AGENT,
-    { process: "p-1", version: 1, worker, formerEnds: [] },
+    { process: "p-1", version: 1, worker, formerEnds: [], crashes: [] },
     clock.now(),
   );
   const job = new JobState(JOB, createJobRecord(), undefined, clock.now());
--- a/tests/coordination/pool/taskPlacementTests.ts
+++ b/tests/coordination/pool/taskPlacementTests.ts
@@ -185,7 +185,10 @@
     const placement = createPlacementState(workers, {
       getToleratedMilli: (worker) => tolerated[worker] ?? 0,
     });
-    return placement.hasBetterWorker({ ...task, rack: undefined, isFirstOfStep: false }, "a");
+    return placement.hasBetterWorker(
+      { ...task, rack: undefined, isFirstOfStep: false, suspicion: "none" },
+      "a",
+    );
   };
   t.true(isBetter({ "a@1": 100, "b@1": 2_000 }));
   t.false(isBetter({ "a@1": 100, "b@1": 200 }));
--- a/tests/coordination/pool/workerTableTests.ts
+++ b/tests/coordination/pool/workerTableTests.ts
@@ -22,7 +22,11 @@
   const table = new WorkerTable(POOL, TIMINGS);
   table.setAgent(AGENT, { address: AGENT, zone: "zone-a", pool: POOL, process: "p-1" });
   const worker = createWorkerReport({ answers: false, clockMs: 0, ...overrides });
-  table.applyReport(AGENT, { process: "p-1", version: 1, worker, formerEnds: [] }, NOW);
+  table.applyReport(
+    AGENT,
+    { process: "p-1", version: 1, worker, formerEnds: [], crashes: [] },
+    NOW,
+  );
   table.grantLease(AGENT);
   return table.getWorker(AGENT);
 }
@@ -47,7 +51,13 @@
   const apply = (worker: string, at: number) =>
     table.applyReport(
       AGENT,
-      { process: "p-1", version: 1, worker: createWorkerReport({ worker }), formerEnds: [] },
+      {
+        process: "p-1",
+        version: 1,
+        worker: createWorkerReport({ worker }),
+        formerEnds: [],
+        crashes: [],
+      },
       at,
     );
   apply("i-1@2", NOW);
--- a/tests/transport/pool/agentMessagesTests.ts
+++ b/tests/transport/pool/agentMessagesTests.ts
@@ -18,6 +18,7 @@
   const report: AgentReport = {
     ...{ process: "p-1", version: 3, worker: undefined },
     formerEnds: [{ worker: "i-1@1", ended: [end] }],
+    crashes: [{ worker: "i-1@1", runs: [{ task: "task", run: 3, elapsedMs: 12 }] }],
   };
   t.like(readObserveReply(writeObserveReply(report)), report);
   const withWorker = { ...report, worker: createWorkerReport({ ended: [end] }) };
@@ -37,6 +38,6 @@
     running: [running],
     ended: [createEndedRun()],
   });
-  const report = { process: "p", version: 3, worker, formerEnds: [] };
+  const report = { process: "p", version: 3, worker, formerEnds: [], crashes: [] };
   t.like(readObserveReply(writeObserveReply(report)), report);
 });
