Keep a start that may have crashed its worker after a refused repetition

What operators would see: a task that crashes each worker before it responds to the start is not counted, so that it takes worker after worker down.

Cause: an order without a response is repeated by the scheduler after 700 ms. Class: a refused repetition is taken for a refusal of the first order.

Change: a refusal counts only if the start had not been sent before.

--- a/src/coordination/pool/CrashDetector.ts
+++ b/src/coordination/pool/CrashDetector.ts
@@ -53,6 +53,14 @@
     this._deps = deps;
   }
 
+  /**
+   * Returns whether a start was sent to the present incarnation and its run may be there.
+   * @param order - The run.
+   */
+  hasStart({ task, run }: RunOrder): boolean {
+    return this._starts.has(formatRunKey(task, run));
+  }
+
   /**
    * Records that a start is sent to the worker.
    * @param order - The run.
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -72,6 +72,7 @@
     if (known !== undefined && !fits(call.capacity, known.capacity)) {
       return { task, run, failure: "no-room" };
     }
+    const isRepeated = this._deps.crashDetector.hasStart(order);
     const result = await this._execute(call, order, ({ worker }) => {
       if (!this._deps.isResponding()) {
         return errAsync(NOT_RESPONDING);
@@ -79,7 +80,8 @@
       this._deps.crashDetector.recordStart(order);
       return this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs });
     });
-    if (result.failure !== undefined && result.failure !== "unknown") {
+    // A refusal of a repeated order says nothing of the first one, which the worker may have executed.
+    if (!isRepeated && result.failure !== undefined && result.failure !== "unknown") {
       this._deps.crashDetector.recordRefusal(order);
     }
     return result;
