--- a/tests/coordination/pool/ScriptedChannel.ts
+++ b/tests/coordination/pool/ScriptedChannel.ts
@@ -9,6 +9,7 @@
   type OrderCall,
   type OrderReport,
   type RunOrder,
+  type WorkerCrash,
   type WorkerReport,
 } from "../../../src/coordination/pool/AgentChannel.ts";
 import { createWorkerReport } from "../../support/poolFixtures.ts";
@@ -23,6 +24,8 @@
   readonly stops: RunOrder[] = [];
   /** Number up to which the last call of the scheduler acknowledged ended runs, by worker. */
   readonly ackedEnds = new Map<string, number>();
+  /** Longest wait for a change that the last call of the scheduler asked for, in milliseconds. */
+  lastWaitMs = 0;
   private readonly _clock: ManualClock;
   private _report: AgentReport = {
     process: "a",
@@ -45,19 +48,25 @@
    * Sets the report of the agent.
    * @param process - Identity of its process.
    * @param worker - The worker; undefined if none has announced itself.
+   * @param crashes - Crashes of former incarnations.
    */
-  setReport(process: string, worker: WorkerReport | undefined): void {
+  setReport(
+    process: string,
+    worker: WorkerReport | undefined,
+    crashes: readonly WorkerCrash[] = [],
+  ): void {
     this._report = {
       process,
       version: this._report.version + 1,
       worker,
       formerEnds: [],
-      crashes: [],
+      crashes,
     };
   }
 
   override async observe(_: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
     this.ackedEnds.set(call.worker, call.ackedEnd);
+    this.lastWaitMs = call.waitMs;
     const until = this._clock.now() + call.waitMs;
     while (call.knownVersion === this._report.version && this._clock.now() < until) {
       await this._clock.sleep(10);
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -100,3 +100,26 @@
   t.is(channel.ackedEnds.get(former.worker), 1);
   scheduler.stop();
 });
+
+[
+  { title: "briefly where a suspected task is tried", elapsedMs: 300, isBrief: true },
+  { title: "no shorter where a task worked for long before a crash", elapsedMs: 60_000 },
+].forEach(({ title, elapsedMs, isBrief = false }) => {
+  // Guards against agents that are called ten times as often, for as long as their tasks had worked
+  // before an ordinary crash.
+  test(`AgentReportHandler waits ${title}`, async (t) => {
+    const fixture = await createScriptedScheduler();
+    const { clock, channel, scheduler } = fixture;
+    await addJob(fixture, { longRunning: true });
+    const [first = { task: "", run: 0 }] = channel.starts;
+    const next = createWorkerReport({ worker: "i-2@200", callNumber: 2 });
+    const crash = { worker: createWorkerReport().worker, runs: [{ ...first, elapsedMs }] };
+    channel.orderCallNumber = next.callNumber;
+    channel.setReport("a", next, [crash]);
+    await clock.advance(TIMINGS.observeWaitMs + HANDLED_MS);
+    t.is(channel.starts.length, 2);
+    t.true(channel.lastWaitMs > 0);
+    t.is(channel.lastWaitMs < TIMINGS.observeWaitMs, isBrief);
+    scheduler.stop();
+  });
+});
