Try tasks apart that have crashed two workers later in their work

What callers would see: where several tasks crash their workers 2 s or 8 s after the start, jobs of others are shown as failed, and a task that has crashed three workers is started three times more.

Cause: a task that crashes workers more than 1.5 s after its start was never tried alone. On few workers the same tasks start together again after each crash, so that the innocent ones count five crashes as well; and a start that the crash of another task cuts short is none of the two that are left after the third crash. Class: evidence that cannot tell two cases apart is counted.

Change: after the second crash at the same time, up to 10 s after the start, a task is tried apart as well.

--- a/src/coordination/pool/CrashHandler.ts
+++ b/src/coordination/pool/CrashHandler.ts
@@ -10,7 +10,7 @@
 import type { CommitQueue } from "./CommitQueue.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PoolState } from "./PoolState.ts";
-import { getSuspicion } from "./taskPlacement.ts";
+import { MAX_TRIAL_MS } from "./taskPlacement.ts";
 
 /**
  * Number of crashes from which a task is given up that was tried alone, so that nothing else explains
@@ -120,8 +120,8 @@
   }
 }
 
-function getMaxCrashes(task: TaskState, rivalCount: number): number {
-  if (getSuspicion(task) !== "soon") {
+function getMaxCrashes({ crashHistory, definition }: TaskState, rivalCount: number): number {
+  if (crashHistory.crashedAfterMs > MAX_TRIAL_MS || definition.gang) {
     return MAX_CRASHES;
   }
   return rivalCount === 1 ? MAX_CRASHES_ALONE : MAX_SOON_CRASHES;
--- a/src/coordination/pool/PlacementState.ts
+++ b/src/coordination/pool/PlacementState.ts
@@ -79,7 +79,7 @@
 /** Whether a task is suspected of crashing the workers that start it. */
 export type Suspicion =
   | "none"
-  /** Soon after its start: it is tried on a worker on which nothing else starts. */
+  /** Soon after its start, or twice: it is tried on a worker on which nothing else starts. */
   | "soon"
   /** After some time of work: it is kept apart from others that are suspected. */
   | "later";
--- a/src/coordination/pool/taskPlacement.ts
+++ b/src/coordination/pool/taskPlacement.ts
@@ -17,7 +17,9 @@
  * Time from its start to the crash up to which a suspected task is tried alone, in milliseconds: a
  * worker can be kept from other tasks for so long.
  */
-const MAX_TRIAL_MS = 1_500;
+export const MAX_TRIAL_MS = 1_500;
+/** The same if workers have crashed at the same time after two starts of the task. */
+const MAX_REPEATED_TRIAL_MS = 10_000;
 /** Number of runs of a task from which no more speculative runs are started. */
 const MAX_RUNS_FOR_SPECULATION = 4;
 
@@ -248,6 +250,8 @@
   if (!task.isSuspected) {
     return "none";
   }
-  const isSoon = task.crashHistory.crashedAfterMs <= MAX_TRIAL_MS && !task.definition.gang;
+  const { crashes, crashedAfterMs } = task.crashHistory;
+  const maxMs = crashes > 1 ? MAX_REPEATED_TRIAL_MS : MAX_TRIAL_MS;
+  const isSoon = crashedAfterMs <= maxMs && !task.definition.gang;
   return isSoon ? "soon" : "later";
 }
--- a/tests/coordination/pool/crashingTaskTests.ts
+++ b/tests/coordination/pool/crashingTaskTests.ts
@@ -68,12 +68,15 @@
   }));
 }
 
-function createCrashingJobs(random: SeededRandom, count: number): readonly SimulatedJob[] {
+function createCrashingJobs(
+  random: SeededRandom,
+  count: number,
+  minMs = 200,
+  spreadMs = 800,
+): readonly SimulatedJob[] {
   return Array.from({ length: count }, (_, position) => ({
-    id: createJobId(position + 1),
-    definition: createJob(1),
-    workMs: 1_000,
-    crashesWorkerAfterMs: 200 + random.nextInt(800),
+    ...{ id: createJobId(position + 1), definition: createJob(1), workMs: minMs + spreadMs },
+    crashesWorkerAfterMs: minMs + random.nextInt(spreadMs),
   }));
 }
 
@@ -240,6 +243,19 @@
     await checkJobs(t, pool, innocent, crashing);
   });
 
+  [2_000, 8_000].forEach((afterMs) => {
+    // Guards against such tasks that cannot be told from others because they are never tried alone:
+    // innocent ones were given up, and a crashing one was started three times more.
+    test(`PoolScheduler stops starting several tasks that crash their workers after ${afterMs} ms, seed ${seed}`, async (t) => {
+      const pool = await createPool(seed, 2);
+      const crashing = createCrashingJobs(pool.random, 4, afterMs, afterMs / 10);
+      const innocent = await runWaves(pool, crashing);
+      await pool.simulation.clock.advance(2 * RECOVERY_MS);
+      logCost(t, pool, seed, innocent);
+      await checkJobs(t, pool, innocent, crashing);
+    });
+  });
+
   // Guards against innocent tasks that are given up because they were beside crashing ones. With two
   // workers, long tasks cannot avoid them.
   test(`PoolScheduler completes tasks that were on workers that other tasks crashed, seed ${seed}`, async (t) => {
