Count crashes that come earlier than the first one at the same time

What callers would see: a task that resumes from a checkpoint, or starts on faster workers, after its first crash takes worker after worker down without end; its job never fails.

Cause: a crash that comes earlier than the one before was taken for one that the task cannot have caused, however often it repeated. Class: a single observation is taken for a bound.

Change: the time of an earlier crash is remembered, and stored; a second one at that time counts. Earlier crashes at different times still count for nothing.

Result: the first new test failed before ("innocent" where "repeated" was expected).

--- a/src/state/pool/CrashHistory.ts
+++ b/src/state/pool/CrashHistory.ts
@@ -26,6 +26,8 @@
   readonly crashes?: number | undefined;
   /** Time from the start of the task to these crashes, in milliseconds. */
   readonly crashedAfterMs?: number | undefined;
+  /** Time from a start to the last crash that came earlier than these, in milliseconds. */
+  readonly earlierAfterMs?: number | undefined;
   /** Number of the last run whose worker crashed. */
   readonly crashedRun?: number | undefined;
 }
@@ -34,6 +36,7 @@
 export class CrashHistory {
   private _crashes = 0;
   private _crashedAfterMs = 0;
+  private _earlierAfterMs = 0;
   private _lastRun = 0;
   private _longestWorkMs = 0;
 
@@ -51,9 +54,10 @@
    * Restores the history.
    * @param record - The history as it was stored.
    */
-  restore({ crashes, crashedAfterMs, crashedRun }: CrashRecord): void {
+  restore({ crashes, crashedAfterMs, earlierAfterMs, crashedRun }: CrashRecord): void {
     this._crashes = crashes ?? 0;
     this._crashedAfterMs = crashedAfterMs ?? 0;
+    this._earlierAfterMs = earlierAfterMs ?? 0;
     this._lastRun = crashedRun ?? 0;
   }
 
@@ -63,6 +67,7 @@
       ...(this._crashes > 0
         ? { crashes: this._crashes, crashedAfterMs: this._crashedAfterMs }
         : {}),
+      ...(this._earlierAfterMs > 0 ? { earlierAfterMs: this._earlierAfterMs } : {}),
       ...(this._lastRun > 0 ? { crashedRun: this._lastRun } : {}),
     };
   }
@@ -77,9 +82,10 @@
       return "known";
     }
     this._lastRun = run;
-    const isEarlier =
-      this._crashes > 0 && elapsedMs < this._crashedAfterMs - getTolerance(elapsedMs);
-    if (isEarlier || this._hasWorkedFor(elapsedMs)) {
+    if (this._crashes > 0 && elapsedMs < this._crashedAfterMs - getTolerance(elapsedMs)) {
+      return this._recordEarlierCrash(elapsedMs);
+    }
+    if (this._hasWorkedFor(elapsedMs)) {
       return "innocent";
     }
     const isSame =
@@ -100,9 +106,28 @@
       return false;
     }
     this._crashes = 0;
+    this._earlierAfterMs = 0;
     return true;
   }
 
+  /**
+   * Records a crash that came earlier than those before. One says nothing of the task; if the next one
+   * comes at the same time, the task resumes from a checkpoint or is on faster workers.
+   */
+  private _recordEarlierCrash(elapsedMs: number): CrashVerdict {
+    const isSame =
+      this._earlierAfterMs > 0 &&
+      Math.abs(elapsedMs - this._earlierAfterMs) <= getTolerance(this._earlierAfterMs);
+    if (!isSame) {
+      this._earlierAfterMs = Math.max(1, elapsedMs);
+      return "innocent";
+    }
+    this._crashes += 1;
+    this._crashedAfterMs = this._earlierAfterMs;
+    this._earlierAfterMs = 0;
+    return "repeated";
+  }
+
   /** Returns whether a run has worked for certainly longer than a time. */
   private _hasWorkedFor(elapsedMs: number): boolean {
     return this._longestWorkMs > elapsedMs + getTolerance(elapsedMs);
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -104,6 +104,7 @@
       failures: z.number().optional(),
       crashes: z.number().optional(),
       crashedAfterMs: z.number().optional(),
+      earlierAfterMs: z.number().optional(),
       crashedRun: z.number().optional(),
       checkpoint: z.string().optional(),
       active: z
--- a/tests/state/pool/crashHistoryTests.ts
+++ b/tests/state/pool/crashHistoryTests.ts
@@ -51,3 +51,28 @@
   t.is(history.recordCrash(2, 300), "innocent");
   t.is(history.recordCrash(3, 5_000), "suspected");
 });
+
+// Guards against a task that is started without end because it resumes from a checkpoint after its
+// first crash, or starts on faster workers, so that it crashes the next ones earlier.
+test("CrashHistory counts crashes that come earlier than the first one at the same time", (t) => {
+  const history = new CrashHistory();
+  history.recordCrash(1, 2_000);
+  t.is(history.recordCrash(2, 700), "innocent");
+  const restored = new CrashHistory();
+  restored.restore(history.toRecord());
+  t.is(restored.recordCrash(3, 720), "repeated");
+  t.is(restored.crashes, 2);
+  t.is(restored.crashedAfterMs, 700);
+});
+
+test("CrashHistory does not count crashes that come earlier at different times", (t) => {
+  const history = new CrashHistory();
+  history.recordCrash(1, 5_000);
+  t.deepEqual(
+    [30, 900, 3_000, 300].map((elapsedMs, position) =>
+      history.recordCrash(position + 2, elapsedMs),
+    ),
+    ["innocent", "innocent", "innocent", "innocent"],
+  );
+  t.is(history.crashes, 1);
+});
