Count each crash of a worker under a task after the third

What operators would see: a task that has crashed three workers is started up to four times more.

Cause: a start that the crash of another task cuts short counted for nothing, though it is one of the two that operators accept. Class: the limit is on starts, and crashes are counted.

Change: after three crashes at the same time, one that comes earlier counts too.

--- a/src/state/pool/CrashHistory.ts
+++ b/src/state/pool/CrashHistory.ts
@@ -8,6 +8,11 @@
 const TOLERANCE_MS = 150;
 /** The same in proportion to the time, as workers differ in speed. */
 const TOLERANCE_SHARE = 0.1;
+/**
+ * Number of crashes from which each further one counts: operators accept two more starts, whatever
+ * ends them.
+ */
+const CRASHES_UNTIL_LIMIT = 3;
 
 /** What a crash says of a task. */
 export type CrashVerdict =
@@ -115,6 +120,10 @@
    * comes at the same time, the task resumes from a checkpoint or is on faster workers.
    */
   private _recordEarlierCrash(elapsedMs: number): CrashVerdict {
+    if (this._crashes >= CRASHES_UNTIL_LIMIT) {
+      this._crashes += 1;
+      return "repeated";
+    }
     const isSame =
       this._earlierAfterMs > 0 &&
       Math.abs(elapsedMs - this._earlierAfterMs) <= getTolerance(this._earlierAfterMs);
--- a/tests/state/pool/crashHistoryTests.ts
+++ b/tests/state/pool/crashHistoryTests.ts
@@ -76,3 +76,14 @@
   );
   t.is(history.crashes, 1);
 });
+
+// Guards against a third start of a task after three crashes, because the crashes of others cut the
+// starts before it short.
+test("CrashHistory counts each crash after the third that comes earlier", (t) => {
+  const history = new CrashHistory();
+  [1, 2, 3].forEach((run) => history.recordCrash(run, 5_000));
+  t.is(history.recordCrash(4, 30), "repeated");
+  t.is(history.recordCrash(5, 900), "repeated");
+  t.is(history.crashes, 5);
+  t.is(history.crashedAfterMs, 5_000);
+});
