Look for a worker to keep only for tasks that are to be tried

Each placement that failed scored all workers before it asked whether the task is suspected at all: work on the path of every scheduling cycle under load. What is tried, how a share of the workers is counted and how a run is named stand once each now.

--- a/src/coordination/pool/PlacementState.ts
+++ b/src/coordination/pool/PlacementState.ts
@@ -264,7 +264,11 @@
   }
 
   private get _maxTrialWorkers(): number {
-    const share = this._areTrialsMany ? MAX_CROWDED_TRIAL_SHARE : MAX_TRIAL_SHARE;
+    return this._countShare(this._areTrialsMany ? MAX_CROWDED_TRIAL_SHARE : MAX_TRIAL_SHARE);
+  }
+
+  /** Returns the number of workers in a share of them, at least one. */
+  private _countShare(share: number): number {
     return Math.max(1, Math.floor(this._workers.size * share));
   }
 
@@ -280,8 +284,7 @@
    * innocent then, as when several workers crash by themselves.
    */
   private get _areTrialsMany(): boolean {
-    const workerCount = Math.max(1, Math.floor(this._workers.size * MAX_TRIAL_SHARE));
-    return this._context.trialCount > MAX_LONELY_ROUNDS * workerCount;
+    return this._context.trialCount > MAX_LONELY_ROUNDS * this._countShare(MAX_TRIAL_SHARE);
   }
 
   /**
@@ -289,9 +292,12 @@
    * have just started there. Where tasks start all the time, it would never be tried otherwise.
    */
   private _keepForTrial(suitable: readonly CandidateWorker[], task: PlacementTask): void {
+    if (!isTrial(task.suspicion) || !this._mayTryMore) {
+      return;
+    }
     const free = suitable.filter(({ isTrying }) => !isTrying);
     const kept = this._chooseBest(free, task, ["open", "probe"]);
-    if (isTrial(task.suspicion) && this._mayTryMore && kept !== undefined) {
+    if (kept !== undefined) {
       this._workers.set(kept.agent, { ...kept, isTrying: true });
     }
   }
@@ -352,7 +358,11 @@
   return usesIdleProcessors ? resources.processorsMilli : 0;
 }
 
-function isTrial(suspicion: Suspicion): boolean {
+/**
+ * Returns whether a suspected task is tried apart from others.
+ * @param suspicion - How the task is suspected.
+ */
+export function isTrial(suspicion: Suspicion): boolean {
   return suspicion === "once" || suspicion === "repeatedly";
 }
 
--- a/src/coordination/pool/RecentStartTable.ts
+++ b/src/coordination/pool/RecentStartTable.ts
@@ -3,6 +3,7 @@
  * after a repetition of it was executed and the run has ended: by the next incarnation of the worker
  * under the same id, which does not know of the run.
  */
+import { formatRunKey } from "./ActiveRunTable.ts";
 import type { RunOrder } from "./AgentChannel.ts";
 
 /**
@@ -32,7 +33,7 @@
    * @param start - The start.
    */
   add({ agent, worker, task, run, orderedAt }: Omit<RecentStart, "stoppedAt">): void {
-    const key = `${task} ${run}`;
+    const key = formatRunKey(task, run);
     this._starts.delete(key);
     this._starts.set(key, { agent, worker, task, run, orderedAt, stoppedAt: undefined });
   }
@@ -46,9 +47,9 @@
     { task, run }: RunOrder,
     change: Partial<Pick<RecentStart, "worker" | "stoppedAt">>,
   ): void {
-    const known = this._starts.get(`${task} ${run}`);
+    const known = this._starts.get(formatRunKey(task, run));
     if (known !== undefined) {
-      this._starts.set(`${task} ${run}`, { ...known, ...change });
+      this._starts.set(formatRunKey(task, run), { ...known, ...change });
     }
   }
 
--- a/src/coordination/pool/taskPlacement.ts
+++ b/src/coordination/pool/taskPlacement.ts
@@ -4,11 +4,12 @@
  */
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
-import type {
-  PlacementTask,
-  CandidateWorker,
-  PlacementState,
-  Suspicion,
+import {
+  isTrial,
+  type PlacementTask,
+  type CandidateWorker,
+  type PlacementState,
+  type Suspicion,
 } from "./PlacementState.ts";
 import { getStepKey } from "./ActiveRunTable.ts";
 import { compareRanks, getSchedulingRank, type SchedulingRank } from "./schedulingOrder.ts";
@@ -146,7 +147,7 @@
  * @param task - The task.
  */
 export function isTried(task: TaskState): boolean {
-  return ["once", "repeatedly"].includes(getSuspicion(task));
+  return isTrial(getSuspicion(task));
 }
 
 /**
