Give workers leases of batch tasks as times on their own clock

Cause: the agent passed the rest of a granted lease as a duration. A start or renewal that the worker executed late, after the agent had crashed, counted it from then: up to seconds beyond the lease that the owner had granted, while the owner may have started the task elsewhere.

Change: a lease is an end on the worker's clock, counted from the reading in the worker's last report, and a longest duration, which bounds a call that reaches a restarted worker whose clock began anew. A renewal never shortens. A start before the worker has reported its clock is refused.

--- a/src/protocol/platform/Worker.ts
+++ b/src/protocol/platform/Worker.ts
@@ -33,9 +33,31 @@
   readonly tenant: string;
 }
 
+/**
+ * Lease under which a task runs; it ends at whichever of the two comes first. The time bounds a call
+ * that is executed late, the duration one that reaches a restarted worker whose clock began anew.
+ */
+export interface WorkerLease {
+  /** End of the lease on the worker's clock, in milliseconds. */
+  readonly untilMs: number;
+  /** Longest duration of the lease from when the call is executed, in milliseconds. */
+  readonly maxDurationMs: number;
+}
+
+/**
+ * Gets the end of a lease for a call that is executed now.
+ * @param lease - The lease.
+ * @param clockMs - The worker's clock, in milliseconds.
+ */
+export function getLeaseEnd(lease: WorkerLease, clockMs: number): number {
+  return Math.min(lease.untilMs, clockMs + lease.maxDurationMs);
+}
+
 /** Report of the worker about its VM. */
 export interface WorkerReport {
   readonly vm: string;
+  /** Worker's monotonic clock when it made the report, in milliseconds. */
+  readonly clockMs: number;
   readonly capacity: Resources;
   /** Usage of the whole VM, which lags behind the actual usage. */
   readonly used: Resources;
@@ -53,7 +75,7 @@
   readonly resources: Resources;
   readonly command: string;
   readonly checkpoint: string;
-  readonly leaseMs: number;
+  readonly lease: WorkerLease;
   readonly kind: string;
   readonly tenant: string;
 }
@@ -77,12 +99,17 @@
   abstract start(start: WorkerStart): ResultAsync<void, WorkerFailure>;
 
   /**
-   * Extends the lease of a running task.
+   * Extends the lease of a running task; a lease that ends earlier than the present one changes
+   * nothing.
    * @param task - Id of the task.
    * @param attempt - Attempt that holds the lease.
-   * @param leaseMs - Duration of the lease from now, in milliseconds.
+   * @param lease - The new lease.
    */
-  abstract renew(task: string, attempt: number, leaseMs: number): ResultAsync<void, WorkerFailure>;
+  abstract renew(
+    task: string,
+    attempt: number,
+    lease: WorkerLease,
+  ): ResultAsync<void, WorkerFailure>;
 
   /**
    * Takes a checkpoint of a running task and returns its reference.
--- a/src/transport/agent/tasks/LeaseRenewer.ts
+++ b/src/transport/agent/tasks/LeaseRenewer.ts
@@ -1,15 +1,26 @@
 /**
- * Passes leases that owners have granted on to the worker, which enforces them. The worker gets the
- * rest of the granted lease less the time that a call may take, so that its lease never ends later.
+ * Passes leases that owners have granted on to the worker, which enforces them. The worker gets them
+ * as times on its own clock, counted from a reading that it reported before, so that a call that is
+ * executed late extends no lease beyond the granted one.
  */
 import type { Clock } from "../../../protocol/platform/Clock.ts";
 import type { Log } from "../../../protocol/platform/Log.ts";
-import type { Worker } from "../../../protocol/platform/Worker.ts";
+import type { Worker, WorkerLease } from "../../../protocol/platform/Worker.ts";
 import { formatTaskKey } from "../../../coordination/tasks/TaskKey.ts";
 import type { TaskRecord } from "../../../coordination/tasks/TaskRecord.ts";
 
-/** Time by which the worker's lease ends before the granted one, in milliseconds. */
-const WORKER_CALL_MARGIN_MS = 250;
+/**
+ * Time by which the worker's lease ends before the granted one, in milliseconds. It covers the time
+ * that the worker takes to act on the expiry.
+ */
+const LEASE_EXPIRY_MARGIN_MS = 250;
+
+/** Reading of the worker's clock. */
+interface ClockReading {
+  readonly clockMs: number;
+  /** When the reading arrived, on the agent's clock, in milliseconds. */
+  readonly receivedAt: number;
+}
 
 /** Renews leases at the worker. */
 export class LeaseRenewer {
@@ -18,6 +29,7 @@
   private readonly _log: Log;
   /** End of the granted lease that was last passed to the worker, by attempt. */
   private readonly _workerLeaseEnds = new Map<string, number>();
+  private _reading: ClockReading | undefined;
 
   /**
    * Creates a renewer.
@@ -32,23 +44,35 @@
   }
 
   /**
-   * Gets the lease to pass to the worker for a granted one, in milliseconds.
+   * Records a reading of the worker's clock that has just arrived.
+   * @param clockMs - The reading, in milliseconds.
+   */
+  recordReading(clockMs: number): void {
+    this._reading = { clockMs, receivedAt: this._clock.now() };
+  }
+
+  /**
+   * Gets the lease to pass to the worker for a granted one.
    * @param leaseUntil - End of the granted lease on the agent's clock, in milliseconds.
+   * @returns The lease; undefined if the granted one is over or the worker has not reported its clock.
    */
-  getWorkerLeaseMs(leaseUntil: number): number {
-    return Math.max(0, Math.floor(leaseUntil - this._clock.now() - WORKER_CALL_MARGIN_MS));
+  getWorkerLease(leaseUntil: number): WorkerLease | undefined {
+    const maxDurationMs = Math.floor(leaseUntil - this._clock.now() - LEASE_EXPIRY_MARGIN_MS);
+    if (this._reading === undefined || maxDurationMs <= 0) {
+      return undefined;
+    }
+    // The worker made the reading before it arrived here, so that its clock is at least this far.
+    const { clockMs, receivedAt } = this._reading;
+    const untilMs = Math.floor(clockMs + leaseUntil - receivedAt - LEASE_EXPIRY_MARGIN_MS);
+    return { untilMs, maxDurationMs };
   }
 
   /**
-   * Records the lease with which a task was started, unless the call took too long: the next renewal
-   * then corrects the worker's lease.
+   * Records the lease with which a task was started.
    * @param record - The task.
-   * @param requestedAt - When the worker was called, in milliseconds.
    */
-  recordStart(record: TaskRecord, requestedAt: number): void {
-    if (this._isWithinMargin(requestedAt)) {
-      this._workerLeaseEnds.set(formatTaskKey(record), record.leaseUntil);
-    }
+  recordStart(record: TaskRecord): void {
+    this._workerLeaseEnds.set(formatTaskKey(record), record.leaseUntil);
   }
 
   /**
@@ -70,27 +94,19 @@
   }
 
   private async _renew(record: TaskRecord): Promise<void> {
-    const leaseMs = this.getWorkerLeaseMs(record.leaseUntil);
-    if (leaseMs === 0) {
+    const lease = this.getWorkerLease(record.leaseUntil);
+    if (lease === undefined) {
       return;
     }
     this._workerLeaseEnds.set(formatTaskKey(record), record.leaseUntil);
-    const requestedAt = this._clock.now();
-    const result = await this._worker.renew(record.task, record.attempt, leaseMs);
+    const result = await this._worker.renew(record.task, record.attempt, lease);
     if (result.isErr()) {
       const { detail } = result.error;
       this._log.warn("A lease could not be renewed at the worker; the renewal is retried.", {
         task: record.task,
         detail,
       });
-    }
-    if (result.isErr() || !this._isWithinMargin(requestedAt)) {
       this._workerLeaseEnds.delete(formatTaskKey(record));
     }
   }
-
-  /** Returns whether a call ended within the margin; a longer one may have given too long a lease. */
-  private _isWithinMargin(requestedAt: number): boolean {
-    return this._clock.now() - requestedAt <= WORKER_CALL_MARGIN_MS;
-  }
 }
--- a/src/transport/agent/tasks/TaskService.ts
+++ b/src/transport/agent/tasks/TaskService.ts
@@ -71,7 +71,9 @@
         );
       },
     });
-    this._poller = new WorkerPoller(options, this._table, this._allocator);
+    this._poller = new WorkerPoller(options, this._table, this._allocator, (clockMs) => {
+      this._renewer.recordReading(clockMs);
+    });
   }
 
   /** Starts to poll the worker and to report to owners. */
--- a/src/transport/agent/tasks/TaskStarter.ts
+++ b/src/transport/agent/tasks/TaskStarter.ts
@@ -71,7 +71,11 @@
 
   private async _startAtWorker(req: StartTaskRequest, record: TaskRecord): Promise<StartTaskReply> {
     const { task, attempt, partition, epoch, ownerAddress, resources, kind, tenant } = record;
-    const requestedAt = this._options.clock.now();
+    const lease = this._renewer.getWorkerLease(record.leaseUntil);
+    if (lease === undefined) {
+      this._table.dropUnstarted(record);
+      return refuse("worker-refused");
+    }
     const result = await this._options.worker.start({
       task,
       attempt,
@@ -81,14 +85,14 @@
       resources,
       command: req.command,
       checkpoint: req.checkpoint,
-      leaseMs: this._renewer.getWorkerLeaseMs(record.leaseUntil),
+      lease,
       kind,
       tenant,
     });
     if (result.isErr()) {
       return await this._handleFailure(record, result.error);
     }
-    this._renewer.recordStart(record, requestedAt);
+    this._renewer.recordStart(record);
     this._table.recordAccepted(record, this._options.clock.now());
     return create(StartTaskReplySchema, { accepted: true });
   }
--- a/src/transport/agent/tasks/WorkerPoller.ts
+++ b/src/transport/agent/tasks/WorkerPoller.ts
@@ -20,6 +20,7 @@
 export class WorkerPoller {
   private readonly _options: TaskServiceOptions;
   private readonly _table: TaskTable;
+  private readonly _onReading: (clockMs: number) => void;
   private readonly _reconciler: WorkerReconciler;
   private _report: WorkerReport | undefined;
   private _reportedAt = 0;
@@ -31,10 +32,17 @@
    * @param options - Options of the task service.
    * @param table - Tasks of the VM.
    * @param allocator - Allocator of the VM's capacity.
+   * @param onReading - Called with a reading of the worker's clock that has just arrived.
    */
-  constructor(options: TaskServiceOptions, table: TaskTable, allocator: CapacityAllocator) {
+  constructor(
+    options: TaskServiceOptions,
+    table: TaskTable,
+    allocator: CapacityAllocator,
+    onReading: (clockMs: number) => void,
+  ) {
     this._options = options;
     this._table = table;
+    this._onReading = onReading;
     this._reconciler = new WorkerReconciler(table, allocator);
   }
 
@@ -79,6 +87,7 @@
   }
 
   private _handleReport(report: WorkerReport, requestedAt: number): void {
+    this._onReading(report.clockMs);
     const throttles = this._reconciler.apply(report, requestedAt, this._options.clock.now());
     throttles.forEach((order) => void this._throttle(order));
     const startDelayMs = this._options.startDelayMs ?? DEFAULT_START_DELAY_MS;
--- a/src/transport/worker/HttpWorker.ts
+++ b/src/transport/worker/HttpWorker.ts
@@ -7,6 +7,7 @@
 import { Worker } from "../../protocol/platform/Worker.ts";
 import type {
   WorkerFailure,
+  WorkerLease,
   WorkerReport,
   WorkerStart,
   WorkerTask,
@@ -38,6 +39,7 @@
 });
 const ReportReply = z.object({
   vm: z.string(),
+  clockMs: z.number(),
   capacity: ResourcesReply,
   used: ResourcesReply,
   heatLevel: z.number().optional(),
@@ -97,8 +99,12 @@
     return this._post("/v1/start", start, EmptyReply).map(() => undefined);
   }
 
-  override renew(task: string, attempt: number, leaseMs: number): ResultAsync<void, WorkerFailure> {
-    return this._post("/v1/renew", { task, attempt, leaseMs }, EmptyReply).map(() => undefined);
+  override renew(
+    task: string,
+    attempt: number,
+    lease: WorkerLease,
+  ): ResultAsync<void, WorkerFailure> {
+    return this._post("/v1/renew", { task, attempt, lease }, EmptyReply).map(() => undefined);
   }
 
   override checkpoint(task: string, attempt: number): ResultAsync<string, WorkerFailure> {
--- a/standins/worker/RunningTask.ts
+++ b/standins/worker/RunningTask.ts
@@ -3,10 +3,11 @@
  */
 import type { Resources } from "../../src/protocol/Resources.ts";
 import { NO_RESOURCES } from "../../src/protocol/Resources.ts";
-import type {
-  WorkerStart,
-  WorkerTask,
-  WorkerTaskPhase,
+import {
+  getLeaseEnd,
+  type WorkerStart,
+  type WorkerTask,
+  type WorkerTaskPhase,
 } from "../../src/protocol/platform/Worker.ts";
 import { getUsage, parseCommand } from "./TaskCommand.ts";
 import type { TaskCommand } from "./TaskCommand.ts";
@@ -35,7 +36,7 @@
     this.order = order;
     this._command = parseCommand(order.command);
     this._workMs = workMs;
-    this._leaseEnd = now + order.leaseMs;
+    this._leaseEnd = getLeaseEnd(order.lease, now);
     this._lastStepAt = now;
     this._checkpoint = order.checkpoint;
   }
@@ -115,11 +116,11 @@
   }
 
   /**
-   * Renews the lease.
+   * Renews the lease; one that ends earlier than the present one changes nothing.
    * @param leaseEnd - New expiry of the lease.
    */
   renew(leaseEnd: number): void {
-    this._leaseEnd = leaseEnd;
+    this._leaseEnd = Math.max(this._leaseEnd, leaseEnd);
   }
 
   /**
--- a/standins/worker/WorkerModel.ts
+++ b/standins/worker/WorkerModel.ts
@@ -7,7 +7,13 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { Clock, Timer } from "../../src/protocol/platform/Clock.ts";
-import type { WorkerReport, WorkerStart, WorkerTask } from "../../src/protocol/platform/Worker.ts";
+import {
+  getLeaseEnd,
+  type WorkerLease,
+  type WorkerReport,
+  type WorkerStart,
+  type WorkerTask,
+} from "../../src/protocol/platform/Worker.ts";
 import { addResources, NO_RESOURCES } from "../../src/protocol/Resources.ts";
 import type { Resources } from "../../src/protocol/Resources.ts";
 import type { Journal } from "../support/Journal.ts";
@@ -93,6 +99,7 @@
     const sample = this._usage.get(this._clock.now());
     return {
       vm: this._options.vm,
+      clockMs: this._clock.now(),
       capacity: this._options.capacity,
       used: sample.total,
       heatLevel: this.conditions.heatLevel,
@@ -129,11 +136,11 @@
    * Renews the lease of a running task.
    * @param task - Id of the task.
    * @param attempt - Attempt that holds the lease.
-   * @param leaseMs - Duration of the lease from now, in milliseconds.
+   * @param lease - The new lease.
    */
-  renew(task: string, attempt: number, leaseMs: number): Result<void, ModelRefusal> {
+  renew(task: string, attempt: number, lease: WorkerLease): Result<void, ModelRefusal> {
     return this._findRunning(task, attempt).map((running) => {
-      running.renew(this._clock.now() + leaseMs);
+      running.renew(getLeaseEnd(lease, this._clock.now()));
     });
   }
 
--- a/standins/worker/WorkerProcess.ts
+++ b/standins/worker/WorkerProcess.ts
@@ -14,7 +14,8 @@
 
 const Count = z.number().int().min(0);
 const TaskCall = z.object({ task: z.string(), attempt: z.number() });
-const RenewCall = TaskCall.extend({ leaseMs: z.number() });
+const Lease = z.object({ untilMs: z.number(), maxDurationMs: z.number() });
+const RenewCall = TaskCall.extend({ lease: Lease });
 const ThrottleCall = TaskCall.extend({ percent: z.number() });
 const StartCall = TaskCall.extend({
   partition: z.number(),
@@ -27,7 +28,7 @@
   }),
   command: z.string(),
   checkpoint: z.string(),
-  leaseMs: z.number(),
+  lease: Lease,
   kind: z.string(),
   tenant: z.string(),
 });
@@ -115,8 +116,8 @@
       case "POST /v1/start":
         return toReply(this._model.start(StartCall.parse(req.body)));
       case "POST /v1/renew": {
-        const { task, attempt, leaseMs } = RenewCall.parse(req.body);
-        return toReply(this._model.renew(task, attempt, leaseMs));
+        const { task, attempt, lease } = RenewCall.parse(req.body);
+        return toReply(this._model.renew(task, attempt, lease));
       }
       case "POST /v1/checkpoint": {
         const { task, attempt } = TaskCall.parse(req.body);
--- a/tests/standins/worker/workerModelTests.ts
+++ b/tests/standins/worker/workerModelTests.ts
@@ -5,9 +5,14 @@
 import { Journal } from "../../../standins/support/Journal.ts";
 import { WorkerModel } from "../../../standins/worker/WorkerModel.ts";
 import type { WorkerEvent } from "../../../standins/worker/WorkerJournal.ts";
-import type { WorkerStart } from "../../../src/protocol/platform/Worker.ts";
+import type { WorkerLease, WorkerStart } from "../../../src/protocol/platform/Worker.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 
+/** Creates a lease that ends at a time on the worker's clock. */
+function createLease(untilMs: number): WorkerLease {
+  return { untilMs, maxDurationMs: 60_000 };
+}
+
 const RESOURCES = { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 };
 
 const ORDER: WorkerStart = {
@@ -19,7 +24,7 @@
   resources: RESOURCES,
   command: "run 1000",
   checkpoint: "",
-  leaseMs: 60_000,
+  lease: createLease(60_000),
   kind: "transcode",
   tenant: "academy",
 };
@@ -59,16 +64,26 @@
 
 test("WorkerModel never does a step after the lease has expired, even when it was paused", async (t) => {
   const { clock, worker, journal } = createFixture();
-  worker.start({ ...ORDER, leaseMs: 400 });
+  worker.start({ ...ORDER, lease: createLease(400) });
   await clock.advance(200);
-  t.true(worker.renew("t", 1, 400).isOk());
+  t.true(worker.renew("t", 1, createLease(600)).isOk());
   await clock.advance(300);
   clock.pause(200);
   await clock.advance(1_000);
   t.like(worker.report().tasks[0], { phase: "stopped", reason: "the lease expired" });
   const steps = journal.entries.filter((entry) => entry.event === "step");
   t.true(steps.length > 0 && steps.every((entry) => entry.at < 600));
-  t.true(worker.renew("t", 1, 400).isErr());
+  t.true(worker.renew("t", 1, createLease(600)).isErr());
+});
+
+test("WorkerModel ends a lease at its time or its longest duration, whichever comes first", async (t) => {
+  const { clock, worker } = createFixture();
+  worker.start({ ...ORDER, lease: { untilMs: 60_000, maxDurationMs: 300 } });
+  t.true(worker.renew("t", 1, createLease(100)).isOk(), "a lease never becomes shorter");
+  await clock.advance(250);
+  t.like(worker.report().tasks[0], { phase: "running" });
+  await clock.advance(100);
+  t.like(worker.report().tasks[0], { phase: "stopped", reason: "the lease expired" });
 });
 
 test("WorkerModel resumes a task only from its own checkpoints", async (t) => {
--- a/tests/support/FakeWorker.ts
+++ b/tests/support/FakeWorker.ts
@@ -6,8 +6,10 @@
 import { addResources, NO_RESOURCES, type Resources } from "../../src/protocol/Resources.ts";
 import type { Clock } from "../../src/protocol/platform/Clock.ts";
 import {
+  getLeaseEnd,
   Worker,
   type WorkerFailure,
+  type WorkerLease,
   type WorkerReport,
   type WorkerStart,
   type WorkerTask,
@@ -153,6 +155,7 @@
       this._expire();
       return okAsync({
         vm: "vm",
+        clockMs: this._clock.now(),
         capacity: this.capacity,
         used: this.getRunningTotal(),
         heatLevel: this.heatLevel,
@@ -171,7 +174,7 @@
         });
       }
       this._highestAttempts.set(start.task, start.attempt);
-      const { leaseMs, ...rest } = start;
+      const { lease, ...rest } = start;
       this._tasks.set(`${start.task}#${start.attempt}`, {
         ...rest,
         phase: "running",
@@ -179,7 +182,7 @@
         progress: 0,
         throttlePercent: 100,
         reason: "",
-        leaseUntil: this._clock.now() + leaseMs,
+        leaseUntil: getLeaseEnd(lease, this._clock.now()),
       });
       this._record("started", start.task, start.attempt);
       this.onStarted(start.task);
@@ -187,9 +190,15 @@
     });
   }
 
-  override renew(task: string, attempt: number, leaseMs: number): ResultAsync<void, WorkerFailure> {
+  override renew(
+    task: string,
+    attempt: number,
+    lease: WorkerLease,
+  ): ResultAsync<void, WorkerFailure> {
     return this._onRunning("renew", task, attempt, () => {
-      this.update(task, attempt, { leaseUntil: this._clock.now() + leaseMs });
+      const present = this.getTask(task, attempt)?.leaseUntil ?? 0;
+      const leaseUntil = Math.max(present, getLeaseEnd(lease, this._clock.now()));
+      this.update(task, attempt, { leaseUntil });
       return undefined;
     });
   }
--- a/tests/transport/agent/tasks/lateLeaseTests.ts
+++ b/tests/transport/agent/tasks/lateLeaseTests.ts
@@ -3,6 +3,7 @@
  * run no longer than its owner has granted, since the owner then starts it elsewhere.
  */
 import test from "ava";
+import type { WorkerLease } from "../../../../src/protocol/platform/Worker.ts";
 import type { WorkerCall } from "../../../support/FakeWorker.ts";
 import { ManualClock } from "../../../support/ManualClock.ts";
 import { LEASE_MS, TaskServiceHarness } from "../../../support/TaskServiceHarness.ts";
@@ -35,11 +36,11 @@
 test("TaskService gives the worker no lease in a late renewal that ends after the granted one", async (t) => {
   const harness = await new TaskServiceHarness().startUntilReady();
   await harness.startTask();
-  const sent: number[] = [];
+  const sent: WorkerLease[] = [];
   const renew = harness.worker.renew.bind(harness.worker);
-  harness.worker.renew = (task, attempt, leaseMs) => {
-    sent.push(leaseMs);
-    return renew(task, attempt, leaseMs);
+  harness.worker.renew = (task, attempt, lease) => {
+    sent.push(lease);
+    return renew(task, attempt, lease);
   };
   harness.worker.failNext("renew", false);
   await harness.clock.advance(1_600);
@@ -49,7 +50,12 @@
   harness.worker.renew = renew;
   harness.replyToReport = () => Promise.reject(new Error("the agent has crashed"));
   await harness.clock.advance(DELAY_MS);
-  await renew("t", 1, sent[0] ?? 0);
+  const [lease] = sent;
+  if (lease === undefined) {
+    t.fail("no renewal was sent");
+    return;
+  }
+  await renew("t", 1, lease);
   await harness.clock.advance(granted - harness.clock.now());
   t.deepEqual(harness.worker.getRunning(), []);
 });
--- a/tests/transport/worker/httpWorkerTests.ts
+++ b/tests/transport/worker/httpWorkerTests.ts
@@ -7,11 +7,16 @@
 import { findFreeAddress } from "../../../standins/support/freePorts.ts";
 import { MachineClock } from "../../../standins/support/MachineClock.ts";
 import { WorkerProcess } from "../../../standins/worker/WorkerProcess.ts";
-import type { WorkerFailure, WorkerStart } from "../../../src/protocol/platform/Worker.ts";
+import type {
+  WorkerFailure,
+  WorkerLease,
+  WorkerStart,
+} from "../../../src/protocol/platform/Worker.ts";
 import { HttpWorker } from "../../../src/transport/worker/HttpWorker.ts";
 
 const TIMEOUT_MS = 1_000;
 
+const LEASE: WorkerLease = { untilMs: Number.MAX_SAFE_INTEGER, maxDurationMs: 60_000 };
 const START: WorkerStart = {
   task: "t",
   attempt: 1,
@@ -21,7 +26,7 @@
   resources: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
   command: "run 60000",
   checkpoint: "",
-  leaseMs: 60_000,
+  lease: LEASE,
   kind: "transcode",
   tenant: "academy",
 };
@@ -68,7 +73,7 @@
 test("HttpWorker starts, renews, throttles, checkpoints, stops and forgets a task", async (t) => {
   const { worker } = await createFixture(t);
   t.true((await worker.start(START)).isOk());
-  t.true((await worker.renew("t", 1, 60_000)).isOk());
+  t.true((await worker.renew("t", 1, LEASE)).isOk());
   t.true((await worker.throttle("t", 1, 50)).isOk());
   const checkpoint = (await worker.checkpoint("t", 1))._unsafeUnwrap();
   t.true(checkpoint.startsWith("t@"));
@@ -93,7 +98,10 @@
   const { worker } = await createFixture(t);
   await worker.start(START);
   t.deepEqual(summary((await worker.start(START))._unsafeUnwrapErr()), ["refused", false]);
-  t.deepEqual(summary((await worker.renew("u", 1, 1))._unsafeUnwrapErr()), ["unknown-task", false]);
+  t.deepEqual(summary((await worker.renew("u", 1, LEASE))._unsafeUnwrapErr()), [
+    "unknown-task",
+    false,
+  ]);
 });
 
 test("HttpWorker reports that a call without a response may have acted", async (t) => {
@@ -102,7 +110,10 @@
   t.deepEqual(summary((await worker.start(START))._unsafeUnwrapErr()), ["unavailable", true]);
   t.is((await worker.report())._unsafeUnwrap().tasks.length, 1);
   await setSwitches({ outage: "hang" });
-  t.deepEqual(summary((await worker.renew("t", 1, 1))._unsafeUnwrapErr()), ["unavailable", true]);
+  t.deepEqual(summary((await worker.renew("t", 1, LEASE))._unsafeUnwrapErr()), [
+    "unavailable",
+    true,
+  ]);
 });
 
 test("HttpWorker reports that a call did not act if its connection was refused", async (t) => {
