Carry the calls to an agent in one stream

Cause: each call of a scheduler to an agent was an HTTP/2 request of its own, with headers, timers and abort signals, and replies above 1 KB were compressed. With 160 agents these calls took most of a core, and those that waited for the core held up the starts.

Change: one stream for each agent (rpc Exchange) carries requests and replies with numbers. A call times out alone; the end of a stream fails its calls, and the next call opens another. Agents also serve the former calls, so they are upgraded before the entries. Replies are not compressed.

--- /dev/null
+++ b/bench/pool/messages.ts
@@ -0,0 +1,16 @@
+/**
+ * Messages of the processes of the pool benchmark.
+ */
+
+/** First start of a task of a job. */
+export interface FirstStart {
+  readonly job: string;
+  /** Time of day in Unix milliseconds. */
+  readonly startedAtMs: number;
+}
+
+/** What the entry has used since its start. */
+export interface EntryUsage {
+  readonly processorUs: number;
+  readonly residentBytes: number;
+}
--- a/src/transport/pool/ConnectAgentChannel.ts
+++ b/src/transport/pool/ConnectAgentChannel.ts
@@ -1,6 +1,7 @@
 /**
- * Sends a scheduler's calls to the agents with Connect over HTTP/2. Keep-alive pings detect dead
- * connections, and after a call without a response a new connection is opened.
+ * Sends a scheduler's calls to the agents with Connect over HTTP/2, all calls to an agent in one
+ * stream. Keep-alive pings detect dead connections; a stream that has ended is opened anew by the
+ * next call.
  */
 import { Code, ConnectError, createClient, type Client } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
@@ -19,12 +20,17 @@
   writeObserveRequest,
   writeOrderRequest,
 } from "./agentMessages.ts";
+import { AgentStream, type AgentCall, type AgentReply } from "./AgentStream.ts";
 
-interface AgentConnection {
+interface AgentClient {
   readonly client: Client<typeof PoolAgent>;
   readonly sessions: Http2SessionManager;
 }
 
+interface AgentConnection extends AgentClient {
+  readonly stream: AgentStream;
+}
+
 /** Agent channel over Connect. */
 export class ConnectAgentChannel extends AgentChannel {
   private readonly _timeoutMs: number;
@@ -40,28 +46,26 @@
   }
 
   override async observe(address: string, call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
-    return this._call(async () => {
-      const timeoutMs = call.waitMs + this._timeoutMs;
-      const reply = await this._connect(address).client.observe(writeObserveRequest(call), {
-        timeoutMs,
-      });
-      return reply.deposed ? undefined : readObserveReply(reply);
+    const req = { case: "observe", value: writeObserveRequest(call) } as const;
+    return await this._call(address, req, call.waitMs + this._timeoutMs, (reply) => {
+      const value = reply.case === "observe" ? reply.value : failUnexpected(reply);
+      return value.deposed ? undefined : readObserveReply(value);
     });
   }
 
   override async order(address: string, call: OrderCall): Promise<AgentOutcome<OrderReport>> {
-    return this._call(async () => {
-      const timeoutMs = this._timeoutMs;
-      const reply = await this._connect(address).client.order(writeOrderRequest(call), {
-        timeoutMs,
-      });
-      return reply.deposed ? undefined : readOrderReply(reply);
+    const req = { case: "order", value: writeOrderRequest(call) } as const;
+    return await this._call(address, req, this._timeoutMs, (reply) => {
+      const value = reply.case === "order" ? reply.value : failUnexpected(reply);
+      return value.deposed ? undefined : readOrderReply(value);
     });
   }
 
   override reset(address: string): void {
-    this._connections.get(address)?.sessions.abort();
+    const connection = this._connections.get(address);
     this._connections.delete(address);
+    connection?.stream.close();
+    connection?.sessions.abort();
   }
 
   /** Closes all connections. */
@@ -71,9 +75,14 @@
     });
   }
 
-  private async _call<T>(send: () => Promise<T | undefined>): Promise<AgentOutcome<T>> {
+  private async _call<T>(
+    address: string,
+    call: AgentCall,
+    timeoutMs: number,
+    read: (reply: AgentReply) => T | undefined,
+  ): Promise<AgentOutcome<T>> {
     try {
-      const value = await send();
+      const value = read(await this._connect(address).call(call, timeoutMs));
       return value === undefined ? { kind: "deposed" } : { kind: "answered", value };
     } catch (cause) {
       const error = ConnectError.from(cause);
@@ -81,20 +90,35 @@
     }
   }
 
-  private _connect(address: string): AgentConnection {
-    const existing = this._connections.get(address);
-    if (existing !== undefined) {
-      return existing;
+  /** Returns the stream to an agent; opens one if there is none or if it has ended. */
+  private _connect(address: string): AgentStream {
+    const known = this._connections.get(address);
+    if (known !== undefined && !known.stream.hasEnded) {
+      return known.stream;
     }
+    const { client, sessions } = known ?? this._createClient(address);
+    const stream = new AgentStream(client);
+    this._connections.set(address, { client, sessions, stream });
+    return stream;
+  }
+
+  private _createClient(address: string): AgentClient {
     const baseUrl = `http://${address}`;
     const sessions = new Http2SessionManager(baseUrl, { pingIntervalMs: 2 * this._timeoutMs });
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: "2",
       sessionManager: sessions,
+      acceptCompression: [],
     });
-    const connection = { client: createClient(PoolAgent, transport), sessions };
-    this._connections.set(address, connection);
-    return connection;
+    return { client: createClient(PoolAgent, transport), sessions };
   }
 }
+
+/** Returns nothing: a reply of another kind, or an error that the agent replied, is thrown. */
+function failUnexpected({ case: kind, value }: AgentReply): never {
+  throw new ConnectError(
+    kind === "error" ? value : `unexpected reply ${String(kind)}`,
+    Code.Internal,
+  );
+}
--- a/src/transport/pool/PoolAgentProcess.ts
+++ b/src/transport/pool/PoolAgentProcess.ts
@@ -13,7 +13,7 @@
 import type { AgentRecord } from "../../state/pool/records.ts";
 import { ControlServer } from "../control/ControlServer.ts";
 import { SystemClock } from "../platform/SystemClock.ts";
-import { registerPoolAgent } from "./poolAgentService.ts";
+import { PoolAgentService } from "./PoolAgentService.ts";
 
 /** Delay before the registration is retried, in milliseconds. */
 const REGISTER_RETRY_MS = 200;
@@ -43,6 +43,7 @@
   private readonly _clock = new SystemClock();
   private readonly _processId = crypto.randomUUID();
   private readonly _workerAgent: PoolWorkerAgent;
+  private readonly _service: PoolAgentService;
   private readonly _controlServer: ControlServer;
   private readonly _listener: AnnouncementListener;
   private _isStopped = false;
@@ -61,8 +62,9 @@
       log: log.child("worker"),
       process: this._processId,
     });
+    this._service = new PoolAgentService(this._workerAgent);
     this._controlServer = new ControlServer((router) => {
-      registerPoolAgent(router, this._workerAgent);
+      this._service.register(router);
     });
     this._listener = deps.createListener(this._workerAgent, log.child("announcements"));
   }
@@ -87,7 +89,8 @@
   async stop(): Promise<void> {
     this._isStopped = true;
     this._workerAgent.stop();
-    const closed = Promise.all([this._listener.close(), this._controlServer.close()]);
+    const controlClosed = Promise.all([this._service.close(), this._controlServer.close()]);
+    const closed = Promise.all([this._listener.close(), controlClosed]);
     await Promise.race([closed, this._clock.sleep(CLOSE_TIMEOUT_MS)]);
     this._deps.log.info("Agent ended.");
   }
--- /dev/null
+++ b/src/transport/pool/PoolAgentService.ts
@@ -0,0 +1,85 @@
+/**
+ * Connect service of a pool's agents, which the scheduler of the pool calls. Calls come in streams;
+ * entries of former versions send each one as a request of its own.
+ */
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import type { PoolWorkerAgent } from "../../coordination/pool/PoolWorkerAgent.ts";
+import {
+  ObserveReplySchema,
+  OrderReplySchema,
+  PoolAgent,
+  type ExchangeRequest,
+  type ObserveReply,
+  type ObserveRequest,
+  type OrderReply,
+  type OrderRequest,
+} from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
+import {
+  readObserveRequest,
+  readOrderRequest,
+  writeObserveReply,
+  writeOrderReply,
+} from "./agentMessages.ts";
+import type { AgentReply } from "./AgentStream.ts";
+import { AgentStreamServer } from "./AgentStreamServer.ts";
+
+/** The calls of an agent. */
+type AgentCalls = Pick<PoolWorkerAgent, "observe" | "order">;
+
+/** Service of one agent. */
+export class PoolAgentService {
+  private readonly _workerAgent: AgentCalls;
+  private readonly _streams: AgentStreamServer;
+
+  /**
+   * Creates the service.
+   * @param workerAgent - Handler of the calls.
+   */
+  constructor(workerAgent: AgentCalls) {
+    this._workerAgent = workerAgent;
+    this._streams = new AgentStreamServer((call) => this._handle(call));
+  }
+
+  /**
+   * Registers the service.
+   * @param router - Router of the control server.
+   */
+  register(router: ConnectRouter): void {
+    router.service(PoolAgent, {
+      observe: (req) => this._observe(req),
+      order: (req) => this._order(req),
+      exchange: (requests) => this._streams.serve(requests),
+    });
+  }
+
+  /** Ends all streams after the replies to the calls in progress. */
+  async close(): Promise<void> {
+    await this._streams.close();
+  }
+
+  private async _handle(call: ExchangeRequest["call"]): Promise<AgentReply> {
+    switch (call.case) {
+      case "observe":
+        return { case: "observe", value: await this._observe(call.value) };
+      case "order":
+        return { case: "order", value: await this._order(call.value) };
+      default:
+        return { case: "error", value: "the request has no call that this agent knows" };
+    }
+  }
+
+  private async _observe(req: ObserveRequest): Promise<ObserveReply> {
+    const outcome = await this._workerAgent.observe(readObserveRequest(req));
+    return outcome.kind === "answered"
+      ? writeObserveReply(outcome.value)
+      : create(ObserveReplySchema, { deposed: true });
+  }
+
+  private async _order(req: OrderRequest): Promise<OrderReply> {
+    const outcome = await this._workerAgent.order(readOrderRequest(req));
+    return outcome.kind === "answered"
+      ? writeOrderReply(outcome.value)
+      : create(OrderReplySchema, { deposed: true });
+  }
+}
