Report acknowledged ends that are gone to nobody

Cause: an agent reports when its lists have changed, and counted it as a change that an acknowledged end was no longer listed. Each end therefore cost the scheduler a second call, a report and a cycle, without news.

Change: lists differ by their runs. New ends are reported as before, since they are counted on their own.

--- a/src/coordination/pool/workerChanges.ts
+++ b/src/coordination/pool/workerChanges.ts
@@ -29,11 +29,11 @@
 }
 
 /**
- * Formats lists so that the text differs when a run has started or ended, or when the lists have
- * become complete.
+ * Formats lists so that the text differs when a run has begun or is gone, or when the lists have
+ * become complete. New ends count by themselves, and acknowledged ones that are gone are no news.
  * @param lists - The lists.
  */
-export function describeRuns({ running, ended, mayLackEnds }: WorkerRuns): string {
+export function describeRuns({ running, mayLackEnds }: WorkerRuns): string {
   const runs = running.map(({ task, run }) => `${task}:${run}`).join(",");
-  return `${runs};${ended.at(-1)?.number ?? 0}${mayLackEnds ? "+" : ""}`;
+  return `${runs};${mayLackEnds ? "+" : ""}`;
 }
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -286,6 +286,29 @@
   agent.stop();
 });
 
+// Guards against a second call for each end: its acknowledgement is no news to the scheduler.
+test("PoolWorkerAgent does not report that acknowledged ends are gone", async (t) => {
+  const { clock, worker, agent } = await createSilentWorker();
+  worker.lists = createLists([1]);
+  await clock.advance(READING_MS);
+  const known = { knownVersion: (await getReport(agent, 1))?.version ?? 0, knownProcess: "p-1" };
+  const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: undefined, ackedEnd: 1, ...known };
+  let hasReported = false;
+  const observed = agent.observe({ ...call, waitMs: READING_MS }).then((outcome) => {
+    hasReported = true;
+    return outcome;
+  });
+  await ManualClock.settle();
+  worker.lists = createLists([]);
+  await clock.advance(READING_MS - 1);
+  t.is(worker.syncs.at(-1)?.ackedEnd, 1);
+  t.false(hasReported);
+  await clock.advance(1);
+  const outcome = await observed;
+  t.deepEqual(outcome.kind === "answered" && outcome.value.worker?.ended, []);
+  agent.stop();
+});
+
 function getGapLines(log: MemoryLog): readonly unknown[] {
   return log.lines
     .filter(({ sentence }) => sentence.startsWith("Ends are missing"))
