Build the state of a cycle in one pass for each worker, and less often

Cause: each report led to a scheduling cycle 3 ms later, also one of progress and measurements only, and each cycle copied two maps of a worker for each run on it.

Change: runs are added to a worker in one pass; the key of a step is made once a task. A report whose version is known leads to a cycle within 30 ms. PlacementState is split: candidates in candidateWorker, resources in stepResources; placed tasks and present runs are added by the same function.

--- a/src/coordination/pool/ActiveRunTable.ts
+++ b/src/coordination/pool/ActiveRunTable.ts
@@ -2,9 +2,8 @@
  * Runs of a pool that are not known to have ended, by agent, and the resources that they commit on
  * the workers.
  */
-import { formatTaskPosition, type TaskAddress } from "../../protocol/pool/TaskId.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
-import { getCommittedResources } from "./PlacementState.ts";
+import { getCommittedResources } from "./stepResources.ts";
 import type { WorkerTable } from "./WorkerTable.ts";
 
 /** An active run with its task. */
@@ -76,9 +75,14 @@
       });
   }
 
+  /** Names of the agents that have or had active runs. */
+  get agents(): readonly string[] {
+    return [...this._byAgent.keys()];
+  }
+
   /** Returns all active runs. */
   getAll(): readonly ActiveTaskRun[] {
-    return [...this._byAgent.keys()].flatMap((agent) => this.getByAgent(agent));
+    return this.agents.flatMap((agent) => this.getByAgent(agent));
   }
 }
 
@@ -98,11 +102,3 @@
 export function formatRunKey(task: string, run: number): string {
   return `${task} ${run}`;
 }
-
-/**
- * Returns the step of a task as text, for counting the tasks of a step.
- * @param address - The task.
- */
-export function getStepKey(address: TaskAddress): string {
-  return `${address.job}.${formatTaskPosition({ ...address, index: 0 })}`;
-}
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -88,8 +88,9 @@
    * Handles a report.
    * @param agent - Agent that sent the report.
    * @param report - The report.
+   * @returns Whether runs or the worker have changed.
    */
-  handleReport(agent: string, report: AgentReport): void {
+  handleReport(agent: string, report: AgentReport): boolean {
     const { clock, log, state, crashHandler, paceController } = this._deps;
     const now = clock.now();
     // Before the runs of a former incarnation count as lost, which ended before it was replaced.
@@ -113,12 +114,13 @@
     }
     // The lists of an incarnation that was not accepted do not count.
     if (report.worker === undefined || change.worker?.report !== report.worker) {
-      return;
+      return change.isNews;
     }
     this._reconcile(agent, report.worker, now);
     if (report.worker.answers) {
       paceController.handleReport(agent, report.worker, now);
     }
+    return change.isNews;
   }
 
   private _reconcile(agent: string, report: WorkerReport, now: number): void {
--- a/src/coordination/pool/CyclePlanner.ts
+++ b/src/coordination/pool/CyclePlanner.ts
@@ -6,6 +6,7 @@
 import type { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import { NEW_RUN_MS } from "./CrashHandler.ts";
 import type { PaceController } from "./PaceController.ts";
+import type { PlacedTask } from "./candidateWorker.ts";
 import { PlacementState } from "./PlacementState.ts";
 import type { PoolState } from "./PoolState.ts";
 import {
@@ -16,7 +17,7 @@
   toPlacementTask,
   type PlannedRun,
 } from "./taskPlacement.ts";
-import { getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import type { ActiveTaskRun } from "./ActiveRunTable.ts";
 import { shouldSpeculate } from "./runMonitor.ts";
 import { limitStarts } from "./startLimit.ts";
 
@@ -90,14 +91,26 @@
         (capacities.get(worker) ?? 0) *
         this._paceController.getToleratedShare(worker, serving, image),
     });
-    activeRuns.getAll().forEach((taskRun) => {
-      const { task, active } = taskRun;
-      const isMeasured = this._paceController.isMeasured(taskRun);
-      placement.addRun(active.agent, getStepKey(task.address), task.definition, isMeasured);
-      placement.addSuspicion(active.agent, getSuspicion(task), isNew(active, now));
+    activeRuns.agents.forEach((agent) => {
+      const runs = activeRuns.getByAgent(agent);
+      placement.addRuns(
+        agent,
+        runs.map((taskRun) => this._toPlacedTask(taskRun, now)),
+      );
     });
     return placement;
   }
+
+  private _toPlacedTask(taskRun: ActiveTaskRun, now: number): PlacedTask {
+    const { task, active } = taskRun;
+    return {
+      stepKey: task.stepKey,
+      definition: task.definition,
+      isMeasured: this._paceController.isMeasured(taskRun),
+      suspicion: getSuspicion(task),
+      isNew: isNew(active, now),
+    };
+  }
 }
 
 /** Returns whether a run was started a moment ago. */
--- a/src/coordination/pool/PaceController.ts
+++ b/src/coordination/pool/PaceController.ts
@@ -14,7 +14,7 @@
 import { InterferenceEstimator } from "./InterferenceEstimator.ts";
 import type { PairInterference } from "../../state/pool/records.ts";
 import type { PoolState } from "./PoolState.ts";
-import { formatRunKey, getRunKey, getStepKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import { formatRunKey, getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import { TailLatencyFilter } from "./TailLatencyFilter.ts";
 
 /** Minimum time between two evaluated measurements, in milliseconds: each covers half a second. */
@@ -173,7 +173,7 @@
     }
     const key = getRunKey({ task, active });
     const currentMs = this._tailLatencyFilter.update(key, tailMs, now);
-    return [{ image, step: getStepKey(task.address), targetMs, tailMs, currentMs }];
+    return [{ image, step: task.stepKey, targetMs, tailMs, currentMs }];
   }
 }
 
--- a/src/coordination/pool/PlacementState.ts
+++ b/src/coordination/pool/PlacementState.ts
@@ -7,17 +7,18 @@
 import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
 import { fits, subtractResources, type Resources } from "../../protocol/Resources.ts";
 import type { Admission } from "../placement/WorkerQuarantine.ts";
+import {
+  addTasks,
+  isSuitable,
+  isTrial,
+  scoreFreeCapacity,
+  type CandidateWorker,
+  type PlacedTask,
+  type Suspicion,
+} from "./candidateWorker.ts";
+import { getCommittedResources } from "./stepResources.ts";
 import type { WorkerState } from "./WorkerTable.ts";
 
-/** Bonus for each serving task of the same image on a worker, in thousandths of a core. */
-const SAME_IMAGE_BONUS_MILLI = 2_000;
-/** Penalty for each other serving image on a worker, in thousandths of a core. */
-const OTHER_IMAGE_PENALTY_MILLI = 40_000;
-/**
- * Penalty for a worker whose idle processors are already used by other tasks, in thousandths of a
- * core.
- */
-const OVERCOMMITTED_PENALTY_MILLI = 8_000;
 /**
  * Share of a task's processors that a worker must tolerate for the task to be placed there on idle
  * processors.
@@ -41,32 +42,6 @@
 /** Penalty for a rack other than that of the data, in thousandths of a core. */
 const REMOTE_DATA_PENALTY_MILLI = 50_000;
 
-/** A worker with the tasks placed on it so far in the cycle. */
-export interface CandidateWorker {
-  readonly agent: string;
-  readonly worker: string;
-  readonly rack: string;
-  readonly labels: readonly string[];
-  readonly free: Resources;
-  /** Processors that no task is expected to use, in thousandths; negative if overcommitted. */
-  readonly idleMilli: number;
-  /** Idle processors assigned to runs that no measurement includes yet, in thousandths. */
-  readonly unmeasuredMilli: number;
-  /** Number of serving tasks by image. */
-  readonly servingCounts: ReadonlyMap<string, number>;
-  readonly admission: Admission;
-  /** Whether a suspected task is tried on it; nothing else may be placed there meanwhile. */
-  readonly isTrying: boolean;
-  /** Number of tasks that were placed there in this cycle to be tried together. */
-  readonly groupSize: number;
-  /** Whether a task was started or placed on it a moment ago. */
-  readonly hasNewTasks: boolean;
-  /** Number of tasks on it that are suspected without being tried. */
-  readonly suspectCount: number;
-  /** Number of tasks by step. */
-  readonly stepCounts: ReadonlyMap<string, number>;
-}
-
 /** A task to be placed. */
 export interface PlacementTask {
   /** Job, occurrence and step. */
@@ -84,16 +59,6 @@
   readonly suspicion: Suspicion;
 }
 
-/** Whether a task is suspected of crashing the workers that start it. */
-export type Suspicion =
-  | "none"
-  /** Of one crash soon after its start: it is tried on a worker on which no other task starts. */
-  | "once"
-  /** Of crashes at the same time after several starts: it is tried alone. */
-  | "repeatedly"
-  /** After some time of work: it is kept apart from others that are suspected. */
-  | "later";
-
 /** Data about the workers that their reports do not contain. */
 export interface PlacementContext {
   /** How quarantined workers may be used. */
@@ -148,34 +113,14 @@
   }
 
   /**
-   * Adds a run that is already on a worker and whose resources are committed there.
+   * Adds runs that are already on a worker and whose resources are committed there.
    * @param agent - Agent of the worker.
-   * @param stepKey - Step of its task.
-   * @param definition - Definition of the step.
-   * @param isMeasured - Whether the last measurement of the worker includes the run.
+   * @param runs - The runs.
    */
-  addRun(agent: string, stepKey: string, definition: StepDefinition, isMeasured = true): void {
+  addRuns(agent: string, runs: readonly PlacedTask[]): void {
     const worker = this._workers.get(agent);
     if (worker !== undefined) {
-      const unmeasuredMilli =
-        worker.unmeasuredMilli + (isMeasured ? 0 : getIdleProcessorsMilli(definition));
-      this._workers.set(agent, {
-        ...addTask(worker, stepKey, definition),
-        unmeasuredMilli,
-      });
-    }
-  }
-
-  /**
-   * Adds what a run that is already on a worker means for tasks that may crash workers.
-   * @param agent - Agent of the worker.
-   * @param suspicion - Whether its task is suspected.
-   * @param isNew - Whether it was started a moment ago.
-   */
-  addSuspicion(agent: string, suspicion: Suspicion, isNew: boolean): void {
-    const worker = this._workers.get(agent);
-    if (worker !== undefined) {
-      this._workers.set(agent, addSuspicion(worker, suspicion, isNew));
+      this._workers.set(agent, addTasks(worker, runs));
     }
   }
 
@@ -201,22 +146,24 @@
     if (best === undefined) {
       this._keepForTrial(suitable, task);
     } else {
-      const remaining = { ...best, free: subtractResources(best.free, required) };
-      const committedMilli = required.processorsMilli;
-      const groupSize = best.groupSize + Number(task.suspicion === "once");
-      const marked = { ...addSuspicion(remaining, task.suspicion, true), groupSize };
-      const placed = addTask(marked, task.stepKey, task.definition);
-      const idleMilli = placed.idleMilli - committedMilli;
-      this._workers.set(best.agent, {
-        ...placed,
-        idleMilli,
-        unmeasuredMilli: best.unmeasuredMilli + getIdleProcessorsMilli(task.definition),
-        admission: best.admission === "open" ? "open" : "closed",
-      });
+      this._assign(best, task, required);
     }
     return best;
   }
 
+  private _assign(best: CandidateWorker, task: PlacementTask, required: Resources): void {
+    const { stepKey, definition, suspicion } = task;
+    const placed = { stepKey, definition, isMeasured: false, suspicion, isNew: true };
+    const worker = addTasks(best, [placed]);
+    this._workers.set(best.agent, {
+      ...worker,
+      free: subtractResources(best.free, required),
+      idleMilli: worker.idleMilli - required.processorsMilli,
+      groupSize: best.groupSize + Number(suspicion === "once"),
+      admission: best.admission === "open" ? "open" : "closed",
+    });
+  }
+
   /**
    * Returns whether a task would be placed on another worker, and subtracts its resources from the
    * chosen worker.
@@ -342,96 +289,3 @@
     workers.forEach((worker) => this._workers.set(worker.agent, worker));
   }
 }
-
-/**
- * Returns the resources that a task commits on a worker: the processors of a task that uses idle
- * ones are not counted.
- * @param definition - Step of the task.
- */
-export function getCommittedResources(definition: StepDefinition): Resources {
-  return definition.usesIdleProcessors
-    ? { ...definition.resources, processorsMilli: 0 }
-    : definition.resources;
-}
-
-function getIdleProcessorsMilli({ usesIdleProcessors, resources }: StepDefinition): number {
-  return usesIdleProcessors ? resources.processorsMilli : 0;
-}
-
-/**
- * Returns whether a suspected task is tried apart from others.
- * @param suspicion - How the task is suspected.
- */
-export function isTrial(suspicion: Suspicion): boolean {
-  return suspicion === "once" || suspicion === "repeatedly";
-}
-
-function addSuspicion(
-  worker: CandidateWorker,
-  suspicion: Suspicion,
-  isNew: boolean,
-): CandidateWorker {
-  return {
-    ...worker,
-    isTrying: worker.isTrying || isTrial(suspicion),
-    hasNewTasks: worker.hasNewTasks || isNew,
-    suspectCount: worker.suspectCount + Number(suspicion === "later"),
-  };
-}
-
-function addTask(
-  worker: CandidateWorker,
-  stepKey: string,
-  definition: StepDefinition,
-): CandidateWorker {
-  return {
-    ...worker,
-    idleMilli: worker.idleMilli - getIdleProcessorsMilli(definition),
-    servingCounts: countServing(worker.servingCounts, definition),
-    stepCounts: new Map([
-      ...worker.stepCounts,
-      [stepKey, (worker.stepCounts.get(stepKey) ?? 0) + 1],
-    ]),
-  };
-}
-
-function countServing(
-  serving: ReadonlyMap<string, number>,
-  { image, latencyTargetMs }: StepDefinition,
-): ReadonlyMap<string, number> {
-  return latencyTargetMs === undefined
-    ? serving
-    : new Map([...serving, [image, (serving.get(image) ?? 0) + 1]]);
-}
-
-/** Returns whether a task may run on a worker, apart from its admission and free capacity. */
-function isSuitable(worker: CandidateWorker, task: PlacementTask): boolean {
-  const { requiredLabel, maxPerWorker } = task.definition;
-  const count = worker.stepCounts.get(task.stepKey) ?? 0;
-  return (
-    (requiredLabel === undefined || worker.labels.includes(requiredLabel)) &&
-    (task.rack === undefined || worker.rack === task.rack) &&
-    (maxPerWorker === undefined || count < maxPerWorker)
-  );
-}
-
-/**
- * Returns the score of a worker's free capacity for a task that commits processors; higher is
- * better.
- */
-function scoreFreeCapacity(worker: CandidateWorker, definition: StepDefinition): number {
-  // Serving tasks are packed by image: a task that disturbs one image may be harmless to another,
-  // and workers without serving tasks are left to tasks that disturb all of them.
-  const others = [...worker.servingCounts.keys()].filter(
-    (image) => image !== definition.image,
-  ).length;
-  const same = worker.servingCounts.get(definition.image) ?? 0;
-  const servingMilli =
-    definition.latencyTargetMs === undefined
-      ? 0
-      : same * SAME_IMAGE_BONUS_MILLI - others * OTHER_IMAGE_PENALTY_MILLI;
-  const leftMilli = worker.free.processorsMilli - definition.resources.processorsMilli;
-  const overcommittedMilli =
-    worker.idleMilli < definition.resources.processorsMilli ? OVERCOMMITTED_PENALTY_MILLI : 0;
-  return servingMilli - leftMilli - overcommittedMilli;
-}
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -33,6 +33,11 @@
  * handles several events.
  */
 const CYCLE_DELAY_MS = 3;
+/**
+ * The same after a report of progress and measurements only, in milliseconds. With many workers such
+ * reports come all the time, and few of them make room for a task.
+ */
+const MEASUREMENT_CYCLE_DELAY_MS = 30;
 /** Interval of the checks for overdue orders, due occurrences and due writes, in milliseconds. */
 const TICK_INTERVAL_MS = 150;
 
@@ -54,6 +59,8 @@
   private readonly _pacing: PaceController;
   private readonly _sessions: AgentSessionTable;
   private _cycleTimer: Timer | undefined;
+  /** When the next cycle is due, on the monotonic clock, in milliseconds. */
+  private _cycleDueAt = Number.POSITIVE_INFINITY;
   private _tickTimer: Timer | undefined;
   private _isStopped = false;
   /** Whether the last cycle left runs that start once earlier orders have results. */
@@ -231,8 +238,8 @@
       ...{ pool, channel, clock, log, workerTable: this._state.workerTable },
       createCall: (agent) => this._reportHandler.createObserveCall(agent),
       onReport: (agent, report) => {
-        this._reportHandler.handleReport(agent, report);
-        this._scheduleCycle();
+        const isNews = this._reportHandler.handleReport(agent, report);
+        this._scheduleCycle(isNews ? CYCLE_DELAY_MS : MEASUREMENT_CYCLE_DELAY_MS);
       },
       onSuperseded: () => {
         this._handleSuperseded();
@@ -274,13 +281,18 @@
     });
   }
 
-  private _scheduleCycle(): void {
-    if (this._cycleTimer === undefined && !this._isStopped) {
-      this._cycleTimer = this._deps.clock.after(CYCLE_DELAY_MS, () => {
-        this._cycleTimer = undefined;
-        this._runCycle();
-      });
+  /** Schedules a cycle, unless one is due by then. */
+  private _scheduleCycle(delayMs = CYCLE_DELAY_MS): void {
+    const dueAt = this._deps.clock.now() + delayMs;
+    if (this._isStopped || this._cycleDueAt <= dueAt) {
+      return;
     }
+    this._cycleDueAt = dueAt;
+    this._cycleTimer?.cancel();
+    this._cycleTimer = this._deps.clock.after(delayMs, () => {
+      this._cycleDueAt = Number.POSITIVE_INFINITY;
+      this._runCycle();
+    });
   }
 
   private _runCycle(): void {
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -10,7 +10,7 @@
 import type { PoolState } from "./PoolState.ts";
 import type { ActiveTaskRun } from "./ActiveRunTable.ts";
 import { isSuccessor } from "./incarnations.ts";
-import { getCommittedResources } from "./PlacementState.ts";
+import { getCommittedResources } from "./stepResources.ts";
 import { RecentStartTable } from "./RecentStartTable.ts";
 import { getRunAction, RESEND_ORDER_MS, STALLED_REASON } from "./runMonitor.ts";
 
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -56,6 +56,8 @@
   readonly replacedWorker: string | undefined;
   /** Whether this is the first report of a process that replaced another one. */
   readonly isNewProcess: boolean;
+  /** Whether runs or the worker have changed; otherwise only progress and measurements are new. */
+  readonly isNews: boolean;
 }
 
 /** Agents and workers of one pool. */
@@ -128,13 +130,14 @@
   applyReport(agent: string, report: AgentReport, now: number): ReportChange {
     const state = this._agents.get(agent);
     const isNewProcess = state?.process !== undefined && state.process !== report.process;
+    const isNews = state?.process !== report.process || state.version !== report.version;
     if (state !== undefined) {
       const { process, version } = report;
       this._agents.set(agent, { ...state, process, version, answeredAt: now });
     }
     const known = this._workers.get(agent);
     if (report.worker === undefined || isEarlier(report.worker, known, now)) {
-      return { worker: known, replacedWorker: undefined, isNewProcess };
+      return { worker: known, replacedWorker: undefined, isNewProcess, isNews };
     }
     const worker = this._merge(agent, report.worker, known, now);
     this._workers.set(agent, worker);
@@ -142,7 +145,8 @@
     if (isReplaced) {
       this._committed.delete(known.report.worker);
     }
-    return { worker, replacedWorker: isReplaced ? known.report.worker : undefined, isNewProcess };
+    const replacedWorker = isReplaced ? known.report.worker : undefined;
+    return { worker, replacedWorker, isNewProcess, isNews };
   }
 
   /**
--- a/src/coordination/pool/taskPlacement.ts
+++ b/src/coordination/pool/taskPlacement.ts
@@ -4,14 +4,8 @@
  */
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
-import {
-  isTrial,
-  type PlacementTask,
-  type CandidateWorker,
-  type PlacementState,
-  type Suspicion,
-} from "./PlacementState.ts";
-import { getStepKey } from "./ActiveRunTable.ts";
+import { isTrial, type CandidateWorker, type Suspicion } from "./candidateWorker.ts";
+import type { PlacementState, PlacementTask } from "./PlacementState.ts";
 import { compareRanks, getSchedulingRank, type SchedulingRank } from "./schedulingOrder.ts";
 
 /**
@@ -240,7 +234,7 @@
  */
 export function toPlacementTask(task: TaskState): PlacementTask {
   return {
-    stepKey: getStepKey(task.address),
+    stepKey: task.stepKey,
     definition: task.definition,
     avoidedAgents: new Set([...task.avoidedAgents, ...task.activeRuns.map(({ agent }) => agent)]),
     rack: undefined,
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -61,6 +61,8 @@
 export class TaskState {
   readonly address: TaskAddress;
   readonly id: string;
+  /** Job, occurrence and step; the same for all tasks of a step. */
+  readonly stepKey: string;
   readonly definition: StepDefinition;
   readonly crashHistory = new CrashHistory();
   /** Agents on which a run of the task failed or stalled. */
@@ -80,6 +82,7 @@
   constructor(address: TaskAddress, definition: StepDefinition) {
     this.address = address;
     this.id = formatTaskId(address);
+    this.stepKey = formatTaskId({ ...address, index: 0 });
     this.definition = definition;
   }
 
--- a/tests/coordination/pool/suspectPlacementTests.ts
+++ b/tests/coordination/pool/suspectPlacementTests.ts
@@ -22,6 +22,11 @@
 } from "../../support/poolFixtures.ts";
 
 const STEP = createStep();
+/** A run of another step that is not suspected. */
+const RUN = {
+  ...{ stepKey: "other", definition: STEP, isMeasured: true, isNew: false },
+  suspicion: "none",
+} as const;
 const SOON_MS = 300;
 const LATER_MS = 5_000;
 
@@ -93,16 +98,14 @@
 
 test("PlacementState keeps trials and new tasks apart, whichever was there first", (t) => {
   const withTrial = createPlacement(4_000, 3_000);
-  withTrial.addRun("agent-0", "other", STEP);
-  withTrial.addSuspicion("agent-0", "once", false);
+  withTrial.addRuns("agent-0", [{ ...RUN, suspicion: "once" }]);
   t.deepEqual(place([createJob(1, 0, { taskCount: 2 })], withTrial), [
     "1.0 agent-1",
     "1.1 agent-1",
   ]);
   t.deepEqual(place([createJob(1, 1)], withTrial), []);
   const withNewTask = createPlacement(4_000, 3_000);
-  withNewTask.addRun("agent-0", "other", STEP);
-  withNewTask.addSuspicion("agent-0", "none", true);
+  withNewTask.addRuns("agent-0", [{ ...RUN, isNew: true }]);
   t.deepEqual(place([createJob(1, 1)], withNewTask), ["1.0 agent-1"]);
 });
 
@@ -122,8 +125,8 @@
 // Guards against suspected tasks that wait for ever, since others start on each worker all the time.
 test("PlacementState keeps new tasks away from a worker on which a suspected task waits to be tried", (t) => {
   const placement = createPlacement(4_000, 3_000);
-  placement.addSuspicion("agent-0", "none", true);
-  placement.addSuspicion("agent-1", "none", true);
+  placement.addRuns("agent-0", [{ ...RUN, isNew: true }]);
+  placement.addRuns("agent-1", [{ ...RUN, isNew: true }]);
   const jobs = [createJob(1, 0, { taskCount: 6 }), createJob(2, 1)];
   const placed = place(jobs, placement);
   t.deepEqual(new Set(placed.map((run) => run.split(" ")[1])), new Set(["agent-1"]));
--- a/tests/coordination/pool/taskPlacementTests.ts
+++ b/tests/coordination/pool/taskPlacementTests.ts
@@ -173,8 +173,9 @@
     getToleratedMilli: () => 3_000,
   });
   const definition = createStep(idle);
-  later.addRun("a", "other.0.0.0", definition, false);
-  later.addRun("a", "other.0.0.0", definition, true);
+  const run = { stepKey: "other.0.0.0", definition, suspicion: "none", isNew: false } as const;
+  later.addRuns("a", [{ ...run, isMeasured: false }]);
+  later.addRuns("a", [{ ...run, isMeasured: true }]);
   t.is(placeJobs([createJob(2, idle)], later).runs.length, 2);
 });
 
