Let entries with less than half a core claim pools later

Cause: claims looked at the link only. An entry with a wide link and a third of a core claimed a pool as soon as others, though the reports of some hundred agents take more than it has, and kept it.

Change: an entry is told its share of a core and the core's speed ([entry] processor_share, processor_speed); below half a core its claims wait as those behind a narrow link do.

Among entries that suffice, the larger one has no preference yet.

--- a/src/protocol/settings/PoolEntrySettings.ts
+++ b/src/protocol/settings/PoolEntrySettings.ts
@@ -4,7 +4,14 @@
 import type { Result } from "neverthrow";
 import type { SettingError } from "../errors/errors.ts";
 import { LOG_LEVELS } from "./LogLevel.ts";
-import { address, choice, megabitsPerSecond, milliseconds, name } from "./settingFactories.ts";
+import {
+  address,
+  choice,
+  megabitsPerSecond,
+  milliseconds,
+  name,
+  ratio,
+} from "./settingFactories.ts";
 import { SettingsReader } from "./SettingsReader.ts";
 import type { SettingsValues } from "./SettingsSchema.ts";
 
@@ -19,6 +26,11 @@
       1_000,
       "Bandwidth of this VM's link; entries with wide links schedule pools first.",
     ),
+    processor_share: ratio(
+      1,
+      "Share of a core that this process may use; entries with half a core or more schedule pools first.",
+    ),
+    processor_speed: ratio(1, "Speed of the core, as a multiple of that of an ordinary one."),
     drain_ms: milliseconds(2_300, "Time on shutdown in which requests are still accepted."),
     drain_timeout_ms: milliseconds(
       5_000,
--- a/src/protocol/settings/settingFactories.ts
+++ b/src/protocol/settings/settingFactories.ts
@@ -14,6 +14,8 @@
 const MAX_COUNT = 1_000_000;
 const MIN_BANDWIDTH_MBPS = 0.1;
 const MAX_BANDWIDTH_MBPS = 1_000_000;
+const MIN_RATIO = 0.001;
+const MAX_RATIO = 1_000;
 
 const NAME_FORMAT = {
   type: "name",
@@ -80,6 +82,12 @@
   return new DecimalSetting(range, { defaultText: String(defaultValue), doc });
 }
 
+/** Creates a ratio above zero. */
+export function ratio(defaultValue: number, doc: string): DecimalSetting {
+  const range = { unit: "times", min: MIN_RATIO, max: MAX_RATIO };
+  return new DecimalSetting(range, { defaultText: String(defaultValue), doc });
+}
+
 /** Creates a percentage from 0 to 100. */
 export function percent(defaultValue: number, doc: string): IntegerSetting {
   const range = { unit: "percent", min: 0, max: 100 };
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -3,6 +3,7 @@
  * which it is elected.
  */
 import { err, ok, type Result } from "neverthrow";
+import { getClaimDelayMs } from "../../coordination/pool/claimDelay.ts";
 import { MonitoredStore } from "../../coordination/pool/MonitoredStore.ts";
 import { PoolCoordinator } from "../../coordination/pool/PoolCoordinator.ts";
 import type { PoolTimings } from "../../coordination/pool/PoolTimings.ts";
@@ -35,16 +36,6 @@
 const MEASURE_WAIT_MS = 420;
 /** Timeout of a call to an agent beyond the wait that it requests. */
 const AGENT_TIMEOUT_MS = 1_000;
-/**
- * Bandwidth from which an entry can schedule a large pool, in megabits per second: agents' reports,
- * recorded progress and start orders take up to about 10, several times as much after a takeover.
- */
-const WIDE_LINK_MBPS = 50;
-/**
- * Delay of the claims of entries with narrower links, in milliseconds: longer than those with wide
- * links take to notice that a pool has no scheduler and to claim it.
- */
-const NARROW_LINK_CLAIM_DELAY_MS = 250;
 /** Time without a response from the store after which the entry is not ready. */
 const STORE_SILENCE_LIMIT_MS = 4_000;
 
@@ -187,6 +178,7 @@
 }
 
 function getTimings({ entry, pool }: PoolEntrySettings): PoolTimings {
+  const { linkMbps, processorShare, processorSpeed } = entry;
   return {
     workerLeaseMs: Math.min(pool.maxWorkerLeaseMs, WORKER_LEASE_MS),
     grantHorizonMs: GRANT_HORIZON_MS,
@@ -196,6 +188,6 @@
     commitIntervalMs: pool.commitIntervalMs,
     retentionMs: pool.retentionMs,
     schedulerLeaseMs: pool.schedulerLeaseMs,
-    claimDelayMs: entry.linkMbps < WIDE_LINK_MBPS ? NARROW_LINK_CLAIM_DELAY_MS : 0,
+    claimDelayMs: getClaimDelayMs({ linkMbps, processors: processorShare * processorSpeed }),
   };
 }
--- a/tests/protocol/settings/entrySettingsTests.ts
+++ b/tests/protocol/settings/entrySettingsTests.ts
@@ -94,6 +94,27 @@
   t.is(bad[0]?.key, "entries");
 });
 
+test("readPoolEntrySettings reads what the VM gives the process, and rejects what it cannot be", (t) => {
+  const read = (lines: string) =>
+    readPoolEntrySettings(
+      "entry.ini",
+      `[entry]
+name = entry-1
+zone = zone-a
+submissions = 127.0.0.1:8080
+readiness = 127.0.0.1:8081
+${lines}
+[store]
+address = 127.0.0.1:2379
+`,
+    );
+  const { entry } = read("processor_share = 0.675\nprocessor_speed = 2")._unsafeUnwrap();
+  t.like(entry, { processorShare: 0.675, processorSpeed: 2 });
+  t.like(read("")._unsafeUnwrap().entry, { processorShare: 1, processorSpeed: 1 });
+  t.is(read("processor_share = 0")._unsafeUnwrapErr()[0]?.key, "processor_share");
+  t.is(read("processor_speed = fast")._unsafeUnwrapErr()[0]?.key, "processor_speed");
+});
+
 test("readPoolEntrySettings reads a bandwidth with or without decimal places", (t) => {
   const read = (linkMbps: string) =>
     readPoolEntrySettings(
