--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -2,6 +2,7 @@
  * The role `entry` for pools of workers: accepts jobs for every pool, and schedules those pools for
  * which it is elected.
  */
+import { getHeapStatistics } from "node:v8";
 import { err, ok, type Result } from "neverthrow";
 import { getClaimDelayMs } from "../../coordination/pool/claimDelay.ts";
 import { MonitoredStore } from "../../coordination/pool/MonitoredStore.ts";
@@ -36,6 +37,7 @@
 const MEASURE_WAIT_MS = 420;
 /** Timeout of a call to an agent beyond the wait that it requests. */
 const AGENT_TIMEOUT_MS = 1_000;
+const BYTES_PER_MB = 1_048_576;
 /** Time without a response from the store after which the entry is not ready. */
 const STORE_SILENCE_LIMIT_MS = 4_000;
 
@@ -136,7 +138,8 @@
     this._configFollower.start();
     this._coordinator.start();
     const { name, zone } = settings.entry;
-    log.info("Entry started.", { name, zone });
+    const heapLimitMb = Math.round(getHeapStatistics().heap_size_limit / BYTES_PER_MB);
+    log.info("Entry started.", { name, zone, heapLimitMb });
     return ok(undefined);
   }
 
