Ask for measurements of runs on idle processors only

Cause: a cycle looked up for each run of the pool whether it was measured, though only runs on idle processors count by it.

Change and result: the same decisions (taskPlacementTests, poolSchedulerTests) without a text and a lookup for each other run; not measured on its own.

--- a/src/coordination/pool/CyclePlanner.ts
+++ b/src/coordination/pool/CyclePlanner.ts
@@ -103,10 +103,11 @@
 
   private _toPlacedTask(taskRun: ActiveTaskRun, now: number): PlacedTask {
     const { task, active } = taskRun;
+    const { stepKey, definition } = task;
     return {
-      stepKey: task.stepKey,
-      definition: task.definition,
-      isMeasured: this._paceController.isMeasured(taskRun),
+      stepKey,
+      definition,
+      isMeasured: !definition.usesIdleProcessors || this._paceController.isMeasured(taskRun),
       suspicion: getSuspicion(task),
       isNew: isNew(active, now),
     };
