--- a/src/transport/runProcess.ts
+++ b/src/transport/runProcess.ts
@@ -24,12 +24,17 @@
  * such an exception is only logged, since the process ends anyway.
  * @param role - The role.
  * @param log - Log of the process.
+ * @param onSettingsChanged - Called at SIGHUP; by default, the settings are read at the next start.
  */
-export async function runProcess(role: RunnableRole, log: Log): Promise<void> {
-  // Without a listener, SIGHUP would end the process and interrupt its requests.
-  process.on("SIGHUP", () => {
+export async function runProcess(
+  role: RunnableRole,
+  log: Log,
+  onSettingsChanged = (): void => {
     log.info("Settings may have changed; they are read at the next start.");
-  });
+  },
+): Promise<void> {
+  // Without a listener, SIGHUP would end the process and interrupt its requests.
+  process.on("SIGHUP", onSettingsChanged);
   const ended = waitForSignal();
   const fault = waitForFault(log);
   const started = await Promise.race([role.start(), fault]);
