Trace the tasks that a paused worker doubled

Cause: a renewal that waited in the worker's socket while it was paused was executed before its leases were checked, and counted from then.

--- a/tests/standins/worker/workerModelTests.ts
+++ b/tests/standins/worker/workerModelTests.ts
@@ -76,6 +76,22 @@
   t.true(worker.renew("t", 1, createLease(600)).isErr());
 });
 
+// Guards against a task that goes on after a pause past its lease, when its owner has started it
+// elsewhere: a renewal that had arrived before is executed before the next step.
+test("WorkerModel ends a task whose renewal it executes after a pause past the renewed lease", async (t) => {
+  const { clock, worker, journal } = createFixture();
+  worker.start({ ...ORDER, lease: createLease(400) });
+  await clock.advance(200);
+  const renewed = { untilMs: 600, maxDurationMs: 400 };
+  clock.pause(1_000);
+  const pausedUntil = clock.now();
+  worker.renew("t", 1, renewed);
+  await clock.advance(500);
+  t.like(worker.report().tasks[0], { phase: "stopped", reason: "the lease expired" });
+  const steps = journal.entries.filter(({ event }) => event === "step");
+  t.true(steps.every(({ at }) => at < pausedUntil));
+});
+
 test("WorkerModel ends a lease at its time or its longest duration, whichever comes first", async (t) => {
   const { clock, worker } = createFixture();
   worker.start({ ...ORDER, lease: { untilMs: 60_000, maxDurationMs: 300 } });
