Log streams that are cut off and calls that fail unexpectedly

Cause: the agent's side of a stream ended without a line where its connection broke, and an exception in a call was told to the scheduler only.

Change: a line with the reason for each; the stream goes on after the exception. Result: the test of a call that fails checks the line as well.

--- a/src/transport/pool/AgentStreamServer.ts
+++ b/src/transport/pool/AgentStreamServer.ts
@@ -8,6 +8,7 @@
   type ExchangeReply,
   type ExchangeRequest,
 } from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
 import type { AgentReply } from "./AgentStream.ts";
 import { MessageQueue } from "./MessageQueue.ts";
 
@@ -17,15 +18,18 @@
 /** Streams of one agent. */
 export class AgentStreamServer {
   private readonly _handle: AgentCallHandler;
+  private readonly _log: Log;
   private readonly _streams = new Set<MessageQueue<ExchangeReply>>();
   private readonly _inProgress = new Set<Promise<void>>();
 
   /**
    * Creates a server without streams.
    * @param handle - Handler of the calls; what it throws becomes the reply.
+   * @param log - Log of the streams.
    */
-  constructor(handle: AgentCallHandler) {
+  constructor(handle: AgentCallHandler, log: Log) {
     this._handle = handle;
+    this._log = log;
   }
 
   /**
@@ -63,8 +67,10 @@
         });
         this._inProgress.add(replied);
       }
-    } catch {
-      // The connection is gone; its scheduler learns that itself, and opens another stream.
+    } catch (cause) {
+      this._log.info("A scheduler's stream was cut off; the scheduler opens another one.", {
+        reason: String(cause),
+      });
     }
     replies.end();
   }
@@ -73,10 +79,11 @@
     { number, call }: ExchangeRequest,
     replies: MessageQueue<ExchangeReply>,
   ): Promise<void> {
-    const reply = await this._handle(call).catch((cause: unknown): AgentReply => ({
-      case: "error",
-      value: String(cause),
-    }));
+    const reply = await this._handle(call).catch((cause: unknown): AgentReply => {
+      const reason = String(cause);
+      this._log.error("A call of a scheduler failed; the scheduler is told.", { reason });
+      return { case: "error", value: reason };
+    });
     replies.add(create(ExchangeReplySchema, { number, reply }));
   }
 }
--- a/src/transport/pool/PoolAgentProcess.ts
+++ b/src/transport/pool/PoolAgentProcess.ts
@@ -62,7 +62,7 @@
       log: log.child("worker"),
       process: this._processId,
     });
-    this._service = new PoolAgentService(this._workerAgent);
+    this._service = new PoolAgentService(this._workerAgent, log);
     this._controlServer = new ControlServer((router) => {
       this._service.register(router);
     });
--- a/src/transport/pool/PoolAgentService.ts
+++ b/src/transport/pool/PoolAgentService.ts
@@ -21,6 +21,7 @@
   writeObserveReply,
   writeOrderReply,
 } from "./agentMessages.ts";
+import type { Log } from "../../protocol/platform/Log.ts";
 import type { AgentReply } from "./AgentStream.ts";
 import { AgentStreamServer } from "./AgentStreamServer.ts";
 
@@ -35,10 +36,11 @@
   /**
    * Creates the service.
    * @param workerAgent - Handler of the calls.
+   * @param log - Log of the agent.
    */
-  constructor(workerAgent: AgentCalls) {
+  constructor(workerAgent: AgentCalls, log: Log) {
     this._workerAgent = workerAgent;
-    this._streams = new AgentStreamServer((call) => this._handle(call));
+    this._streams = new AgentStreamServer((call) => this._handle(call), log.child("streams"));
   }
 
   /**
--- a/tests/transport/pool/connectAgentChannelTests.ts
+++ b/tests/transport/pool/connectAgentChannelTests.ts
@@ -16,6 +16,7 @@
 import { PoolAgentService } from "../../../src/transport/pool/PoolAgentService.ts";
 import { waitUntil } from "../../../standins/cluster/waitUntil.ts";
 import { findFreeAddress } from "../../../standins/support/freePorts.ts";
+import { MemoryLog } from "../../support/MemoryLog.ts";
 
 const TIMEOUT_MS = 1_000;
 const WAIT_LIMIT_MS = 5_000;
@@ -55,6 +56,7 @@
   readonly service: PoolAgentService;
   readonly channel: ConnectAgentChannel;
   readonly address: string;
+  readonly log: MemoryLog;
 }
 
 function createReport(version: number): AgentOutcome<AgentReport> {
@@ -70,7 +72,8 @@
 async function createFixture(t: ExecutionContext): Promise<Fixture> {
   const address = await findFreeAddress();
   const agent = new ScriptedAgent();
-  const service = new PoolAgentService(agent);
+  const log = new MemoryLog();
+  const service = new PoolAgentService(agent, log);
   const server = new ControlServer((router) => {
     service.register(router);
   });
@@ -82,7 +85,7 @@
     await service.close();
     await server.close();
   });
-  return { agent, service, channel, address };
+  return { agent, service, channel, address, log };
 }
 
 function getVersion(outcome: AgentOutcome<AgentReport>): number | undefined {
@@ -134,7 +137,7 @@
   const address = await findFreeAddress();
   const channel = new ConnectAgentChannel(TIMEOUT_MS);
   t.like(await channel.observe(address, OBSERVE), { kind: "unreachable" });
-  const service = new PoolAgentService(new ScriptedAgent());
+  const service = new PoolAgentService(new ScriptedAgent(), new MemoryLog());
   const server = new ControlServer((router) => {
     service.register(router);
   });
@@ -182,11 +185,12 @@
 });
 
 test("PoolAgentService answers a call that fails with an error, and goes on with the stream", async (t) => {
-  const { agent, channel, address } = await createFixture(t);
+  const { agent, channel, address, log } = await createFixture(t);
   agent.answerOrder = () => Promise.reject(new Error("broken order"));
   t.deepEqual(await channel.order(address, createOrder("w")), {
     kind: "unreachable",
     detail: "Internal: Error: broken order",
   });
+  t.like(log.lines.at(-1), { level: "error", fields: { reason: "Error: broken order" } });
   t.is(getVersion(await channel.observe(address, { ...OBSERVE, ackedEnd: 2 })), 2);
 });
