--- a/src/coordination/pool/PlacementState.ts
+++ b/src/coordination/pool/PlacementState.ts
@@ -10,12 +10,11 @@
 import {
   addTasks,
   isSuitable,
-  isTrial,
   scoreFreeCapacity,
   type CandidateWorker,
   type PlacedTask,
-  type Suspicion,
 } from "./candidateWorker.ts";
+import { isTrial, type PlacementTask } from "./placementTask.ts";
 import { getCommittedResources } from "./stepResources.ts";
 import type { WorkerState } from "./WorkerTable.ts";
 
@@ -42,23 +41,6 @@
 /** Penalty for a rack other than that of the data, in thousandths of a core. */
 const REMOTE_DATA_PENALTY_MILLI = 50_000;
 
-/** A task to be placed. */
-export interface PlacementTask {
-  /** Job, occurrence and step. */
-  readonly stepKey: string;
-  readonly definition: StepDefinition;
-  /** Agents on which a run of the task is active, has failed or has stalled. */
-  readonly avoidedAgents: ReadonlySet<string>;
-  /** Rack on which the task must run; undefined for any. */
-  readonly rack: string | undefined;
-  /**
-   * Whether no task of its step is running: a worker that tolerates little of it is then better
-   * than none.
-   */
-  readonly isFirstOfStep: boolean;
-  readonly suspicion: Suspicion;
-}
-
 /** Data about the workers that their reports do not contain. */
 export interface PlacementContext {
   /** How quarantined workers may be used. */
--- a/src/coordination/pool/candidateWorker.ts
+++ b/src/coordination/pool/candidateWorker.ts
@@ -4,7 +4,7 @@
 import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
 import type { Resources } from "../../protocol/Resources.ts";
 import type { Admission } from "../placement/WorkerQuarantine.ts";
-import type { PlacementTask } from "./PlacementState.ts";
+import { isTrial, type PlacementTask, type Suspicion } from "./placementTask.ts";
 import { getIdleProcessorsMilli } from "./stepResources.ts";
 
 /** Bonus for each serving task of the same image on a worker, in thousandths of a core. */
@@ -17,16 +17,6 @@
  */
 const OVERCOMMITTED_PENALTY_MILLI = 8_000;
 
-/** Whether a task is suspected of crashing the workers that start it. */
-export type Suspicion =
-  | "none"
-  /** Of one crash soon after its start: it is tried on a worker on which no other task starts. */
-  | "once"
-  /** Of crashes at the same time after several starts: it is tried alone. */
-  | "repeatedly"
-  /** After some time of work: it is kept apart from others that are suspected. */
-  | "later";
-
 /** A worker with the tasks placed on it so far in the cycle. */
 export interface CandidateWorker {
   readonly agent: string;
@@ -65,14 +55,6 @@
   readonly isNew: boolean;
 }
 
-/**
- * Returns whether a suspected task is tried apart from others.
- * @param suspicion - How the task is suspected.
- */
-export function isTrial(suspicion: Suspicion): boolean {
-  return suspicion === "once" || suspicion === "repeatedly";
-}
-
 /**
  * Adds tasks to those on a worker; what they commit is not subtracted.
  * @param worker - The worker.
--- a/src/coordination/pool/taskPlacement.ts
+++ b/src/coordination/pool/taskPlacement.ts
@@ -4,8 +4,9 @@
  */
 import type { JobState, StepState } from "../../state/pool/JobState.ts";
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
-import { isTrial, type CandidateWorker, type Suspicion } from "./candidateWorker.ts";
-import type { PlacementState, PlacementTask } from "./PlacementState.ts";
+import type { CandidateWorker } from "./candidateWorker.ts";
+import type { PlacementState } from "./PlacementState.ts";
+import { isTrial, type PlacementTask, type Suspicion } from "./placementTask.ts";
 import { compareRanks, getSchedulingRank, type SchedulingRank } from "./schedulingOrder.ts";
 
 /**
