Log what a scheduler knew of a worker when it holds a run lost

Cause: the log line of a lost run had the reason only. It did not tell a list that was made too early from one of another process of the agent, nor a worker that was replaced from another agent that answered, so that the hypotheses on tasks that ran twice could not be told apart.

Change: the line has the phase of the run, the calls of its order and of the list, the age of the report, the agent's process and the worker that is reported now. Placements name the worker, replacements the former one, and agents log start, sequence and predecessor of a worker that announces itself.

--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -103,8 +103,8 @@
     const change = state.workerTable.applyReport(agent, report, now);
     if (change.replacedWorker !== undefined) {
       log.info("Worker of the agent was replaced by another one.", {
-        agent,
-        worker: report.worker?.worker,
+        ...{ agent, worker: report.worker?.worker, former: change.replacedWorker },
+        process: report.process,
       });
     }
     // The first report of a process usually has no lists yet, and no later one tells it from its
--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -128,7 +128,10 @@
   handleLostRun({ task, active }: ActiveTaskRun, reason: string): void {
     const { state, commits, log } = this._deps;
     const { run, agent, worker } = active;
-    log.info("Run is lost; its task waits again.", { task: task.id, run, agent, worker, reason });
+    log.info("Run is lost; its task waits again.", {
+      ...{ task: task.id, run, agent, worker, reason },
+      ...this._describeEvidence(active),
+    });
     this._deps.quarantine.releaseProbe(agent, getRunKey({ task, active }));
     state.activeRuns.remove(task, active);
     // A run whose start was not ordered has no end.
@@ -217,6 +220,18 @@
     }
   }
 
+  /** Describes what was known of a run and of its agent's worker when the run was decided to be lost. */
+  private _describeEvidence({ agent, phase, callNumber, tries }: ActiveRun): LogFields {
+    const { workerTable } = this._deps.state;
+    const present = workerTable.getWorker(agent);
+    return {
+      ...{ phase, tries, orderCall: callNumber, process: workerTable.getAgent(agent)?.process },
+      presentWorker: present?.report.worker,
+      listCall: present?.report.callNumber,
+      reportAgeMs: present && Math.round(this._deps.clock.now() - present.reportedAt),
+    };
+  }
+
   private _applyOutcome(
     job: JobState,
     { task, run, agent }: LocatedRun,
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -322,9 +322,7 @@
       this._quarantine.recordProbe(agent, now, getRunKey({ task, active }));
     }
     this._deps.log.info("Run is placed on a worker; its start is being recorded.", {
-      task: task.id,
-      run,
-      agent,
+      ...{ task: task.id, run, agent, worker },
       ...(isProbe ? { isProbe } : {}),
     });
     this._commitQueue.enqueue(job.id, () => {
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -124,6 +124,7 @@
       return;
     }
     const isSame = known?.id === announcement.id && known.startedAtMs === announcement.startedAtMs;
+    const former = isSame ? undefined : this.incarnation;
     this._announced = announcement;
     this._announcedAt = this._deps.clock.now();
     if (!isSame) {
@@ -132,8 +133,10 @@
       this._resetIncarnation();
     }
     if (!isSame || hasChanged(announcement, known)) {
-      const { id: worker, draining, capacity } = announcement;
-      this._deps.log.info("Worker announced itself.", { worker, draining, ...capacity });
+      const { id: worker, startedAtMs, sequence, draining, capacity } = announcement;
+      this._deps.log.info("Worker announced itself.", {
+        ...{ worker, startedAtMs, sequence, draining, ...capacity, former },
+      });
       this._publishChange();
     }
     this._listDue.raise();
--- a/tests/coordination/pool/jobUpdaterTests.ts
+++ b/tests/coordination/pool/jobUpdaterTests.ts
@@ -3,7 +3,8 @@
  */
 import test from "ava";
 import type { StepDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createStep, createWorkerReport } from "../../support/poolFixtures.ts";
+import { addJob, AGENT, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
 import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
 
 const TASK_COUNT = 3;
@@ -92,3 +93,21 @@
     t.deepEqual(fixture.simulation.findViolations(), []);
   }
 });
+
+// Guards against a run that is held lost for a reason that cannot be checked afterwards: whether a
+// list was made before the order, by another process of the agent, or by another incarnation.
+test("JobUpdater logs what it knew of the worker when it held a run lost", async (t) => {
+  const fixture = await createScriptedScheduler();
+  const { clock, log, channel, scheduler } = fixture;
+  channel.orderCallNumber = 5;
+  await addJob(fixture);
+  channel.setReport("a", createWorkerReport({ callNumber: 6 }));
+  await clock.advance(HANDLED_MS);
+  const [lost] = log.lines.filter(({ sentence }) => sentence.startsWith("Run is lost"));
+  t.like(lost?.fields, {
+    ...{ run: 1, agent: AGENT, worker: createWorkerReport().worker, phase: "ordered", tries: 1 },
+    ...{ orderCall: 5, listCall: 6, reportAgeMs: 0, process: "a" },
+    presentWorker: createWorkerReport().worker,
+  });
+  scheduler.stop();
+});
