Ask the worker before it counts as replaced

What callers saw: two runs of one task at once, on two workers or on one. All runs of a worker were held lost in one millisecond, with the reason "its worker was replaced by another one", while they went on.

Cause: an agent took an announcement for proof. One with the worker's address and a later start, or the same start and a higher number, replaced the worker that the agent knew, whoever had sent it; and one with an earlier start, from a clock that had jumped back, was ignored for good. Class: a claim is taken for knowledge although the one that knows can be asked.

Change: the agent asks the worker at its address under the announced id, without a lease or an acknowledgement, and follows what responds with the announced start. Until then the known incarnation stays; after a restart of its process the agent reports none. The stand-in answers calls for another id as one.

A second run on the same worker was shown by the one with an equal start. The tests of ends of former incarnations let the next one confirm itself instead of announcing it only; their expectations stay. Two tests of the age of a reading expected that an incarnation which had only been announced is reported: now no worker is reported, or the known one with its age, until one responds, which they check.

A scheduler that has just taken over waits for all leases of its predecessor where an agent restarted and its worker announces itself but does not respond.

--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -19,6 +19,7 @@
   RunOrder,
 } from "./AgentChannel.ts";
 import { formatRunKey } from "./ActiveRunTable.ts";
+import { AnnouncementVerifier, type Candidate } from "./AnnouncementVerifier.ts";
 import { CrashDetector } from "./CrashDetector.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { ListedEnds } from "./ListedEnds.ts";
@@ -34,7 +35,7 @@
  * milliseconds.
  */
 const ACK_POLL_INTERVAL_MS = 60;
-/** Delay after a failed call for lists, in milliseconds. */
+/** Delay after a failed call for lists, or while no worker is known, in milliseconds. */
 const RETRY_MS = 150;
 /** Dependencies of PoolWorkerAgent. */
 export interface PoolWorkerAgentDependencies {
@@ -68,6 +69,7 @@
   private readonly _ends: ListedEnds;
   private readonly _crashDetector: CrashDetector;
   private readonly _orders: OrderExecutor;
+  private readonly _verifier: AnnouncementVerifier;
   private _listWaitMs = DEFAULT_LIST_WAIT_MS;
   private _callNumber = 0;
   private _version = 1;
@@ -93,6 +95,17 @@
       getWorker: () => this._announced,
       isResponding: () => this._responds,
     });
+    this._verifier = new AnnouncementVerifier({
+      ...{ worker: deps.worker, log },
+      getEpoch: () => this._epoch,
+      getPresent: () => this._announced,
+      onConfirmed: (candidate) => {
+        this._replaceWorker(candidate);
+      },
+      onFenced: () => {
+        this._isFenced = true;
+      },
+    });
     this._reportChanged = new Signal(deps.clock);
     this._listDue = new Signal(deps.clock);
   }
@@ -115,29 +128,27 @@
   }
 
   /**
-   * Handles an announcement of the worker; one that is not newer than the last is ignored.
+   * Handles an announcement. One of the present incarnation that is not newer than the last is
+   * ignored; one of another incarnation counts once the worker has confirmed it.
    * @param announcement - The announcement.
    */
   handleAnnouncement(announcement: WorkerAnnouncement): void {
     const known = this._announced;
-    if (known !== undefined && !isNewer(announcement, known)) {
-      return;
-    }
+    const announcedAt = this._deps.clock.now();
     const isSame = known?.id === announcement.id && known.startedAtMs === announcement.startedAtMs;
-    const former = isSame ? undefined : this.incarnation;
-    this._announced = announcement;
-    this._announcedAt = this._deps.clock.now();
     if (!isSame) {
-      this._crashDetector.replaceWorker(known);
-      this._ends.replaceWorker(announcement);
-      this._resetIncarnation();
+      this._verifier.add({ announcement, announcedAt });
+      void this._verifier.verify();
+      this._listDue.raise();
+      return;
     }
-    if (!isSame || hasChanged(announcement, known)) {
-      const { id: worker, startedAtMs, sequence, draining, capacity } = announcement;
-      this._deps.log.info("Worker announced itself.", {
-        ...{ worker, startedAtMs, sequence, draining, ...capacity, former },
-      });
-      this._publishChange();
+    if (!isNewer(announcement, known)) {
+      return;
+    }
+    this._announced = announcement;
+    this._announcedAt = announcedAt;
+    if (hasChanged(announcement, known)) {
+      this._publishAnnouncement(announcement, undefined);
     }
     this._listDue.raise();
   }
@@ -216,6 +227,29 @@
     return true;
   }
 
+  /** Follows an incarnation that has confirmed its announcement. */
+  private _replaceWorker({ announcement, announcedAt }: Candidate): void {
+    const former = this.incarnation;
+    this._crashDetector.replaceWorker(this._announced);
+    this._ends.replaceWorker(announcement);
+    this._announced = announcement;
+    this._announcedAt = announcedAt;
+    this._resetIncarnation();
+    this._publishAnnouncement(announcement, former);
+    void this._fetchLists(0);
+    this._listDue.raise();
+  }
+
+  private _publishAnnouncement(
+    { id: worker, startedAtMs, sequence, draining, capacity }: WorkerAnnouncement,
+    former: string | undefined,
+  ): void {
+    this._deps.log.info("Worker announced itself.", {
+      ...{ worker, startedAtMs, sequence, draining, ...capacity, former },
+    });
+    this._publishChange();
+  }
+
   private _resetIncarnation(): void {
     this._lists = undefined;
     this._listedAt = undefined;
@@ -237,8 +271,10 @@
 
   private async _pollWorker(): Promise<void> {
     while (!this._isStopped) {
+      const verified = this._verifier.verify();
       if (this._announced === undefined || this._epoch === 0) {
-        await this._listDue.wait();
+        await verified;
+        await this._listDue.wait(this._epoch > 0 ? RETRY_MS : undefined);
       } else if (await this._fetchLists(this._listWaitMs)) {
         const hasUnackedEnds = this._lists?.ended.some(
           ({ number }) => number > this._ends.ackedEnd,
