Order the lists of a worker by its clock, not by the calls

What callers saw: two runs of one task at once on one worker, with no disruption near, or all tasks of one order started again at once.

Cause: lists of a later call counted as later. After a stop the agent asks for lists at once, beside the call that waits for an end. If an end comes, the waiting call's response may arrive first, with runs that were started in between. The other response, made before these starts, then replaced it, and the runs were held lost, in one millisecond and without a back-off of the worker, so that the next run often started on the same one. Class: the order of sending is taken for the order of events.

Change: where two calls overlap, the lists with the later reading of the worker's clock count; with equal readings the ones that are known, and the call is repeated. WorkerLists has this rule.

--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -9,6 +9,7 @@
   PoolWorker,
   WorkerAnnouncement,
   WorkerCallFailure,
+  WorkerRuns,
 } from "../../protocol/platform/PoolWorker.ts";
 import type {
   AgentOutcome,
@@ -26,7 +27,8 @@
 import { OrderExecutor } from "./OrderExecutor.ts";
 import { Signal } from "./Signal.ts";
 import { describeRuns, hasChanged, isNewer } from "./workerChanges.ts";
-import { createWorkerReport, type NumberedLists } from "./workerReport.ts";
+import { WorkerLists } from "./WorkerLists.ts";
+import { createWorkerReport } from "./workerReport.ts";
 
 /** Wait time of a call for lists until a scheduler has specified one, in milliseconds. */
 const DEFAULT_LIST_WAIT_MS = 400;
@@ -51,12 +53,7 @@
   private readonly _deps: PoolWorkerAgentDependencies;
   private _announced: WorkerAnnouncement | undefined;
   private _announcedAt = 0;
-  private _lists: NumberedLists | undefined;
-  /**
-   * When the last lists arrived, on the monotonic clock, in milliseconds; kept when a scheduler of a
-   * later epoch makes the lists outdated.
-   */
-  private _listedAt: number | undefined;
+  private readonly _lists = new WorkerLists();
   private _epoch = 0;
   private _isFenced = false;
   /**
@@ -203,7 +200,9 @@
    */
   private async _reportStops(stops: readonly RunOrder[]): Promise<void> {
     const hasListed = await this._fetchLists(0);
-    const running = new Set(this._lists?.running.map(({ task, run }) => formatRunKey(task, run)));
+    const running = new Set(
+      this._lists.present?.running.map(({ task, run }) => formatRunKey(task, run)),
+    );
     if (hasListed && stops.some(({ task, run }) => !running.has(formatRunKey(task, run)))) {
       this._publishChange();
     }
@@ -219,7 +218,7 @@
       this._isFenced = false;
       // Earlier lists do not reflect orders of a former scheduler that are still in progress.
       this._responds = false;
-      this._lists = undefined;
+      this._lists.expire();
       this._deps.log.info("Agent follows a scheduler of a later epoch.", { epoch });
       void this._fetchLists(0);
       this._listDue.raise();
@@ -234,7 +233,9 @@
     this._ends.replaceWorker(announcement);
     this._announced = announcement;
     this._announcedAt = announcedAt;
-    this._resetIncarnation();
+    this._lists.reset();
+    this._responds = false;
+    this._leaseUntilMs = undefined;
     this._publishAnnouncement(announcement, former);
     void this._fetchLists(0);
     this._listDue.raise();
@@ -250,13 +251,6 @@
     this._publishChange();
   }
 
-  private _resetIncarnation(): void {
-    this._lists = undefined;
-    this._listedAt = undefined;
-    this._responds = false;
-    this._leaseUntilMs = undefined;
-  }
-
   private _extendLease(leaseUntilMs: number | undefined): void {
     if (leaseUntilMs !== undefined) {
       this._leaseUntilMs = Math.max(this._leaseUntilMs ?? 0, leaseUntilMs);
@@ -276,7 +270,7 @@
         await verified;
         await this._listDue.wait(this._epoch > 0 ? RETRY_MS : undefined);
       } else if (await this._fetchLists(this._listWaitMs)) {
-        const hasUnackedEnds = this._lists?.ended.some(
+        const hasUnackedEnds = this._lists.present?.ended.some(
           ({ number }) => number > this._ends.ackedEnd,
         );
         await (hasUnackedEnds === true ? this._listDue.wait(ACK_POLL_INTERVAL_MS) : undefined);
@@ -295,6 +289,7 @@
     this._callNumber += 1;
     const callNumber = this._callNumber;
     const epoch = this._epoch;
+    const known = this._lists.present;
     const result = await this._deps.worker.sync({
       worker: worker.id,
       fencingToken: epoch,
@@ -321,20 +316,19 @@
       this._handleFailedList({ kind: "wrong-worker", detail: "another incarnation responded" });
       return false;
     }
-    this._applyLists({ ...lists, callNumber });
+    if (this._lists.wasOvertaken(lists, known)) {
+      return waitMs > 0 || this._fetchLists(0);
+    }
+    this._applyLists(lists, callNumber);
     return true;
   }
 
-  private _applyLists(lists: NumberedLists): void {
-    const known = this._lists;
-    if (known !== undefined && lists.callNumber < known.callNumber) {
-      return;
-    }
-    this._lists = lists;
-    this._listedAt = this._deps.clock.now();
-    this._crashDetector.recordLists(lists);
+  private _applyLists(runs: WorkerRuns, callNumber: number): void {
+    const known = this._lists.present;
+    this._lists.replace(runs, callNumber, this._deps.clock.now());
+    this._crashDetector.recordLists(runs);
     const isNew =
-      !this._responds || known === undefined || describeRuns(known) !== describeRuns(lists);
+      !this._responds || known === undefined || describeRuns(known) !== describeRuns(runs);
     this._responds = true;
     if (isNew) {
       this._publishChange();
@@ -357,8 +351,9 @@
   private _createReport({ knownProcess, knownVersion }: ObserveCall): AgentReport {
     const { process, clock } = this._deps;
     const announced = this._announced;
+    const { present, listedAt } = this._lists;
     const known = {
-      ...{ announcedAt: this._announcedAt, lists: this._lists, listedAt: this._listedAt },
+      ...{ announcedAt: this._announcedAt, lists: present, listedAt },
       ...{ responds: this._responds, ended: this._ends.ends },
     };
     const reportedVersion = knownProcess === process ? knownVersion : 0;
