Compare call numbers only within one process of an agent

What callers saw: two runs of one task at once on one worker, some 50 ms apart, after the agent of the worker was replaced.

Cause: the first report of a new process set the call numbers of all runs of its agent to 0, since those of the former process say nothing about its calls. It did so for runs that the new process itself had started, by an order that was answered before that report. Lists of a call that was in progress at the start then proved these runs lost. Class: a number is compared outside the space in which it counts.

Change: results of orders name the process that numbers the call, runs keep it, and only lists of the same process decide. Numbers of other processes are reset as before. The result of an order that arrives after its process was replaced counts for all lists of the next one. Agents of a former version name no process and count as the one that reports.

--- a/src/coordination/pool/ActiveRunTable.ts
+++ b/src/coordination/pool/ActiveRunTable.ts
@@ -62,16 +62,17 @@
   }
 
   /**
-   * Makes all lists of an agent's next process count as later than the calls of the former one. It
-   * is due as soon as the process is known: runs ordered from then on have call numbers of its own,
-   * which must stay, as a call in progress may return lists that were made before the order.
+   * Makes all lists of an agent's next process count as later than the calls of the former one. Runs
+   * that the next process has started already have call numbers of its own, which stay: a call in
+   * progress may return lists that were made before the order.
    * @param agent - Name of the agent.
+   * @param process - The next process.
    */
-  resetCallNumbers(agent: string): void {
+  resetCallNumbers(agent: string, process: string): void {
     this.getByAgent(agent)
-      .filter(({ active }) => active.callNumber !== undefined)
+      .filter(({ active }) => active.callNumber !== undefined && active.callProcess !== process)
       .forEach(({ task, active }) => {
-        task.updateRun(active.run, { callNumber: 0 });
+        task.updateRun(active.run, { callNumber: 0, callProcess: process });
       });
   }
 
@@ -86,6 +87,25 @@
   }
 }
 
+/** Call of a process of an agent for the lists of its worker. */
+export interface ListCall {
+  readonly process: string;
+  readonly callNumber: number;
+}
+
+/**
+ * Returns whether lists were made after the order that was last executed for a run.
+ * @param active - The run.
+ * @param lists - Call that returned the lists.
+ */
+export function isShownBy(active: ActiveRun, lists: ListCall): boolean {
+  return (
+    active.callNumber !== undefined &&
+    active.callProcess === lists.process &&
+    lists.callNumber > active.callNumber
+  );
+}
+
 /**
  * Returns the name of a run, which no other run has.
  * @param taskRun - The run.
--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -147,7 +147,9 @@
 
 /** Results of orders. */
 export interface OrderReport {
-  /** Lists returned by a later call reflect the orders. */
+  /** Process of the agent that executed them; empty for an agent of a former version. */
+  readonly process: string;
+  /** Lists returned by a later call of this process reflect the orders. */
   readonly callNumber: number;
   readonly starts: readonly RunResult[];
   readonly stops: readonly RunResult[];
--- a/src/coordination/pool/AgentReportHandler.ts
+++ b/src/coordination/pool/AgentReportHandler.ts
@@ -6,13 +6,13 @@
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import { AckTrackerTable } from "./AckTrackerTable.ts";
-import type { AgentReport, FormerEnds, ObserveCall, WorkerReport } from "./AgentChannel.ts";
+import type { AgentReport, FormerEnds, ObserveCall } from "./AgentChannel.ts";
 import type { CrashHandler } from "./CrashHandler.ts";
 import type { JobUpdater } from "./JobUpdater.ts";
 import type { PaceController } from "./PaceController.ts";
 import type { PoolTimings } from "./PoolTimings.ts";
 import type { PoolState } from "./PoolState.ts";
-import { ReportReconciler } from "./ReportReconciler.ts";
+import { ReportReconciler, type ReportInput } from "./ReportReconciler.ts";
 import type { RunController } from "./RunController.ts";
 import { isTried } from "./taskPlacement.ts";
 
@@ -110,23 +110,24 @@
     // The first report of a process usually has no lists yet, and no later one tells it from its
     // predecessor.
     if (change.isNewProcess) {
-      state.activeRuns.resetCallNumbers(agent);
+      state.activeRuns.resetCallNumbers(agent, report.process);
     }
     // The lists of an incarnation that was not accepted do not count.
     if (report.worker === undefined || change.worker?.report !== report.worker) {
       return change.isNews;
     }
-    this._reconcile(agent, report.worker, now);
+    this._reconcile({ agent, process: report.process, report: report.worker, now });
     if (report.worker.answers) {
       paceController.handleReport(agent, report.worker, now);
     }
     return change.isNews;
   }
 
-  private _reconcile(agent: string, report: WorkerReport, now: number): void {
+  private _reconcile(input: Omit<ReportInput, "lastHandledEnd">): void {
+    const { agent, report } = input;
     const { lastHandledEnd } = this._ackTrackers.getTracker(agent, report.worker);
     const reconciler = this._createReconciler(agent, report.worker);
-    reconciler.reconcile({ agent, report, lastHandledEnd, now });
+    reconciler.reconcile({ ...input, lastHandledEnd });
   }
 
   private _handleFormerEnds(agent: string, { worker, ended }: FormerEnds): void {
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -48,7 +48,7 @@
    * Executes orders.
    * @param call - The orders.
    */
-  async execute(call: OrderCall): Promise<Omit<OrderReport, "callNumber">> {
+  async execute(call: OrderCall): Promise<Omit<OrderReport, "callNumber" | "process">> {
     const stops = call.stops.map((order) => this._stop(call, order));
     const paces = call.paces.map((pace) =>
       this._execute(call, pace, (run) => this._deps.worker.pace(run, pace.percent)),
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -186,11 +186,12 @@
       this._extendLease(call.leaseUntilMs);
     }
     const results = await this._orders.execute(call);
+    const { process } = this._deps;
     const { _callNumber: callNumber } = this;
     if (call.stops.length > 0) {
       void this._reportStops(call.stops);
     }
-    return { kind: "answered", value: { callNumber, ...results } };
+    return { kind: "answered", value: { process, callNumber, ...results } };
   }
 
   /**
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -11,6 +11,7 @@
 import {
   formatRunKey,
   getRunKey,
+  isShownBy,
   type ActiveRunTable,
   type ActiveTaskRun,
 } from "./ActiveRunTable.ts";
@@ -39,6 +40,8 @@
 /** A report with what was handled before it. */
 export interface ReportInput {
   readonly agent: string;
+  /** Process of the agent. */
+  readonly process: string;
   readonly report: WorkerReport;
   /** Run ends up to this number were handled before. */
   readonly lastHandledEnd: number;
@@ -109,7 +112,7 @@
   }
 
   private _handleRunning(input: ReportInput, running: RunningRun): void {
-    const { now, report } = input;
+    const { now, report, process } = input;
     const taskRun = this._findRun(running, (active) => active.worker === report.worker);
     if (taskRun === undefined) {
       this._callbacks.onUnknownRun(running);
@@ -124,7 +127,9 @@
       percent: running.percent,
       isAtWork: active.isAtWork || isAtWork,
       progressedAt: hasProgressed || hasBegun ? now : active.progressedAt,
-      ...(hasBegun ? { phase: "running", since: now, callNumber: 0 } : {}),
+      ...(hasBegun
+        ? { phase: "running", since: now, callNumber: report.callNumber, callProcess: process }
+        : {}),
     });
     if (isAtWork && !active.isAtWork) {
       this._callbacks.onRunAtWork(taskRun);
@@ -132,13 +137,14 @@
   }
 
   private _reportMissing(input: ReportInput): void {
-    const { agent, report } = input;
+    const { agent, process, report } = input;
+    const lists = { process, callNumber: report.callNumber };
     const listed = new Set(report.running.map(({ task, run }) => formatRunKey(task, run)));
     this._activeRuns
       .getByAgent(agent)
       .filter(({ active }) => active.worker === report.worker)
       .filter((taskRun) => !listed.has(getRunKey(taskRun)))
-      .filter(({ active }) => shouldBeListed(active, report.callNumber))
+      .filter(({ active }) => active.phase === "unconfirmed" || isShownBy(active, lists))
       .forEach((taskRun) => {
         this._callbacks.onRunLost(taskRun, `its worker does not list it (${taskRun.active.phase})`);
       });
@@ -165,11 +171,3 @@
     now - active.since >= MIN_WORK_MS
   );
 }
-
-/** Returns whether lists made by a call would contain the run if it existed. */
-function shouldBeListed(active: ActiveRun, callNumber: number): boolean {
-  return (
-    active.phase === "unconfirmed" ||
-    (active.callNumber !== undefined && callNumber > active.callNumber)
-  );
-}
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -8,7 +8,7 @@
 import type { OrderReport, RunOrder, RunResult } from "./AgentChannel.ts";
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
-import type { ActiveTaskRun } from "./ActiveRunTable.ts";
+import type { ActiveTaskRun, ListCall } from "./ActiveRunTable.ts";
 import { isSuccessor } from "./incarnations.ts";
 import { getCommittedResources } from "./stepResources.ts";
 import { RecentStartTable } from "./RecentStartTable.ts";
@@ -157,8 +157,9 @@
    * @param report - The results.
    */
   handleOrderReport(agent: string, worker: string, report: OrderReport): void {
+    const lists = this._getListCall(agent, report);
     report.starts.forEach((result) => {
-      this._handleStartResult(agent, worker, result, report.callNumber);
+      this._handleStartResult(agent, worker, result, lists);
     });
     report.stops.forEach((result) => {
       if (result.failure === undefined) {
@@ -169,12 +170,11 @@
         return;
       }
       // The first executed stop decides. If a repetition counted, lists would come too late where
-      // they take longer than the time after which a stop is repeated. A lower number is one of the
-      // agent's next process.
-      if (result.failure === undefined) {
-        const { callNumber = Number.POSITIVE_INFINITY } = taskRun.active;
-        const change = { callNumber: Math.min(callNumber, report.callNumber) };
-        taskRun.task.updateRun(result.run, change);
+      // they take longer than the time after which a stop is repeated.
+      const { callNumber: first, callProcess } = taskRun.active;
+      const isFirst = first === undefined || callProcess !== lists.process;
+      if (result.failure === undefined && isFirst) {
+        this._setListCall(taskRun, lists);
       }
     });
   }
@@ -183,7 +183,7 @@
     agent: string,
     worker: string,
     result: RunResult,
-    callNumber: number,
+    lists: ListCall,
   ): void {
     const taskRun = this._findActiveRun(result.task, result.run);
     if (taskRun?.active.worker !== worker || taskRun.active.phase !== "ordered") {
@@ -196,12 +196,29 @@
     if (failure === "fenced") {
       this._deps.onSuperseded();
     } else if (!decidesAllOrders(failure)) {
-      this._handleUndecidedStart(taskRun, failure, callNumber);
+      this._handleUndecidedStart(taskRun, failure, lists);
     } else {
-      taskRun.task.updateRun(taskRun.active.run, { callNumber });
+      this._setListCall(taskRun, lists);
     }
   }
 
+  /**
+   * Gets the call after which lists show what became of orders. All lists of a process show the orders
+   * that the one before it executed. An agent of a former version does not name its process.
+   */
+  private _getListCall(agent: string, { process, callNumber }: OrderReport): ListCall {
+    const known = this._deps.state.workerTable.getAgent(agent);
+    if (known?.process === undefined || ![known.formerProcess, ""].includes(process)) {
+      return { process, callNumber };
+    }
+    return { process: known.process, callNumber: process === "" ? callNumber : 0 };
+  }
+
+  /** Notes that lists of later calls show what became of the orders for a run. */
+  private _setListCall({ task, active }: ActiveTaskRun, { process, callNumber }: ListCall): void {
+    task.updateRun(active.run, { callNumber, callProcess: process });
+  }
+
   /**
    * Handles the result of a start order that decides at most this order. Orders before and after it
    * may have no result yet and be executed late; only an executed stop rules that out.
@@ -209,9 +226,9 @@
   private _handleUndecidedStart(
     taskRun: ActiveTaskRun,
     failure: WorkerCallFailure["kind"],
-    callNumber: number,
+    lists: ListCall,
   ): void {
-    const { task, active } = taskRun;
+    const { active } = taskRun;
     const isOnlyOrder = active.tries === 1;
     if (isRefusal(failure)) {
       if (isOnlyOrder) {
@@ -220,7 +237,7 @@
         this._orderStop(taskRun, `a repeated start order was refused: ${failure}`);
       }
     } else if (failure === "wrong-worker" && isOnlyOrder) {
-      task.updateRun(active.run, { callNumber });
+      this._setListCall(taskRun, lists);
     }
   }
 
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -24,6 +24,8 @@
 export interface WorkerState {
   readonly agent: string;
   readonly report: WorkerReport;
+  /** Process of the agent that sent the report. */
+  readonly process: string;
   /** When the report arrived, on the scheduler's monotonic clock, in milliseconds. */
   readonly reportedAt: number;
   /** When the worker last responded to its agent as far as known, in milliseconds. */
@@ -42,6 +44,8 @@
   readonly record: AgentRecord;
   /** Identity of the agent process that responded last. */
   readonly process: string | undefined;
+  /** The process that it replaced; undefined for none. */
+  readonly formerProcess: string | undefined;
   readonly version: number;
   /** When it last responded; undefined if it has not responded yet. */
   readonly answeredAt: number | undefined;
@@ -112,6 +116,7 @@
     const known = this._agents.get(name);
     this._agents.set(name, {
       process: undefined,
+      formerProcess: undefined,
       version: 0,
       answeredAt: undefined,
       ...known,
@@ -133,13 +138,15 @@
     const isNews = state?.process !== report.process || state.version !== report.version;
     if (state !== undefined) {
       const { process, version } = report;
-      this._agents.set(agent, { ...state, process, version, answeredAt: now });
+      const formerProcess = isNewProcess ? state.process : state.formerProcess;
+      this._agents.set(agent, { ...state, process, formerProcess, version, answeredAt: now });
     }
     const known = this._workers.get(agent);
     if (report.worker === undefined || isEarlier(report.worker, known, now)) {
       return { worker: known, replacedWorker: undefined, isNewProcess, isNews };
     }
-    const worker = this._merge(agent, report.worker, known, now);
+    const { process } = report;
+    const worker = { ...this._merge(agent, report.worker, known, now), process };
     this._workers.set(agent, worker);
     const isReplaced = known !== undefined && known.report.worker !== report.worker.worker;
     if (isReplaced) {
@@ -244,7 +251,7 @@
     report: WorkerReport,
     known: WorkerState | undefined,
     now: number,
-  ): WorkerState {
+  ): Omit<WorkerState, "process"> {
     const isKnown = known?.report.worker === report.worker;
     const isLater = !isKnown || report.clockMs > known.report.clockMs;
     return {
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -4,7 +4,7 @@
  * more.
  */
 import { getStartTime, isSuccessor } from "./incarnations.ts";
-import { formatRunKey, getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
+import { formatRunKey, getRunKey, isShownBy, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import type { WorkerState } from "./WorkerTable.ts";
 
 /** Time after which an order without a result is sent again, in milliseconds. */
@@ -123,14 +123,13 @@
  */
 function mayStartLate(taskRun: ActiveTaskRun, worker: WorkerState, now: number): boolean {
   const { active } = taskRun;
-  const { report, leasesExpireBy } = worker;
+  const { report, process, leasesExpireBy } = worker;
   if (findSuccessor(taskRun, worker) === undefined || now >= leasesExpireBy) {
     return false;
   }
   const isStopped =
     active.stopWorker === report.worker &&
-    active.callNumber !== undefined &&
-    report.callNumber > active.callNumber;
+    isShownBy(active, { process, callNumber: report.callNumber });
   const isListed = report.running.some(
     ({ task, run }) => formatRunKey(task, run) === getRunKey(taskRun),
   );
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -49,6 +49,8 @@
    * run.
    */
   readonly callNumber: number | undefined;
+  /** Process of the agent that numbers the call; empty for none. */
+  readonly callProcess: string;
   /** Number of orders sent to start it or, while it is stopping, to stop it. */
   readonly tries: number;
   /** Why it is being stopped; empty if it is not. */
@@ -145,6 +147,7 @@
       progressedAt: now,
       pacePercent: 100,
       callNumber: undefined,
+      callProcess: "",
       tries: 0,
       stopReason: "",
       stopWorker: "",
@@ -173,6 +176,7 @@
       progressedAt: now,
       pacePercent: 100,
       callNumber: undefined,
+      callProcess: "",
       tries: 0,
       stopReason: "",
       stopWorker: "",
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -104,6 +104,7 @@
     failure: failure ?? "",
   });
   return create(OrderReplySchema, {
+    agentIncarnation: report.process,
     callNumber: report.callNumber,
     starts: report.starts.map(write),
     stops: report.stops.map(write),
@@ -114,6 +115,7 @@
 /** Reads the results of orders from the reply to an order call. */
 export function readOrderReply(reply: OrderReply): OrderReport {
   return {
+    process: reply.agentIncarnation,
     callNumber: reply.callNumber,
     starts: reply.starts.map(readResult),
     stops: reply.stops.map(readResult),
--- a/tests/coordination/pool/ScriptedChannel.ts
+++ b/tests/coordination/pool/ScriptedChannel.ts
@@ -19,6 +19,8 @@
 export class ScriptedChannel extends AgentChannel {
   /** Number of the agent's last call of its worker, as the results of orders name it. */
   orderCallNumber = createWorkerReport().callNumber;
+  /** Process of the agent that executes orders; undefined for the one that reports. */
+  orderProcess: string | undefined;
   /** Orders to start and stop runs, in the order in which they arrived. */
   readonly starts: RunOrder[] = [];
   readonly stops: RunOrder[] = [];
@@ -89,6 +91,7 @@
     return {
       kind: "answered",
       value: {
+        process: this.orderProcess ?? this._report.process,
         callNumber: this.orderCallNumber,
         starts: starts ?? [],
         stops: stops ?? [],
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -56,6 +56,24 @@
   scheduler.stop();
 });
 
+// Guards against a second run of a task whose first one goes on: the first report of the new process
+// reset the call number that the process itself had named for the run.
+test("AgentReportHandler retains a run that a new process started before its first report", async (t) => {
+  const fixture = await createScriptedScheduler();
+  const { clock, channel, scheduler, getLostReasons } = fixture;
+  channel.orderCallNumber = 2;
+  channel.orderProcess = "b";
+  await addJob(fixture, { longRunning: true });
+  t.is(channel.starts.length, 1);
+  channel.setReport("b", createWorkerReport({ callNumber: 2 }));
+  await clock.advance(HANDLED_MS);
+  t.deepEqual(getLostReasons(), []);
+  channel.setReport("b", createWorkerReport({ callNumber: 3 }));
+  await clock.advance(HANDLED_MS);
+  t.deepEqual(getLostReasons(), [REASON]);
+  scheduler.stop();
+});
+
 // Guards against the end of a run that is acknowledged without a trace because nothing waits for it.
 test("AgentReportHandler logs each end of a run that is not active once", async (t) => {
   const fixture = await createScriptedScheduler();
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -29,6 +29,8 @@
 /** Time in which an order that was created has been sent, in milliseconds. */
 const SENT_MS = 10;
 const CALL_NUMBER = 50;
+/** Process of the agent that reported first. */
+const PROCESS = "p-1";
 
 /** Channel to an agent that records orders and answers none of them. */
 class RecordingChannel extends AgentChannel {
@@ -58,7 +60,9 @@
   /** Hands in the result of a start order. */
   readonly handleStart: (failure: RunResult["failure"]) => void;
   /** Stops the run and hands in the result of an executed stop order. */
-  readonly handleStop: (callNumber: number) => void;
+  readonly handleStop: (callNumber: number, process?: string) => void;
+  /** Hands in the first report of another process of the agent. */
+  readonly replaceProcess: (process: string) => void;
 }
 
 /** Creates a controller that has ordered the start of a run once. */
@@ -67,12 +71,12 @@
   const log = new MemoryLog();
   const channel = new RecordingChannel();
   const state = new PoolState(POOL, TIMINGS);
-  const record = { address: AGENT, zone: "zone-a", pool: POOL, process: "p-1" };
+  const record = { address: AGENT, zone: "zone-a", pool: POOL, process: PROCESS };
   state.workerTable.setAgent(AGENT, record);
   const worker = createWorkerReport();
   state.workerTable.applyReport(
     AGENT,
-    { process: "p-1", version: 1, worker, formerEnds: [], crashes: [] },
+    { process: PROCESS, version: 1, worker, formerEnds: [], crashes: [] },
     clock.now(),
   );
   const job = new JobState(JOB, createJobRecord(), undefined, clock.now());
@@ -106,17 +110,21 @@
     },
     handleStart: (failure) => {
       const starts = [{ task: task.id, run: RUN, failure }];
-      const report = { callNumber: CALL_NUMBER, starts, stops: [], paces: [] };
+      const report = { process: PROCESS, callNumber: CALL_NUMBER, starts, stops: [], paces: [] };
       controller.handleOrderReport(AGENT, worker.worker, report);
     },
-    handleStop: (callNumber) => {
+    handleStop: (callNumber, process = PROCESS) => {
       task.activeRuns.forEach((active) => {
         controller.stop({ task, active }, "");
       });
       const stops = [{ task: task.id, run: RUN, failure: undefined }];
-      const report = { callNumber, starts: [], stops, paces: [] };
+      const report = { process, callNumber, starts: [], stops, paces: [] };
       controller.handleOrderReport(AGENT, worker.worker, report);
     },
+    replaceProcess: (process) => {
+      const report = { process, version: 1, worker, formerEnds: [], crashes: [] };
+      state.workerTable.applyReport(AGENT, report, clock.now());
+    },
   };
 }
 
@@ -195,6 +203,22 @@
   await fixture.advance(REPEATED_MS);
   fixture.handleStop(CALL_NUMBER + 1);
   t.is(getRun(fixture).callNumber, CALL_NUMBER);
-  fixture.handleStop(1);
-  t.is(getRun(fixture).callNumber, 1);
+  fixture.handleStop(1, "p-2");
+  t.like(getRun(fixture), { callNumber: 1, callProcess: "p-2" });
+});
+
+// Guards against the same where no stop is repeated: all lists of a process are later than the orders
+// that the former one executed.
+test("RunController relies on all lists of the next process after a late result of the former one", async (t) => {
+  const fixture = await createFixture();
+  fixture.replaceProcess("p-2");
+  fixture.handleStop(CALL_NUMBER);
+  t.like(getRun(fixture), { callNumber: 0, callProcess: "p-2" });
+});
+
+// Guards against an agent of a former version, whose results name no process, that never counts.
+test("RunController takes results without a process for those of the one that reports", async (t) => {
+  const fixture = await createFixture();
+  fixture.handleStop(CALL_NUMBER, "");
+  t.like(getRun(fixture), { callNumber: CALL_NUMBER, callProcess: PROCESS });
 });
--- a/tests/coordination/pool/runMonitorTests.ts
+++ b/tests/coordination/pool/runMonitorTests.ts
@@ -11,12 +11,14 @@
 
 const JOB = "0123456789abcdef";
 const WORKER = "i-1@100";
+/** Process of the agent that reports, and numbers its calls. */
+const PROCESS = "p-1";
 
 function createActiveRun(overrides: Partial<ActiveRun>): ActiveTaskRun {
   const address = { job: JOB, occurrence: 0, step: 0, index: 0 };
   const task = new TaskState(address, createStep({ estimateMs: 1_000 }));
   const { run } = task.addRun({ agent: "agent-1", worker: WORKER }, 0);
-  task.updateRun(run, overrides);
+  task.updateRun(run, { callProcess: PROCESS, ...overrides });
   const active = task.getRun(run);
   if (active === undefined) {
     throw new Error("the added run is missing from its task");
@@ -28,6 +30,7 @@
   const worker: WorkerState = {
     agent: "agent-1",
     report: createWorkerReport(),
+    process: PROCESS,
     reportedAt: 0,
     answeredAt: 0,
     leasesExpireBy: 6_000,
@@ -110,6 +113,7 @@
     t.is(getReplacedAction(stopping, {}), "none");
     t.is(getReplacedAction(stopping, {}, 5_000), "stop");
     t.is(getReplacedAction({ ...stopping, callNumber: 6 }, {}), "none");
+    t.is(getReplacedAction({ ...stopping, callNumber: 5, callProcess: "p-2" }, {}), "none");
     t.is(getReplacedAction({ ...stopping, callNumber: 5 }, {}), "void");
   });
 });
--- a/tests/coordination/pool/suspectPlacementTests.ts
+++ b/tests/coordination/pool/suspectPlacementTests.ts
@@ -34,7 +34,7 @@
   return processorsMilli.map((processors, position) => {
     const capacity = { processorsMilli: processors, memoryBytes: 1_000_000, accelerators: 0 };
     return {
-      agent: `agent-${position}`,
+      ...{ agent: `agent-${position}`, process: "" },
       report: createWorkerReport({ worker: `i-${position}@1`, capacity }),
       ...{ reportedAt: 0, answeredAt: 0, leasesExpireBy: 6_000, backoffUntil: 0 },
       mayExitAt: undefined,
--- a/tests/coordination/pool/taskPlacementTests.ts
+++ b/tests/coordination/pool/taskPlacementTests.ts
@@ -34,6 +34,7 @@
   const labels = ["kind-a", rack];
   return {
     agent: name,
+    process: "",
     report: createWorkerReport({ worker: `${name}@1`, capacity, rack, labels }),
     reportedAt: 0,
     answeredAt: 0,
--- a/tests/transport/pool/agentMessagesTests.ts
+++ b/tests/transport/pool/agentMessagesTests.ts
@@ -6,8 +6,10 @@
 import {
   readObserveReply,
   readObserveRequest,
+  readOrderReply,
   writeObserveReply,
   writeObserveRequest,
+  writeOrderReply,
 } from "../../../src/transport/pool/agentMessages.ts";
 import { createEndedRun, createWorkerReport } from "../../support/poolFixtures.ts";
 
@@ -41,3 +43,10 @@
   const report = { process: "p", version: 3, worker, formerEnds: [], crashes: [] };
   t.like(readObserveReply(writeObserveReply(report)), report);
 });
+
+// Guards against call numbers of one process of an agent that are compared with those of another.
+test("agentMessages carry the process that numbers the call after which orders show", (t) => {
+  const result = { task: "task", run: 2, failure: "no-room" } as const;
+  const report = { process: "p-1", callNumber: 7, starts: [result], stops: [], paces: [] };
+  t.deepEqual(readOrderReply(writeOrderReply(report)), report);
+});
--- a/tests/transport/pool/connectAgentChannelTests.ts
+++ b/tests/transport/pool/connectAgentChannelTests.ts
@@ -37,7 +37,7 @@
   answerOrder: () => Promise<AgentOutcome<OrderReport>> = () =>
     Promise.resolve({
       kind: "answered",
-      value: { callNumber: 7, starts: [], stops: [], paces: [] },
+      value: { process: "p-1", callNumber: 7, starts: [], stops: [], paces: [] },
     });
 
   async observe(call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
