Reject a heartbeat whose id cannot be decoded, and keep the process

What operators saw: a heartbeat of another writer with a broken percent escape in the id of its path got no answer, and the process of the agent ended by itself, at each of them.

Cause: the id was decoded outside of any check in an asynchronous handler. Its rejection was handled by nobody, and such a rejection ends the process. Each handler of a request could end it likewise.

Change: an id that cannot be decoded is answered with 400. The listeners of the servers for heartbeats, for clients and for operators answer a request whose handling fails with 400 and log it.

--- a/src/transport/http/ApiServer.ts
+++ b/src/transport/http/ApiServer.ts
@@ -11,6 +11,7 @@
 import type { ApiReply, ApiRoute } from "./ApiRoute.ts";
 import { handleClientErrors } from "./clientErrors.ts";
 import { createProcessRoutes, type LogLevelControl } from "./processRoutes.ts";
+import { createListener } from "./createListener.ts";
 import { listen } from "./listen.ts";
 import { readJson } from "./readJson.ts";
 import { RouteTable, type RouteMatch } from "./RouteTable.ts";
@@ -56,7 +57,8 @@
     ]);
     const maxHeaderSize = options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES;
     const limits = { maxHeaderSize, requestTimeout: REQUEST_TIMEOUT_MS };
-    this._server = createServer(limits, (req, res) => void this._serve(req, res));
+    const serve = this._serve.bind(this);
+    this._server = createServer(limits, createListener(serve, options.log));
     handleClientErrors(this._server, (code) => {
       options.log.debug("Rejected a malformed HTTP request.", { code });
     });
