--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -1,10 +1,16 @@
 /**
  * Tests of the server for a worker's heartbeats with what another writer may send it, over loopback.
  */
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import test, { type ExecutionContext } from "ava";
 import { request } from "undici";
 import { HeartbeatServer } from "../../platform/HeartbeatServer.ts";
 import { PoolWorkerAgent } from "../../src/coordination/pool/PoolWorkerAgent.ts";
+import {
+  ObserveReplySchema,
+  type ObserveReply,
+} from "../../src/protocol/generated/fireflylb/v1/pool_pb.ts";
+import { writeObserveReply } from "../../src/transport/pool/agentMessages.ts";
 import { findFreeAddresses } from "../../standins/support/freePorts.ts";
 import { ManualClock } from "../support/ManualClock.ts";
 import { MemoryLog } from "../support/MemoryLog.ts";
@@ -31,6 +37,18 @@
   });
 }
 
+/** Reads the report of an agent as it reaches a scheduler. */
+async function readReport(agent: PoolWorkerAgent): Promise<ObserveReply> {
+  const known = { knownVersion: 0, knownProcess: "" };
+  const call = { epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0, ...known, waitMs: 0 };
+  const outcome = await agent.observe(call);
+  if (outcome.kind !== "answered") {
+    throw new Error("the agent follows another scheduler");
+  }
+  const written = toBinary(ObserveReplySchema, writeObserveReply(outcome.value));
+  return fromBinary(ObserveReplySchema, written);
+}
+
 async function createFixture(t: ExecutionContext): Promise<Fixture> {
   const [address = ""] = await findFreeAddresses(1);
   const clock = new ManualClock();
@@ -75,3 +93,63 @@
   t.is(await put("i-1", createHeartbeat()), 200);
   t.is(agent.incarnation, "i-1@1000");
 });
+
+const DEEP = `${"[".repeat(20_000)}${"]".repeat(20_000)}`;
+const TOO_LARGE = [1e308, 2 ** 53, -1, 0.5];
+const CAPACITY = { cpu: 16_000, mem_mb: 1_024, gpu: 0 };
+
+/** Heartbeats that name no worker to use, as text. */
+const ODD_HEARTBEATS: readonly string[] = [
+  ...["", "{", "[]", "null", "7", DEEP, `{"service":${DEEP}}`, `{"__proto__":{"service":"x"}}`],
+  ...TOO_LARGE.flatMap((value) => [
+    createHeartbeat({ seq_no: value }),
+    createHeartbeat({ born: value }),
+    createHeartbeat({ capacity: { ...CAPACITY, cpu: value } }),
+    createHeartbeat({ capacity: { ...CAPACITY, mem_mb: value } }),
+    createHeartbeat({ capacity: { ...CAPACITY, gpu: value } }),
+  ]),
+  createHeartbeat({ capacity: { ...CAPACITY, gpu: 2 ** 32 } }),
+  createHeartbeat({ capacity: { ...CAPACITY, mem_mb: 2 ** 40 } }),
+  createHeartbeat({ service: "" }),
+  createHeartbeat({ service: "x".repeat(5_000) }),
+  createHeartbeat({ zone: "\ud800" }),
+  createHeartbeat({ labels: Array.from({ length: 5_000 }, () => "x") }),
+  createHeartbeat({ labels: Array.from({ length: 5_000 }, () => 1) }),
+  createHeartbeat({ labels: ["\ud800"] }),
+  createHeartbeat({ state: "sleeping" }),
+  createHeartbeat({ drain_remaining_ms: 1e308 }),
+  ...[
+    "10.0.0.9:0",
+    "10.0.0.9:65536",
+    "10.0.0.9:99999",
+    "10.0.0.9:-1",
+    "10.0.0.9",
+    ":",
+    "a b:1",
+  ].map((address) => createHeartbeat({ address })),
+];
+
+// Guards against a heartbeat of another writer that is believed: with a sequence number too large
+// the later ones of the worker counted as old, and with a capacity that no message can carry each
+// report of the agent failed.
+test("HeartbeatServer rejects heartbeats with values that cannot be right, and follows the worker on", async (t) => {
+  const { agent, put } = await createFixture(t);
+  t.is(await put("i-1", createHeartbeat()), 200);
+  const before = await readReport(agent);
+  const statuses = await Promise.all(ODD_HEARTBEATS.map((body) => put("i-1", body)));
+  const accepted = ODD_HEARTBEATS.filter((_, position) => statuses[position] !== 400);
+  t.deepEqual(
+    accepted.map((body) => body.slice(0, 300)),
+    [],
+  );
+  t.deepEqual(await readReport(agent), before);
+  t.is(await put("i-1", createHeartbeat({ seq_no: 2, state: "draining" })), 200);
+  t.true((await readReport(agent)).worker?.draining);
+});
+
+test("HeartbeatServer accepts the largest values that messages carry", async (t) => {
+  const { agent, put } = await createFixture(t);
+  const capacity = { cpu: Number.MAX_SAFE_INTEGER, mem_mb: 2 ** 33 - 1, gpu: 2 ** 32 - 1 };
+  t.is(await put("i-1", createHeartbeat({ capacity, seq_no: Number.MAX_SAFE_INTEGER })), 200);
+  t.is((await readReport(agent)).worker?.processorsMilli, BigInt(Number.MAX_SAFE_INTEGER));
+});
