Ignore an accepted job whose numbers cannot be right

What would be seen: an accepted job of another writer with 2^32 tasks in a step ended the entry that schedules the pool, then the next one, and each again after its restart: no array holds so many. With 1e9 tasks, or with steps without tasks and 1e9 occurrences, the process runs out of memory instead.

Cause: the reader of stored jobs took any number for a count. The scheduler made the tasks of such a job in the callback of the follower, whose exception nobody handled.

Change: stored jobs are read with bounds: at most as many tasks in a step as a submission may have, whole numbers that are exact, steps that follow earlier ones only, and no negative times apart from the due time of the first occurrence. One that is out of bounds is ignored, as one that is not JSON.

Evidence: the test failed before with an unhandled rejection (RangeError: Invalid array length, from PoolScheduler.addJob); now each odd job gets one line of the log, the sound job beside them completes, and a sound job under the key of an odd one becomes known.

--- a/src/protocol/boundedFields.ts
+++ b/src/protocol/boundedFields.ts
@@ -28,8 +28,8 @@
 /** Time span or point in time in milliseconds, with fractions. */
 export const milliseconds = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
 
-/** Difference of times in milliseconds, which may be negative. */
-export const millisecondsLeft = z
+/** Time span or point in time in milliseconds that may be negative. */
+export const signedMilliseconds = z
   .number()
   .min(-Number.MAX_SAFE_INTEGER)
   .max(Number.MAX_SAFE_INTEGER);
--- a/src/protocol/pool/JobDefinition.ts
+++ b/src/protocol/pool/JobDefinition.ts
@@ -11,6 +11,9 @@
 /** Largest payload of a job, in bytes. */
 export const MAX_PAYLOAD_BYTES = 4_000;
 
+/** Maximum number of tasks of a step. */
+export const MAX_STEP_TASKS = 10_000;
+
 /** A step: tasks with the same definition that may run at the same time. */
 export interface StepDefinition {
   readonly taskCount: number;
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -4,32 +4,33 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
+import { milliseconds, signedMilliseconds, wholeNumber } from "../../protocol/boundedFields.ts";
+import { MAX_STEP_TASKS, type JobDefinition } from "../../protocol/pool/JobDefinition.ts";
 import type { CrashRecord } from "./CrashHistory.ts";
 
 const ResourcesSchema = z.object({
-  processorsMilli: z.number(),
-  memoryBytes: z.number(),
-  accelerators: z.number(),
+  processorsMilli: wholeNumber,
+  memoryBytes: wholeNumber,
+  accelerators: wholeNumber,
 });
 
 const StepSchema = z.object({
-  taskCount: z.number(),
+  taskCount: wholeNumber.min(1).max(MAX_STEP_TASKS),
   resources: ResourcesSchema,
-  estimateMs: z.number(),
-  after: z.array(z.number()),
+  estimateMs: milliseconds,
+  after: z.array(wholeNumber),
   checkpoints: z.boolean(),
   gang: z.boolean(),
   sameRack: z.boolean(),
   requiredLabel: z.string().optional(),
   dataRack: z.string().optional(),
-  maxPerWorker: z.number().optional(),
+  maxPerWorker: wholeNumber.optional(),
   speculative: z.boolean(),
   longRunning: z.boolean(),
   image: z.string(),
-  latencyTargetMs: z.number().optional(),
+  latencyTargetMs: milliseconds.optional(),
   usesIdleProcessors: z.boolean(),
-  maxUnavailable: z.number().optional(),
+  maxUnavailable: wholeNumber.optional(),
 });
 
 const JobRecordSchema = z.object({
@@ -38,11 +39,20 @@
   maxAttempts: z.number(),
   stretch: z.number(),
   latencyTargetMs: z.number(),
-  acceptedAtMs: z.number(),
+  acceptedAtMs: milliseconds,
   payload: z.string(),
-  steps: z.array(StepSchema),
+  steps: z
+    .array(StepSchema)
+    .min(1)
+    .refine((steps) => steps.every(({ after }, index) => after.every((step) => step < index)), {
+      error: "after: refers to a step that is not an earlier one",
+    }),
   schedule: z
-    .object({ firstRunAtMs: z.number(), intervalMs: z.number(), runCount: z.number() })
+    .object({
+      firstRunAtMs: signedMilliseconds,
+      intervalMs: milliseconds,
+      runCount: wholeNumber.min(1),
+    })
     .optional(),
 });
 
--- /dev/null
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -0,0 +1,86 @@
+/**
+ * Tests in virtual time of entries of another writer in the store: an odd one names nothing to use,
+ * the others hold, and no entry process ends.
+ */
+import test, { type ExecutionContext } from "ava";
+import { formatJobKey } from "../../../src/state/pool/PoolKeys.ts";
+import { createJobId, createJobRecord, createStep, POOL } from "../../support/poolFixtures.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+
+const WORK_MS = 500;
+/** Time within which a submitted job is done, in milliseconds. */
+const DONE_MS = 5_000;
+const SOUND_JOB = createJobId(1);
+/** Number of tasks that no array can have. */
+const TOO_MANY = 2 ** 32;
+const DEEP = `${"[".repeat(20_000)}${"]".repeat(20_000)}`;
+
+/** Creates a pool whose entry schedules two agents. */
+async function createPool(): Promise<PoolSimulation> {
+  const simulation = new PoolSimulation();
+  simulation.addEntry("entry-0");
+  await Promise.all(["agent-0", "agent-1"].map((name) => simulation.addAgent(name)));
+  await simulation.clock.advance(3_000);
+  return simulation;
+}
+
+/** Writes a value as somebody else would. */
+function write({ storeModel }: PoolSimulation, key: string, value: string): void {
+  storeModel.write({ key, value, expected: storeModel.read(key)?.revision ?? 0 });
+}
+
+function getJobKey(job: string): string {
+  return formatJobKey({ kind: "job", pool: POOL, job });
+}
+
+/** Submits a sound job, and asserts that it is done. */
+async function assertRuns(t: ExecutionContext, simulation: PoolSimulation, job: string) {
+  const [entry] = simulation.entries;
+  const definition = { payload: "", steps: [createStep()], schedule: undefined };
+  if (entry !== undefined) {
+    await simulation.submit(entry, job, definition, WORK_MS);
+  }
+  await simulation.clock.advance(DONE_MS);
+  t.is(entry?.coordinator.catalog.getJob(job)?.phase, "completed", simulation.log.format());
+}
+
+/** Asserts that the log has one line about each of the keys. */
+function assertLoggedOnce(t: ExecutionContext, { log }: PoolSimulation, keys: readonly string[]) {
+  keys.forEach((key) => {
+    t.is(log.lines.filter(({ fields }) => fields.key === key).length, 1, key);
+  });
+}
+
+// Guards against an accepted job of another writer that ends every entry in turn: its tasks did not
+// fit into memory, or no array could hold them.
+test("PoolCoordinator ignores accepted jobs with numbers that cannot be right, and runs the others", async (t) => {
+  const simulation = await createPool();
+  const sound = createJobRecord();
+  const schedule = { firstRunAtMs: 0, intervalMs: 0, runCount: 1e9 };
+  const values = [
+    ...[TOO_MANY, 1e9, 1e308, 0.5, -1, 0].map((taskCount) =>
+      JSON.stringify({ ...sound, steps: [createStep({ taskCount })] }),
+    ),
+    JSON.stringify({ ...sound, schedule, steps: [createStep({ taskCount: 0 })] }),
+    JSON.stringify({ ...sound, schedule: { ...schedule, runCount: 1e308 } }),
+    JSON.stringify({ ...sound, schedule: { ...schedule, intervalMs: -1 } }),
+    JSON.stringify({ ...sound, steps: [createStep({ after: [0] })] }),
+    JSON.stringify({ ...sound, steps: [createStep({ after: [1e308] })] }),
+    JSON.stringify({ ...sound, priority: "1" }),
+    `{"queue":${DEEP}}`,
+    `{"__proto__":${JSON.stringify(sound)}}`,
+    ...[DEEP, "{", "", "null", "\ufffd"],
+  ];
+  const keys = values.map((value, position) => {
+    const key = getJobKey(createJobId(100 + position));
+    write(simulation, key, value);
+    return key;
+  });
+  await assertRuns(t, simulation, SOUND_JOB);
+  assertLoggedOnce(t, simulation, keys);
+  const [key = ""] = keys;
+  write(simulation, key, JSON.stringify(sound));
+  await simulation.clock.advance(DONE_MS);
+  const coordinator = simulation.entries[0]?.coordinator;
+  t.not(coordinator?.catalog.getJob(createJobId(100))?.record, undefined);
+});
