Schedule no job whose progress names tasks that it cannot have

What would be seen: progress of another writer for a task of occurrence 1e9 ended the entry that schedules the pool for want of memory, then the next one, and each again after its restart; one of occurrence 2^32 ended it with an exception. One of occurrence -1 or x kept its job waiting for ever.

Cause: a job's state opens all occurrences up to the last recorded one, whichever number that is.

Change: positions are read in their format, and numbers with their bounds. A scheduler adds no job with progress for tasks that the job does not have, or of more occurrences than can have been opened; only this job is not scheduled, as with progress that cannot be parsed.

Evidence: the test aborted before (JavaScript heap out of memory); now no task of the 28 odd ones starts, and the job beside them completes.

--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -5,7 +5,7 @@
  */
 import type { Timer } from "../../protocol/platform/Clock.ts";
 import type { CatalogJob } from "../../state/pool/JobCatalog.ts";
-import { JobState } from "../../state/pool/JobState.ts";
+import { isProgressOf, JobState } from "../../state/pool/JobState.ts";
 import { formatJobKey, getSchedulerKey } from "../../state/pool/PoolKeys.ts";
 import type { AgentRecord, ProgressRecord } from "../../state/pool/records.ts";
 import { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
@@ -164,7 +164,7 @@
     if (record === undefined || this._state.getJob(id) !== undefined || this._isStopped) {
       return;
     }
-    if (isProgressUnreadable) {
+    if (isProgressUnreadable || !isProgressOf(record, progress)) {
       this._deps.log.error("Progress of a job cannot be parsed; only this job is not scheduled.", {
         job: id,
       });
--- a/src/state/pool/JobState.ts
+++ b/src/state/pool/JobState.ts
@@ -196,7 +196,7 @@
 
   /** Gets the number of occurrences that may be opened now. */
   private _getOpenableCount(): number {
-    const occurrenceTasks = this.record.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+    const occurrenceTasks = countOccurrenceTasks(this.record.steps);
     const unfinishedTasks = [...this.tasks].filter((task) => !task.isDone).length;
     const room = Math.floor((MAX_UNFINISHED_TASKS - unfinishedTasks) / occurrenceTasks);
     const portion = Math.max(1, Math.floor(MAX_OPENED_TASKS / occurrenceTasks));
@@ -227,6 +227,32 @@
   }
 }
 
+/**
+ * Returns whether progress names only tasks that a job can have, in occurrences that can have been
+ * opened: as others open only while few tasks are not done, those before the last one are mostly
+ * recorded. The tasks of other progress might not fit into memory.
+ * @param record - The job as it was accepted.
+ * @param progress - Its recorded progress; undefined if there is none.
+ */
+export function isProgressOf(record: JobRecord, progress: ProgressRecord | undefined): boolean {
+  const positions = Object.keys(progress?.tasks ?? {}).map((position) =>
+    position.split(".").map(Number),
+  );
+  const isKnown = positions.every(([occurrence = 0, step = 0, index = 0]) => {
+    const taskCount = record.steps[step]?.taskCount ?? 0;
+    return occurrence < (record.schedule?.runCount ?? 1) && index < taskCount;
+  });
+  const occurrences =
+    positions.reduce((last, [occurrence = 0]) => Math.max(last, occurrence), 0) + 1;
+  const occurrenceTasks = countOccurrenceTasks(record.steps);
+  const maxUnfinishedTasks = Math.max(MAX_UNFINISHED_TASKS, occurrenceTasks);
+  return isKnown && occurrences * occurrenceTasks <= positions.length + maxUnfinishedTasks;
+}
+
+function countOccurrenceTasks(steps: readonly StepDefinition[]): number {
+  return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+}
+
 /** Returns whether all tasks of a step are done. */
 function isStepDone(state: StepState): boolean {
   return state.tasks.every((task) => task.isDone);
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -4,7 +4,12 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import { milliseconds, signedMilliseconds, wholeNumber } from "../../protocol/boundedFields.ts";
+import {
+  counter32,
+  milliseconds,
+  signedMilliseconds,
+  wholeNumber,
+} from "../../protocol/boundedFields.ts";
 import { MAX_STEP_TASKS, type JobDefinition } from "../../protocol/pool/JobDefinition.ts";
 import type { CrashRecord } from "./CrashHistory.ts";
 
@@ -104,23 +109,26 @@
   readonly tasks: Readonly<Record<string, TaskRecord>>;
 }
 
+/** Format of the position of a task: occurrence, step and index. */
+const TASK_POSITION = /^\d{1,15}\.\d{1,5}\.\d{1,5}$/;
+
 const ProgressRecordSchema = z.object({
   phase: z.enum(["queued", "running", "completed", "failed", "cancelled"]),
   tasks: z.record(
-    z.string(),
+    z.string().regex(TASK_POSITION),
     z.object({
-      run: z.number().optional(),
+      run: counter32.optional(),
       done: z.boolean().optional(),
-      failures: z.number().optional(),
-      crashes: z.number().optional(),
-      crashedAfterMs: z.number().optional(),
-      earlierAfterMs: z.number().optional(),
-      crashedRun: z.number().optional(),
+      failures: counter32.optional(),
+      crashes: counter32.optional(),
+      crashedAfterMs: milliseconds.optional(),
+      earlierAfterMs: milliseconds.optional(),
+      crashedRun: counter32.optional(),
       checkpoint: z.string().optional(),
       active: z
-        .array(z.object({ run: z.number(), agent: z.string(), worker: z.string() }))
+        .array(z.object({ run: counter32, agent: z.string(), worker: z.string() }))
         .optional(),
-      givenUp: z.array(z.object({ run: z.number(), worker: z.string() })).optional(),
+      givenUp: z.array(z.object({ run: counter32, worker: z.string() })).optional(),
     }),
   ),
 });
--- a/tests/coordination/pool/oddEntryTests.ts
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -84,3 +84,45 @@
   const coordinator = simulation.entries[0]?.coordinator;
   t.not(coordinator?.catalog.getJob(createJobId(100))?.record, undefined);
 });
+
+// Guards against progress of another writer that ends every entry in turn: an occurrence that was
+// never due was opened with all before it.
+test("PoolCoordinator schedules no job whose progress names tasks that it cannot have, but the others", async (t) => {
+  const simulation = await createPool();
+  const positions = [
+    ...[`${TOO_MANY}.0.0`, "1000000000.0.0", "1e308.0.0", "-1.0.0", "x", "", "0.0", "0.1.0"],
+    ...["0.0.1", "1.0.0", "Infinity.0.0", "0.0.0.0", "0.5.0.0"],
+  ];
+  const records = [
+    ...positions.map((position) => ({ phase: "running", tasks: { [position]: { run: 1 } } })),
+    ...[1e308, 2 ** 53, 2 ** 32, 0.5, -1].flatMap((run) => [
+      { phase: "running", tasks: { "0.0.0": { run } } },
+      { phase: "running", tasks: { "0.0.0": { run: 1, failures: run } } },
+      {
+        ...{ phase: "running" },
+        tasks: { "0.0.0": { run: 1, active: [{ run, agent: "agent-0", worker: "agent-0@1" }] } },
+      },
+    ]),
+  ];
+  const [entry] = simulation.entries;
+  const definition = { payload: "", steps: [createStep()], schedule: undefined };
+  records.forEach((record, position) => {
+    const job = createJobId(200 + position);
+    const key = formatJobKey({ kind: "progress", pool: POOL, job });
+    write(simulation, key, JSON.stringify(record));
+  });
+  await simulation.clock.advance(1_000);
+  if (entry !== undefined) {
+    await Promise.all(
+      records.map((_, position) =>
+        simulation.submit(entry, createJobId(200 + position), definition, WORK_MS),
+      ),
+    );
+  }
+  await assertRuns(t, simulation, SOUND_JOB);
+  const tasks = simulation.journal.map(({ task }) => task);
+  t.deepEqual(
+    tasks.filter((task) => !task.startsWith(SOUND_JOB)),
+    [],
+  );
+});
