Keep the registration of an agent when an odd one follows

What would be seen: a registration of another writer under an agent's name, with a port of 0 or 99999 or an address that no URL can hold, replaced the sound one. With each agent of a pool, none could be reached any more; the scheduler gave the pool up, and nothing ran.

Cause: the address of a registration was any text, and its names could be empty or of any length.

Change: the registration is read with the bounded fields: an address that can be called, and names. What is out of bounds is ignored as what is not JSON, and a key without a name is too. The agents of the simulation register an address with a port.

Evidence: the test failed before (its job stayed queued, 'none of the pool's agents responds to this entry'), and passes now: the agents stay registered and the job completes.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -196,16 +196,16 @@
     changes.forEach(({ key, value }) => {
       const name = key.slice(AGENT_PREFIX.length);
       const record = value === undefined ? undefined : parseAgentRecord(value);
-      if (record?.isOk() === true) {
+      if (record?.isOk() === true && name !== "") {
         this._agents.set(name, record.value);
         this._schedulers.forEach((scheduler) => {
           scheduler.setAgent(name, record.value);
         });
-      } else if (record?.isErr() === true) {
-        this._deps.log.error("A stored value cannot be parsed; it is ignored.", {
-          key,
-          ...record.error,
-        });
+      } else if (record !== undefined) {
+        const { detail: reason } = record.isErr()
+          ? record.error
+          : { detail: "the key has no name" };
+        this._deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason });
       }
     });
   }
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -5,8 +5,11 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import {
+  calledAddress,
   counter32,
   milliseconds,
+  name,
+  optionalName,
   signedMilliseconds,
   wholeNumber,
 } from "../../protocol/boundedFields.ts";
@@ -153,10 +156,10 @@
 }
 
 const AgentRecordSchema = z.object({
-  address: z.string(),
-  zone: z.string(),
-  pool: z.string(),
-  process: z.string(),
+  address: calledAddress,
+  zone: optionalName,
+  pool: name,
+  process: name,
 });
 
 /**
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -295,7 +295,7 @@
    * @param address - The address.
    */
   getAgent(address: string): SimulatedAgent | undefined {
-    return this.agents.find(({ name }) => name === address);
+    return this.agents.find(({ name }) => getAgentAddress(name) === address);
   }
 
   /**
@@ -379,7 +379,7 @@
     const key = getAgentKey(name);
     this._processCount += 1;
     const record = {
-      address: name,
+      address: getAgentAddress(name),
       zone: "zone-a",
       pool: POOL,
       process: `p-${this._processCount}`,
@@ -397,3 +397,8 @@
     });
   }
 }
+
+/** Returns the address at which an agent is registered. */
+function getAgentAddress(name: string): string {
+  return `${name}:7000`;
+}
--- a/tests/coordination/pool/oddEntryTests.ts
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -3,7 +3,7 @@
  * the others hold, and no entry process ends.
  */
 import test, { type ExecutionContext } from "ava";
-import { formatJobKey } from "../../../src/state/pool/PoolKeys.ts";
+import { formatJobKey, getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createJobRecord, createStep, POOL } from "../../support/poolFixtures.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 
@@ -126,3 +126,32 @@
     [],
   );
 });
+
+// Guards against a registration of another writer under the name of an agent that replaces the sound
+// one: the agent could not be reached any more, and its runs counted as lost.
+test("PoolCoordinator keeps the registration of an agent when an odd one follows", async (t) => {
+  const simulation = await createPool();
+  const sound = { address: "10.0.0.1:7000", zone: "zone-a", pool: POOL, process: "p-0" };
+  const addresses = [
+    ...["10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1", "", ":"],
+    ...["a b:80", "999.0.0.1:80", "user@10.0.0.1:80", "10.0.0.1:80/path", "10.0.0.1:1e3"],
+  ];
+  const values = [
+    ...addresses.map((address) => JSON.stringify({ ...sound, address })),
+    JSON.stringify({ ...sound, pool: 7 }),
+    JSON.stringify({ ...sound, process: "" }),
+    JSON.stringify({ ...sound, zone: "z".repeat(5_000) }),
+    ...[`{"address":${DEEP}}`, DEEP, "{", "", "\ufffd", `{"__proto__":${JSON.stringify(sound)}}`],
+  ];
+  const names = ["agent-0", "agent-1"];
+  for (const value of values) {
+    names.forEach((name) => {
+      write(simulation, getAgentKey(name), value);
+    });
+    await simulation.clock.advance(100);
+  }
+  write(simulation, getAgentKey(""), JSON.stringify(sound));
+  await assertRuns(t, simulation, SOUND_JOB);
+  const scheduler = simulation.entries[0]?.coordinator.schedulers.get(POOL);
+  t.is(scheduler?.state.workerTable.getAgent(""), undefined);
+});
