Follow the store on when the handling of an entry throws

What would be seen: one entry whose handling threw ended the process: the exception left the loop of the follower as a rejection that nobody handled. Every process that reads the entry ends likewise.

Cause: nothing stood between the callbacks of a follower and its loop, and the entries of a listing were handled in one go.

Change: entries are applied one by one, and what one throws is logged as of one that cannot be parsed. The follower catches what its callbacks throw otherwise, logs it and follows on. The reads that came before stay as they were: the bounds of the stored values keep such entries out in the first place.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -7,12 +7,14 @@
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
 import type { Store, StoreChange } from "../../protocol/platform/Store.ts";
+import { applyEach } from "../../state/pool/applyEach.ts";
 import { JobCatalog, type CatalogJob } from "../../state/pool/JobCatalog.ts";
 import { AGENT_PREFIX, getSchedulerKey, SCHEDULER_PREFIX } from "../../state/pool/PoolKeys.ts";
 import {
   parseAgentRecord,
   type AgentRecord,
   type PairInterference,
+  type RecordError,
   type SchedulerRecord,
 } from "../../state/pool/records.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
@@ -67,9 +69,7 @@
     this.catalog = new JobCatalog({
       onAccepted: (job) => this._schedulers.get(job.pool)?.addJob(job),
       onCancelled: (job) => this._schedulers.get(job.pool)?.cancelJob(job.id),
-      onUnreadable: (key, { detail }) => {
-        deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason: detail });
-      },
+      onUnreadable: this._logUnreadable.bind(this),
     });
     this._jobFollower = new JobFollower({
       ...this._followerDependencies,
@@ -159,9 +159,8 @@
           this._applySchedulerListing(entries, revision);
         },
         onChanges: (changes) => {
-          changes.forEach((change) => {
-            this._applySchedulerChange(change);
-          });
+          const apply = this._applySchedulerChange.bind(this);
+          applyEach(changes, apply, this._logUnreadable.bind(this));
         },
       }),
       new StoreFollower({
@@ -193,21 +192,25 @@
   }
 
   private _applyAgentChanges(changes: readonly StoreChange[]): void {
-    changes.forEach(({ key, value }) => {
-      const name = key.slice(AGENT_PREFIX.length);
-      const record = value === undefined ? undefined : parseAgentRecord(value);
-      if (record?.isOk() === true && name !== "") {
-        this._agents.set(name, record.value);
-        this._schedulers.forEach((scheduler) => {
-          scheduler.setAgent(name, record.value);
-        });
-      } else if (record !== undefined) {
-        const { detail: reason } = record.isErr()
-          ? record.error
-          : { detail: "the key has no name" };
-        this._deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason });
-      }
-    });
+    const logUnreadable = this._logUnreadable.bind(this);
+    applyEach(changes, this._applyAgentChange.bind(this), logUnreadable);
+  }
+
+  private _applyAgentChange({ key, value }: StoreChange): void {
+    const name = key.slice(AGENT_PREFIX.length);
+    const record = value === undefined ? undefined : parseAgentRecord(value);
+    if (record?.isOk() === true && name !== "") {
+      this._agents.set(name, record.value);
+      this._schedulers.forEach((scheduler) => {
+        scheduler.setAgent(name, record.value);
+      });
+    } else if (record !== undefined) {
+      this._logUnreadable(key, record.isErr() ? record.error : { detail: "the key has no name" });
+    }
+  }
+
+  private _logUnreadable(key: string, { detail: reason }: RecordError): void {
+    this._deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason });
   }
 
   private _createElection(pool: string): SchedulerElection {
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -190,7 +190,9 @@
     const { entries, revision } = listing.value;
     this._answeredAt = this._deps.clock.now();
     this._revision = revision;
-    this._deps.onListing(entries, revision);
+    this._deliver(() => {
+      this._deps.onListing(entries, revision);
+    });
     return undefined;
   }
 
@@ -215,7 +217,21 @@
       return;
     }
     this._revision = revision;
-    this._deps.onChanges(changes.filter((change) => change.revision > known));
+    this._deliver(() => {
+      this._deps.onChanges(changes.filter((change) => change.revision > known));
+    });
+  }
+
+  /** Calls a callback; what it throws must not end the process or the loop. */
+  private _deliver(call: () => void): void {
+    try {
+      call();
+    } catch (cause) {
+      this._deps.log.error("Keys of the store could not be handled; the next ones are.", {
+        ...{ prefix: this._deps.prefix, reason: String(cause) },
+        stack: cause instanceof Error ? cause.stack : undefined,
+      });
+    }
   }
 
   private _updateReachability(failure: StoreFailure | undefined): void {
--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -4,6 +4,7 @@
  * get their jobs from it.
  */
 import type { StoreChange } from "../../protocol/platform/Store.ts";
+import { applyEach } from "./applyEach.ts";
 import { parseJobKey, type JobKey } from "./PoolKeys.ts";
 import {
   parseJobRecord,
@@ -39,8 +40,8 @@
   /** Called when a cancellation becomes known. */
   readonly onCancelled: (job: CatalogJob) => void;
   /**
-   * Called for a key of an unknown kind or a value that cannot be parsed; both are ignored, except
-   * that the job of such progress is marked.
+   * Called for a key of an unknown kind, a value that cannot be parsed, and one whose handling
+   * failed; they are ignored, except that the job of progress that cannot be parsed is marked.
    */
   readonly onUnreadable: (key: string, reason: RecordError) => void;
 }
@@ -89,16 +90,7 @@
    * @param changes - Keys with their values; a deleted key has none.
    */
   apply(changes: readonly StoreChange[]): void {
-    changes.forEach((change) => {
-      const key = parseJobKey(change.key);
-      if (key === undefined) {
-        this._listener.onUnreadable(change.key, { detail: "the key has an unknown kind" });
-      } else if (change.value === undefined) {
-        this._remove(key);
-      } else {
-        this._applyKey(key, change.value, change);
-      }
-    });
+    applyEach(changes, this._applyChange.bind(this), this._listener.onUnreadable);
   }
 
   /**
@@ -145,6 +137,17 @@
     }
   }
 
+  private _applyChange(change: StoreChange): void {
+    const key = parseJobKey(change.key);
+    if (key === undefined) {
+      this._listener.onUnreadable(change.key, { detail: "the key has an unknown kind" });
+    } else if (change.value === undefined) {
+      this._remove(key);
+    } else {
+      this._applyKey(key, change.value, change);
+    }
+  }
+
   private _applyKey(key: JobKey, value: string, change: StoreChange): void {
     const job = this._jobs.get(key.job) ?? createCatalogJob(key);
     switch (key.kind) {
