Log what another writer left once, and at limited length

What would be seen: an odd value in the store was logged at each read of it (a query of its job, a new listing, the same value again), and an odd heartbeat each time it came, with a line for each wrong element: 20,000 of them made a line of more than a megabyte.

Cause: each reader logged what it rejected by itself, without remembering it.

Change: a log of rejections that remembers the last reason of each subject and cuts subject and reason.

--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -17,6 +17,7 @@
   type RecordError,
   type SchedulerRecord,
 } from "../../state/pool/records.ts";
+import { RejectionLog } from "../RejectionLog.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { ConfirmationGuard } from "./ConfirmationGuard.ts";
 import { JobFollower } from "./JobFollower.ts";
@@ -49,6 +50,7 @@
 export class PoolCoordinator {
   readonly catalog: JobCatalog;
   private readonly _deps: PoolCoordinatorDependencies;
+  private readonly _rejections: RejectionLog;
   private readonly _confirmationGuard: ConfirmationGuard;
   private readonly _jobFollower: JobFollower;
   private readonly _followers: readonly StoreFollower[];
@@ -65,6 +67,7 @@
    */
   constructor(deps: PoolCoordinatorDependencies) {
     this._deps = deps;
+    this._rejections = new RejectionLog(deps.log, "error");
     this._confirmationGuard = new ConfirmationGuard(deps.clock, deps.getTimeOfDay);
     this.catalog = new JobCatalog({
       onAccepted: (job) => this._schedulers.get(job.pool)?.addJob(job),
@@ -210,7 +213,7 @@
   }
 
   private _logUnreadable(key: string, { detail: reason }: RecordError): void {
-    this._deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason });
+    this._rejections.add("A stored value cannot be parsed; it is ignored.", "key", key, reason);
   }
 
   private _createElection(pool: string): SchedulerElection {
--- a/tests/coordination/pool/oddEntryTests.ts
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -5,7 +5,7 @@
 import test, { type ExecutionContext } from "ava";
 import { formatJobKey, getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createJobRecord, createStep, POOL } from "../../support/poolFixtures.ts";
-import { PoolSimulation } from "./PoolSimulation.ts";
+import { PoolSimulation, QUEUE } from "./PoolSimulation.ts";
 
 const WORK_MS = 500;
 /** Time within which a submitted job is done, in milliseconds. */
@@ -155,3 +155,22 @@
   const scheduler = simulation.entries[0]?.coordinator.schedulers.get(POOL);
   t.is(scheduler?.state.workerTable.getAgent(""), undefined);
 });
+
+// Guards against a log that fills up, as an odd entry was logged at each read of it.
+test("PoolCoordinator logs an odd entry once, however often it is read", async (t) => {
+  const simulation = await createPool();
+  const [entry] = simulation.entries;
+  const [job, agent] = [getJobKey(createJobId(300)), getAgentKey("agent-9")];
+  const labels = Array.from({ length: 20_000 }, () => 1);
+  write(simulation, job, JSON.stringify({ steps: labels }));
+  write(simulation, agent, "{");
+  await simulation.clock.advance(1_000);
+  for (let read = 0; read < 5; read += 1) {
+    write(simulation, agent, "{");
+    await entry?.submissions.getPhase(QUEUE, createJobId(300), simulation.clock.now() + 1_000);
+    await simulation.clock.advance(1_000);
+  }
+  assertLoggedOnce(t, simulation, [job, agent]);
+  const longest = simulation.log.lines.map(({ fields }) => JSON.stringify(fields).length);
+  t.true(Math.max(...longest) < 2_000, `${Math.max(...longest)} characters`);
+});
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -153,3 +153,16 @@
   t.is(await put("i-1", createHeartbeat({ capacity, seq_no: Number.MAX_SAFE_INTEGER })), 200);
   t.is((await readReport(agent)).worker?.processorsMilli, BigInt(Number.MAX_SAFE_INTEGER));
 });
+
+// Guards against a log that fills up with the heartbeats of another writer.
+test("HeartbeatServer logs an odd heartbeat once, in a line of limited length", async (t) => {
+  const { log, put } = await createFixture(t);
+  const odd = createHeartbeat({ labels: Array.from({ length: 5_000 }, () => 1) });
+  const elsewhere = createHeartbeat({ address: "10.0.0.8:8080" });
+  for (const body of [odd, odd, odd, elsewhere, elsewhere, elsewhere, "{", "{", "{"]) {
+    t.is(await put("i-9", body), 400);
+  }
+  t.is(log.lines.length, 3, log.format().slice(0, 2_000));
+  const longest = log.lines.map(({ fields }) => JSON.stringify(fields).length);
+  t.true(Math.max(...longest) < 2_000, `${Math.max(...longest)} characters`);
+});
