Reject calls and replies of agents with numbers that cannot be right

What would be seen: after one call to an agent's control address with an epoch of 2^64-1, the agent took each scheduler for deposed for good. An end of a lease that is NaN or infinite stayed the end of the lease, as the later of it and another one, and was sent to the worker as null. A scheduler believed a clock that is NaN in a reply.

Cause: messages carry more than their fields mean: 64 bits where a number must be exact, and doubles that are no times.

Change: the readers of these messages reject them, so that a call gets an error and a reply counts as none. The wait that a call requests is cut to the longest one that workers accept.

Evidence: both tests failed before and pass now.

--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -2,6 +2,7 @@
  * Converts between the messages of the PoolAgent service and the types of the scheduler.
  */
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
 import type {
   AgentReport,
   FormerEnds,
@@ -33,6 +34,9 @@
   WorkerCallFailure,
 } from "../../protocol/platform/PoolWorker.ts";
 
+/** Longest wait that a call may request, in milliseconds; workers accept no longer one. */
+const MAX_WAIT_MS = 2_000;
+
 /** Writes an observe call into its request. */
 export function writeObserveRequest(call: ObserveCall): ObserveRequest {
   const { leaseUntilMs, epoch, knownProcess, ...others } = call;
@@ -46,10 +50,12 @@
 
 /** Reads an observe call from its request. */
 export function readObserveRequest(req: ObserveRequest): ObserveCall {
-  const { worker, ackedEnd, knownVersion, knownAgentIncarnation: knownProcess, waitMs } = req;
-  const leaseUntilMs = req.leaseUntilMs > 0 ? req.leaseUntilMs : undefined;
-  const known = { knownVersion, knownProcess };
-  return { epoch: Number(req.epoch), worker, leaseUntilMs, ackedEnd, ...known, waitMs };
+  const { worker, ackedEnd, knownVersion, knownAgentIncarnation: knownProcess } = req;
+  const epoch = readWholeNumber("epoch", req.epoch);
+  const requestedUntilMs = readFinite("lease_until_ms", req.leaseUntilMs);
+  const leaseUntilMs = requestedUntilMs > 0 ? requestedUntilMs : undefined;
+  const waitMs = Math.min(req.waitMs, MAX_WAIT_MS);
+  return { epoch, worker, leaseUntilMs, ackedEnd, knownVersion, knownProcess, waitMs };
 }
 
 /** Writes the report of an agent into the reply to an observe call. */
@@ -91,9 +97,11 @@
 
 /** Reads an order call from its request. */
 export function readOrderRequest(req: OrderRequest): OrderCall {
-  const { worker, leaseUntilMs, starts, stops, paces } = req;
+  const { worker, starts, stops, paces } = req;
+  const epoch = readWholeNumber("epoch", req.epoch);
+  const leaseUntilMs = readFinite("lease_until_ms", req.leaseUntilMs);
   const capacity = readResources(req);
-  return { epoch: Number(req.epoch), worker, leaseUntilMs, capacity, starts, stops, paces };
+  return { epoch, worker, leaseUntilMs, capacity, starts, stops, paces };
 }
 
 /** Writes the results of orders into the reply to an order call. */
@@ -138,8 +146,8 @@
 
 function readResources(fields: ResourceFields): Resources {
   return {
-    processorsMilli: Number(fields.processorsMilli),
-    memoryBytes: Number(fields.memoryBytes),
+    processorsMilli: readWholeNumber("processors_milli", fields.processorsMilli),
+    memoryBytes: readWholeNumber("memory_bytes", fields.memoryBytes),
     accelerators: fields.accelerators,
   };
 }
@@ -167,18 +175,22 @@
 }
 
 function readWorker(state: PoolWorkerState): WorkerReport {
-  const { worker, pool, zone, rack, draining, drainRemainingMs, labels } = state;
-  const { clockMs, readingAgeMs, callNumber, answers, running, mayLackEnds } = state;
+  const { worker, pool, zone, rack, draining, labels } = state;
+  const { callNumber, answers, running, mayLackEnds } = state;
+  running.forEach(({ percent, measure }) => {
+    readFinite("percent", percent);
+    readFinite("measure", measure);
+  });
   return {
     worker,
     pool,
     zone,
     rack,
     draining,
-    drainRemainingMs,
+    drainRemainingMs: readFinite("drain_remaining_ms", state.drainRemainingMs),
     labels,
-    clockMs,
-    readingAgeMs,
+    clockMs: readFinite("clock_ms", state.clockMs),
+    readingAgeMs: readFinite("reading_age_ms", state.readingAgeMs),
     callNumber,
     answers,
     running,
@@ -188,6 +200,22 @@
   };
 }
 
+/** Reads a number that must be exact; throws if it is not. */
+function readWholeNumber(field: string, value: bigint): number {
+  if (value > BigInt(Number.MAX_SAFE_INTEGER)) {
+    throw new ConnectError(`${field} is too large: ${value}`, Code.InvalidArgument);
+  }
+  return Number(value);
+}
+
+/** Reads a time or another number with fractions; throws if nothing can be computed with it. */
+function readFinite(field: string, value: number): number {
+  if (!(Math.abs(value) <= Number.MAX_SAFE_INTEGER)) {
+    throw new ConnectError(`${field} is out of bounds: ${value}`, Code.InvalidArgument);
+  }
+  return value;
+}
+
 function readFormerEnds({ worker, ended }: PoolFormerEnds): FormerEnds {
   return { worker, ended: ended.map(readEnded) };
 }
--- a/tests/transport/pool/agentMessagesTests.ts
+++ b/tests/transport/pool/agentMessagesTests.ts
@@ -1,11 +1,18 @@
 /**
  * Tests of the messages between schedulers and agents.
  */
+import { create } from "@bufbuild/protobuf";
 import test from "ava";
 import type { AgentReport, ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
+import {
+  ObserveReplySchema,
+  ObserveRequestSchema,
+  OrderRequestSchema,
+} from "../../../src/protocol/generated/fireflylb/v1/pool_pb.ts";
 import {
   readObserveReply,
   readObserveRequest,
+  readOrderRequest,
   writeObserveReply,
   writeObserveRequest,
 } from "../../../src/transport/pool/agentMessages.ts";
@@ -41,3 +48,56 @@
   const report = { process: "p", version: 3, worker, formerEnds: [], crashes: [] };
   t.like(readObserveReply(writeObserveReply(report)), report);
 });
+
+/** Numbers that a message can carry and that cannot be a time. */
+const ODD_TIMES = [NaN, Infinity, -Infinity, 1e308];
+
+// Guards against one call with an epoch that no store gives, after which the agent took each scheduler
+// for deposed, and against a lease whose end is no time, which the worker refused from then on.
+test("readObserveRequest and readOrderRequest reject numbers that cannot be right", (t) => {
+  const epochs = [2n ** 64n - 1n, 2n ** 53n];
+  epochs.forEach((epoch) => {
+    t.throws(
+      () => readObserveRequest(create(ObserveRequestSchema, { epoch })),
+      undefined,
+      `${epoch}`,
+    );
+    t.throws(() => readOrderRequest(create(OrderRequestSchema, { epoch })), undefined, `${epoch}`);
+  });
+  ODD_TIMES.forEach((leaseUntilMs) => {
+    const fields = { epoch: 1n, leaseUntilMs };
+    t.throws(
+      () => readObserveRequest(create(ObserveRequestSchema, fields)),
+      undefined,
+      `${leaseUntilMs}`,
+    );
+    t.throws(
+      () => readOrderRequest(create(OrderRequestSchema, fields)),
+      undefined,
+      `${leaseUntilMs}`,
+    );
+  });
+  const { waitMs } = readObserveRequest(create(ObserveRequestSchema, { waitMs: 2 ** 32 - 1 }));
+  t.true(waitMs <= 2_000, `${waitMs} ms`);
+});
+
+// Guards against a report with a clock or a capacity that no worker has, which a scheduler believed.
+test("readObserveReply rejects numbers that cannot be right", (t) => {
+  const odd = [
+    ...ODD_TIMES.flatMap((value) => [
+      { clockMs: value },
+      { drainRemainingMs: value },
+      { readingAgeMs: value },
+      { running: [{ task: "1.0.0.1", run: 1, checkpoint: "", percent: value, measure: 0 }] },
+    ]),
+    { processorsMilli: 2n ** 64n - 1n },
+    { memoryBytes: 2n ** 64n - 1n },
+  ];
+  odd.forEach((fields) => {
+    const reply = create(ObserveReplySchema, {
+      version: 1,
+      worker: { worker: "i-1@1", ...fields },
+    });
+    t.throws(() => readObserveReply(reply), undefined, String(Object.keys(fields)));
+  });
+});
