Serve a client that waits for longer than a timer can

What callers would see: a request with a Deadline-Ms of 2^31 and more is answered within milliseconds that there was no response in time, while its write goes on.

Cause: a timer of Node that is set for longer than 2^31-1 ms fires at once.

Evidence: the test failed before (the wait ended at once), and passes now.

--- a/src/transport/platform/SystemClock.ts
+++ b/src/transport/platform/SystemClock.ts
@@ -3,6 +3,9 @@
  */
 import { Clock, type Timer } from "../../protocol/platform/Clock.ts";
 
+/** Longest delay of a timer of Node; one that is longer would fire at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /** Monotonic clock and timers of Node. */
 export class SystemClock extends Clock {
   override now(): number {
@@ -10,7 +13,7 @@
   }
 
   override after(delayMs: number, callback: () => void): Timer {
-    const handle = setTimeout(callback, delayMs);
+    const handle = setTimeout(callback, Math.min(delayMs, MAX_DELAY_MS));
     return {
       cancel: () => {
         clearTimeout(handle);
--- a/tests/platform/clientServerTests.ts
+++ b/tests/platform/clientServerTests.ts
@@ -12,6 +12,7 @@
   type PhaseOutcome,
 } from "../../src/coordination/pool/SubmissionService.ts";
 import type { QueueConfig } from "../../src/protocol/pool/QueueConfig.ts";
+import { waitUntil } from "../../src/protocol/platform/waitUntil.ts";
 import { JobCatalog } from "../../src/state/pool/JobCatalog.ts";
 import { SystemClock } from "../../src/transport/platform/SystemClock.ts";
 import { MemoryStore } from "../../standins/store/MemoryStore.ts";
@@ -77,3 +78,21 @@
   t.true(deadline >= sentAt + 50);
   t.true(deadline <= clock.now() + 50);
 });
+
+// Guards against a client that is told at once that there is no response in time, because it would
+// wait for longer than a timer can.
+test("ClientServer serves a client that waits for longer than a timer can", async (t) => {
+  const clock = new SystemClock();
+  const never = Promise.withResolvers<string>();
+  for (const waitMs of [1e308, 2 ** 53, 2 ** 31, 2 ** 32 + 1]) {
+    const deadline = await getDeadline(t, waitMs, clock);
+    const waited = waitUntil(clock, deadline, never.promise);
+    const served = waitUntil(
+      clock,
+      clock.now() + 50,
+      clock.sleep(20).then(() => "served"),
+    );
+    t.is(await Promise.race([waited, served]), "served", String(waitMs));
+  }
+  never.resolve("ended");
+});
