Accept no job of more steps and tasks than a scheduler can hold

What would be seen: a submission of 256 KB names up to 12,000 steps of 10,000 tasks each. A scheduler creates all of them at once, so that such a job ends each entry in turn for want of memory.

Cause: the tasks of a step were bounded, but neither the number of steps nor all tasks together. A request with a list of 20,000 wrong elements was answered with a text for each.

Change: a job has at most 1,000 steps and 100,000 tasks in one occurrence, as submitted and as stored. Readers describe the first five errors that they find and say how many more there are.

Evidence: the tests failed before (both jobs were accepted; the text had more than 2,000 characters), and pass now; the end of a process was not played. The largest allowed job is accepted.

--- a/src/protocol/boundedFields.ts
+++ b/src/protocol/boundedFields.ts
@@ -9,6 +9,9 @@
 const MAX_UINT32 = 2 ** 32 - 1;
 /** Largest number from which counting on for years stays within 32 bits. */
 const MAX_COUNTED = 2 ** 31;
+/** Maximum number of errors that are described, and of characters of their description. */
+const MAX_DESCRIBED_ISSUES = 5;
+const MAX_DESCRIPTION_LENGTH = 1_000;
 /** Maximum length of a name or id. */
 const MAX_NAME_LENGTH = 256;
 
@@ -50,6 +53,18 @@
   error: "expected host:port with a port from 1 to 65535",
 });
 
+/**
+ * Describes the first of the errors that were found, with the names of the fields; a value of which
+ * each element is wrong has as many errors.
+ * @param error - The errors.
+ */
+export function describeIssues({ issues }: z.ZodError): string {
+  const text = z.prettifyError(new z.ZodError(issues.slice(0, MAX_DESCRIBED_ISSUES)));
+  const omitted = issues.length - MAX_DESCRIBED_ISSUES;
+  const end = omitted > 0 ? ` (and ${omitted} more)` : "";
+  return `${text.slice(0, MAX_DESCRIPTION_LENGTH)}${end}`;
+}
+
 function isCallable(text: string): boolean {
   return isAddress(text) && !/:0+$/.test(text) && URL.canParse(`http://${text}`);
 }
--- a/src/protocol/pool/JobDefinition.ts
+++ b/src/protocol/pool/JobDefinition.ts
@@ -14,6 +14,12 @@
 /** Maximum number of tasks of a step. */
 export const MAX_STEP_TASKS = 10_000;
 
+/** Maximum number of steps of a job; each scheduling cycle considers all of them. */
+export const MAX_STEPS = 1_000;
+
+/** Maximum number of tasks of all steps of a job together; a scheduler holds all of them. */
+export const MAX_JOB_TASKS = 100_000;
+
 /** A step: tasks with the same definition that may run at the same time. */
 export interface StepDefinition {
   readonly taskCount: number;
@@ -67,3 +73,11 @@
   readonly steps: readonly StepDefinition[];
   readonly schedule: JobSchedule | undefined;
 }
+
+/**
+ * Counts the tasks of all steps, in one occurrence.
+ * @param steps - The steps.
+ */
+export function countTasks(steps: readonly Pick<StepDefinition, "taskCount">[]): number {
+  return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+}
--- a/src/state/pool/JobState.ts
+++ b/src/state/pool/JobState.ts
@@ -2,7 +2,7 @@
  * State of one job in the scheduler of its pool: its tasks by occurrence and step, the steps that
  * are ready to run, and the phase that its submitter sees.
  */
-import type { StepDefinition } from "../../protocol/pool/JobDefinition.ts";
+import { countTasks, type StepDefinition } from "../../protocol/pool/JobDefinition.ts";
 import { formatTaskPosition, type TaskPosition } from "../../protocol/pool/TaskId.ts";
 import type { JobPhase, JobRecord, ProgressRecord, TaskRecord } from "./records.ts";
 import { TaskState } from "./TaskState.ts";
@@ -196,7 +196,7 @@
 
   /** Gets the number of occurrences that may be opened now. */
   private _getOpenableCount(): number {
-    const occurrenceTasks = countOccurrenceTasks(this.record.steps);
+    const occurrenceTasks = countTasks(this.record.steps);
     const unfinishedTasks = [...this.tasks].filter((task) => !task.isDone).length;
     const room = Math.floor((MAX_UNFINISHED_TASKS - unfinishedTasks) / occurrenceTasks);
     const portion = Math.max(1, Math.floor(MAX_OPENED_TASKS / occurrenceTasks));
@@ -244,15 +244,11 @@
   });
   const occurrences =
     positions.reduce((last, [occurrence = 0]) => Math.max(last, occurrence), 0) + 1;
-  const occurrenceTasks = countOccurrenceTasks(record.steps);
+  const occurrenceTasks = countTasks(record.steps);
   const maxUnfinishedTasks = Math.max(MAX_UNFINISHED_TASKS, occurrenceTasks);
   return isKnown && occurrences * occurrenceTasks <= positions.length + maxUnfinishedTasks;
 }
 
-function countOccurrenceTasks(steps: readonly StepDefinition[]): number {
-  return steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
-}
-
 /** Returns whether all tasks of a step are done. */
 function isStepDone(state: StepState): boolean {
   return state.tasks.every((task) => task.isDone);
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import {
+  describeIssues,
   calledAddress,
   counter32,
   milliseconds,
@@ -13,7 +14,13 @@
   signedMilliseconds,
   wholeNumber,
 } from "../../protocol/boundedFields.ts";
-import { MAX_STEP_TASKS, type JobDefinition } from "../../protocol/pool/JobDefinition.ts";
+import {
+  countTasks,
+  MAX_JOB_TASKS,
+  MAX_STEP_TASKS,
+  MAX_STEPS,
+  type JobDefinition,
+} from "../../protocol/pool/JobDefinition.ts";
 import type { CrashRecord } from "./CrashHistory.ts";
 
 const ResourcesSchema = z.object({
@@ -52,6 +59,10 @@
   steps: z
     .array(StepSchema)
     .min(1)
+    .max(MAX_STEPS)
+    .refine((steps) => countTasks(steps) <= MAX_JOB_TASKS, {
+      error: `more than ${MAX_JOB_TASKS} tasks`,
+    })
     .refine((steps) => steps.every(({ after }, index) => after.every((step) => step < index)), {
       error: "after: refers to a step that is not an earlier one",
     }),
@@ -236,7 +247,7 @@
 function parseRecord<T>(value: string, schema: z.ZodType<T>): Result<T, RecordError> {
   try {
     const parsed = schema.safeParse(JSON.parse(value));
-    return parsed.success ? ok(parsed.data) : err({ detail: z.prettifyError(parsed.error) });
+    return parsed.success ? ok(parsed.data) : err({ detail: describeIssues(parsed.error) });
   } catch (cause) {
     return err({ detail: cause instanceof Error ? cause.message : String(cause) });
   }
--- a/tests/coordination/pool/oddEntryTests.ts
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -66,6 +66,7 @@
     JSON.stringify({ ...sound, schedule: { ...schedule, intervalMs: -1 } }),
     JSON.stringify({ ...sound, steps: [createStep({ after: [0] })] }),
     JSON.stringify({ ...sound, steps: [createStep({ after: [1e308] })] }),
+    JSON.stringify({ ...sound, steps: Array.from({ length: 5_000 }, () => createStep()) }),
     JSON.stringify({ ...sound, priority: "1" }),
     `{"queue":${DEEP}}`,
     `{"__proto__":${JSON.stringify(sound)}}`,
--- a/tests/platform/submissionTests.ts
+++ b/tests/platform/submissionTests.ts
@@ -45,3 +45,30 @@
     intervalMs: 500,
   });
 });
+
+// Guards against a submission within the size limit whose tasks do not fit into memory, or whose steps
+// keep the scheduler busy for seconds: it would end each entry in turn.
+test("readSubmission rejects more steps and tasks than a scheduler can hold", (t) => {
+  const bodies = [
+    { spec: "", steps: Array.from({ length: 5_000 }, () => STEP) },
+    { spec: "", steps: Array.from({ length: 11 }, () => ({ task_count: 10_000 })) },
+  ];
+  bodies.forEach((body) => {
+    const error = readSubmission(body).match(
+      () => "accepted",
+      (detail) => detail,
+    );
+    t.true(error.includes("steps"), error);
+  });
+  const steps = Array.from({ length: 10 }, () => ({ task_count: 10_000 }));
+  t.true(readSubmission({ spec: "", steps }).isOk());
+});
+
+// Guards against a response of a megabyte to a request in which each element of a list is wrong.
+test("readSubmission describes many errors at limited length", (t) => {
+  const body = {
+    spec: "",
+    steps: [{ task_count: 1, after: Array.from({ length: 20_000 }, () => "x") }],
+  };
+  t.true(readSubmission(body)._unsafeUnwrapErr().length < 2_000);
+});
