--- a/src/coordination/pool/PoolCoordinator.ts
+++ b/src/coordination/pool/PoolCoordinator.ts
@@ -7,14 +7,17 @@
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { RandomSource } from "../../protocol/platform/RandomSource.ts";
 import type { Store, StoreChange } from "../../protocol/platform/Store.ts";
+import { applyEach } from "../../state/pool/applyEach.ts";
 import { JobCatalog, type CatalogJob } from "../../state/pool/JobCatalog.ts";
 import { AGENT_PREFIX, getSchedulerKey, SCHEDULER_PREFIX } from "../../state/pool/PoolKeys.ts";
 import {
   parseAgentRecord,
   type AgentRecord,
   type PairInterference,
+  type RecordError,
   type SchedulerRecord,
 } from "../../state/pool/records.ts";
+import { RejectionLog } from "../RejectionLog.ts";
 import type { AgentChannel } from "./AgentChannel.ts";
 import { ConfirmationGuard } from "./ConfirmationGuard.ts";
 import { JobFollower } from "./JobFollower.ts";
@@ -47,6 +50,7 @@
 export class PoolCoordinator {
   readonly catalog: JobCatalog;
   private readonly _deps: PoolCoordinatorDependencies;
+  private readonly _rejections: RejectionLog;
   private readonly _confirmationGuard: ConfirmationGuard;
   private readonly _jobFollower: JobFollower;
   private readonly _followers: readonly StoreFollower[];
@@ -63,13 +67,12 @@
    */
   constructor(deps: PoolCoordinatorDependencies) {
     this._deps = deps;
+    this._rejections = new RejectionLog(deps.log, "error");
     this._confirmationGuard = new ConfirmationGuard(deps.clock, deps.getTimeOfDay);
     this.catalog = new JobCatalog({
       onAccepted: (job) => this._schedulers.get(job.pool)?.addJob(job),
       onCancelled: (job) => this._schedulers.get(job.pool)?.cancelJob(job.id),
-      onUnreadable: (key, { detail }) => {
-        deps.log.error("A stored value cannot be parsed; it is ignored.", { key, reason: detail });
-      },
+      onUnreadable: this._logUnreadable.bind(this),
     });
     this._jobFollower = new JobFollower({
       ...this._followerDependencies,
@@ -159,9 +162,8 @@
           this._applySchedulerListing(entries, revision);
         },
         onChanges: (changes) => {
-          changes.forEach((change) => {
-            this._applySchedulerChange(change);
-          });
+          const apply = this._applySchedulerChange.bind(this);
+          applyEach(changes, apply, this._logUnreadable.bind(this));
         },
       }),
       new StoreFollower({
@@ -193,21 +195,25 @@
   }
 
   private _applyAgentChanges(changes: readonly StoreChange[]): void {
-    changes.forEach(({ key, value }) => {
-      const name = key.slice(AGENT_PREFIX.length);
-      const record = value === undefined ? undefined : parseAgentRecord(value);
-      if (record?.isOk() === true) {
-        this._agents.set(name, record.value);
-        this._schedulers.forEach((scheduler) => {
-          scheduler.setAgent(name, record.value);
-        });
-      } else if (record?.isErr() === true) {
-        this._deps.log.error("A stored value cannot be parsed; it is ignored.", {
-          key,
-          ...record.error,
-        });
-      }
-    });
+    const logUnreadable = this._logUnreadable.bind(this);
+    applyEach(changes, this._applyAgentChange.bind(this), logUnreadable);
+  }
+
+  private _applyAgentChange({ key, value }: StoreChange): void {
+    const name = key.slice(AGENT_PREFIX.length);
+    const record = value === undefined ? undefined : parseAgentRecord(value);
+    if (record?.isOk() === true && name !== "") {
+      this._agents.set(name, record.value);
+      this._schedulers.forEach((scheduler) => {
+        scheduler.setAgent(name, record.value);
+      });
+    } else if (record !== undefined) {
+      this._logUnreadable(key, record.isErr() ? record.error : { detail: "the key has no name" });
+    }
+  }
+
+  private _logUnreadable(key: string, { detail: reason }: RecordError): void {
+    this._rejections.add("A stored value cannot be parsed; it is ignored.", "key", key, reason);
   }
 
   private _createElection(pool: string): SchedulerElection {
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -4,32 +4,48 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
-import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
+import {
+  describeIssues,
+  calledAddress,
+  counter32,
+  milliseconds,
+  name,
+  optionalName,
+  signedMilliseconds,
+  wholeNumber,
+} from "../../protocol/boundedFields.ts";
+import {
+  countTasks,
+  MAX_JOB_TASKS,
+  MAX_STEP_TASKS,
+  MAX_STEPS,
+  type JobDefinition,
+} from "../../protocol/pool/JobDefinition.ts";
 import type { CrashRecord } from "./CrashHistory.ts";
 
 const ResourcesSchema = z.object({
-  processorsMilli: z.number(),
-  memoryBytes: z.number(),
-  accelerators: z.number(),
+  processorsMilli: wholeNumber,
+  memoryBytes: wholeNumber,
+  accelerators: wholeNumber,
 });
 
 const StepSchema = z.object({
-  taskCount: z.number(),
+  taskCount: wholeNumber.min(1).max(MAX_STEP_TASKS),
   resources: ResourcesSchema,
-  estimateMs: z.number(),
-  after: z.array(z.number()),
+  estimateMs: milliseconds,
+  after: z.array(wholeNumber),
   checkpoints: z.boolean(),
   gang: z.boolean(),
   sameRack: z.boolean(),
   requiredLabel: z.string().optional(),
   dataRack: z.string().optional(),
-  maxPerWorker: z.number().optional(),
+  maxPerWorker: wholeNumber.optional(),
   speculative: z.boolean(),
   longRunning: z.boolean(),
   image: z.string(),
-  latencyTargetMs: z.number().optional(),
+  latencyTargetMs: milliseconds.optional(),
   usesIdleProcessors: z.boolean(),
-  maxUnavailable: z.number().optional(),
+  maxUnavailable: wholeNumber.optional(),
 });
 
 const JobRecordSchema = z.object({
@@ -38,11 +54,24 @@
   maxAttempts: z.number(),
   stretch: z.number(),
   latencyTargetMs: z.number(),
-  acceptedAtMs: z.number(),
+  acceptedAtMs: milliseconds,
   payload: z.string(),
-  steps: z.array(StepSchema),
+  steps: z
+    .array(StepSchema)
+    .min(1)
+    .max(MAX_STEPS)
+    .refine((steps) => countTasks(steps) <= MAX_JOB_TASKS, {
+      error: `more than ${MAX_JOB_TASKS} tasks`,
+    })
+    .refine((steps) => steps.every(({ after }, index) => after.every((step) => step < index)), {
+      error: "after: refers to a step that is not an earlier one",
+    }),
   schedule: z
-    .object({ firstRunAtMs: z.number(), intervalMs: z.number(), runCount: z.number() })
+    .object({
+      firstRunAtMs: signedMilliseconds,
+      intervalMs: milliseconds,
+      runCount: wholeNumber.min(1),
+    })
     .optional(),
 });
 
@@ -94,23 +123,26 @@
   readonly tasks: Readonly<Record<string, TaskRecord>>;
 }
 
+/** Format of the position of a task: occurrence, step and index. */
+const TASK_POSITION = /^\d{1,15}\.\d{1,5}\.\d{1,5}$/;
+
 const ProgressRecordSchema = z.object({
   phase: z.enum(["queued", "running", "completed", "failed", "cancelled"]),
   tasks: z.record(
-    z.string(),
+    z.string().regex(TASK_POSITION),
     z.object({
-      run: z.number().optional(),
+      run: counter32.optional(),
       done: z.boolean().optional(),
-      failures: z.number().optional(),
-      crashes: z.number().optional(),
-      crashedAfterMs: z.number().optional(),
-      earlierAfterMs: z.number().optional(),
-      crashedRun: z.number().optional(),
+      failures: counter32.optional(),
+      crashes: counter32.optional(),
+      crashedAfterMs: milliseconds.optional(),
+      earlierAfterMs: milliseconds.optional(),
+      crashedRun: counter32.optional(),
       checkpoint: z.string().optional(),
       active: z
-        .array(z.object({ run: z.number(), agent: z.string(), worker: z.string() }))
+        .array(z.object({ run: counter32, agent: z.string(), worker: z.string() }))
         .optional(),
-      givenUp: z.array(z.object({ run: z.number(), worker: z.string() })).optional(),
+      givenUp: z.array(z.object({ run: counter32, worker: z.string() })).optional(),
     }),
   ),
 });
@@ -135,10 +167,10 @@
 }
 
 const AgentRecordSchema = z.object({
-  address: z.string(),
-  zone: z.string(),
-  pool: z.string(),
-  process: z.string(),
+  address: calledAddress,
+  zone: optionalName,
+  pool: name,
+  process: name,
 });
 
 /**
@@ -215,7 +247,7 @@
 function parseRecord<T>(value: string, schema: z.ZodType<T>): Result<T, RecordError> {
   try {
     const parsed = schema.safeParse(JSON.parse(value));
-    return parsed.success ? ok(parsed.data) : err({ detail: z.prettifyError(parsed.error) });
+    return parsed.success ? ok(parsed.data) : err({ detail: describeIssues(parsed.error) });
   } catch (cause) {
     return err({ detail: cause instanceof Error ? cause.message : String(cause) });
   }
