--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -80,6 +80,11 @@
     return this._isDead;
   }
 
+  /** Its id. */
+  get id(): string {
+    return this._deps.id;
+  }
+
   /** Capacity that the worker has now. */
   get capacity(): Resources {
     return this._capacity;
@@ -299,7 +304,9 @@
   }
 
   private _extendLease(leaseUntilMs: number | undefined): void {
-    this._leaseUntilMs = Math.max(this._leaseUntilMs, leaseUntilMs ?? 0);
+    const { maxLeaseMs = Number.POSITIVE_INFINITY } = this._deps;
+    const untilMs = Math.min(leaseUntilMs ?? 0, this._clockMs + maxLeaseMs);
+    this._leaseUntilMs = Math.max(this._leaseUntilMs, untilMs);
   }
 
   private async _isUnresponsive(worker: string): Promise<boolean> {
--- a/standins/pool/PoolWorkerModelDependencies.ts
+++ b/standins/pool/PoolWorkerModelDependencies.ts
@@ -41,6 +41,8 @@
   readonly capacity: Resources;
   /** Rate of the worker's own clock; 1 is real time. */
   readonly clockRate: number;
+  /** Longest lease that is accepted, in milliseconds; undefined for any. */
+  readonly maxLeaseMs?: number;
   readonly getRequirements: (task: string) => TaskRequirements;
   /** Journal to which every run is appended. */
   readonly journal: JournalRun[];
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -14,7 +14,7 @@
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import type { QueueConfig } from "../../../src/protocol/pool/QueueConfig.ts";
-import { getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
+import type { PoolWorker, WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { StoreModel } from "../../../standins/store/StoreModel.ts";
 import { PoolWorkerAddress } from "../../../standins/pool/PoolWorkerAddress.ts";
@@ -27,6 +27,8 @@
 import { SeededRandom } from "../../support/SeededRandom.ts";
 import type { SharedLink } from "../../support/SharedLink.ts";
 import { findOverCapacity, findOverlaps, findStartsAfterEnd } from "./runViolations.ts";
+import type { EntryConnections, EntryFaults } from "./EntryConnections.ts";
+import { registerAgent } from "./registerAgent.ts";
 import { SimulatedChannel } from "./SimulatedChannel.ts";
 
 const HEARTBEAT_MS = 1_000;
@@ -104,6 +106,8 @@
   workerRestartMs = 3_000;
   /** Whether the incarnation after a crash under a task has an id of its own. */
   changesWorkerIds = false;
+  /** Longest lease that the workers accept, in milliseconds. */
+  maxLeaseMs = Number.POSITIVE_INFINITY;
   private readonly _random: SeededRandom;
   private readonly _requirements = new Map<string, TaskRequirements>();
   private readonly _timings: PoolTimings;
@@ -122,34 +126,27 @@
   /**
    * Adds an entry.
    * @param name - Its name.
-   * @param store - Its connection to the store.
+   * @param ownStore - Its connection to the store; a new one by default.
    */
-  addEntry(
-    name: string,
-    store: MemoryStore = new MemoryStore(this.clock, this.storeModel),
-  ): SimulatedEntry {
+  addEntry(name: string, ownStore?: MemoryStore): SimulatedEntry {
     this._processCount += 1;
     const getTimeOfDay = (): number => this.clock.now();
-    const entry: { isDisconnected: boolean; isStopped: boolean } = {
-      isDisconnected: false,
-      isStopped: false,
-    };
     const cutAgents = new Set<string>();
-    const { clock, log } = this;
+    const entry: EntryFaults = { isDisconnected: false, isStopped: false, cutAgents };
+    const { log } = this;
+    const connections = this.createConnections(name, entry);
+    const { clock, channel } = connections;
+    const store = ownStore ?? connections.store;
     const silenceMonitor = new StoreSilenceMonitor({ store, clock, log });
     const monitored = new MonitoredStore(store, silenceMonitor);
     const coordinator = new PoolCoordinator({
       identity: { entry: name, process: `${name}-${this._processCount}` },
       store: monitored,
-      clock: this.clock,
+      clock,
       random: this._random,
       log: this.log.child(name),
       timings: this._timings,
-      channel: new SimulatedChannel(
-        this,
-        TIMINGS.agentTimeoutMs,
-        (agent) => entry.isDisconnected || entry.isStopped || cutAgents.has(agent),
-      ),
+      channel,
       getTimeOfDay,
     });
     const submissions = new SubmissionService({
@@ -160,7 +157,7 @@
       catalog: coordinator.catalog,
       getTimeOfDay,
     });
-    const added = Object.assign(entry, { name, store, coordinator, submissions, cutAgents });
+    const added = Object.assign(entry, { name, store, coordinator, submissions });
     this.entries.push(added);
     coordinator.start();
     coordinator.setPools([POOL]);
@@ -189,11 +186,11 @@
     const address = new PoolWorkerAddress(worker);
     const agent = {
       ...{ name, worker, address },
-      workerAgent: this._createWorkerAgent(address),
+      workerAgent: this.createWorkerAgent(this.createCaller(name, address)),
       isDisconnected: false,
     };
     this.agents.push(agent);
-    await this._register(name);
+    await this.register(name);
     this._sendHeartbeats(agent);
     return agent;
   }
@@ -204,8 +201,8 @@
    */
   async restartAgent(agent: SimulatedAgent): Promise<void> {
     agent.workerAgent.stop();
-    agent.workerAgent = this._createWorkerAgent(agent.address);
-    await this._register(agent.name);
+    agent.workerAgent = this.createWorkerAgent(this.createCaller(agent.name, agent.address));
+    await this.register(agent.name);
   }
 
   /**
@@ -224,7 +221,7 @@
    */
   replaceWorker(agent: SimulatedAgent, id = agent.name): void {
     agent.worker.crash();
-    this._startNextWorker(agent, id, 4_000);
+    this.startNextWorker(agent, id, 4_000);
   }
 
   /**
@@ -315,9 +312,20 @@
     return findOverCapacity(this.journal, this.capacityJournal);
   }
 
-  /** Starts the next incarnation at the address of a worker that has crashed. */
-  private _startNextWorker(agent: SimulatedAgent, id: string, processorsMilli: number): void {
-    const next = this._createWorker(agent.name, id, processorsMilli);
+  /**
+   * Starts the next incarnation at the address of a worker that has crashed.
+   * @param agent - Its agent.
+   * @param id - Id of the incarnation.
+   * @param processorsMilli - Its processors, in thousandths.
+   * @param bornShiftMs - Difference of its announced start to the present time, in milliseconds.
+   */
+  protected startNextWorker(
+    agent: SimulatedAgent,
+    id: string,
+    processorsMilli: number,
+    bornShiftMs = 0,
+  ): void {
+    const next = this._createWorker(agent.name, id, processorsMilli, bornShiftMs);
     agent.worker.successor = next;
     agent.worker = next;
     agent.address.worker = next;
@@ -329,20 +337,26 @@
       if (agent.worker.isDead) {
         this._processCount += 1;
         const id = this.changesWorkerIds ? `${agent.name}-${this._processCount}` : agent.name;
-        this._startNextWorker(agent, id, processorsMilli);
+        this.startNextWorker(agent, id, processorsMilli);
       }
     });
   }
 
-  private _createWorker(agent: string, id: string, processorsMilli: number): PoolWorkerModel {
+  private _createWorker(
+    agent: string,
+    id: string,
+    processorsMilli: number,
+    bornShiftMs = 0,
+  ): PoolWorkerModel {
     return new PoolWorkerModel({
       clock: this.clock,
       id,
-      startedAtMs: 1_000 + Math.floor(this.clock.now()) + this._processCount,
+      startedAtMs: 1_000 + Math.floor(this.clock.now()) + this._processCount + bornShiftMs,
       pool: POOL,
       rack: "rack-1",
       capacity: { processorsMilli, memoryBytes: 1_000_000, accelerators: 0 },
       clockRate: 0.98,
+      maxLeaseMs: this.maxLeaseMs,
       getRequirements: (task) => this._getRequirements(task),
       journal: this.journal,
       capacityJournal: this.capacityJournal,
@@ -365,7 +379,44 @@
     );
   }
 
-  private _createWorkerAgent(worker: PoolWorkerAddress): PoolWorkerAgent {
+  /**
+   * Connects an entry.
+   * @param _name - Name of the entry.
+   * @param faults - Faults of its calls.
+   */
+  protected createConnections(_name: string, faults: EntryFaults): EntryConnections {
+    const isLost = (agent: string): boolean =>
+      faults.isDisconnected || faults.isStopped || faults.cutAgents.has(agent);
+    return {
+      clock: this.clock,
+      store: new MemoryStore(this.clock, this.storeModel),
+      channel: new SimulatedChannel(this, TIMINGS.agentTimeoutMs, isLost),
+    };
+  }
+
+  /**
+   * Connects the next process of an agent with its worker.
+   * @param _agent - Name of the agent.
+   * @param address - Address of the worker.
+   */
+  protected createCaller(_agent: string, address: PoolWorkerAddress): PoolWorker {
+    return address;
+  }
+
+  /**
+   * Delivers an announcement to the process of an agent.
+   * @param agent - The agent.
+   * @param announcement - The announcement.
+   */
+  protected announce(agent: SimulatedAgent, announcement: WorkerAnnouncement): void {
+    agent.workerAgent.handleAnnouncement(announcement);
+  }
+
+  /**
+   * Starts a process of an agent.
+   * @param worker - Its worker.
+   */
+  protected createWorkerAgent(worker: PoolWorker): PoolWorkerAgent {
     this._processCount += 1;
     const { clock, log } = this;
     const process = `agent-${this._processCount}`;
@@ -374,23 +425,19 @@
     return workerAgent;
   }
 
-  private async _register(name: string): Promise<void> {
-    const store = new MemoryStore(this.clock, this.storeModel);
-    const key = getAgentKey(name);
+  /**
+   * Registers the process of an agent in the store.
+   * @param name - Name of the agent.
+   */
+  protected async register(name: string): Promise<void> {
     this._processCount += 1;
-    const record = {
-      address: name,
-      zone: "zone-a",
-      pool: POOL,
-      process: `p-${this._processCount}`,
-    };
-    const expected = (await store.read(key)).unwrapOr(undefined)?.revision ?? 0;
-    await store.write({ key, value: JSON.stringify(record), expected });
+    const store = new MemoryStore(this.clock, this.storeModel);
+    await registerAgent(store, name, `p-${this._processCount}`);
   }
 
   private _sendHeartbeats(agent: SimulatedAgent): void {
     if (!agent.worker.faults.isUnresponsive && !agent.worker.isDead) {
-      agent.workerAgent.handleAnnouncement(agent.worker.announce());
+      this.announce(agent, agent.worker.announce());
     }
     this.clock.after(HEARTBEAT_MS, () => {
       this._sendHeartbeats(agent);
--- /dev/null
+++ b/tests/coordination/pool/registerAgent.ts
@@ -0,0 +1,19 @@
+/**
+ * Registers the processes of simulated agents.
+ */
+import type { Store } from "../../../src/protocol/platform/Store.ts";
+import { getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
+import { POOL } from "../../support/poolFixtures.ts";
+
+/**
+ * Registers a process of an agent, in place of the one before.
+ * @param store - The store.
+ * @param name - Name of the agent, which is its address.
+ * @param process - Identity of the process.
+ */
+export async function registerAgent(store: Store, name: string, process: string): Promise<void> {
+  const key = getAgentKey(name);
+  const record = { address: name, zone: "zone-a", pool: POOL, process };
+  const expected = (await store.read(key)).unwrapOr(undefined)?.revision ?? 0;
+  await store.write({ key, value: JSON.stringify(record), expected });
+}
