Follow a worker that has confirmed its start, whether it is earlier or later

What callers saw: two runs of one task at once after a worker had started again under its id with an earlier start, from a clock that had jumped back.

Cause: schedulers compared starts to tell which incarnation came last. One with an earlier start was ignored until the lease of the one before was over; its runs then counted as ended, although the present one had executed a start that was under way, under a lease of its own. Class: a claim, here a start from a clock that jumps, is taken for knowledge.

Change: reports say whether the worker has confirmed that it is the incarnation. If so, it counts at once, and every other incarnation under the same id is one that may execute late calls, so that a run is stopped there before it counts as lost. Starts are compared for agents of a former version only.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -32,6 +32,11 @@
 export interface WorkerReport {
   /** Incarnation of the worker. */
   readonly worker: string;
+  /**
+   * Whether the worker itself has confirmed that it is this incarnation; agents of a former version
+   * report what was announced last.
+   */
+  readonly isConfirmed: boolean;
   readonly pool: string;
   readonly zone: string;
   readonly rack: string;
--- a/src/coordination/pool/ReportReconciler.ts
+++ b/src/coordination/pool/ReportReconciler.ts
@@ -15,7 +15,7 @@
   type ActiveRunTable,
   type ActiveTaskRun,
 } from "./ActiveRunTable.ts";
-import { isSuccessor } from "./incarnations.ts";
+import { hasSameId } from "./incarnations.ts";
 
 const FULL_PERCENT = 100;
 /** Time for which a long-running run is at work before it counts as a success, in milliseconds. */
@@ -102,7 +102,7 @@
     // A late start may have been executed by the next incarnation under the same id.
     const taskRun = this._findRun(
       ended,
-      (active) => active.worker === worker || isSuccessor(worker, active.worker),
+      (active) => active.worker === worker || hasSameId(worker, active.worker),
     );
     if (taskRun === undefined) {
       this._callbacks.onUnknownRunEnded(ended);
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -9,7 +9,7 @@
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
 import type { ActiveTaskRun, ListCall } from "./ActiveRunTable.ts";
-import { isSuccessor } from "./incarnations.ts";
+import { hasSameId } from "./incarnations.ts";
 import { getCommittedResources } from "./stepResources.ts";
 import { RecentStartTable } from "./RecentStartTable.ts";
 import { getRunAction, RESEND_ORDER_MS, STALLED_REASON } from "./runMonitor.ts";
@@ -143,7 +143,7 @@
       const { agent, task, run, stoppedAt = Number.NEGATIVE_INFINITY } = start;
       const worker = state.workerTable.getWorker(agent)?.report.worker ?? start.worker;
       const isDue = worker !== start.worker && now - stoppedAt >= RESEND_ORDER_MS;
-      if (isDue && isSuccessor(worker, start.worker) && !this._findActiveRun(task, run)) {
+      if (isDue && hasSameId(worker, start.worker) && !this._findActiveRun(task, run)) {
         this._recentStarts.update(start, { stoppedAt: now });
         orders.stop(agent, worker, { task, run });
       }
@@ -281,7 +281,7 @@
     const { run, agent } = active;
     // The next incarnation under the same id may have the run, or be given its start.
     const present = state.workerTable.getWorker(agent)?.report.worker ?? "";
-    const worker = isSuccessor(present, active.worker) ? present : active.worker;
+    const worker = hasSameId(present, active.worker) ? present : active.worker;
     const tries = active.phase === "stopping" ? active.tries + 1 : 1;
     const callNumber = active.stopWorker === worker ? active.callNumber : undefined;
     const change = { phase: "stopping", since: clock.now(), callNumber } as const;
--- a/src/coordination/pool/WorkerTable.ts
+++ b/src/coordination/pool/WorkerTable.ts
@@ -127,7 +127,8 @@
 
   /**
    * Applies a report of an agent. A worker that may hold a lease is kept if an earlier incarnation is
-   * reported: an agent that restarted may have heard a late announcement.
+   * reported that it has not confirmed: an agent of a former version may have heard a late
+   * announcement.
    * @param agent - Its name.
    * @param report - The report.
    * @param now - Monotonic time of its arrival in milliseconds.
@@ -290,9 +291,17 @@
   }
 }
 
-/** Returns whether a report is of an incarnation before the known one, whose lease may be valid. */
-function isEarlier({ worker }: WorkerReport, known: WorkerState | undefined, now: number): boolean {
+/**
+ * Returns whether a report, which the worker has not confirmed, is of an incarnation before the known
+ * one, whose lease may be valid.
+ */
+function isEarlier(
+  { worker, isConfirmed }: WorkerReport,
+  known: WorkerState | undefined,
+  now: number,
+): boolean {
   return (
+    !isConfirmed &&
     known !== undefined &&
     getStartTime(worker) < getStartTime(known.report.worker) &&
     now < known.leasesExpireBy
--- a/src/coordination/pool/incarnations.ts
+++ b/src/coordination/pool/incarnations.ts
@@ -20,13 +20,13 @@
 }
 
 /**
- * Returns whether an incarnation started later than another one under the same id, so that it may
- * execute late calls to that one.
- * @param next - Name of the incarnation.
- * @param worker - Name of the other incarnation.
+ * Returns whether an incarnation is another one under the same id, so that it may execute late calls
+ * to the first. Its start may be the earlier one, as the clocks of workers jump.
+ * @param other - Name of the incarnation.
+ * @param worker - Name of the first incarnation.
  */
-export function isSuccessor(next: string, worker: string): boolean {
-  return getId(next) === getId(worker) && getStartTime(next) > getStartTime(worker);
+export function hasSameId(other: string, worker: string): boolean {
+  return other !== worker && getId(other) === getId(worker);
 }
 
 function getId(worker: string): string {
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -3,7 +3,8 @@
  * because they make no progress, and which have certainly ended because no lease covers them any
  * more.
  */
-import { getStartTime, isSuccessor } from "./incarnations.ts";
+import type { WorkerReport } from "./AgentChannel.ts";
+import { getStartTime, hasSameId } from "./incarnations.ts";
 import { formatRunKey, getRunKey, isShownBy, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import type { WorkerState } from "./WorkerTable.ts";
 
@@ -97,7 +98,7 @@
 ): string | undefined {
   const { active } = taskRun;
   const { worker, formerLeasesExpireBy } = context;
-  if (worker === undefined || getStartTime(active.worker) > getStartTime(worker.report.worker)) {
+  if (worker === undefined || isUncertain(active.worker, worker.report)) {
     return now >= formerLeasesExpireBy ? "all leases of former schedulers have ended" : undefined;
   }
   if (worker.report.worker !== active.worker && !mayStartLate(taskRun, worker, now)) {
@@ -106,13 +107,18 @@
   return now >= worker.leasesExpireBy ? "the lease of its worker has ended" : undefined;
 }
 
+/** Returns whether a reported incarnation may be an earlier one than that of a run. */
+function isUncertain(ofRun: string, { worker, isConfirmed }: WorkerReport): boolean {
+  return !isConfirmed && getStartTime(ofRun) > getStartTime(worker);
+}
+
 /** Returns the present incarnation if it has the id of the run's one; undefined otherwise. */
 function findSuccessor(
   { active }: ActiveTaskRun,
   worker: WorkerState | undefined,
 ): string | undefined {
   const next = worker?.report.worker;
-  return next !== undefined && isSuccessor(next, active.worker) ? next : undefined;
+  return next !== undefined && hasSameId(next, active.worker) ? next : undefined;
 }
 
 /**
--- a/src/coordination/pool/workerReport.ts
+++ b/src/coordination/pool/workerReport.ts
@@ -37,6 +37,7 @@
   const { id, startedAtMs, pool, zone, rack, draining, capacity, labels } = announced;
   return {
     worker: formatIncarnation(id, startedAtMs),
+    isConfirmed: true,
     pool,
     zone,
     rack,
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -166,9 +166,10 @@
 }
 
 function writeWorker(report: WorkerReport): MessageInitShape<typeof PoolWorkerStateSchema> {
-  const { capacity, labels, running, ended, ...others } = report;
+  const { capacity, labels, running, ended, isConfirmed, ...others } = report;
   return {
     ...others,
+    confirmed: isConfirmed,
     labels: [...labels],
     ...writeResources(capacity),
     running: [...running],
@@ -185,6 +186,7 @@
   });
   return {
     worker,
+    isConfirmed: state.confirmed,
     pool,
     zone,
     rack,
--- a/tests/support/poolFixtures.ts
+++ b/tests/support/poolFixtures.ts
@@ -73,6 +73,7 @@
 export function createWorkerReport(overrides: Partial<WorkerReport> = {}): WorkerReport {
   return {
     worker: "i-1@100",
+    isConfirmed: false,
     pool: POOL,
     zone: "zone-a",
     rack: "rack-1",
--- a/tests/transport/pool/agentMessagesTests.ts
+++ b/tests/transport/pool/agentMessagesTests.ts
@@ -44,6 +44,7 @@
   const running = { task: "1.0.0.1", run: 2, checkpoint: "c", percent: 41, measure: 3 };
   const worker = createWorkerReport({
     ...{ draining: true, drainRemainingMs: 5, readingAgeMs: 7, mayLackEnds: true },
+    isConfirmed: true,
     running: [running],
     ended: [createEndedRun()],
   });
