Reject a heartbeat that names another service than the worker's

What callers saw: nothing was placed on a sound worker until its next heartbeat.

Cause: an agent took over whatever service a heartbeat with the id and start of its worker named, and the scheduler then held the worker for one of another pool.

Change: the service must be the pool of the agent's settings, as the address must be that of its worker.

Evidence: the test in heartbeatServerTests; not run on the code before.

--- a/bench/pool/workersMain.ts
+++ b/bench/pool/workersMain.ts
@@ -57,7 +57,10 @@
     store: new PlatformStore(kv, STORE_TIMEOUT_MS),
     worker: new PlatformWorker(address, STORE_TIMEOUT_MS),
     createListener: (workerAgent, log) =>
-      new HeartbeatServer({ address: announcements, workerAddress: address, workerAgent, log }),
+      new HeartbeatServer({
+        ...{ address: announcements, workerAddress: address, pool: "pool" },
+        ...{ workerAgent, log },
+      }),
   });
   (await agent.start())._unsafeUnwrap();
   setInterval(() => {
--- a/tests/platform/PlatformFixture.ts
+++ b/tests/platform/PlatformFixture.ts
@@ -204,6 +204,7 @@
       new HeartbeatServer({
         address: announcements,
         workerAddress: worker,
+        pool: POOL,
         workerAgent,
         log,
       }),
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -62,7 +62,7 @@
   const worker = new SilentWorker(clock);
   const agent = new PoolWorkerAgent({ worker, clock, log, process: "p-1" });
   await agent.observe(OBSERVE_CALL);
-  const deps = { address, workerAddress: WORKER_ADDRESS, workerAgent: agent, log };
+  const deps = { address, workerAddress: WORKER_ADDRESS, pool: POOL, workerAgent: agent, log };
   const server = new HeartbeatServer(deps);
   t.true((await server.listen()).isOk());
   t.teardown(() => server.close());
@@ -169,6 +169,18 @@
   t.is((await readReport(fixture)).worker?.processorsMilli, BigInt(Number.MAX_SAFE_INTEGER));
 });
 
+// Guards against a worker that nothing is placed on: a heartbeat of another writer, with its id and
+// start and a service that is not its own, moved it to another pool.
+test("HeartbeatServer rejects a heartbeat that names another service", async (t) => {
+  const fixture = await createFixture(t);
+  const { put } = fixture;
+  t.is(await put("i-1", createHeartbeat()), 200);
+  t.is(await put("i-1", createHeartbeat({ service: "pool-b", seq_no: 2 })), 400);
+  t.is((await readReport(fixture)).worker?.pool, POOL);
+  t.is(await put("i-1", createHeartbeat({ seq_no: 3, state: "draining" })), 200);
+  t.true((await readReport(fixture)).worker?.draining);
+});
+
 // Guards against a log that fills up with the heartbeats of another writer.
 test("HeartbeatServer logs an odd heartbeat once, in a line of limited length", async (t) => {
   const { log, put } = await createFixture(t);
