Ignore a configuration document with numbers that cannot be right

What would be seen: after one document with a version of 1e308 or 2^53, an entry ignored each later one of the operator, as its version was not higher.

Cause: the numbers of the document were read without the bounds that their meaning gives.

--- a/src/protocol/boundedFields.ts
+++ b/src/protocol/boundedFields.ts
@@ -31,11 +31,11 @@
 /** Time span or point in time in milliseconds, with fractions. */
 export const milliseconds = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
 
+/** Number of any sign that sums and products stay finite with. */
+export const finiteNumber = z.number().min(-Number.MAX_SAFE_INTEGER).max(Number.MAX_SAFE_INTEGER);
+
 /** Time span or point in time in milliseconds that may be negative. */
-export const signedMilliseconds = z
-  .number()
-  .min(-Number.MAX_SAFE_INTEGER)
-  .max(Number.MAX_SAFE_INTEGER);
+export const signedMilliseconds = finiteNumber;
 
 /** Text without half of a pair of code units, which no message can carry. */
 export const wellFormedText = z.string().refine((text) => text.isWellFormed(), {
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import {
   describeIssues,
+  finiteNumber,
   calledAddress,
   counter32,
   milliseconds,
@@ -50,10 +51,10 @@
 
 const JobRecordSchema = z.object({
   queue: z.string(),
-  priority: z.number(),
-  maxAttempts: z.number(),
-  stretch: z.number(),
-  latencyTargetMs: z.number(),
+  priority: finiteNumber,
+  maxAttempts: wholeNumber,
+  stretch: finiteNumber,
+  latencyTargetMs: milliseconds,
   acceptedAtMs: milliseconds,
   payload: z.string(),
   steps: z
