--- a/src/transport/http/readJson.ts
+++ b/src/transport/http/readJson.ts
@@ -1,6 +1,7 @@
 /**
  * Reads the JSON body of a request up to a size limit.
  */
+import { isUtf8 } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { err, errAsync, ok, ResultAsync, type Result } from "neverthrow";
 import type { RefusalCode } from "../../protocol/Refusal.ts";
@@ -47,6 +48,9 @@
   if (bytes.length === 0) {
     return ok(undefined);
   }
+  if (!isUtf8(bytes)) {
+    return err({ code: "bad-request", detail: "the body is not UTF-8" });
+  }
   try {
     return ok(JSON.parse(bytes.toString("utf8")) as unknown);
   } catch (err_) {
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -166,3 +166,12 @@
   const longest = log.lines.map(({ fields }) => JSON.stringify(fields).length);
   t.true(Math.max(...longest) < 2_000, `${Math.max(...longest)} characters`);
 });
+
+// Guards against bytes that cannot be read and that are believed with replaced characters.
+test("HeartbeatServer rejects a heartbeat that is not UTF-8", async (t) => {
+  const { agent, put } = await createFixture(t);
+  const [start = "", end = ""] = createHeartbeat({ zone: "zone-?" }).split("?");
+  const body = Buffer.concat([Buffer.from(start), Buffer.from([0xe2, 0x82]), Buffer.from(end)]);
+  t.is(await put("i-1", body), 400);
+  t.is(agent.incarnation, undefined);
+});
--- a/tests/platform/platformStoreTests.ts
+++ b/tests/platform/platformStoreTests.ts
@@ -4,6 +4,7 @@
  */
 import test, { type ExecutionContext } from "ava";
 import { PlatformStore } from "../../platform/PlatformStore.ts";
+import { createReply, JsonServer } from "../../standins/support/JsonServer.ts";
 import { KvServer } from "../../standins/platform/KvServer.ts";
 import { findFreeAddress } from "../../standins/support/freePorts.ts";
 
@@ -76,3 +77,28 @@
   );
   t.deepEqual(kinds, ["rejected", "rejected", "rate-limited", "unavailable"]);
 });
+
+// Guards against a value that cannot be read and that is believed with replaced characters.
+test("PlatformStore gives a value that is not UTF-8 as an empty text", async (t) => {
+  const address = await findFreeAddress();
+  const bytes = Buffer.concat([
+    Buffer.from('{"zone":"a'),
+    Buffer.from([0xe2, 0x82]),
+    Buffer.from('"}'),
+  ]);
+  const item = { key: "a/1", value: bytes.toString("base64"), revision: 1 };
+  const sound = { key: "a/2", value: Buffer.from('"\u20ac"').toString("base64"), revision: 2 };
+  const reply = { items: [item, sound], has_more: false, as_of: 2 };
+  const server = new JsonServer(address, () => createReply(reply));
+  await server.start();
+  const store = new PlatformStore(address, TIMEOUT_MS);
+  t.teardown(async () => {
+    await store.close();
+    await server.stop();
+  });
+  const { entries } = (await store.listPage("a/", ""))._unsafeUnwrap();
+  t.deepEqual(
+    entries.map(({ value }) => value),
+    ["", '"\u20ac"'],
+  );
+});
