Refuse a job under a key whose value cannot be parsed

What callers would see: a submission whose id already had another writer's value in the store, which is no job, was answered as accepted, and never ran.

Cause: a key that exists counted as the job itself, submitted before.

Change: if the catalog has no job after such a conflict, the submission is refused.

Evidence: the test failed before (the outcome was stored), and passes now: the submission is refused until the value is gone, and then runs.

--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -20,6 +20,7 @@
 /** Delay before a write with an unknown outcome is retried, in milliseconds. */
 const RETRY_MS = 50;
 const SILENCE_REASON = "the store does not respond to this entry";
+const FOREIGN_VALUE_REASON = "the key of the job has a value that cannot be parsed";
 const NO_RESPONSE_REASON = "the store did not respond before the submitter's deadline";
 
 /** Outcome of a submission or cancellation. */
@@ -91,7 +92,8 @@
     const settings = { queue: name, priority, maxAttempts, stretch, latencyTargetMs };
     const record: JobRecord = { ...settings, acceptedAtMs, ...definition };
     const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
-    const outcome = await this._create(key, JSON.stringify(record), deadline);
+    const created = await this._create(key, JSON.stringify(record), deadline);
+    const outcome = this._checkStored(id, created);
     this._logOutcome("Submission of a job was handled.", { job: id, queue: name }, outcome);
     const stored = this._deps.catalog.getJob(id)?.record;
     return stored !== undefined && stored.queue !== name ? { kind: "conflict" } : outcome;
@@ -147,6 +149,15 @@
     return this._deps.catalog.countPending(queue.name);
   }
 
+  /** Refuses a job whose key has a value that is no job; nobody runs that. */
+  private _checkStored(id: string, outcome: SubmissionOutcome): SubmissionOutcome {
+    const isOdd =
+      outcome.kind === "stored" &&
+      outcome.known &&
+      this._deps.catalog.getJob(id)?.record === undefined;
+    return isOdd ? { kind: "refused", reason: FOREIGN_VALUE_REASON } : outcome;
+  }
+
   /**
    * Logs an outcome. A failure is logged as a warning, so that it is found in the log even if lower
    * levels are omitted.
--- a/tests/coordination/pool/oddEntryTests.ts
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -3,6 +3,7 @@
  * the others hold, and no entry process ends.
  */
 import test, { type ExecutionContext } from "ava";
+import type { SubmissionOutcome } from "../../../src/coordination/pool/SubmissionService.ts";
 import { formatJobKey, getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createJobRecord, createStep, POOL } from "../../support/poolFixtures.ts";
 import { PoolSimulation, QUEUE } from "./PoolSimulation.ts";
@@ -175,3 +176,22 @@
   const longest = simulation.log.lines.map(({ fields }) => JSON.stringify(fields).length);
   t.true(Math.max(...longest) < 2_000, `${Math.max(...longest)} characters`);
 });
+
+// Guards against a submitter who is told that a job is accepted which can never run, as another
+// writer's value is under its key.
+test("SubmissionService refuses a job under a key whose value cannot be parsed", async (t) => {
+  const simulation = await createPool();
+  const [entry] = simulation.entries;
+  const definition = { payload: "", steps: [createStep()], schedule: undefined };
+  write(simulation, getJobKey(SOUND_JOB), "{");
+  await simulation.clock.advance(1_000);
+  const submit = (): Promise<SubmissionOutcome> | undefined =>
+    entry && simulation.submit(entry, SOUND_JOB, definition, WORK_MS);
+  t.is((await submit())?.kind, "refused");
+  t.is((await submit())?.kind, "refused");
+  simulation.storeModel.remove(
+    getJobKey(SOUND_JOB),
+    simulation.storeModel.read(getJobKey(SOUND_JOB))?.revision ?? 0,
+  );
+  await assertRuns(t, simulation, SOUND_JOB);
+});
