Answer a request whose route throws at once with an internal error

What would be seen: a route that threw before it returned a promise, such as one for announcements, ended the process at each such request, until the listener rejected it with 400 and no code.

Cause: only the rejection of the promise that a route returns was handled.

Change: a route is called where what it throws is handled likewise.

Evidence: the test failed before (status 400 instead of 500 with the code), and passes now.

--- a/src/transport/http/ApiServer.ts
+++ b/src/transport/http/ApiServer.ts
@@ -124,8 +124,12 @@
       return;
     }
     const query = Object.fromEntries(new URLSearchParams(exchange.query));
-    const handled = match.route.handle({ params: match.params, query, body: body.value });
-    const reply = await ResultAsync.fromPromise(handled, toError);
+    const { route, params } = match;
+    const handle = ResultAsync.fromThrowable(
+      async () => route.handle({ params, query, body: body.value }),
+      toError,
+    );
+    const reply = await handle();
     reply.match(
       (apiReply) => {
         this._reply(res, apiReply);
--- a/tests/transport/http/apiServerTests.ts
+++ b/tests/transport/http/apiServerTests.ts
@@ -159,3 +159,19 @@
   t.deepEqual(await reply, { status: 200, body: { done: true } });
   await closed;
 });
+
+// Guards against a route that throws before it returns a promise, which ended the process.
+test("ApiServer answers a request whose route throws at once, and those after it", async (t) => {
+  const throwing: ApiRoute = {
+    method: "GET",
+    path: "/v1/throwing",
+    handle: () => {
+      throw new Error("broken inside");
+    },
+  };
+  const address = await start(t, [throwing, ECHO]);
+  const failed = await call(`http://${address}/v1/throwing`);
+  t.is(failed.status, 500);
+  t.is(failed.body.code, "internal-error");
+  t.is((await call(`http://${address}/v1/things/1`, { method: "POST" })).status, 200);
+});
