Reject an announcement of a backend server with an address that cannot be called

What would be seen: a backend server announced with a port of 0 or 99999 became one to send requests to. Opening its connections throws for an address that no URL can hold, in a handler whose rejection is not handled; that it ends the agent was read from the code, not played.

Cause: any five digits counted as a port.

Change: the address of an announcement is read as a bounded field.

Evidence: the test failed before (4 of 6 such addresses were accepted), and passes now.

--- a/src/protocol/ServerAnnouncement.ts
+++ b/src/protocol/ServerAnnouncement.ts
@@ -3,6 +3,7 @@
  * while the server lives; a server whose announcements cease is considered gone.
  */
 import { z } from "zod";
+import { calledAddress } from "./boundedFields.ts";
 import { nameSchema } from "./config/ConfigDocument.ts";
 
 const MAX_SLOTS = 10_000;
@@ -13,7 +14,7 @@
     service: nameSchema,
     id: nameSchema,
     /** Address on which the server accepts requests, as host:port. */
-    address: z.string().regex(/^[^/\s]+:\d{1,5}$/, "host:port"),
+    address: calledAddress,
     /** Maximum number of concurrent requests. */
     slots: z.number().int().min(1).max(MAX_SLOTS),
     /** Maximum number of concurrent connections. */
