Find the agent of a simulated worker by its name again

The product code has no part in it.

Change: the simulation finds agents by name, and the channel by address.

--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -290,11 +290,19 @@
     });
   }
 
+  /**
+   * Gets an agent.
+   * @param name - Its name.
+   */
+  getAgent(name: string): SimulatedAgent | undefined {
+    return this.agents.find((agent) => agent.name === name);
+  }
+
   /**
    * Gets the agent at an address.
    * @param address - The address.
    */
-  getAgent(address: string): SimulatedAgent | undefined {
+  getAgentAt(address: string): SimulatedAgent | undefined {
     return this.agents.find(({ name }) => getAgentAddress(name) === address);
   }
 
--- a/tests/coordination/pool/SimulatedChannel.ts
+++ b/tests/coordination/pool/SimulatedChannel.ts
@@ -58,7 +58,7 @@
     send: (workerAgent: PoolWorkerAgent) => Promise<AgentOutcome<T>>,
   ): Promise<AgentOutcome<T>> {
     const { clock } = this._simulation;
-    const agent = this._simulation.getAgent(address);
+    const agent = this._simulation.getAgentAt(address);
     const lost = { kind: "unreachable", detail: "no response before the timeout" } as const;
     if (agent === undefined || this._isLost(agent)) {
       await clock.sleep(this._timeoutMs);
