Ignore stored estimates of interference that cannot be right

What would be seen: a scheduler inherited estimates of another writer: with a mean of 1e308 an image was kept from each worker with serving tasks, with a negative variance nothing could be computed.

Cause: the estimates were read without bounds.

Change: they are read with bounds; a record out of bounds is ignored, and estimates are made anew.

--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -189,13 +189,16 @@
   readonly pairs: readonly PairInterference[];
 }
 
+/** Far above what an estimate starts from and measurements lead to. */
+const MAX_INTERFERENCE = 1_000;
+
 const InterferenceRecordSchema = z.object({
   pairs: z.array(
     z.object({
       serving: z.string(),
       image: z.string(),
-      mean: z.number(),
-      variance: z.number(),
+      mean: z.number().min(0).max(MAX_INTERFERENCE),
+      variance: z.number().min(0).max(MAX_INTERFERENCE),
     }),
   ),
 });
