--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import {
   describeIssues,
+  finiteNumber,
   calledAddress,
   counter32,
   milliseconds,
@@ -50,10 +51,10 @@
 
 const JobRecordSchema = z.object({
   queue: z.string(),
-  priority: z.number(),
-  maxAttempts: z.number(),
-  stretch: z.number(),
-  latencyTargetMs: z.number(),
+  priority: finiteNumber,
+  maxAttempts: wholeNumber,
+  stretch: finiteNumber,
+  latencyTargetMs: milliseconds,
   acceptedAtMs: milliseconds,
   payload: z.string(),
   steps: z
@@ -188,13 +189,16 @@
   readonly pairs: readonly PairInterference[];
 }
 
+/** Far above what an estimate starts from and measurements lead to. */
+const MAX_INTERFERENCE = 1_000;
+
 const InterferenceRecordSchema = z.object({
   pairs: z.array(
     z.object({
       serving: z.string(),
       image: z.string(),
-      mean: z.number(),
-      variance: z.number(),
+      mean: z.number().min(0).max(MAX_INTERFERENCE),
+      variance: z.number().min(0).max(MAX_INTERFERENCE),
     }),
   ),
 });
