Show that a refusal of a call of a former epoch deposes a scheduler

Cause: AnnouncementVerifier passes on any refusal with a higher fencing token, also of a call that was sent under an epoch that the agent has left since. The agent then counts as fenced under the new epoch, and answers each call of its scheduler as deposed, which gives the pool up.

--- /dev/null
+++ b/tests/coordination/pool/announcementVerifierTests.ts
@@ -0,0 +1,71 @@
+/**
+ * Tests of the answers to calls that verify announcements, which arrive late or in another order than
+ * their calls were sent.
+ */
+import test from "ava";
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import type {
+  SyncCall,
+  WorkerAnnouncement,
+  WorkerCallFailure,
+  WorkerRuns,
+} from "../../../src/protocol/platform/PoolWorker.ts";
+import type { ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
+import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+import { MemoryLog } from "../../support/MemoryLog.ts";
+import { POOL } from "../../support/poolFixtures.ts";
+import { SilentWorker } from "../../support/SilentWorker.ts";
+
+const LATE_MS = 300;
+const HANDLED_MS = 1_000;
+const ANNOUNCEMENT: WorkerAnnouncement = {
+  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
+  ...{ draining: false, drainRemainingMs: undefined, labels: [] },
+  capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
+};
+const OBSERVE_CALL: ObserveCall = {
+  ...{ epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 },
+  ...{ knownVersion: 0, knownProcess: "" },
+};
+const FENCED: WorkerCallFailure = { kind: "fenced", detail: "" };
+
+/** Worker that calls of an earlier epoch reach late, after those of the next one. */
+class FencingWorker extends SilentWorker {
+  private readonly _lateClock: ManualClock;
+
+  /**
+   * Creates a worker.
+   * @param clock - Clock of the test.
+   */
+  constructor(clock: ManualClock) {
+    super(clock);
+    this._lateClock = clock;
+  }
+
+  override sync(call: SyncCall): ResultAsync<WorkerRuns, WorkerCallFailure> {
+    return call.fencingToken > 1
+      ? super.sync(call)
+      : okAsync(undefined)
+          .map(() => this._lateClock.sleep(LATE_MS))
+          .andThen(() => errAsync(FENCED));
+  }
+}
+
+// Guards against a scheduler that has just been elected and gives the pool up: the worker refuses a
+// call that was sent for its predecessor, and the agent takes that for a refusal of the present one.
+test("AnnouncementVerifier ignores that the worker refuses a call of an epoch that was left", async (t) => {
+  const clock = new ManualClock();
+  const worker = new FencingWorker(clock);
+  worker.lists = { ...worker.lists, startedAtMs: 1 };
+  const agent = new PoolWorkerAgent({ worker, clock, log: new MemoryLog(), process: "p-1" });
+  agent.start();
+  await agent.observe(OBSERVE_CALL);
+  agent.handleAnnouncement(ANNOUNCEMENT);
+  await clock.advance(1);
+  t.is((await agent.observe({ ...OBSERVE_CALL, epoch: 2 })).kind, "answered");
+  await clock.advance(HANDLED_MS);
+  t.is(agent.incarnation, "i-1@1");
+  t.is((await agent.observe({ ...OBSERVE_CALL, epoch: 2 })).kind, "answered");
+  agent.stop();
+});
