Test when announcements are verified, and late confirmations

Cause: three single changes of AnnouncementVerifier went unnoticed by the tests of agents: without its check of the epoch, without the order of its calls, and with an incarnation kept that another one denies.

Result: announcementOrderTests, 3 passed; each of the changes fails one test.

--- /dev/null
+++ b/tests/coordination/pool/announcementOrderTests.ts
@@ -0,0 +1,67 @@
+/**
+ * Tests of when announcements are verified, and of responses that overtake each other.
+ */
+import test from "ava";
+import type { WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
+import { AnnouncementVerifier } from "../../../src/coordination/pool/AnnouncementVerifier.ts";
+import { ManualClock } from "../../support/ManualClock.ts";
+import { MemoryLog } from "../../support/MemoryLog.ts";
+import { POOL } from "../../support/poolFixtures.ts";
+import { SilentWorker } from "../../support/SilentWorker.ts";
+
+const ANSWERED_MS = 1_000;
+const ANNOUNCEMENT: WorkerAnnouncement = {
+  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
+  ...{ draining: false, drainRemainingMs: undefined, labels: [] },
+  capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
+};
+
+function createFixture(epoch: number) {
+  const clock = new ManualClock();
+  const worker = new SilentWorker(clock);
+  worker.lists = { ...worker.lists, startedAtMs: 1 };
+  const confirmed: string[] = [];
+  const verifier = new AnnouncementVerifier({
+    ...{ worker, log: new MemoryLog() },
+    getEpoch: () => epoch,
+    getPresent: () => undefined,
+    onConfirmed: ({ announcement }) => confirmed.push(announcement.id),
+    onFenced: () => undefined,
+  });
+  const announce = (change: Partial<WorkerAnnouncement>): void => {
+    verifier.add({ announcement: { ...ANNOUNCEMENT, ...change }, announcedAt: 0 });
+    void verifier.verify();
+  };
+  return { clock, worker, confirmed, verifier, announce };
+}
+
+// Guards against a call that the worker refuses as one of a former scheduler.
+test("AnnouncementVerifier asks nothing before the agent follows a scheduler", async (t) => {
+  const { clock, worker, announce } = createFixture(0);
+  announce({});
+  await clock.advance(ANSWERED_MS);
+  t.is(worker.syncs.length, 0);
+});
+
+// Guards against an incarnation that replaces its successor, as its response arrives last.
+test("AnnouncementVerifier ignores a confirmation that a later one has overtaken", async (t) => {
+  const { clock, worker, confirmed, announce } = createFixture(1);
+  worker.callMs = 200;
+  announce({ id: "former" });
+  await clock.advance(1);
+  worker.callMs = 100;
+  announce({ id: "next" });
+  await clock.advance(ANSWERED_MS);
+  t.deepEqual(confirmed, ["next"]);
+});
+
+// Guards against an agent that asks for ever for an incarnation that is not there.
+test("AnnouncementVerifier asks once for an incarnation that another one denies", async (t) => {
+  const { clock, worker, confirmed, verifier, announce } = createFixture(1);
+  announce({ startedAtMs: 2 });
+  await clock.advance(ANSWERED_MS);
+  void verifier.verify();
+  await clock.advance(ANSWERED_MS);
+  t.is(worker.syncs.length, 1);
+  t.deepEqual(confirmed, []);
+});
