--- a/src/coordination/pool/AnnouncementVerifier.ts
+++ b/src/coordination/pool/AnnouncementVerifier.ts
@@ -95,10 +95,11 @@
     this._asked.add(incarnation);
     this._callCount += 1;
     const call = this._callCount;
+    const fencingToken = this._deps.getEpoch();
     // It may be any worker: it is given no lease, and none of its ends is acknowledged.
     const answer = await this._deps.worker.sync({
       worker: announced.id,
-      fencingToken: this._deps.getEpoch(),
+      fencingToken,
       ...{ leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 },
     });
     this._asked.delete(incarnation);
@@ -107,7 +108,7 @@
         this._handleLists(incarnation, lists, call);
       },
       (failure) => {
-        this._handleFailure(incarnation, failure);
+        this._handleFailure(incarnation, failure, fencingToken);
       },
     );
   }
@@ -139,10 +140,14 @@
     return present?.id !== announced.id || isNewer(announced, present);
   }
 
-  private _handleFailure(incarnation: string, { kind }: WorkerCallFailure): void {
-    if (kind === "wrong-worker") {
-      this._reject(incarnation, "a worker with another id responds");
-    } else if (kind === "fenced") {
+  private _handleFailure(
+    incarnation: string,
+    { kind }: WorkerCallFailure,
+    fencingToken: number,
+  ): void {
+    if (kind === "wrong-worker" || kind === "rejected") {
+      this._reject(incarnation, "the worker at the address does not accept calls under its id");
+    } else if (kind === "fenced" && fencingToken === this._deps.getEpoch()) {
       this._deps.onFenced();
     }
   }
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -41,9 +41,7 @@
   measureWaitMs: 400,
   agentTimeoutMs: 1_000,
   commitIntervalMs: 20,
-  retentionMs: 600_000,
-  schedulerLeaseMs: 2_000,
-  claimDelayMs: 0,
+  ...{ retentionMs: 600_000, schedulerLeaseMs: 2_000, claimDelayMs: 0 },
 };
 
 /** Queue of the tests' jobs. */
