Repeat a start order whose result no list will show

What callers would see: a task that waits for ever. Cause: since call numbers count within one process of an agent, the result of a process that never reports kept its order from being repeated, and no list of another process showed it. Change: such a result counts as none after the time after which orders are repeated. Evidence: the test in runMonitorTests, which fails without the change by construction of the trial; not run on the code before.

--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -208,10 +208,15 @@
    */
   private _getListCall(agent: string, { process, callNumber }: OrderReport): ListCall {
     const known = this._deps.state.workerTable.getAgent(agent);
-    if (known?.process === undefined || ![known.formerProcess, ""].includes(process)) {
+    if (known?.process === undefined) {
       return { process, callNumber };
     }
-    return { process: known.process, callNumber: process === "" ? callNumber : 0 };
+    if (process === "") {
+      return { process: known.process, callNumber };
+    }
+    return process === known.formerProcess
+      ? { process: known.process, callNumber: 0 }
+      : { process, callNumber };
   }
 
   /** Notes that lists of later calls show what became of the orders for a run. */
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -3,6 +3,7 @@
  * because they make no progress, and which have certainly ended because no lease covers them any
  * more.
  */
+import type { ActiveRun } from "../../state/pool/TaskState.ts";
 import type { WorkerReport } from "./AgentChannel.ts";
 import { getStartTime, hasSameId } from "./incarnations.ts";
 import { formatRunKey, getRunKey, isShownBy, type ActiveTaskRun } from "./ActiveRunTable.ts";
@@ -66,7 +67,7 @@
     return { kind: "void", reason: lostReason };
   }
   const elapsedMs = now - active.since;
-  const isDue = active.callNumber === undefined && elapsedMs >= RESEND_ORDER_MS;
+  const isDue = !hasResult(active, context.worker) && elapsedMs >= RESEND_ORDER_MS;
   const next = findSuccessor(taskRun, context.worker);
   if (next !== undefined && active.phase !== "recording" && active.stopWorker !== next) {
     return { kind: "stop", reason: REPLACED_REASON };
@@ -107,6 +108,17 @@
   return now >= worker.leasesExpireBy ? "the lease of its worker has ended" : undefined;
 }
 
+/**
+ * Returns whether the last order of a run has a result that lists will show: one of a process of the
+ * agent that never reports is shown by none.
+ */
+function hasResult(
+  { callNumber, callProcess }: ActiveRun,
+  worker: WorkerState | undefined,
+): boolean {
+  return callNumber !== undefined && (worker === undefined || callProcess === worker.process);
+}
+
 /** Returns whether a reported incarnation may be an earlier one than that of a run. */
 function isUncertain(ofRun: string, { worker, isConfirmed }: WorkerReport): boolean {
   return !isConfirmed && getStartTime(ofRun) > getStartTime(worker);
--- a/tests/coordination/pool/runMonitorTests.ts
+++ b/tests/coordination/pool/runMonitorTests.ts
@@ -47,6 +47,16 @@
   t.is(getRunAction(activeRun, createContext(), 1_000).kind, "start");
 });
 
+// Guards against a run that waits for ever: its start was executed by a process of the agent that has
+// not reported, and never will.
+test("runMonitor resends a start order whose result is of another process of the agent", (t) => {
+  const ordered = { phase: "ordered", since: 0, tries: 1, callNumber: 7 } as const;
+  t.is(getRunAction(createActiveRun(ordered), createContext(), 1_000).kind, "none");
+  const ofOther = createActiveRun({ ...ordered, callProcess: "p-2" });
+  t.is(getRunAction(ofOther, createContext(), 100).kind, "none");
+  t.is(getRunAction(ofOther, createContext(), 1_000).kind, "start");
+});
+
 test("runMonitor stops a run after its start orders got no result", (t) => {
   const activeRun = createActiveRun({ phase: "ordered", since: 0, tries: 4 });
   t.is(getRunAction(activeRun, createContext(), 1_000).kind, "stop");
