--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -318,7 +318,8 @@
       return false;
     }
     if (this._lists.wasOvertaken(lists, known)) {
-      return waitMs > 0 || this._fetchLists(0);
+      // The next call of the loop follows; a call that does not wait was sent for lists from now on.
+      return waitMs > 0 ? true : this._fetchLists(0);
     }
     this._applyLists(lists, callNumber);
     return true;
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -152,6 +152,23 @@
   agent.stop();
 });
 
+// Guards against tasks that run twice: the next incarnation would get the lease of the one before,
+// for its own clock, and nobody would know of it.
+test("PoolWorkerAgent sends no lease of the former incarnation to the one that replaces it", async (t) => {
+  const fixture = await createSilentWorker();
+  const { clock, worker, agent } = fixture;
+  t.is(worker.syncs.at(-1)?.leaseUntilMs, LEASE_UNTIL_MS);
+  await replaceWorker(fixture, 2);
+  const position = worker.syncs.length;
+  await clock.advance(READING_MS);
+  t.true(worker.syncs.length > position + 1);
+  t.deepEqual(
+    worker.syncs.slice(position).filter(({ leaseUntilMs }) => leaseUntilMs !== undefined),
+    [],
+  );
+  agent.stop();
+});
+
 // Guards against ends of one incarnation that are taken for those of another.
 test("PoolWorkerAgent ignores ends of a late response that does not name its incarnation", async (t) => {
   const fixture = await createSilentWorker();
--- a/tests/coordination/pool/reportReconcilerTests.ts
+++ b/tests/coordination/pool/reportReconcilerTests.ts
@@ -2,7 +2,8 @@
  * Tests in virtual time of what the lists of a worker prove.
  */
 import test from "ava";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createStep, createWorkerReport } from "../../support/poolFixtures.ts";
+import { addJob, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 
 const TASK_COUNT = 4;
@@ -26,3 +27,21 @@
   t.is(simulation.journal.length, TASK_COUNT);
   t.deepEqual(simulation.findViolations(), []);
 });
+
+// Guards against a run that is never found lost: lists of the process that first listed it did not
+// count, as another one had executed its order.
+test("ReportReconciler relies on the process that first lists a run", async (t) => {
+  const fixture = await createScriptedScheduler();
+  const { clock, channel, scheduler, getLostReasons } = fixture;
+  channel.orderProcess = "b";
+  await addJob(fixture, { longRunning: true });
+  const [start = { task: "", run: 0 }] = channel.starts;
+  const running = [{ ...start, checkpoint: "", percent: 0, measure: 0 }];
+  channel.setReport("a", createWorkerReport({ callNumber: 2, running }));
+  await clock.advance(HANDLED_MS);
+  t.deepEqual(getLostReasons(), []);
+  channel.setReport("a", createWorkerReport({ callNumber: 3 }));
+  await clock.advance(HANDLED_MS);
+  t.deepEqual(getLostReasons(), ["its worker does not list it (running)"]);
+  scheduler.stop();
+});
