--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -68,7 +68,7 @@
   /** Identity of the agent's process. */
   readonly process: string;
   readonly version: number;
-  /** The worker; undefined if none has announced itself. */
+  /** The worker; undefined if none has confirmed its announcement. */
   readonly worker: WorkerReport | undefined;
   /**
    * Ends that former incarnations of the worker had listed, as far as the report that the scheduler
--- a/src/coordination/pool/CrashDetector.ts
+++ b/src/coordination/pool/CrashDetector.ts
@@ -1,7 +1,7 @@
 /**
  * Notices when a worker crashes and reports how long the runs on it had been started, since one of
- * them may have caused it. A worker has crashed if it stops responding and another incarnation then
- * announces itself to the same process of its agent, without a drain before. A lost VM ends the agent
+ * them may have caused it. A worker has crashed if it stops responding and another incarnation is
+ * then confirmed to the same process of its agent, without a drain before. A lost VM ends the agent
  * as well, so that it does not count.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
@@ -101,7 +101,7 @@
   }
 
   /**
-   * Handles the announcement of the next incarnation.
+   * Handles that the next incarnation is there.
    * @param former - Last announcement of the one before; undefined if there was none.
    */
   replaceWorker(former: WorkerAnnouncement | undefined): void {
--- a/src/coordination/pool/FormerEndTable.ts
+++ b/src/coordination/pool/FormerEndTable.ts
@@ -1,6 +1,6 @@
 /**
  * Ended runs that former incarnations of an agent's worker had listed and that were not acknowledged
- * when the next one announced itself. The agent is the only one that still knows them.
+ * when the next one replaced it. The agent is the only one that still knows them.
  */
 import type { EndedRun } from "../../protocol/platform/PoolWorker.ts";
 import type { FormerEnds } from "./AgentChannel.ts";
--- a/src/coordination/pool/ListedEnds.ts
+++ b/src/coordination/pool/ListedEnds.ts
@@ -48,9 +48,9 @@
   }
 
   /**
-   * Handles the announcement of the next incarnation. The ends of the one before are kept, whose
+   * Handles that the next incarnation is there. The ends of the one before are kept, whose
    * runs would count as lost without them.
-   * @param announcement - The announcement.
+   * @param announcement - Its announcement, which it has confirmed.
    */
   replaceWorker(announcement: WorkerAnnouncement): void {
     if (this._announced !== undefined) {
@@ -70,7 +70,7 @@
   }
 
   /**
-   * Adds the ends of a response; the next incarnation may have announced itself since the call.
+   * Adds the ends of a response; the next incarnation may have replaced it since the call.
    * Returns whether one of them was not known.
    * @param called - The incarnation that was called.
    * @param lists - The response.
