Stop the runs of a job that ended under a former scheduler

What callers saw: a cancelled job worked on for ever. Its cancellation was answered with 200 and the job was shown as cancelled, but the tasks on a worker whose agent was out of reach at the time went on after it was back, and their lease was extended.

Cause: stopping a run was an event that the process carried out which took the decision. It recorded the job as cancelled together with the runs that it could not stop yet. The next scheduler restored them as unconfirmed, without a reason to stop, and as soon as the agent listed them they ran like any others: addJob cancelled only jobs that had not ended, and runMonitor never looked at the job. Class: what is decided about a job is not derived for its runs.

Change: findStopReason (desiredRuns.ts) says from the job's phase and the task's state whether a run is wanted. It is asked for each active run at each check, whoever recorded it, before a recorded start is sent, and for an immediate stop when a job or task ends. The same fault on related paths goes with it: runs of failed and completed jobs, and a second run of a task that is done.

--- a/src/coordination/pool/JobUpdater.ts
+++ b/src/coordination/pool/JobUpdater.ts
@@ -12,6 +12,7 @@
 import type { QuarantineChange, WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import type { CommitQueue } from "./CommitQueue.ts";
 import type { PoolState } from "./PoolState.ts";
+import { findStopReason } from "./desiredRuns.ts";
 import { formatRunKey, getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 
 /** What the outcome of a run says about its worker; nothing if it is absent. */
@@ -167,7 +168,7 @@
       job: job.id,
       phase: job.phase,
     });
-    this._stopRuns([...job.tasks], "the job was cancelled");
+    this._stopUnwantedRuns(job, [...job.tasks]);
     this._deps.commits.enqueue(job.id);
   }
 
@@ -186,7 +187,7 @@
       ...{ job: job.id, task: task.id },
       ...counts,
     });
-    this._stopRuns([...job.tasks], "the job has failed");
+    this._stopUnwantedRuns(job, [...job.tasks]);
   }
 
   /**
@@ -253,14 +254,9 @@
     // The tasks of a gang end together, so the end of one counts for all.
     const done = getMembers(job, task);
     done.forEach((member) => {
-      member.markDone();
+      member.markDone(run);
     });
-    const isGang = task.definition.gang;
-    this._stopRuns(
-      done,
-      "another run of the task is done",
-      (active) => !isGang || active.run !== run,
-    );
+    this._stopUnwantedRuns(job, done);
   }
 
   private _countFailure(job: JobState, task: TaskState, agent: string): void {
@@ -290,14 +286,14 @@
     }
   }
 
-  private _stopRuns(
-    tasks: readonly TaskState[],
-    reason: string,
-    isSelected: (active: ActiveRun) => boolean = () => true,
-  ): void {
+  /** Stops at once what would be stopped at the next check of all runs. */
+  private _stopUnwantedRuns(job: JobState, tasks: readonly TaskState[]): void {
     tasks.forEach((task) => {
-      task.activeRuns.filter(isSelected).forEach((active) => {
-        this._deps.stopRun({ task, active }, reason);
+      task.activeRuns.forEach((active) => {
+        const reason = findStopReason(job, { task, active });
+        if (reason !== undefined) {
+          this._deps.stopRun({ task, active }, reason);
+        }
       });
     });
   }
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -9,6 +9,7 @@
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
 import type { ActiveTaskRun, ListCall } from "./ActiveRunTable.ts";
+import { findStopReason } from "./desiredRuns.ts";
 import { hasSameId } from "./incarnations.ts";
 import { getCommittedResources } from "./stepResources.ts";
 import { RecentStartTable } from "./RecentStartTable.ts";
@@ -56,8 +57,9 @@
     if (taskRun?.active.phase !== "recording") {
       return;
     }
-    if (taskRun.active.stopReason !== "") {
-      this._deps.onRunLost(taskRun, taskRun.active.stopReason);
+    const stopReason = this._findStopReason(taskRun) ?? taskRun.active.stopReason;
+    if (stopReason !== "") {
+      this._deps.onRunLost(taskRun, stopReason);
       return;
     }
     if (!this._hasRoom(taskRun)) {
@@ -109,7 +111,8 @@
     const now = clock.now();
     state.activeRuns.getAll().forEach((taskRun) => {
       const worker = state.workerTable.getWorker(taskRun.active.agent);
-      const action = getRunAction(taskRun, { worker, formerLeasesExpireBy }, now);
+      const stopReason = this._findStopReason(taskRun);
+      const action = getRunAction(taskRun, { worker, formerLeasesExpireBy, stopReason }, now);
       switch (action.kind) {
         case "start":
           if (this._hasRoom(taskRun)) {
@@ -299,6 +302,10 @@
     return workerTable.hasRoomFor(active.agent, getCommittedResources(task.definition));
   }
 
+  private _findStopReason(taskRun: ActiveTaskRun): string | undefined {
+    return findStopReason(this._deps.state.getJobOf(taskRun.task), taskRun);
+  }
+
   private _findActiveRun(id: string, run: number): ActiveTaskRun | undefined {
     const task = this._deps.state.getTask(id);
     const active = task?.getRun(run);
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -46,18 +46,20 @@
   /** The run has certainly ended. */
   | { readonly kind: "void"; readonly reason: string };
 
-/** State of a run's worker and of the leases of former schedulers. */
+/** State of a run's job and worker and of the leases of former schedulers. */
 export interface RunContext {
   /** The worker that its agent reports now; undefined if the agent has not reported. */
   readonly worker: WorkerState | undefined;
   /** Time by which every lease of former schedulers has certainly ended. */
   readonly formerLeasesExpireBy: number;
+  /** Why the run is not wanted any more; undefined if it is. */
+  readonly stopReason: string | undefined;
 }
 
 /**
  * Returns the action that is due for a run.
  * @param taskRun - The run.
- * @param context - State of its worker and of the leases of former schedulers.
+ * @param context - State of its job and worker and of the leases of former schedulers.
  * @param now - Monotonic time in milliseconds.
  */
 export function getRunAction(taskRun: ActiveTaskRun, context: RunContext, now: number): RunAction {
@@ -72,6 +74,10 @@
   if (next !== undefined && active.phase !== "recording" && active.stopWorker !== next) {
     return { kind: "stop", reason: REPLACED_REASON };
   }
+  const { stopReason } = context;
+  if (stopReason !== undefined && active.phase !== "recording" && active.phase !== "stopping") {
+    return { kind: "stop", reason: stopReason };
+  }
   switch (active.phase) {
     case "ordered":
       if (!isDue) {
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -72,6 +72,7 @@
   private _lastRun = 0;
   private _failures = 0;
   private _isDone = false;
+  private _doneGangRun: number | undefined;
   private _checkpoint = "";
   private _activeRuns: readonly ActiveRun[] = [];
   private _givenUpRuns: readonly GivenUpRun[] = [];
@@ -105,6 +106,14 @@
     return this._isDone;
   }
 
+  /**
+   * Number of the run with which the task's gang is done; undefined for other tasks, and if a former
+   * scheduler recorded that it is.
+   */
+  get doneGangRun(): number | undefined {
+    return this._doneGangRun;
+  }
+
   /** Whether the task may crash the workers that start it. */
   get isSuspected(): boolean {
     return this.crashHistory.crashes > 0 && !this._isDone;
@@ -246,9 +255,13 @@
     this._failures += 1;
   }
 
-  /** Marks the task as done; the ends of runs that were given up make no difference any more. */
-  markDone(): void {
+  /**
+   * Marks the task as done; the ends of runs that were given up make no difference any more.
+   * @param run - Number of the run that is done.
+   */
+  markDone(run: number): void {
     this._isDone = true;
+    this._doneGangRun = this.definition.gang ? run : undefined;
     this._givenUpRuns = [];
   }
 
--- a/tests/coordination/pool/runMonitorTests.ts
+++ b/tests/coordination/pool/runMonitorTests.ts
@@ -38,7 +38,7 @@
     backoffUntil: 0,
     ...overrides,
   };
-  return { worker, formerLeasesExpireBy: 16_000 };
+  return { worker, formerLeasesExpireBy: 16_000, stopReason: undefined };
 }
 
 test("runMonitor resends a start order without a result", (t) => {
@@ -140,7 +140,7 @@
 
 test("runMonitor waits for the end of former schedulers' leases if the agent has not reported", (t) => {
   const activeRun = createActiveRun({ phase: "unconfirmed", since: 0 });
-  const noReport = { worker: undefined, formerLeasesExpireBy: 16_000 };
+  const noReport = { ...createContext(), worker: undefined };
   t.is(getRunAction(activeRun, noReport, 15_999).kind, "none");
   t.is(getRunAction(activeRun, noReport, 16_000).kind, "void");
 });
--- a/tests/state/pool/jobStateTests.ts
+++ b/tests/state/pool/jobStateTests.ts
@@ -28,7 +28,7 @@
     .forEach((task) => {
       const { run } = task.addRun({ agent: "a", worker: "a@1" }, 0);
       task.removeRun(run);
-      task.markDone();
+      task.markDone(1);
     });
 }
 
--- a/tests/state/pool/taskStateTests.ts
+++ b/tests/state/pool/taskStateTests.ts
@@ -44,7 +44,7 @@
     task.toRecord()?.givenUp?.map(({ run }) => run),
     [3, 4, 5, 6],
   );
-  task.markDone();
+  task.markDone(1);
   t.deepEqual(task.toRecord(), { run: 6, done: true });
   task.rememberGivenUpRun({ run: 7, worker: WORKER });
   t.is(task.toRecord()?.givenUp, undefined);
