Answer a request whose handling fails between callers and backend servers

Cause: the servers for requests at the entry and at the agent started their asynchronous handlers without a catch, as the server for heartbeats did before. An exception in one request is then an unhandled rejection, which ends the process with all requests that it serves. Class: an exception outside of the checked path ends the process.

Change: both use createListener like the other servers. As the point of the failure is not known, the answer is internal-error with the verdict may-have-run. With it, all listeners of HTTP/1 with an asynchronous handler have one place where an unexpected error becomes a response and a log line.

No request is known that throws there.

--- a/src/transport/agent/AgentProcess.ts
+++ b/src/transport/agent/AgentProcess.ts
@@ -85,6 +85,7 @@
     this._requestServer = new AgentRequestServer({
       admission: this._admission,
       clock: this._clock,
+      log: log.child("requests"),
       maxBodyBytes: settings.requests.maxBodyBytes,
       isReady: () => this._tasks.isReady(),
       onFinished: ({ tenant, requestClass, service }, latencyMs) => {
--- a/src/transport/agent/requests/AgentRequestServer.ts
+++ b/src/transport/agent/requests/AgentRequestServer.ts
@@ -8,11 +8,14 @@
 import type { LocalServer } from "../../../coordination/requests/LocalServer.ts";
 import type { ListenError } from "../../../protocol/errors/errors.ts";
 import type { Clock } from "../../../protocol/platform/Clock.ts";
+import type { Log } from "../../../protocol/platform/Log.ts";
 import type { Refusal } from "../../../protocol/Refusal.ts";
 import { parseRequestHead, type RequestHead } from "../../../protocol/RequestHead.ts";
 import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
+import { createListener } from "../../http/createListener.ts";
 import { getForwardHeaders } from "../../http/forwardHeaders.ts";
 import { listen } from "../../http/listen.ts";
+import { refuseUnhandled } from "../../http/refuseUnhandled.ts";
 import { sendRefusal } from "../../http/sendRefusal.ts";
 import { getDispatchBody, receiveBody, type RequestBody } from "../../http/requestBody.ts";
 import { BackendExchange } from "./BackendExchange.ts";
@@ -50,6 +53,7 @@
     readonly clock: Clock;
     readonly maxBodyBytes: number;
     readonly isReady: () => boolean;
+    readonly log: Log;
     /** Called when a backend server has sent its whole response. */
     readonly onFinished: (head: RequestHead, latencyMs: number) => void;
   }) {
@@ -58,9 +62,9 @@
     this._maxBodyBytes = deps.maxBodyBytes;
     this._isReady = deps.isReady;
     this._onFinished = deps.onFinished;
-    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (req, res) => {
-      void this._handle(req, res);
-    });
+    const options = { keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true };
+    const handle = this._handle.bind(this);
+    this._server = createServer(options, createListener(handle, deps.log, refuseUnhandled));
   }
 
   /**
--- a/src/transport/entry/EntryProcess.ts
+++ b/src/transport/entry/EntryProcess.ts
@@ -177,6 +177,7 @@
     const { entry, requests } = this._settings;
     return new EntryRequestServer({
       clock: this._clock,
+      log: this._log.child("requests"),
       connections: this._connections,
       settler: new RequestSettler(this._clock, this._connections),
       sender: `${entry.name}-${crypto.randomUUID().slice(0, 8)}`,
--- a/src/transport/entry/requests/EntryRequestServer.ts
+++ b/src/transport/entry/requests/EntryRequestServer.ts
@@ -4,11 +4,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { ResultAsync } from "neverthrow";
 import type { ListenError } from "../../../protocol/errors/errors.ts";
+import type { Log } from "../../../protocol/platform/Log.ts";
 import type { Refusal, RefusalCode } from "../../../protocol/Refusal.ts";
 import { RequestHeaders } from "../../../protocol/RequestHeaders.ts";
 import { handleClientErrors } from "../../http/clientErrors.ts";
+import { createListener } from "../../http/createListener.ts";
 import { getForwardHeaders } from "../../http/forwardHeaders.ts";
 import { listen } from "../../http/listen.ts";
+import { refuseUnhandled } from "../../http/refuseUnhandled.ts";
 import { sendRefusal } from "../../http/sendRefusal.ts";
 import { receiveBody } from "../../http/requestBody.ts";
 import { readCallerRequest } from "./CallerRequest.ts";
@@ -31,6 +34,7 @@
   /** Returns whether this entry has a configuration. */
   readonly hasConfig: () => boolean;
   readonly isKnownService: (service: string) => boolean;
+  readonly log: Log;
   /** Called for each request that is refused before it is routed. */
   readonly onRefusal: (code: RefusalCode) => void;
 }
@@ -54,9 +58,8 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       noDelay: true,
     };
-    this._server = createServer(options, (req, res) => {
-      void this._handle(req, res);
-    });
+    const handle = this._handle.bind(this);
+    this._server = createServer(options, createListener(handle, deps.log, refuseUnhandled));
     handleClientErrors(this._server, deps.onRefusal);
   }
 
--- a/src/transport/http/createListener.ts
+++ b/src/transport/http/createListener.ts
@@ -9,13 +9,15 @@
 export type HttpListener = (req: IncomingMessage, res: ServerResponse) => void;
 
 /**
- * Creates a listener that answers with status 400 if the handler fails.
+ * Creates a listener that answers a request whose handling fails; with status 400 by default.
  * @param handle - Handles and answers a request.
  * @param log - Log for failures.
+ * @param respond - Answers a request whose handling failed.
  */
 export function createListener(
   handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
   log: Log,
+  respond: HttpListener = reject,
 ): HttpListener {
   return (req, res) => {
     handle(req, res).catch((cause: unknown) => {
@@ -24,12 +26,12 @@
         ...{ method, path, reason: String(cause) },
         stack: cause instanceof Error ? cause.stack : undefined,
       });
-      reject(res);
+      respond(req, res);
     });
   };
 }
 
-function reject(res: ServerResponse): void {
+function reject(_: IncomingMessage, res: ServerResponse): void {
   if (!res.headersSent) {
     res.writeHead(400, { "content-type": "application/json" });
     res.end(JSON.stringify({ error: "the request could not be handled" }));
