Extend leases without the store for 4 s instead of 10 s

What callers saw: tasks that last waited for 18 s if their VM and the scheduler were lost at the same moment, so that nothing is on record.

Cause: a takeover then waits for what a former scheduler may still have granted. The 10 s were longer than interruptions of the store need: the lease of 6 s adds to them.

--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -21,10 +21,17 @@
 import { SystemRandom } from "../platform/SystemRandom.ts";
 import { ConnectAgentChannel } from "./ConnectAgentChannel.ts";
 
-/** Longest lease granted to a worker; bounds how long tasks of a lost worker wait for a restart. */
+/**
+ * Longest lease granted to a worker, in milliseconds; bounds how long tasks of a lost worker wait for
+ * a restart.
+ */
 const WORKER_LEASE_MS = 6_000;
-/** Time for which a scheduler that cannot reach the store continues to extend leases. */
-const GRANT_HORIZON_MS = 10_000;
+/**
+ * Time for which a scheduler that cannot reach the store continues to extend leases, in milliseconds.
+ * With the lease, runs outlast an interruption of the store of 7.5 s. A takeover waits as long for
+ * workers that nobody reaches and that are not on record, so that it is no longer than that needs.
+ */
+const GRANT_HORIZON_MS = 4_000;
 /**
  * Longest time that an agent waits for a change before it responds. Ended runs are reported at
  * once; this bounds how old progress and the worker's clock may be.
