--- a/standins/cluster/ManagedProcess.ts
+++ b/standins/cluster/ManagedProcess.ts
@@ -17,6 +17,8 @@
   /** Path of the file to which its output is appended. */
   readonly logFile: string;
   readonly guard: ProcessGuard;
+  /** Variables that its environment has in addition. */
+  readonly env?: Readonly<Record<string, string>>;
 }
 
 /** Exit status of a process; code and signal are null if it failed to start. */
@@ -59,9 +61,12 @@
     if (this._child !== undefined) {
       return;
     }
-    const { command, args, logFile, guard } = this._options;
+    const { command, args, logFile, guard, env } = this._options;
     const output = openSync(logFile, "a");
-    const child = spawn(command, args, { stdio: ["ignore", output, output] });
+    const child = spawn(command, args, {
+      stdio: ["ignore", output, output],
+      env: { ...process.env, ...env },
+    });
     closeSync(output);
     this._child = child;
     const { pid } = child;
--- a/standins/platform/WorkerServer.ts
+++ b/standins/platform/WorkerServer.ts
@@ -1,9 +1,13 @@
 /**
- * Stand-in for the users' worker: their protocol over the worker model, and its heartbeats.
+ * Stand-in for the users' worker: their protocol over the worker model, and its heartbeats. The model
+ * can be replaced by that of the next incarnation at the same address.
  */
 import { z } from "zod";
 import { request } from "undici";
-import type { WorkerCallFailure } from "../../src/protocol/platform/PoolWorker.ts";
+import type {
+  WorkerAnnouncement,
+  WorkerCallFailure,
+} from "../../src/protocol/platform/PoolWorker.ts";
 import type { PoolWorkerModel } from "../pool/PoolWorkerModel.ts";
 import {
   createReply,
@@ -36,7 +40,7 @@
 /** Worker with the users' protocol. */
 export class WorkerServer {
   private readonly _address: string;
-  private readonly _model: PoolWorkerModel;
+  private _model: PoolWorkerModel;
   private readonly _server: JsonServer;
 
   /**
@@ -60,14 +64,26 @@
     await this._server.stop();
   }
 
+  /** State of the incarnation that responds at the address. */
+  get model(): PoolWorkerModel {
+    return this._model;
+  }
+
+  set model(model: PoolWorkerModel) {
+    this._model = model;
+  }
+
   /**
    * Sends a heartbeat.
    * @param target - Address of the agent.
+   * @param announcement - What it says; by default, the next announcement of the worker.
    * @returns HTTP status of the response.
    */
-  async sendHeartbeat(target: string): Promise<number> {
-    const { id, startedAtMs, pool, zone, draining, capacity, labels, sequence } =
-      this._model.announce();
+  async sendHeartbeat(
+    target: string,
+    announcement: WorkerAnnouncement = this._model.announce(),
+  ): Promise<number> {
+    const { id, startedAtMs, pool, zone, draining, capacity, labels, sequence } = announcement;
     const { statusCode, body } = await request(`http://${target}/v1/instances/${id}`, {
       method: "PUT",
       body: JSON.stringify({
@@ -89,7 +105,11 @@
   }
 
   private async _serve(req: JsonRequest): Promise<JsonReply> {
-    const worker = this._model.announce().id;
+    const worker = this._model.id;
+    const expected = req.headers["expect-instance"];
+    if (expected !== undefined && expected !== worker) {
+      return createReply({}, 421);
+    }
     switch (req.path) {
       case "/v1/run-start":
         return this._start(worker, StartBody.parse(req.body));
--- a/standins/support/JsonServer.ts
+++ b/standins/support/JsonServer.ts
@@ -2,7 +2,7 @@
  * HTTP server of a stand-in with JSON bodies, which can also close a connection or never respond.
  */
 import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from "node:http";
 import { once } from "node:events";
 import { parseAddress } from "./address.ts";
 
@@ -11,6 +11,7 @@
   readonly method: string;
   readonly path: string;
   readonly query: URLSearchParams;
+  readonly headers: IncomingHttpHeaders;
   readonly body: unknown;
   /** Aborts when the connection or the response is closed. */
   readonly disconnected: AbortSignal;
@@ -104,6 +105,7 @@
       method: req.method ?? "GET",
       path: url.pathname,
       query: url.searchParams,
+      headers: req.headers,
       body: text === "" ? undefined : (JSON.parse(text) as unknown),
       disconnected,
     });
--- a/tests/coordination/pool/runViolations.ts
+++ b/tests/coordination/pool/runViolations.ts
@@ -21,7 +21,9 @@
     const before = inOrder[position];
     const endedAt = before?.endedAt ?? Number.POSITIVE_INFINITY;
     return run.startedAt < endedAt
-      ? [`${task}: run ${run.run} on ${run.worker} started during run ${before?.run ?? 0}`]
+      ? [
+          `${task}: run ${run.run} on ${run.worker} started during run ${before?.run ?? 0} on ${before?.worker ?? ""}`,
+        ]
       : [];
   });
 }
--- a/tests/platform/PlatformFixture.ts
+++ b/tests/platform/PlatformFixture.ts
@@ -122,11 +122,7 @@
     entry,
     announcements,
     call,
-    getReadiness: async () => {
-      const { statusCode, body } = await request(`http://${readiness}/v1/ready`);
-      await body.dump();
-      return statusCode;
-    },
+    getReadiness: () => getReadiness(readiness),
     waitForStatus: (path, status) =>
       waitUntil(`${path} answers ${status}`, TIMEOUT_MS, async () => {
         return (await call("GET", path)).status === status;
@@ -211,7 +207,24 @@
   });
 }
 
-async function callEntry(
+/**
+ * Gets the status with which an entry says whether it is ready.
+ * @param address - Its address for that.
+ */
+export async function getReadiness(address: string): Promise<number> {
+  const { statusCode, body } = await request(`http://${address}/v1/ready`);
+  await body.dump();
+  return statusCode;
+}
+
+/**
+ * Sends a request of a client to an entry.
+ * @param address - Address of the entry.
+ * @param method - Method.
+ * @param path - Path.
+ * @param body - Body; undefined for none.
+ */
+export async function callEntry(
   address: string,
   method: string,
   path: string,
