Let a cancellation name the queue whose job it is meant for

What callers saw: a job was stopped and shown as cancelled though nobody had cancelled it. A client of another queue of the pool had chosen the same id, its submission was answered with 409, and it cancelled its own id: 410, and the job of the other queue ended.

Cause: the entry treats a job of another queue like an unknown one, and created intake/POOL/cancel/ID all the same, so that a submission under way would not run. That key names less than the client does, and the catalog applied it to whatever job has the id. Class: a key names less than the thing.

Change: a cancellation of a job that the entry does not know is written under a key with a digest of the queue, and applies to a job of that queue only, known or to come. Where the id belongs to a job of another queue, nothing is written. A job of the own queue is cancelled under the key as before, which is exact there, so that entries of both versions understand it; cancellations of former entries are read as before. Jobs that are not kept any more lose both keys.

Looked through for the same class: jobs and progress are one for each pool and id, and a submission checks the queue; the names of tasks are the users'.

--- a/src/coordination/pool/JobRetention.ts
+++ b/src/coordination/pool/JobRetention.ts
@@ -6,7 +6,7 @@
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { Store, StoreFailure } from "../../protocol/platform/Store.ts";
 import type { JobState } from "../../state/pool/JobState.ts";
-import { formatJobKey, type JobKey } from "../../state/pool/PoolKeys.ts";
+import { formatJobKey, getQueueDigest, type JobKey } from "../../state/pool/PoolKeys.ts";
 import type { PoolState } from "./PoolState.ts";
 
 /** Time between two sweeps, in milliseconds. */
@@ -57,18 +57,23 @@
     ended
       .filter(({ id }) => now - (this._endedAt.get(id) ?? now) >= retentionMs)
       .slice(0, MAX_REMOVED_PER_SWEEP)
-      .forEach(({ id }) => void this._remove(id));
+      .forEach((job) => void this._remove(job));
   }
 
   /**
    * Removes the keys of a job, that of the accepted job first: an accepted job without progress
    * would be scheduled as a new one.
    */
-  private async _remove(job: string): Promise<void> {
+  private async _remove({ id: job, record }: JobState): Promise<void> {
     const { pool, state, onRemoved, log } = this._deps;
-    const kinds: readonly JobKey["kind"][] = ["job", "cancel", "progress"];
-    const failure = await kinds.reduce<Promise<StoreFailure | undefined>>(
-      async (before, kind) => (await before) ?? this._removeKey({ kind, pool, job }),
+    const keys: readonly JobKey[] = [
+      { kind: "job", pool, job },
+      { kind: "cancel", pool, job },
+      { kind: "cancel", pool, job, queueDigest: getQueueDigest(record.queue) },
+      { kind: "progress", pool, job },
+    ];
+    const failure = await keys.reduce<Promise<StoreFailure | undefined>>(
+      async (before, key) => (await before) ?? this._removeKey(key),
       Promise.resolve(undefined),
     );
     if (failure !== undefined) {
--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -11,7 +11,7 @@
 import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
 import type { QueueConfig } from "../../protocol/pool/QueueConfig.ts";
 import { getVisiblePhase, type CatalogJob, type JobCatalog } from "../../state/pool/JobCatalog.ts";
-import { formatJobKey, parseJobKey } from "../../state/pool/PoolKeys.ts";
+import { formatJobKey, getQueueDigest, parseJobKey } from "../../state/pool/PoolKeys.ts";
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
 import type { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
 import { UnresolvedWriteTable } from "./UnresolvedWriteTable.ts";
@@ -107,9 +107,11 @@
    * milliseconds.
    */
   async cancel(queue: QueueConfig, id: string, deadline: number): Promise<SubmissionOutcome> {
-    const key = formatJobKey({ kind: "cancel", pool: queue.pool, job: id });
     const fields = { job: id, queue: queue.name };
     const found = await this._find(queue, id, deadline);
+    const isUnknown = found.kind === "asked" && found.job === undefined;
+    const queueDigest = isUnknown ? getQueueDigest(queue.name) : undefined;
+    const key = formatJobKey({ kind: "cancel", pool: queue.pool, job: id, queueDigest });
     if (found.kind === "unavailable") {
       const refusal = this._refuse(key, found.reason);
       this._logOutcome("Cancellation of a job was handled.", fields, refusal);
@@ -118,7 +120,11 @@
     if (found.job?.isCancelled === true) {
       return { kind: "stored", known: true };
     }
-    // An unknown job may still be created by a write in progress; it must not run then.
+    if (found.isOfOtherQueue) {
+      return { kind: "not-found" };
+    }
+    // An unknown job may still be created by a write in progress; it must not run then. If the id
+    // belongs to a job of another queue by then, the cancellation is not of that one.
     const outcome = await this._create(key, "{}", deadline);
     this._logOutcome("Cancellation of a job was handled.", fields, outcome);
     return outcome.kind === "stored" && found.job === undefined ? { kind: "not-found" } : outcome;
@@ -177,7 +183,11 @@
     id: string,
     deadline: number,
   ): Promise<
-    | { readonly kind: "asked"; readonly job: CatalogJob | undefined }
+    | {
+        readonly kind: "asked";
+        readonly job: CatalogJob | undefined;
+        readonly isOfOtherQueue: boolean;
+      }
     | { readonly kind: "unavailable"; readonly reason: string }
   > {
     const { catalog, store, clock } = this._deps;
@@ -196,7 +206,9 @@
       catalog.apply(read.value === undefined ? [] : [read.value]);
     }
     const job = catalog.getJob(id);
-    return { kind: "asked", job: job?.record?.queue === queue.name ? job : undefined };
+    const owner = job?.record?.queue;
+    const isOfOtherQueue = owner !== undefined && owner !== queue.name;
+    return { kind: "asked", job: owner === queue.name ? job : undefined, isOfOtherQueue };
   }
 
   /**
@@ -270,6 +282,9 @@
   private _isStored(key: string): boolean {
     const parsed = parseJobKey(key);
     const job = parsed === undefined ? undefined : this._deps.catalog.getJob(parsed.job);
+    if (parsed?.kind === "cancel" && parsed.queueDigest !== undefined) {
+      return job?.cancelledQueues.has(parsed.queueDigest) === true;
+    }
     return parsed?.kind === "cancel" ? job?.isCancelled === true : job?.record !== undefined;
   }
 }
--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -5,7 +5,7 @@
  */
 import type { StoreChange } from "../../protocol/platform/Store.ts";
 import { applyEach } from "./applyEach.ts";
-import { parseJobKey, type JobKey } from "./PoolKeys.ts";
+import { getQueueDigest, parseJobKey, type JobKey } from "./PoolKeys.ts";
 import {
   parseJobRecord,
   parseProgressRecord,
@@ -24,6 +24,8 @@
   /** Revision at which the job was accepted; 0 if the job itself is not known. */
   readonly acceptedRevision: number;
   readonly isCancelled: boolean;
+  /** Digests of the queues whose job with this id is cancelled, should there be one. */
+  readonly cancelledQueues: ReadonlySet<string>;
   readonly phase: JobPhase;
   /** Progress as last recorded; undefined if none is known. */
   readonly progress: ProgressRecord | undefined;
@@ -155,7 +157,7 @@
         this._applyJob(job, value, change);
         return;
       case "cancel":
-        this._applyCancel(job);
+        this._applyCancel(job, key.queueDigest);
         return;
       case "progress":
         this._applyProgress(job, value, change);
@@ -168,7 +170,9 @@
     }
     parseJobRecord(value).match(
       (record) => {
-        const known = { ...job, record, acceptedRevision: revision };
+        const isCancelled =
+          job.isCancelled || job.cancelledQueues.has(getQueueDigest(record.queue));
+        const known = { ...job, record, isCancelled, acceptedRevision: revision };
         this._jobs.set(job.id, known);
         this._listener.onAccepted(known);
       },
@@ -178,11 +182,19 @@
     );
   }
 
-  private _applyCancel(job: CatalogJob): void {
-    if (!job.isCancelled) {
-      const cancelled = { ...job, isCancelled: true };
-      this._jobs.set(job.id, cancelled);
-      this._listener.onCancelled(cancelled);
+  /** Applies a cancellation; one of a queue cancels a job of this queue only. */
+  private _applyCancel(job: CatalogJob, queueDigest: string | undefined): void {
+    const cancelledQueues = new Set(job.cancelledQueues);
+    if (queueDigest !== undefined) {
+      cancelledQueues.add(queueDigest);
+    }
+    const queue = job.record?.queue;
+    const isOfQueue = queue !== undefined && queueDigest === getQueueDigest(queue);
+    const isCancelled = job.isCancelled || queueDigest === undefined || isOfQueue;
+    const updated = { ...job, isCancelled, cancelledQueues };
+    this._jobs.set(job.id, updated);
+    if (isCancelled && !job.isCancelled) {
+      this._listener.onCancelled(updated);
     }
   }
 
@@ -233,6 +245,7 @@
     record: undefined,
     acceptedRevision: 0,
     isCancelled: false,
+    cancelledQueues: new Set(),
     phase: "queued",
     progress: undefined,
     progressRevision: 0,
--- a/src/state/pool/PoolKeys.ts
+++ b/src/state/pool/PoolKeys.ts
@@ -2,6 +2,7 @@
  * Keys of worker pools in the store. Accepted jobs and cancellations are written once, by any
  * entry; progress is written only by the scheduler of the pool.
  */
+import { createHash } from "node:crypto";
 
 /** Prefix of the keys that entries write for the schedulers: accepted jobs and cancellations. */
 export const INTAKE_PREFIX = "intake/";
@@ -18,21 +19,40 @@
 /** Prefix of the interference between images that schedulers have estimated. */
 export const INTERFERENCE_PREFIX = "pressure/";
 
+/** Length of the digest of a queue's name in a key, in hexadecimal digits. */
+const QUEUE_DIGEST_LENGTH = 16;
+const QUEUE_DIGEST = new RegExp(`^[0-9a-f]{${QUEUE_DIGEST_LENGTH}}$`);
+
 /** Components of a key of a job. */
 export interface JobKey {
   readonly kind: "job" | "cancel" | "progress";
   readonly pool: string;
   readonly job: string;
+  /**
+   * Digest of the name of the queue to whose job alone a cancellation applies; undefined for one that
+   * applies to the job that has the id. Jobs of all queues of a pool share the ids.
+   */
+  readonly queueDigest?: string | undefined;
 }
 
 /**
  * Formats a key of a job.
  * @param key - Components of the key.
  */
-export function formatJobKey({ kind, pool, job }: JobKey): string {
-  return kind === "progress"
-    ? `${PROGRESS_PREFIX}${pool}/${job}`
-    : `${INTAKE_PREFIX}${pool}/${kind}/${job}`;
+export function formatJobKey({ kind, pool, job, queueDigest }: JobKey): string {
+  if (kind === "progress") {
+    return `${PROGRESS_PREFIX}${pool}/${job}`;
+  }
+  const id = queueDigest === undefined ? job : `${queueDigest}/${job}`;
+  return `${INTAKE_PREFIX}${pool}/${kind}/${id}`;
+}
+
+/**
+ * Gets the digest by which keys name a queue: a name may be longer than a key.
+ * @param queue - Name of the queue.
+ */
+export function getQueueDigest(queue: string): string {
+  return createHash("sha256").update(queue).digest("hex").slice(0, QUEUE_DIGEST_LENGTH);
 }
 
 /**
@@ -45,6 +65,10 @@
   if (key.startsWith(PROGRESS_PREFIX)) {
     return { kind: "progress", pool: segments.slice(1, -1).join("/"), job };
   }
+  const queueDigest = segments.at(-2) ?? "";
+  if (segments.at(-3) === "cancel" && QUEUE_DIGEST.test(queueDigest)) {
+    return { kind: "cancel", pool: segments.slice(1, -3).join("/"), job, queueDigest };
+  }
   const kind = segments.at(-2);
   if (!key.startsWith(INTAKE_PREFIX) || (kind !== "job" && kind !== "cancel")) {
     return undefined;
--- a/tests/coordination/pool/createScriptedScheduler.ts
+++ b/tests/coordination/pool/createScriptedScheduler.ts
@@ -120,7 +120,13 @@
   progressRevision: number,
 ): CatalogJob {
   return {
-    ...{ id: JOB, pool: POOL, acceptedRevision: 1, isCancelled: false },
+    ...{
+      id: JOB,
+      pool: POOL,
+      acceptedRevision: 1,
+      isCancelled: false,
+      cancelledQueues: new Set<string>(),
+    },
     record: createJobRecord([createStep(step)]),
     phase: progress?.phase ?? "queued",
     progress,
--- a/tests/coordination/pool/endedJobRunTests.ts
+++ b/tests/coordination/pool/endedJobRunTests.ts
@@ -120,6 +120,7 @@
   const step = createStep({ taskCount: 2, longRunning: progress.tasks["0.0.0"]?.done !== true });
   const job: CatalogJob = {
     ...{ id: JOB, pool: POOL, acceptedRevision: 1, isCancelled, progress, progressRevision },
+    cancelledQueues: new Set(),
     ...{ record: createJobRecord([step]), phase: progress.phase, isProgressUnreadable: false },
   };
   const channel = new ScriptedChannel(clock);
