--- a/tests/coordination/pool/DelayedPoolSimulation.ts
+++ b/tests/coordination/pool/DelayedPoolSimulation.ts
@@ -10,7 +10,8 @@
 import { DelayedWorkerAddress } from "./DelayedWorkerAddress.ts";
 import { FreezableClock } from "./FreezableClock.ts";
 import type { EntryConnections, EntryFaults } from "./EntryConnections.ts";
-import { PoolSimulation, TIMINGS, type SimulatedAgent } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { TIMINGS, type SimulatedAgent } from "./simulatedPool.ts";
 import { SimulatedNetwork } from "./SimulatedNetwork.ts";
 
 /** How the next incarnation of a worker differs from the one before. */
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -13,7 +13,6 @@
 } from "../../../src/coordination/pool/SubmissionService.ts";
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
-import type { QueueConfig } from "../../../src/protocol/pool/QueueConfig.ts";
 import type { PoolWorker, WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { StoreModel } from "../../../standins/store/StoreModel.ts";
@@ -30,65 +29,16 @@
 import type { EntryConnections, EntryFaults } from "./EntryConnections.ts";
 import { getAgentAddress, registerAgent } from "./registerAgent.ts";
 import { SimulatedChannel } from "./SimulatedChannel.ts";
+import {
+  QUEUE,
+  TIMINGS,
+  type SimulatedAgent,
+  type SimulatedEntry,
+  type SimulatedJob,
+} from "./simulatedPool.ts";
 
 const HEARTBEAT_MS = 1_000;
 
-/** Timings of the simulated pool. */
-export const TIMINGS: PoolTimings = {
-  workerLeaseMs: 5_000,
-  grantHorizonMs: 4_000,
-  observeWaitMs: 1_000,
-  measureWaitMs: 400,
-  agentTimeoutMs: 1_000,
-  commitIntervalMs: 20,
-  ...{ retentionMs: 600_000, schedulerLeaseMs: 2_000, claimDelayMs: 0 },
-};
-
-/** Queue of the tests' jobs. */
-export const QUEUE: QueueConfig = {
-  name: "queue-a",
-  host: "host-a",
-  pathPrefix: "/a/",
-  pool: POOL,
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 2,
-  latencyTargetMs: 500,
-};
-
-/** A simulated entry. */
-export interface SimulatedEntry {
-  readonly name: string;
-  readonly store: MemoryStore;
-  readonly coordinator: PoolCoordinator;
-  readonly submissions: SubmissionService;
-  /** Whether its calls to agents are lost. */
-  isDisconnected: boolean;
-  /** Names of agents to which its calls are lost. */
-  readonly cutAgents: Set<string>;
-  isStopped: boolean;
-}
-
-/** A simulated agent with its worker. */
-export interface SimulatedAgent {
-  readonly name: string;
-  workerAgent: PoolWorkerAgent;
-  worker: PoolWorkerModel;
-  /** Where its agent calls its worker; leads to the incarnation above once that is up. */
-  readonly address: PoolWorkerAddress;
-  isDisconnected: boolean;
-}
-
-/** A job to submit. */
-export interface SimulatedJob {
-  readonly id: string;
-  readonly definition: JobDefinition;
-  /** Run time of each task, in milliseconds; undefined for tasks that never end. */
-  readonly workMs: number | undefined;
-  /** Time after which each run crashes its worker, in milliseconds; undefined for none. */
-  readonly crashesWorkerAfterMs?: number;
-}
-
 /** A pool with its store, entries, agents and workers. */
 export class PoolSimulation {
   readonly clock = new ManualClock();
--- a/tests/coordination/pool/SimulatedChannel.ts
+++ b/tests/coordination/pool/SimulatedChannel.ts
@@ -10,7 +10,8 @@
   type OrderReport,
 } from "../../../src/coordination/pool/AgentChannel.ts";
 import type { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
-import type { PoolSimulation, SimulatedAgent } from "./PoolSimulation.ts";
+import type { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedAgent } from "./simulatedPool.ts";
 
 /** In-process channel; calls over a broken connection time out. */
 export class SimulatedChannel extends AgentChannel {
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -6,7 +6,7 @@
 import { getLeaseExpiryWaitMs } from "../../../src/coordination/pool/PoolTimings.ts";
 import { createEndedRun, createWorkerReport } from "../../support/poolFixtures.ts";
 import { addJob, AGENT, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
-import { TIMINGS } from "./PoolSimulation.ts";
+import { TIMINGS } from "./simulatedPool.ts";
 
 /** Number of the call of the first process after which its worker was given the run. */
 const FORMER_CALL = 50;
--- a/tests/coordination/pool/crashFixtures.ts
+++ b/tests/coordination/pool/crashFixtures.ts
@@ -4,7 +4,8 @@
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
-import { PoolSimulation, QUEUE, type SimulatedEntry, type SimulatedJob } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedEntry, type SimulatedJob } from "./simulatedPool.ts";
 
 const AGENT_COUNT = 8;
 /** Time in which the entry becomes the scheduler and all agents report, in milliseconds. */
--- a/tests/coordination/pool/crashedWorkerTests.ts
+++ b/tests/coordination/pool/crashedWorkerTests.ts
@@ -12,7 +12,7 @@
   RECOVERY_MS,
   type Pool,
 } from "./crashFixtures.ts";
-import type { SimulatedAgent } from "./PoolSimulation.ts";
+import type { SimulatedAgent } from "./simulatedPool.ts";
 
 /** Finds the agent on whose worker a task runs. */
 function findAgent({ simulation }: Pool, job: string): SimulatedAgent | undefined {
--- a/tests/coordination/pool/crashingTaskTests.ts
+++ b/tests/coordination/pool/crashingTaskTests.ts
@@ -16,7 +16,8 @@
   RECOVERY_MS,
   type Pool,
 } from "./crashFixtures.ts";
-import type { PoolSimulation, SimulatedJob } from "./PoolSimulation.ts";
+import type { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedJob } from "./simulatedPool.ts";
 
 const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [1, 2, 3];
 /** Starts of a task that are allowed after these crashes. */
--- a/tests/coordination/pool/createScriptedScheduler.ts
+++ b/tests/coordination/pool/createScriptedScheduler.ts
@@ -11,7 +11,7 @@
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { createJobRecord, createStep, POOL } from "../../support/poolFixtures.ts";
-import { TIMINGS } from "./PoolSimulation.ts";
+import { TIMINGS } from "./simulatedPool.ts";
 import { ScriptedChannel } from "./ScriptedChannel.ts";
 
 /** Agent of the scheduler. */
--- a/tests/coordination/pool/endedJobRunTests.ts
+++ b/tests/coordination/pool/endedJobRunTests.ts
@@ -18,7 +18,8 @@
 } from "../../support/poolFixtures.ts";
 import { createBusyPool } from "./createBusyPool.ts";
 import { createScriptedScheduler, HANDLED_MS, JOB } from "./createScriptedScheduler.ts";
-import { QUEUE, type PoolSimulation, type SimulatedAgent } from "./PoolSimulation.ts";
+import type { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedAgent } from "./simulatedPool.ts";
 import { ScriptedChannel } from "./ScriptedChannel.ts";
 
 /** Time from a cancellation to the crash of the scheduler, in milliseconds. */
--- a/tests/coordination/pool/inactiveRunEndTests.ts
+++ b/tests/coordination/pool/inactiveRunEndTests.ts
@@ -15,7 +15,7 @@
   takeOver,
   type ScriptedScheduler,
 } from "./createScriptedScheduler.ts";
-import { TIMINGS } from "./PoolSimulation.ts";
+import { TIMINGS } from "./simulatedPool.ts";
 
 const { worker: WORKER } = createWorkerReport();
 const AGENT_PROCESS = "a";
--- a/tests/coordination/pool/jobUpdaterTests.ts
+++ b/tests/coordination/pool/jobUpdaterTests.ts
@@ -5,7 +5,8 @@
 import type { StepDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createStep, createWorkerReport } from "../../support/poolFixtures.ts";
 import { addJob, AGENT, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
-import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
 
 const TASK_COUNT = 3;
 /** Time after which each run of the tests ends by itself, in milliseconds. */
--- a/tests/coordination/pool/lateStartReplacementTests.ts
+++ b/tests/coordination/pool/lateStartReplacementTests.ts
@@ -4,7 +4,8 @@
  */
 import test from "ava";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE, type SimulatedAgent } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedAgent } from "./simulatedPool.ts";
 
 const TASK_COUNT = 3;
 const WORK_MS = 4_000;
--- a/tests/coordination/pool/leaseEndTests.ts
+++ b/tests/coordination/pool/leaseEndTests.ts
@@ -6,7 +6,8 @@
 import { getLeaseEndKey } from "../../../src/state/pool/PoolKeys.ts";
 import { POOL } from "../../support/poolFixtures.ts";
 import { createBusyPool } from "./createBusyPool.ts";
-import type { PoolSimulation, SimulatedAgent, SimulatedEntry } from "./PoolSimulation.ts";
+import type { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedAgent, SimulatedEntry } from "./simulatedPool.ts";
 
 const JOB_COUNT = 3;
 const TASKS_PER_JOB = 8;
--- a/tests/coordination/pool/oddEntryTests.ts
+++ b/tests/coordination/pool/oddEntryTests.ts
@@ -6,7 +6,8 @@
 import type { SubmissionOutcome } from "../../../src/coordination/pool/SubmissionService.ts";
 import { formatJobKey, getAgentKey } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createJobRecord, createStep, POOL } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE } from "./simulatedPool.ts";
 
 const WORK_MS = 500;
 /** Time within which a submitted job is done, in milliseconds. */
--- a/tests/coordination/pool/orderHistory.ts
+++ b/tests/coordination/pool/orderHistory.ts
@@ -5,7 +5,7 @@
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { DelayedPoolSimulation } from "./DelayedPoolSimulation.ts";
 import type { Plan, PlannedEvent } from "./orderPlan.ts";
-import { QUEUE, type SimulatedAgent, type SimulatedEntry } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedAgent, type SimulatedEntry } from "./simulatedPool.ts";
 import type { SimulatedNetwork } from "./SimulatedNetwork.ts";
 
 const REST_MS = 6_500;
--- a/tests/coordination/pool/otherQueueCancelTests.ts
+++ b/tests/coordination/pool/otherQueueCancelTests.ts
@@ -5,7 +5,8 @@
 import test from "ava";
 import { formatJobKey, INTAKE_PREFIX } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createStep, POOL } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
 
 const OTHER_QUEUE = { ...QUEUE, name: "queue-b", pathPrefix: "/b/" };
 const JOB = createJobId(1);
--- a/tests/coordination/pool/otherWriterHeartbeatTests.ts
+++ b/tests/coordination/pool/otherWriterHeartbeatTests.ts
@@ -6,7 +6,7 @@
 import type { WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { DelayedPoolSimulation } from "./DelayedPoolSimulation.ts";
-import { QUEUE } from "./PoolSimulation.ts";
+import { QUEUE } from "./simulatedPool.ts";
 
 /** Seed of the network, whose delays are all the same here. */
 const SEED = 1;
--- a/tests/coordination/pool/overtakenListsTests.ts
+++ b/tests/coordination/pool/overtakenListsTests.ts
@@ -11,7 +11,8 @@
 } from "../../../src/protocol/platform/PoolWorker.ts";
 import { PoolWorkerAddress } from "../../../standins/pool/PoolWorkerAddress.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE } from "./simulatedPool.ts";
 
 const STARTED_MS = 3_000;
 /** Time from the submission of the second job to the end of the test, in milliseconds. */
--- a/tests/coordination/pool/poolCatchUpTests.ts
+++ b/tests/coordination/pool/poolCatchUpTests.ts
@@ -12,7 +12,8 @@
 } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createStep, POOL } from "../../support/poolFixtures.ts";
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
-import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
 
 const JOB_ID = createJobId(1);
 const TASK_COUNT = 4;
--- a/tests/coordination/pool/poolFormerEndsTests.ts
+++ b/tests/coordination/pool/poolFormerEndsTests.ts
@@ -4,7 +4,8 @@
  */
 import test from "ava";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, type SimulatedAgent, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedAgent, SimulatedEntry } from "./simulatedPool.ts";
 
 /** Work of the task, in milliseconds; it ends after the submission has been handled. */
 const WORK_MS = 3_500;
--- a/tests/coordination/pool/poolHistoryTests.ts
+++ b/tests/coordination/pool/poolHistoryTests.ts
@@ -9,12 +9,8 @@
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
-import {
-  PoolSimulation,
-  QUEUE,
-  type SimulatedAgent,
-  type SimulatedEntry,
-} from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedAgent, type SimulatedEntry } from "./simulatedPool.ts";
 
 const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [
   ...[101, 102, 103, 104, 105, 106, 208, 483],
--- a/tests/coordination/pool/poolLateReplacementTests.ts
+++ b/tests/coordination/pool/poolLateReplacementTests.ts
@@ -4,7 +4,8 @@
  */
 import test from "ava";
 import { createBusyPool } from "./createBusyPool.ts";
-import type { PoolSimulation, SimulatedAgent } from "./PoolSimulation.ts";
+import type { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedAgent } from "./simulatedPool.ts";
 
 const JOB_COUNT = 6;
 const TASKS_PER_JOB = 4;
--- a/tests/coordination/pool/poolPartitionTests.ts
+++ b/tests/coordination/pool/poolPartitionTests.ts
@@ -7,7 +7,8 @@
 import test from "ava";
 import { createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
-import { PoolSimulation, type SimulatedAgent, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedAgent, SimulatedEntry } from "./simulatedPool.ts";
 
 const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [401, 402, 403, 404, 405, 406];
 const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 4_000 };
--- a/tests/coordination/pool/poolQuarantineTests.ts
+++ b/tests/coordination/pool/poolQuarantineTests.ts
@@ -5,7 +5,8 @@
 import test from "ava";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedEntry } from "./simulatedPool.ts";
 
 /** Time within which a long-running task runs if there is room for it, in milliseconds. */
 const RESTART_TARGET_MS = 6_000;
--- a/tests/coordination/pool/poolSchedulerTests.ts
+++ b/tests/coordination/pool/poolSchedulerTests.ts
@@ -6,7 +6,8 @@
 import type { PoolTimings } from "../../../src/coordination/pool/PoolTimings.ts";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
 
 function createJob(taskCount: number, isLongRunning = false): JobDefinition {
   const step = createStep({ taskCount, longRunning: isLongRunning, estimateMs: 500 });
--- a/tests/coordination/pool/progressConflictTests.ts
+++ b/tests/coordination/pool/progressConflictTests.ts
@@ -5,7 +5,8 @@
 import test from "ava";
 import { formatJobKey } from "../../../src/state/pool/PoolKeys.ts";
 import { createJobId, createStep, POOL } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE, TIMINGS, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE, TIMINGS, type SimulatedEntry } from "./simulatedPool.ts";
 
 const TASK_COUNT = 3;
 /** Time for which an entry that gave a pool up claims nothing, in milliseconds. */
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -19,7 +19,7 @@
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { createJobRecord, createWorkerReport, POOL } from "../../support/poolFixtures.ts";
-import { TIMINGS } from "./PoolSimulation.ts";
+import { TIMINGS } from "./simulatedPool.ts";
 
 const AGENT = "agent-a";
 const JOB = "0000000000000001";
--- a/tests/coordination/pool/schedulerWatchTests.ts
+++ b/tests/coordination/pool/schedulerWatchTests.ts
@@ -7,7 +7,8 @@
 import { NarrowLinkStore } from "../../support/NarrowLinkStore.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { RefusedWritesStore } from "../../support/RefusedWritesStore.ts";
-import { PoolSimulation, type SimulatedEntry } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedEntry } from "./simulatedPool.ts";
 
 /** Time after which a scheduler gives a pool up if all its writes fail, in milliseconds. */
 const FAILING_WRITES_MS = 4_000;
--- a/tests/coordination/pool/shrinkingWorkerTests.ts
+++ b/tests/coordination/pool/shrinkingWorkerTests.ts
@@ -6,13 +6,13 @@
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
 import {
-  PoolSimulation,
   QUEUE,
   type SimulatedAgent,
   type SimulatedEntry,
   type SimulatedJob,
-} from "./PoolSimulation.ts";
+} from "./simulatedPool.ts";
 
 const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [1, 2, 3];
 const AGENT_COUNT = 3;
--- a/tests/coordination/pool/stopRepetitionTests.ts
+++ b/tests/coordination/pool/stopRepetitionTests.ts
@@ -4,7 +4,8 @@
  */
 import test from "ava";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
-import { PoolSimulation, QUEUE } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import { QUEUE } from "./simulatedPool.ts";
 
 /** Longer than the test, in milliseconds: the start is not carried out. */
 const NEVER_MS = 600_000;
--- a/tests/coordination/pool/submissionRepeatTests.ts
+++ b/tests/coordination/pool/submissionRepeatTests.ts
@@ -17,7 +17,7 @@
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { createStep } from "../../support/poolFixtures.ts";
-import { QUEUE } from "./PoolSimulation.ts";
+import { QUEUE } from "./simulatedPool.ts";
 
 const ID = "0000000000000001";
 const JOB = { payload: "payload", steps: [createStep()], schedule: undefined };
--- a/tests/coordination/pool/submissionServiceTests.ts
+++ b/tests/coordination/pool/submissionServiceTests.ts
@@ -21,7 +21,7 @@
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { createStep } from "../../support/poolFixtures.ts";
-import { QUEUE } from "./PoolSimulation.ts";
+import { QUEUE } from "./simulatedPool.ts";
 
 /** Timeout of the store adapter's calls, in milliseconds. */
 const STORE_TIMEOUT_MS = 2_500;
--- a/tests/coordination/pool/workerClockJumpTests.ts
+++ b/tests/coordination/pool/workerClockJumpTests.ts
@@ -5,7 +5,7 @@
 import test from "ava";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { DelayedPoolSimulation } from "./DelayedPoolSimulation.ts";
-import { QUEUE, type SimulatedEntry } from "./PoolSimulation.ts";
+import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
 
 /** Seed of the network, whose delays are all the same here. */
 const SEED = 1;
--- a/tests/coordination/pool/workerReportTests.ts
+++ b/tests/coordination/pool/workerReportTests.ts
@@ -3,7 +3,8 @@
  */
 import test from "ava";
 import type { WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
-import { PoolSimulation, type SimulatedAgent } from "./PoolSimulation.ts";
+import { PoolSimulation } from "./PoolSimulation.ts";
+import type { SimulatedAgent } from "./simulatedPool.ts";
 
 const SILENCE_MS = 4_000;
 /** Longer than the time between two readings, in milliseconds. */
--- a/tests/coordination/pool/workerTableTests.ts
+++ b/tests/coordination/pool/workerTableTests.ts
@@ -9,7 +9,7 @@
 } from "../../../src/coordination/pool/PoolTimings.ts";
 import { WorkerTable, type WorkerState } from "../../../src/coordination/pool/WorkerTable.ts";
 import { createWorkerReport, POOL } from "../../support/poolFixtures.ts";
-import { TIMINGS } from "./PoolSimulation.ts";
+import { TIMINGS } from "./simulatedPool.ts";
 
 const AGENT = "agent-1";
 const NOW = 20_000;
