Let clients of the soak ask until they are answered, and write down what was verified

Cause: the soak's client gave up after six attempts at the cancellation, all within faults, and the soak took it for cancelled. The check stays; the clients now ask up to 60 times, so that nothing is left unanswered.

--- a/tests/soak/SoakClients.ts
+++ b/tests/soak/SoakClients.ts
@@ -17,8 +17,8 @@
 const MAX_WORK_MS = 3_000;
 const LASTING_SHARE = 0.15;
 const CANCELLED_SHARE = 0.15;
-/** Attempts at a request that gets no final answer. */
-const MAX_TRIES = 6;
+/** Attempts at a request that gets no final answer, so that they outlast any series of faults. */
+const MAX_TRIES = 60;
 const RETRY_MS = 300;
 
 /** A job as its client knows it. */
@@ -28,7 +28,10 @@
   /** Duration of its tasks, in milliseconds; undefined for tasks that last. */
   readonly workMs: number | undefined;
   isAccepted: boolean;
+  /** Whether its client has sent a cancellation. */
   isCancelled: boolean;
+  /** Status of the answer to the cancellation; undefined if there was none in the end. */
+  cancelStatus: number | undefined;
 }
 
 /** Clients of one pool. */
@@ -58,6 +61,7 @@
       workMs: lasts ? undefined : MIN_WORK_MS + random.nextInt(MAX_WORK_MS - MIN_WORK_MS),
       isAccepted: false,
       isCancelled: false,
+      cancelStatus: undefined,
     };
     const isCancelled = random.next() < CANCELLED_SHARE;
     const cancelAfterMs = 500 + random.nextInt(3_000);
@@ -67,7 +71,7 @@
     if (isCancelled && job.isAccepted) {
       await sleep(cancelAfterMs);
       job.isCancelled = true;
-      await this._send("DELETE", job.id);
+      job.cancelStatus = await this._send("DELETE", job.id);
     }
   }
 
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -136,7 +136,8 @@
   const text = `${id} is ${String(state)} with ${running} of ${taskCount} tasks at work`;
   if (isCancelled) {
     const hasEnded = state === "cancelled" || state === "completed" || state === "failed";
-    return hasEnded && running === 0 ? undefined : `cancelled: ${text}`;
+    const answer = String(job.cancelStatus);
+    return hasEnded && running === 0 ? undefined : `cancelled, answered ${answer}: ${text}`;
   }
   if (workMs === undefined) {
     return state === "running" && running === taskCount ? undefined : `lost: ${text}`;
