Let tests share the timings of an entry and the loss of a VM

Three files had the same timings, which follow PoolEntryProcess and had to be changed in each when it was; two had the loss of a VM. Checks and bounds stay.

--- a/tests/coordination/pool/leaseEndTests.ts
+++ b/tests/coordination/pool/leaseEndTests.ts
@@ -7,12 +7,11 @@
 import { POOL } from "../../support/poolFixtures.ts";
 import { createBusyPool } from "./createBusyPool.ts";
 import type { PoolSimulation } from "./PoolSimulation.ts";
-import type { SimulatedAgent, SimulatedEntry } from "./simulatedPool.ts";
+import { loseVm } from "./simulatedLosses.ts";
+import { ENTRY_TIMINGS, type SimulatedAgent, type SimulatedEntry } from "./simulatedPool.ts";
 
 const JOB_COUNT = 3;
 const TASKS_PER_JOB = 8;
-/** Timings of an entry (`getTimings` in PoolEntryProcess) where workers accept leases of 6 s. */
-const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 4_000 };
 /** Longest time in which an agent that does not respond is on record, in milliseconds. */
 const RECORDED_MS = 1_000;
 /** Longest time from the end of a lease until its runs have been started elsewhere, in ms. */
@@ -49,15 +48,6 @@
   return Object.keys((JSON.parse(value) as { readonly agents: object }).agents);
 }
 
-/** Ends a VM with its agent and worker for good. */
-function loseVm(agent: SimulatedAgent): void {
-  const { worker, workerAgent } = agent;
-  worker.crash();
-  worker.faults.isUnresponsive = true;
-  workerAgent.stop();
-  agent.isDisconnected = true;
-}
-
 /** Asserts that all tasks run, each once, and returns the longest time that one was without a run. */
 function assertAllRun(t: ExecutionContext, { simulation }: BusyPool, lostAt: number): number {
   const { journal } = simulation;
--- a/tests/coordination/pool/poolLateReplacementTests.ts
+++ b/tests/coordination/pool/poolLateReplacementTests.ts
@@ -5,12 +5,11 @@
 import test from "ava";
 import { createBusyPool } from "./createBusyPool.ts";
 import type { PoolSimulation } from "./PoolSimulation.ts";
-import type { SimulatedAgent } from "./simulatedPool.ts";
+import { loseVm, loseWorker } from "./simulatedLosses.ts";
+import { ENTRY_TIMINGS, type SimulatedAgent } from "./simulatedPool.ts";
 
 const JOB_COUNT = 6;
 const TASKS_PER_JOB = 4;
-/** Timings of an entry (`getTimings` in PoolEntryProcess) where workers accept leases of 6 s. */
-const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 4_000 };
 /** Time after the end of its last run from which a long-running task has to run, in milliseconds. */
 const MAX_IDLE_MS = 6_000;
 /** Time without an impairment before a task counts as not running, in milliseconds. */
@@ -30,19 +29,6 @@
   return simulation;
 }
 
-/** Ends a worker for good; its agent goes on. */
-function loseWorker(agent: SimulatedAgent): void {
-  agent.worker.crash();
-  agent.worker.faults.isUnresponsive = true;
-}
-
-/** Ends a worker, its agent and their VM for good. */
-function loseVm(agent: SimulatedAgent): void {
-  loseWorker(agent);
-  agent.workerAgent.stop();
-  agent.isDisconnected = true;
-}
-
 /** Returns how long each task was without a run after the loss of its worker, in milliseconds. */
 function getIdleTimes({ journal }: PoolSimulation, lostAt: number): readonly number[] {
   return journal
--- a/tests/coordination/pool/poolPartitionTests.ts
+++ b/tests/coordination/pool/poolPartitionTests.ts
@@ -8,10 +8,9 @@
 import { createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
-import type { SimulatedAgent, SimulatedEntry } from "./simulatedPool.ts";
+import { ENTRY_TIMINGS, type SimulatedAgent, type SimulatedEntry } from "./simulatedPool.ts";
 
 const SEEDS = process.env.FIREFLYLB_SEED?.split(",").map(Number) ?? [401, 402, 403, 404, 405, 406];
-const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 4_000 };
 const ROUND_COUNT = 4;
 const TASK_COUNT = 6;
 /** Longest time for which the scheduler loses the agent, in milliseconds; most leases survive it. */
--- a/tests/coordination/pool/simulatedPool.ts
+++ b/tests/coordination/pool/simulatedPool.ts
@@ -23,6 +23,9 @@
   ...{ retentionMs: 600_000, schedulerLeaseMs: 2_000, claimDelayMs: 0 },
 };
 
+/** Timings of an entry (`getTimings` in PoolEntryProcess) where workers accept leases of 6 s. */
+export const ENTRY_TIMINGS = { workerLeaseMs: 6_000, grantHorizonMs: 4_000 };
+
 /** Queue of the tests' jobs. */
 export const QUEUE: QueueConfig = {
   name: "queue-a",
