--- a/review/support-2/TestSystem.ts
+++ b/review/support-2/TestSystem.ts
@@ -32,6 +32,7 @@
 /** Time for which a client waits, in milliseconds, and the status that stands for no answer. */
 const DEADLINE_MS = 3_000;
 const NO_ANSWER = 0;
+const FIRST_VERSION = 3;
 /** Kind of the workers that are not of a kind of their own. */
 const KIND = "a";
 
@@ -70,6 +71,7 @@
   private readonly _options: SystemOptions;
   private readonly _folder = mkdtempSync(join(tmpdir(), "fireflylb-review-"));
   private readonly _children: ChildProcess[] = [];
+  private readonly _childrenByName = new Map<string, ChildProcess>();
   private readonly _entries: { readonly submissions: string; readonly readiness: string }[] = [];
   private _store: StoreStandIn | undefined;
 
@@ -94,7 +96,7 @@
     });
     this._store = store;
     await store.start();
-    store.put("op/config", createManifest());
+    store.put("op/config", createManifest(FIRST_VERSION, "rota"));
     for (let position = 0; position < this._options.entries; position += 1) {
       await this._startEntry(position, kv);
     }
@@ -106,7 +108,9 @@
 
   /** Ends all processes and stand-ins. */
   async end(): Promise<void> {
-    const running = this._children.filter((child) => child.exitCode === null);
+    const running = this._children.filter(
+      ({ exitCode, signalCode }) => exitCode === null && signalCode === null,
+    );
     const ended = running.map((child) => once(child, "exit"));
     running.forEach((child) => child.kill("SIGKILL"));
     await Promise.all(ended);
@@ -118,6 +122,36 @@
     }
   }
 
+  /** Name of the entry that schedules the pool; undefined if the store names none. */
+  get scheduler(): string | undefined {
+    const value = this._store?.model.read(`scheduler/${SERVICE}`)?.value;
+    return value === undefined
+      ? undefined
+      : (JSON.parse(value) as { readonly entry: string }).entry;
+  }
+
+  /**
+   * Changes the manifest as the operator does: the route is removed, and one with another name and the
+   * same host and prefix is added.
+   * @param name - Name of the new route.
+   */
+  replaceRoute(name: string): void {
+    this._store?.put("op/config", createManifest(FIRST_VERSION + 2, name));
+  }
+
+  /**
+   * Kills the process of a machine.
+   * @param name - Name of the machine.
+   */
+  async kill(name: string): Promise<void> {
+    const child = this._childrenByName.get(name);
+    if (child?.exitCode === null && child.signalCode === null) {
+      const ended = once(child, "exit");
+      child.kill("SIGKILL");
+      await ended;
+    }
+  }
+
   /**
    * Sends a client's request to an entry.
    * @param entry - Position of the entry.
@@ -215,6 +249,7 @@
       this._record.add(`${name} has ended: ${signal ?? `exit status ${String(code)}`}`);
     });
     this._children.push(child);
+    this._childrenByName.set(name, child);
   }
 }
 
@@ -225,11 +260,11 @@
   return (/run = "([^"]+)"/.exec(section)?.[1] ?? "").split(" ");
 }
 
-function createManifest(): object {
-  const route = { name: "rota", host: HOST, prefix: "/rota/", kind: "unsafe", timeout_ms: 3_000 };
+function createManifest(version: number, name: string): object {
+  const route = { name, host: HOST, prefix: "/rota/", kind: "unsafe", timeout_ms: 3_000 };
   const queue = { priority: 0, service: SERVICE, max_attempts: 4, stretch: 2 };
   return {
-    version: 3,
+    version,
     routes: [{ ...route, ...queue, target_latency_ms: 1_000 }],
     services: [{ name: SERVICE, admission_control: true, spare: false }],
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144 },
