Show that a task that was done starts again at a worker that came back

It takes the place of the case of submissions that are not counted as pending, which is in the history.

--- a/review/10/case.ts
+++ b/review/10/case.ts
@@ -1,76 +1,77 @@
 /**
- * An unhealthy worker that refuses to start anything, and submissions that only this worker may run.
- * None of them has begun, and the queue says how many are pending.
+ * A worker that leaves a small share of its orders unanswered and carries them out late, crashes and
+ * starts again under its id. What was done must not start again.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { runCase } from "../support-2/runCase.ts";
 import { TestSystem } from "../support-2/TestSystem.ts";
 
-const WORKERS = 12;
-const SUBMISSIONS = 6;
-const TASK_CPU = 480;
-const TASK_MS = 500;
+const WORKERS = 10;
 const KIND = "b";
-const UNHEALTHY_MS = 6_500;
-/** Bound `visible_ms` and the two seconds of the rule, in milliseconds. */
-const VISIBLE_MS = 3_000;
-const SLACK_MS = 2_000;
-const POLL_MS = 100;
+const TASK_CPU = 480;
+const TASK_MS = 250;
+const STEP_TASKS = 60;
+const SUBMISSION_INTERVAL_MS = 250;
+/** Share of the starts that get no answer: one of 17, below 0.06. */
+const LATE_EVERY = 17;
+const LATE_FOR_MS = 5_500;
+/** Steps of the worker after that, in milliseconds: down and up by turns, each time under its id. */
+const STEPS_MS = [0, 870, 1_740, 2_610, 3_480, 4_350, 5_220, 6_090];
+const LOOK_MS = 14_000;
 const READY_MS = 3_000;
-const FINISH_MS = 20_000;
 
 await runCase(10, async (record, hasTrouble) => {
   const system = new TestSystem(record, {
     ...{ entries: 3, workers: WORKERS, cpu: 32_000 },
     getKind: (position) => (position === 0 ? KIND : "a"),
-    // Without the disruption the worker is not free until then: the submissions wait for room.
-    getLoad: (task) => ({
-      cpu: task.startsWith("f") ? 32_000 : TASK_CPU,
-      workMs: task.startsWith("f") ? UNHEALTHY_MS : TASK_MS,
-    }),
+    getLoad: () => ({ cpu: TASK_CPU, workMs: TASK_MS }),
   });
   await system.start();
   await sleep(READY_MS);
-  const worker = system.machines[0]?.worker;
-  const create = (cpu: number, estimateMs: number): string =>
-    JSON.stringify({
-      spec: "swap",
-      steps: [{ task_count: 1, cpu, mem_mb: 64, estimate_ms: estimateMs, required_label: KIND }],
-    });
-  if (worker !== undefined && hasTrouble) {
-    worker.refusesStartsWith = 503;
-    record.add(`worker ${worker.id} is unhealthy: it refuses starts with 503`);
-  } else {
-    const { status } = await system.call(0, "POST", "f".repeat(16), create(32_000, UNHEALTHY_MS));
-    record.add(`submission that takes all of the worker: ${status}`);
-    await sleep(POLL_MS);
+  const [machine] = system.machines;
+  if (machine === undefined) {
+    throw new Error("no worker");
   }
-  const ids = Array.from({ length: SUBMISSIONS }, (_, number) => `5c0e7a21d94b36f${number}`);
-  const accepted = await Promise.all(
-    ids.map((id) => system.call(0, "POST", id, create(TASK_CPU, TASK_MS))),
-  );
-  record.add(`${SUBMISSIONS} submissions: ${accepted.map(({ status }) => status).join(" ")}`);
-  await sleep(VISIBLE_MS + SLACK_MS + POLL_MS);
-  const isBegun = system.journal.some(({ start }) => ids.includes(start.task.split(".")[0] ?? ""));
-  const counts = await Promise.all(
-    [0, 1, 2].map(async (entry) => Number((await system.call(entry, "GET", "")).body.pending)),
-  );
-  record.add(`pending at the entries: ${counts.join(" ")}; ${isBegun ? "some" : "none"} has begun`);
-  await Promise.all(ids.map((id) => system.getState(1, id)));
-  if (worker !== undefined) {
-    worker.refusesStartsWith = undefined;
+  const size = { task_count: STEP_TASKS, cpu: TASK_CPU, mem_mb: 64, estimate_ms: TASK_MS };
+  const body = JSON.stringify({ spec: "swap", steps: [{ ...size, required_label: KIND }] });
+  machine.worker.lateEvery = hasTrouble ? LATE_EVERY : 0;
+  const startedAt = performance.now();
+  let count = 0;
+  while (performance.now() - startedAt < LATE_FOR_MS) {
+    count += 1;
+    const { status } = await system.call(count, "POST", count.toString(16).padStart(16, "0"), body);
+    record.addChange("submissions are answered with", String(status));
+    await sleep(SUBMISSION_INTERVAL_MS);
   }
-  const until = performance.now() + FINISH_MS;
-  const areDone = async (): Promise<boolean> =>
-    (await Promise.all(ids.map((id) => system.getState(1, id)))).every((s) => s === "completed");
-  while (!(await areDone()) && performance.now() < until) {
-    await sleep(POLL_MS);
+  machine.worker.lateEvery = 0;
+  const downAt = performance.now();
+  record.add(`the orders are answered again, after ${system.journal.length} runs`);
+  for (const [position, stepMs] of (hasTrouble ? STEPS_MS : []).entries()) {
+    await sleep(Math.max(0, downAt + stepMs - performance.now()));
+    const isDown = position % 2 === 0;
+    await (isDown ? machine.worker.crash() : machine.startNextLife(true));
+    record.add(`worker ${machine.worker.id} ${isDown ? "goes down" : "is up"}`);
   }
+  await sleep(LOOK_MS);
+  const doneRuns = new Map(
+    system.journal
+      .filter(({ how, isNoted }) => how === "done" && isNoted)
+      .map((run) => [run.start.task, run]),
+  );
+  const again = system.journal.filter((run) => {
+    const done = doneRuns.get(run.start.task);
+    return done !== undefined && done !== run && (done.endedAt ?? 0) < run.startedAt;
+  });
+  again.forEach(({ start, startedAt: at, how }) => {
+    const done = doneRuns.get(start.task);
+    const agoMs = Math.round(at - (done?.endedAt ?? 0));
+    record.add(
+      `${start.task} run ${start.run} starts ${agoMs} ms after run ${String(done?.start.run)} was done: ${how}`,
+    );
+  });
+  record.add(`${count} submissions, ${system.journal.length} runs`);
   await system.end();
-  if (isBegun) {
-    throw new Error("a submission began while the worker was not free");
-  }
-  return counts.some((count) => count < SUBMISSIONS / 2)
-    ? `${SUBMISSIONS} accepted submissions have not begun, and the entries give as pending ${counts.join(" ")}`
-    : undefined;
+  return again.length === 0
+    ? undefined
+    : `${again.length} tasks start again after a run was done and its end taken note of`;
 });
--- a/review/support-2/TestSystem.ts
+++ b/review/support-2/TestSystem.ts
@@ -21,7 +21,8 @@
 import type { CaseRecord } from "./CaseRecord.ts";
 import { GangTable } from "./GangTable.ts";
 import { StoreStandIn } from "./StoreStandIn.ts";
-import { WorkerStandIn, type TaskLoad, type WorkedRun } from "./WorkerStandIn.ts";
+import type { TaskLoad, WorkedRun } from "./workerCalls.ts";
+import { WorkerStandIn } from "./WorkerStandIn.ts";
 
 const SERVICE = "rota-desk";
 const HOST = "rota.example";
@@ -58,8 +59,8 @@
   readonly name: string;
   readonly rack: string;
   worker: WorkerStandIn;
-  /** Lets the next life of the worker begin, under an id of its own. */
-  readonly startNextLife: () => Promise<void>;
+  /** Lets the next life of the worker begin, under an id of its own or under the same. */
+  readonly startNextLife: (keepsId?: boolean) => Promise<void>;
 }
 
 /** A running deployment. */
@@ -213,8 +214,8 @@
     this._spawn("agent", name, settings);
     const rack = `r1-${Math.floor(position / WORKERS_PER_RACK)}`;
     let life = 0;
-    const createWorker = (): WorkerStandIn => {
-      life += 1;
+    const createWorker = (keepsId = false): WorkerStandIn => {
+      life += keepsId ? 0 : 1;
       const id = `i-7f3a9${position.toString(16).padStart(2, "0")}${life}`;
       return new WorkerStandIn({
         ...{ id, service: SERVICE, zone, labels: [getKind(position), rack], cpu, address },
@@ -224,8 +225,10 @@
     const machine: SideMachine = {
       ...{ name, rack },
       worker: createWorker(),
-      startNextLife: async () => {
-        machine.worker = createWorker();
+      startNextLife: async (keepsId) => {
+        const former = machine.worker;
+        machine.worker = createWorker(keepsId);
+        former.next = machine.worker;
         await machine.worker.start();
       },
     };
--- a/review/support-2/WorkerStandIn.ts
+++ b/review/support-2/WorkerStandIn.ts
@@ -2,7 +2,7 @@
  * Stand-in for one life of the users' worker: runs under a lease on its own clock, fencing numbers,
  * lists of runs and of ends, and heartbeats to the agent on its machine.
  */
-import { z } from "zod";
+import type { z } from "zod";
 import { request } from "undici";
 import {
   createReply,
@@ -10,7 +10,14 @@
   type JsonReply,
   type JsonRequest,
 } from "../../standins/support/JsonServer.ts";
-import type { GangTable } from "./GangTable.ts";
+import {
+  HoldBody,
+  RunBody,
+  StartBody,
+  type Start,
+  type WorkedRun,
+  type WorkerOptions,
+} from "./workerCalls.ts";
 
 const MAX_LEASE_MS = 10_000;
 const MAX_LISTED_ENDS = 500;
@@ -20,67 +27,23 @@
 const FULL_PERCENT = 100;
 /** Bound `gang_timeout_ms`. */
 const GANG_TIMEOUT_MS = 3_000;
+/** When an order that gets no answer is carried out, in milliseconds: 2 to 12 s later, in turn. */
+const MIN_LATE_MS = 2_000;
+const MAX_LATE_MS = 12_000;
+const LATE_STEP_MS = 373;
 const HEX = 16;
 const CHECKPOINT_TIME_DIGITS = 8;
 /** Time after its start from which a task that lasts is at work, in milliseconds. */
 const STARTUP_MS = 100;
 
-const RunBody = z.object({ task: z.string(), run: z.number(), fencing_token: z.number() });
-const StartBody = RunBody.extend({
-  spec: z.string(),
-  deadline_ms: z.number(),
-  last_checkpoint: z.string().default(""),
-});
-const HoldBody = z.object({
-  fencing_token: z.number(),
-  last_seen: z.number().default(0),
-  deadline_ms: z.number().optional(),
-  wait_ms: z.number().default(0),
-});
-
-type Start = z.infer<typeof StartBody>;
-
-/** What a task takes on a worker. */
-export interface TaskLoad {
-  readonly cpu: number;
-  /** Time of work; undefined for a task that lasts. */
-  readonly workMs: number | undefined;
-  /** Number of tasks of its gang; undefined for a task that works alone. */
-  readonly gangSize?: number;
-  /** Interval of its checkpoints, in milliseconds; undefined for none. */
-  readonly checkpointMs?: number;
-}
-
-/** A run as a worker has carried it out. */
-export interface WorkedRun {
-  readonly worker: string;
-  readonly start: Start;
-  readonly startedAt: number;
-  endedAt: number | undefined;
-  how: string;
-}
-
-/** Options of one life of a worker. */
-export interface WorkerOptions {
-  readonly id: string;
-  readonly service: string;
-  readonly zone: string;
-  /** Kind and rack. */
-  readonly labels: readonly string[];
-  readonly cpu: number;
-  /** Address at which it takes calls. */
-  readonly address: string;
-  /** Address of its agent for heartbeats. */
-  readonly control: string;
-  readonly getLoad: (task: string) => TaskLoad;
-  readonly journal: WorkedRun[];
-  readonly gangs: GangTable;
-}
-
 /** One life of a worker. */
 export class WorkerStandIn {
   /** Status with which an unhealthy worker refuses starts; undefined for a healthy one. */
   refusesStartsWith: 429 | 503 | undefined;
+  /** Each start of this many gets no answer and is carried out late; 0 for none. */
+  lateEvery = 0;
+  /** Next life at the address; one with the same id carries out late orders after a crash. */
+  next: WorkerStandIn | undefined;
   /** Whether all that it runs fails. */
   failsRuns = false;
   private readonly _options: WorkerOptions;
@@ -91,10 +54,12 @@
   private readonly _stopsAt = new Map<string, number>();
   private readonly _lastRuns = new Map<string, number>();
   private _ends: readonly (readonly [number, string, number, string, string])[] = [];
+  private readonly _endedRuns = new Map<number, WorkedRun>();
   private _endCount = 0;
   private _fence = 0;
   private _leaseUntilMs = 0;
   private _sequence = 0;
+  private _startCount = 0;
   private _usedCpu = 0;
   private _isDown = false;
   private _checks: NodeJS.Timeout | undefined;
@@ -167,7 +132,7 @@
     }
     switch (req.path) {
       case "/v1/run-start":
-        return this._start(StartBody.parse(req.body));
+        return this._startOrDelay(StartBody.parse(req.body));
       case "/v1/run-stop":
         return this._stop(RunBody.parse(req.body));
       case "/v1/pace":
@@ -199,6 +164,28 @@
     this._leaseUntilMs = Math.max(this._leaseUntilMs, until);
   }
 
+  /** Carries a start out, now or late and without an answer. */
+  private _startOrDelay(start: Start): JsonReply {
+    this._startCount += 1;
+    if (this.lateEvery === 0 || this._startCount % this.lateEvery !== 0) {
+      return this._start(start);
+    }
+    const lateMs = MIN_LATE_MS + ((this._startCount * LATE_STEP_MS) % (MAX_LATE_MS - MIN_LATE_MS));
+    setTimeout(() => {
+      const life = this._findLife();
+      life?._start(start);
+    }, lateMs);
+    return { kind: "hang" };
+  }
+
+  /** Returns the life that is there now under this id; undefined if there is none. */
+  private _findLife(): WorkerStandIn | undefined {
+    if (!this._isDown) {
+      return this;
+    }
+    return this.next?.id === this.id ? this.next._findLife() : undefined;
+  }
+
   private _start(start: Start): JsonReply {
     const { task, run } = start;
     if (this.refusesStartsWith !== undefined) {
@@ -222,7 +209,14 @@
     }
     const { id: worker, journal } = this._options;
     const startedAt = performance.now();
-    const worked: WorkedRun = { worker, start, startedAt, endedAt: undefined, how: "" };
+    const worked: WorkedRun = {
+      worker,
+      start,
+      startedAt,
+      endedAt: undefined,
+      how: "",
+      isNoted: false,
+    };
     journal.push(worked);
     this._usedCpu += this._options.getLoad(task).cpu;
     this._running.set(`${task} ${run}`, worked);
@@ -251,7 +245,7 @@
       return this._refuse("fence");
     }
     this._extendLease(call.deadline_ms ?? 0);
-    this._ends = this._ends.filter(([number]) => number > call.last_seen);
+    this._noteEnds(call.last_seen);
     const until = performance.now() + call.wait_ms;
     while (this._ends.length === 0 && performance.now() < until && !this._isDown) {
       await new Promise((resolve) => setTimeout(resolve, CHECK_MS));
@@ -288,6 +282,19 @@
     return savedMs === 0 ? "" : time + run.start.task.slice(4, 4 + CHECKPOINT_TIME_DIGITS);
   }
 
+  private _noteEnds(lastSeen: number): void {
+    this._ends
+      .filter(([number]) => number <= lastSeen)
+      .forEach(([number]) => {
+        const run = this._endedRuns.get(number);
+        if (run !== undefined) {
+          run.isNoted = true;
+        }
+        this._endedRuns.delete(number);
+      });
+    this._ends = this._ends.filter(([number]) => number > lastSeen);
+  }
+
   private _list(run: WorkedRun): readonly unknown[] {
     const { start, startedAt } = run;
     const { cpu, workMs } = this._options.getLoad(start.task);
@@ -342,6 +349,7 @@
     this._stopsAt.delete(key);
     this._lastRuns.set(task, Math.max(number, this._lastRuns.get(task) ?? 0));
     this._endCount += 1;
+    this._endedRuns.set(this._endCount, run);
     this._ends = [...this._ends, [this._endCount, task, number, how, checkpoint]];
   }
 }
