--- a/review/support-2/WorkerStandIn.ts
+++ b/review/support-2/WorkerStandIn.ts
@@ -11,6 +11,7 @@
   type JsonRequest,
 } from "../../standins/support/JsonServer.ts";
 import {
+  getLateMs,
   HoldBody,
   RunBody,
   StartBody,
@@ -27,10 +28,6 @@
 const FULL_PERCENT = 100;
 /** Bound `gang_timeout_ms`. */
 const GANG_TIMEOUT_MS = 3_000;
-/** When an order that gets no answer is carried out, in milliseconds: 2 to 12 s later, in turn. */
-const MIN_LATE_MS = 2_000;
-const MAX_LATE_MS = 12_000;
-const LATE_STEP_MS = 373;
 const HEX = 16;
 const CHECKPOINT_TIME_DIGITS = 8;
 /** Time after its start from which a task that lasts is at work, in milliseconds. */
@@ -170,11 +167,7 @@
     if (this.lateEvery === 0 || this._startCount % this.lateEvery !== 0) {
       return this._start(start);
     }
-    const lateMs = MIN_LATE_MS + ((this._startCount * LATE_STEP_MS) % (MAX_LATE_MS - MIN_LATE_MS));
-    setTimeout(() => {
-      const life = this._findLife();
-      life?._start(start);
-    }, lateMs);
+    setTimeout(() => this._findLife()?._start(start), getLateMs(this._startCount));
     return { kind: "hang" };
   }
 
@@ -290,7 +283,6 @@
         if (run !== undefined) {
           run.isNoted = true;
         }
-        this._endedRuns.delete(number);
       });
     this._ends = this._ends.filter(([number]) => number > lastSeen);
   }
--- a/review/support-2/workerCalls.ts
+++ b/review/support-2/workerCalls.ts
@@ -4,6 +4,11 @@
 import { z } from "zod";
 import type { GangTable } from "./GangTable.ts";
 
+/** When an order that gets no answer is carried out, in milliseconds: 2 to 12 s later, in turn. */
+const MIN_LATE_MS = 2_000;
+const MAX_LATE_MS = 12_000;
+const LATE_STEP_MS = 373;
+
 /** Body of an order for a run. */
 export const RunBody = z.object({ task: z.string(), run: z.number(), fencing_token: z.number() });
 /** Body of a start. */
@@ -61,3 +66,11 @@
   readonly journal: WorkedRun[];
   readonly gangs: GangTable;
 }
+
+/**
+ * Gets the time after which a start that gets no answer is carried out, in milliseconds.
+ * @param count - Number of the start.
+ */
+export function getLateMs(count: number): number {
+  return MIN_LATE_MS + ((count * LATE_STEP_MS) % (MAX_LATE_MS - MIN_LATE_MS));
+}
