Let a job belong to the endpoint under which it was submitted

Cause: the name of the queue said whose a job is, in its record and in the digest of early cancellations. Submitters say host, path prefix and id only; the name is the operator's. In the same class, the pool of the queue said under which key a job is looked for.

Change: records have the endpoint of their queue, and isJobOf alone decides by it. Jobs are looked for, and their creation is checked, in all pools of the documents so far, in one transaction; with one pool nothing is called in addition. Records and cancellations of the former version are still read.

--- a/src/coordination/pool/JobRetention.ts
+++ b/src/coordination/pool/JobRetention.ts
@@ -6,7 +6,7 @@
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { Store, StoreFailure } from "../../protocol/platform/Store.ts";
 import type { JobState } from "../../state/pool/JobState.ts";
-import { formatJobKey, getQueueDigest, type JobKey } from "../../state/pool/PoolKeys.ts";
+import { formatJobKey, getQueueDigests, type JobKey } from "../../state/pool/PoolKeys.ts";
 import type { PoolState } from "./PoolState.ts";
 
 /** Time between two sweeps, in milliseconds. */
@@ -69,7 +69,9 @@
     const keys: readonly JobKey[] = [
       { kind: "job", pool, job },
       { kind: "cancel", pool, job },
-      { kind: "cancel", pool, job, queueDigest: getQueueDigest(record.queue) },
+      ...getQueueDigests(record).map((queueDigest): JobKey => {
+        return { kind: "cancel", pool, job, queueDigest };
+      }),
       { kind: "progress", pool, job },
     ];
     const failure = await keys.reduce<Promise<StoreFailure | undefined>>(
--- a/src/coordination/pool/QueueRegistry.ts
+++ b/src/coordination/pool/QueueRegistry.ts
@@ -19,6 +19,7 @@
   private readonly _log: Log;
   private readonly _onChange: (document: QueueDocument) => void;
   private _current: CurrentQueues | undefined;
+  private readonly _pools = new Set<string>();
 
   /**
    * Creates a registry without a document.
@@ -37,6 +38,11 @@
     return this._current;
   }
 
+  /** Names of the pools of all queues in this process's documents, former ones included. */
+  get pools(): readonly string[] {
+    return [...this._pools];
+  }
+
   /**
    * Applies changed keys of the store.
    * @param changes - Changed keys with their values.
@@ -72,6 +78,7 @@
       return;
     }
     this._current = { document, table: new QueueTable(document.queues) };
+    document.queues.forEach(({ pool }) => this._pools.add(pool));
     this._log.info("A new configuration of queues is in effect.", {
       version,
       queues: document.queues.length,
--- a/src/coordination/pool/SubmissionService.ts
+++ b/src/coordination/pool/SubmissionService.ts
@@ -5,12 +5,24 @@
  * submitter: what is refused at once has certainly not been stored, and the submitter can go
  * elsewhere in time.
  */
+import { ResultAsync } from "neverthrow";
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log, LogFields } from "../../protocol/platform/Log.ts";
-import type { Store, StoreFailure, WriteResult } from "../../protocol/platform/Store.ts";
+import {
+  MAX_TRANSACTION_ROWS,
+  type Store,
+  type StoreEntry,
+  type StoreFailure,
+  type TransactionResult,
+} from "../../protocol/platform/Store.ts";
 import type { JobDefinition } from "../../protocol/pool/JobDefinition.ts";
-import type { QueueConfig } from "../../protocol/pool/QueueConfig.ts";
-import { getVisiblePhase, type CatalogJob, type JobCatalog } from "../../state/pool/JobCatalog.ts";
+import { getEndpoint, type QueueConfig } from "../../protocol/pool/QueueConfig.ts";
+import {
+  getVisiblePhase,
+  isJobOf,
+  type CatalogJob,
+  type JobCatalog,
+} from "../../state/pool/JobCatalog.ts";
 import { formatJobKey, getQueueDigest, parseJobKey } from "../../state/pool/PoolKeys.ts";
 import type { JobPhase, JobRecord } from "../../state/pool/records.ts";
 import type { StoreSilenceMonitor } from "./StoreSilenceMonitor.ts";
@@ -43,6 +55,13 @@
   /** The store could not be read. */
   | { readonly kind: "unavailable"; readonly reason: string };
 
+/** Key to create, unless it or one of the others exists. */
+interface KeyCreation {
+  readonly key: string;
+  readonly value: string;
+  readonly others: readonly string[];
+}
+
 /** Dependencies of SubmissionService. */
 export interface SubmissionServiceDependencies {
   readonly store: Store;
@@ -51,6 +70,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly catalog: JobCatalog;
+  /** Gets the pools of which jobs may be known: a queue's jobs stay in theirs if it gets another. */
+  readonly getPools: () => readonly string[];
   /** Gets the time of day in Unix milliseconds. */
   readonly getTimeOfDay: () => number;
 }
@@ -85,18 +106,20 @@
   ): Promise<SubmissionOutcome> {
     const known = this._deps.catalog.getJob(id)?.record;
     if (known !== undefined) {
-      return known.queue === queue.name ? { kind: "stored", known: true } : { kind: "conflict" };
+      return isJobOf(known, queue) ? { kind: "stored", known: true } : { kind: "conflict" };
     }
     const { name, priority, maxAttempts, stretch, latencyTargetMs } = queue;
     const acceptedAtMs = this._deps.getTimeOfDay();
     const settings = { queue: name, priority, maxAttempts, stretch, latencyTargetMs };
-    const record: JobRecord = { ...settings, acceptedAtMs, ...definition };
-    const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
-    const created = await this._create(key, JSON.stringify(record), deadline);
+    const endpoint = getEndpoint(queue);
+    const record: JobRecord = { ...settings, endpoint, acceptedAtMs, ...definition };
+    const [key = "", ...others] = this._getJobKeys(queue.pool, id);
+    const creation = { key, value: JSON.stringify(record), others };
+    const created = await this._create(creation, deadline);
     const outcome = this._checkStored(id, created);
     this._logOutcome("Submission of a job was handled.", { job: id, queue: name }, outcome);
     const stored = this._deps.catalog.getJob(id)?.record;
-    return stored !== undefined && stored.queue !== name ? { kind: "conflict" } : outcome;
+    return stored !== undefined && !isJobOf(stored, queue) ? { kind: "conflict" } : outcome;
   }
 
   /**
@@ -110,8 +133,9 @@
     const fields = { job: id, queue: queue.name };
     const found = await this._find(queue, id, deadline);
     const isUnknown = found.kind === "asked" && found.job === undefined;
-    const queueDigest = isUnknown ? getQueueDigest(queue.name) : undefined;
-    const key = formatJobKey({ kind: "cancel", pool: queue.pool, job: id, queueDigest });
+    const queueDigest = isUnknown ? getQueueDigest(getEndpoint(queue)) : undefined;
+    const pool = this._deps.catalog.getJob(id)?.pool ?? queue.pool;
+    const key = formatJobKey({ kind: "cancel", pool, job: id, queueDigest });
     if (found.kind === "unavailable") {
       const refusal = this._refuse(key, found.reason);
       this._logOutcome("Cancellation of a job was handled.", fields, refusal);
@@ -125,7 +149,7 @@
     }
     // An unknown job may still be created by a write in progress; it must not run then. If the id
     // belongs to a job of another queue by then, the cancellation is not of that one.
-    const outcome = await this._create(key, "{}", deadline);
+    const outcome = await this._create({ key, value: "{}", others: [] }, deadline);
     this._logOutcome("Cancellation of a job was handled.", fields, outcome);
     return outcome.kind === "stored" && found.job === undefined ? { kind: "not-found" } : outcome;
   }
@@ -152,7 +176,7 @@
    * @param queue - The queue.
    */
   countPending(queue: QueueConfig): number {
-    return this._deps.catalog.countPending(queue.name);
+    return this._deps.catalog.countPending(queue);
   }
 
   /** Refuses a job whose key has a value that is no job; nobody runs that. */
@@ -195,31 +219,40 @@
       if (this._deps.silenceMonitor.isSilent) {
         return { kind: "unavailable", reason: SILENCE_REASON };
       }
-      const key = formatJobKey({ kind: "job", pool: queue.pool, job: id });
-      const read = await waitUntil(clock, deadline, store.read(key));
+      const reading = ResultAsync.combine(
+        this._getJobKeys(queue.pool, id).map((key) => store.read(key)),
+      );
+      const read = await waitUntil(clock, deadline, reading);
       if (read === undefined) {
         return { kind: "unavailable", reason: NO_RESPONSE_REASON };
       }
       if (read.isErr()) {
         return { kind: "unavailable", reason: read.error.detail };
       }
-      catalog.apply(read.value === undefined ? [] : [read.value]);
+      catalog.apply(read.value.filter((entry) => entry !== undefined));
     }
     const job = catalog.getJob(id);
-    const owner = job?.record?.queue;
-    const isOfOtherQueue = owner !== undefined && owner !== queue.name;
-    return { kind: "asked", job: owner === queue.name ? job : undefined, isOfOtherQueue };
+    const isOfQueue = job?.record !== undefined && isJobOf(job.record, queue);
+    const isOfOtherQueue = job?.record !== undefined && !isOfQueue;
+    return { kind: "asked", job: isOfQueue ? job : undefined, isOfOtherQueue };
+  }
+
+  /** Gets the keys that a job may have, that of the given pool first. */
+  private _getJobKeys(pool: string, job: string): readonly string[] {
+    const pools = [...new Set([pool, ...this._deps.getPools()])];
+    return pools.map((name) => formatJobKey({ kind: "job", pool: name, job }));
   }
 
   /**
    * Creates a key unless it exists, and responds at the deadline at the latest. A write that is
    * still in progress then is left to end: it has the submitter's id and takes effect once at most.
    */
-  private async _create(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
+  private async _create(creation: KeyCreation, deadline: number): Promise<SubmissionOutcome> {
+    const { key } = creation;
     if (this._deps.silenceMonitor.isSilent) {
       return this._refuse(key, SILENCE_REASON);
     }
-    const writing = this._write(key, value, deadline);
+    const writing = this._write(creation, deadline);
     const outcome = await waitUntil(this._deps.clock, deadline, writing);
     if (outcome === undefined) {
       void writing.then((late) => {
@@ -232,27 +265,46 @@
   }
 
   /** Writes a key; a write with an unknown outcome is retried until the deadline. */
-  private async _write(key: string, value: string, deadline: number): Promise<SubmissionOutcome> {
-    const { store, clock, catalog } = this._deps;
+  private async _write(creation: KeyCreation, deadline: number): Promise<SubmissionOutcome> {
+    const { clock, catalog } = this._deps;
+    const { key } = creation;
     this._unresolvedWrites.add(key);
-    const result = await store.write({ key, value, expected: 0 });
+    const result = await this._writeOnce(creation);
     if (result.isOk()) {
       this._unresolvedWrites.resolve(key);
-      const { kind, change } = toStoreChange(key, value, result.value);
-      catalog.apply(change === undefined ? [] : [change]);
-      return { kind: "stored", known: kind === "conflict" };
+      catalog.apply(getStoredEntries(creation, result.value));
+      return { kind: "stored", known: result.value.kind === "conflict" };
     }
-    return this._retryUnknown(key, value, deadline, result.error, clock.now() + RETRY_MS);
+    return this._retryUnknown(creation, deadline, result.error, clock.now() + RETRY_MS);
+  }
+
+  private _writeOnce({
+    key,
+    value,
+    others,
+  }: KeyCreation): ResultAsync<TransactionResult, StoreFailure> {
+    const { store } = this._deps;
+    const write = { key, value, expected: 0 };
+    const checks = others
+      .slice(0, MAX_TRANSACTION_ROWS - 1)
+      .map((other) => ({ key: other, expected: 0 }));
+    return checks.length > 0
+      ? store.transact({ checks, writes: [write] })
+      : store.write(write).map((result) => {
+          return result.kind === "written"
+            ? result
+            : { kind: result.kind, current: result.current === undefined ? [] : [result.current] };
+        });
   }
 
   private async _retryUnknown(
-    key: string,
-    value: string,
+    creation: KeyCreation,
     deadline: number,
     failure: StoreFailure,
     retryAt: number,
   ): Promise<SubmissionOutcome> {
     const { clock } = this._deps;
+    const { key } = creation;
     const reason = failure.detail;
     if (!failure.mayHaveWritten) {
       this._unresolvedWrites.removeAttempt(key);
@@ -264,8 +316,8 @@
     await clock.sleep(retryAt - clock.now());
     // What is sent during an interruption would only be noticed to be lost after its timeout.
     return this._deps.silenceMonitor.isSilent
-      ? this._retryUnknown(key, value, deadline, failure, clock.now() + RETRY_MS)
-      : this._write(key, value, deadline);
+      ? this._retryUnknown(creation, deadline, failure, clock.now() + RETRY_MS)
+      : this._write(creation, deadline);
   }
 
   /**
@@ -289,16 +341,10 @@
   }
 }
 
-function toStoreChange(
-  key: string,
-  value: string,
-  result: WriteResult,
-): {
-  readonly kind: WriteResult["kind"];
-  readonly change:
-    { readonly key: string; readonly value: string; readonly revision: number } | undefined;
-} {
-  return result.kind === "written"
-    ? { kind: result.kind, change: { key, value, revision: result.revision } }
-    : { kind: result.kind, change: result.current };
+/** Returns the keys that the store holds after an attempt to create one. */
+function getStoredEntries(
+  { key, value }: KeyCreation,
+  result: TransactionResult,
+): readonly StoreEntry[] {
+  return result.kind === "written" ? [{ key, value, revision: result.revision }] : result.current;
 }
--- a/src/protocol/pool/QueueConfig.ts
+++ b/src/protocol/pool/QueueConfig.ts
@@ -43,6 +43,15 @@
   readonly limits: RequestLimits;
 }
 
+/**
+ * Returns the endpoint of a queue, by which submitters name it: its name is the operator's, and may
+ * change or pass to another queue while the endpoint stays.
+ * @param queue - The queue.
+ */
+export function getEndpoint({ host, pathPrefix }: QueueConfig): string {
+  return `${host} ${pathPrefix}`;
+}
+
 /** Finds queues by host and path. */
 export class QueueTable {
   private readonly _byHost: ReadonlyMap<string, readonly QueueConfig[]>;
--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -4,8 +4,9 @@
  * get their jobs from it.
  */
 import type { StoreChange } from "../../protocol/platform/Store.ts";
+import { getEndpoint, type QueueConfig } from "../../protocol/pool/QueueConfig.ts";
 import { applyEach } from "./applyEach.ts";
-import { getQueueDigest, parseJobKey, type JobKey } from "./PoolKeys.ts";
+import { getQueueDigests, parseJobKey, type JobKey } from "./PoolKeys.ts";
 import {
   parseJobRecord,
   parseProgressRecord,
@@ -52,6 +53,8 @@
 export class JobCatalog {
   private readonly _listener: JobCatalogListener;
   private readonly _jobs = new Map<string, CatalogJob>();
+  /** Last known endpoints of queues, by the name of the queue. */
+  private readonly _endpoints = new Map<string, string>();
 
   /**
    * Creates an empty catalog.
@@ -79,12 +82,29 @@
 
   /**
    * Counts the accepted jobs of a queue of which no run has been ordered.
-   * @param queue - Name of the queue.
+   * @param queue - The queue.
    */
-  countPending(queue: string): number {
-    return [...this._jobs.values()].filter(
-      (job) => job.record?.queue === queue && getVisiblePhase(job) === "queued",
-    ).length;
+  countPending(queue: QueueConfig): number {
+    return [...this._jobs.values()]
+      .filter(({ record }) => record !== undefined && isJobOf(record, queue))
+      .filter((job) => getVisiblePhase(job) === "queued").length;
+  }
+
+  /**
+   * Takes note of the present queues. A record of a former version has the name of its queue only: its
+   * job keeps the endpoint that this name had last when the job became known, whatever queue has the
+   * name later.
+   * @param queues - The queues.
+   */
+  setQueues(queues: readonly QueueConfig[]): void {
+    queues.forEach((queue) => {
+      this._endpoints.set(queue.name, getEndpoint(queue));
+    });
+    this._jobs.forEach((job) => {
+      if (job.record !== undefined && job.record.endpoint === undefined) {
+        this._jobs.set(job.id, { ...job, record: this._addEndpoint(job.record) });
+      }
+    });
   }
 
   /**
@@ -154,7 +174,7 @@
     const job = this._jobs.get(key.job) ?? createCatalogJob(key);
     switch (key.kind) {
       case "job":
-        this._applyJob(job, value, change);
+        this._applyJob({ ...job, pool: key.pool }, value, change);
         return;
       case "cancel":
         this._applyCancel(job, key.queueDigest);
@@ -169,9 +189,11 @@
       return;
     }
     parseJobRecord(value).match(
-      (record) => {
+      (stored) => {
+        const record = this._addEndpoint(stored);
         const isCancelled =
-          job.isCancelled || job.cancelledQueues.has(getQueueDigest(record.queue));
+          job.isCancelled ||
+          getQueueDigests(record).some((digest) => job.cancelledQueues.has(digest));
         const known = { ...job, record, isCancelled, acceptedRevision: revision };
         this._jobs.set(job.id, known);
         this._listener.onAccepted(known);
@@ -188,9 +210,10 @@
     if (queueDigest !== undefined) {
       cancelledQueues.add(queueDigest);
     }
-    const queue = job.record?.queue;
-    const isOfQueue = queue !== undefined && queueDigest === getQueueDigest(queue);
-    const isCancelled = job.isCancelled || queueDigest === undefined || isOfQueue;
+    const isOfQueue =
+      queueDigest === undefined ||
+      (job.record !== undefined && getQueueDigests(job.record).includes(queueDigest));
+    const isCancelled = job.isCancelled || isOfQueue;
     const updated = { ...job, isCancelled, cancelledQueues };
     this._jobs.set(job.id, updated);
     if (isCancelled && !job.isCancelled) {
@@ -198,6 +221,10 @@
     }
   }
 
+  private _addEndpoint(record: JobRecord): JobRecord {
+    return { ...record, endpoint: record.endpoint ?? this._endpoints.get(record.queue) };
+  }
+
   private _applyProgress(job: CatalogJob, value: string, change: StoreChange): void {
     if (change.revision <= job.progressRevision) {
       return;
@@ -228,6 +255,16 @@
   }
 }
 
+/**
+ * Returns whether a job belongs to a queue. The endpoint decides, by which submitters name the queue;
+ * the name does where it is all that is known.
+ * @param record - The job as it was accepted.
+ * @param queue - The queue.
+ */
+export function isJobOf({ endpoint, queue: name }: JobRecord, queue: QueueConfig): boolean {
+  return endpoint === undefined ? name === queue.name : endpoint === getEndpoint(queue);
+}
+
 /**
  * Gets the phase that is visible to submitters.
  * @param job - The job.
--- a/src/state/pool/PoolKeys.ts
+++ b/src/state/pool/PoolKeys.ts
@@ -3,6 +3,7 @@
  * entry; progress is written only by the scheduler of the pool.
  */
 import { createHash } from "node:crypto";
+import type { JobRecord } from "./records.ts";
 
 /** Prefix of the keys that entries write for the schedulers: accepted jobs and cancellations. */
 export const INTAKE_PREFIX = "intake/";
@@ -19,7 +20,7 @@
 /** Prefix of the interference between images that schedulers have estimated. */
 export const INTERFERENCE_PREFIX = "pressure/";
 
-/** Length of the digest of a queue's name in a key, in hexadecimal digits. */
+/** Length of the digest of a queue in a key, in hexadecimal digits. */
 const QUEUE_DIGEST_LENGTH = 16;
 const QUEUE_DIGEST = new RegExp(`^[0-9a-f]{${QUEUE_DIGEST_LENGTH}}$`);
 
@@ -29,8 +30,9 @@
   readonly pool: string;
   readonly job: string;
   /**
-   * Digest of the name of the queue to whose job alone a cancellation applies; undefined for one that
-   * applies to the job that has the id. Jobs of all queues of a pool share the ids.
+   * Digest of the endpoint of the queue to whose job alone a cancellation applies, or of its name if
+   * an entry of a former version wrote it; undefined for one that applies to the job that has the id.
+   * Jobs of all queues share the ids.
    */
   readonly queueDigest?: string | undefined;
 }
@@ -48,13 +50,22 @@
 }
 
 /**
- * Gets the digest by which keys name a queue: a name may be longer than a key.
- * @param queue - Name of the queue.
+ * Gets the digest by which keys name a queue: an endpoint may be longer than a key.
+ * @param queue - Endpoint or name of the queue.
  */
 export function getQueueDigest(queue: string): string {
   return createHash("sha256").update(queue).digest("hex").slice(0, QUEUE_DIGEST_LENGTH);
 }
 
+/**
+ * Gets the digests by which cancellations name the queue of a job: entries of a former version use its
+ * name.
+ * @param record - The job as it was accepted.
+ */
+export function getQueueDigests({ queue, endpoint }: JobRecord): readonly string[] {
+  return [endpoint, queue].flatMap((name) => (name === undefined ? [] : getQueueDigest(name)));
+}
+
 /**
  * Parses a key of a job; returns undefined for any other key.
  * @param key - Key as stored.
--- a/src/state/pool/records.ts
+++ b/src/state/pool/records.ts
@@ -51,6 +51,7 @@
 
 const JobRecordSchema = z.object({
   queue: z.string(),
+  endpoint: z.string().optional(),
   priority: finiteNumber,
   maxAttempts: wholeNumber,
   stretch: finiteNumber,
@@ -78,7 +79,10 @@
 
 /** A job as it was accepted, with the settings of its queue at that time. */
 export interface JobRecord extends JobDefinition {
+  /** Name that the queue had then. */
   readonly queue: string;
+  /** Endpoint of the queue, to which the job belongs; absent in records of a former version. */
+  readonly endpoint?: string | undefined;
   readonly priority: number;
   readonly maxAttempts: number;
   readonly stretch: number;
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -114,7 +114,8 @@
       channel: this._channel,
       getTimeOfDay: Date.now,
     });
-    this._queues = new QueueRegistry(decoder, log.child("queues"), ({ pools }) => {
+    this._queues = new QueueRegistry(decoder, log.child("queues"), ({ queues, pools }) => {
+      this._coordinator.catalog.setQueues(queues);
       this._coordinator.setPools(pools.map((pool) => pool.name));
     });
     const apply = this._queues.apply.bind(this._queues);
@@ -172,6 +173,7 @@
       clock: this._clock,
       log: log.child("submissions"),
       catalog: this._coordinator.catalog,
+      getPools: () => this._queues.pools,
       getTimeOfDay: Date.now,
     });
   }
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -103,6 +103,7 @@
       clock,
       log,
       catalog: coordinator.catalog,
+      getPools: () => [POOL],
       getTimeOfDay,
     });
     const added = Object.assign(entry, { name, store, coordinator, submissions });
--- a/tests/coordination/pool/submissionRepeatTests.ts
+++ b/tests/coordination/pool/submissionRepeatTests.ts
@@ -16,7 +16,7 @@
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createStep, POOL } from "../../support/poolFixtures.ts";
 import { QUEUE } from "./simulatedPool.ts";
 
 const ID = "0000000000000001";
@@ -56,6 +56,7 @@
     clock,
     log,
     catalog,
+    getPools: () => [POOL],
     getTimeOfDay: () => clock.now(),
   });
   const getDeadline = (): number => clock.now() + SUBMITTER_TIMEOUT_MS;
--- a/tests/coordination/pool/submissionServiceTests.ts
+++ b/tests/coordination/pool/submissionServiceTests.ts
@@ -20,7 +20,7 @@
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { createStep } from "../../support/poolFixtures.ts";
+import { createStep, POOL } from "../../support/poolFixtures.ts";
 import { QUEUE } from "./simulatedPool.ts";
 
 /** Timeout of the store adapter's calls, in milliseconds. */
@@ -82,6 +82,7 @@
     clock,
     log,
     catalog,
+    getPools: () => [POOL],
     getTimeOfDay: () => clock.now(),
   });
   const respond = async <T>(
--- a/tests/platform/clientServerTests.ts
+++ b/tests/platform/clientServerTests.ts
@@ -40,6 +40,7 @@
     ...shared,
     silenceMonitor: new StoreSilenceMonitor(shared),
     catalog: new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore }),
+    getPools: () => [],
     getTimeOfDay: Date.now,
   });
 }
