--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -5,12 +5,7 @@
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
-import type {
-  PoolWorker,
-  WorkerAnnouncement,
-  WorkerCallFailure,
-  WorkerRuns,
-} from "../../protocol/platform/PoolWorker.ts";
+import type { PoolWorker, WorkerAnnouncement } from "../../protocol/platform/PoolWorker.ts";
 import type {
   AgentOutcome,
   AgentReport,
@@ -23,11 +18,11 @@
 import { AnnouncementVerifier, type Candidate } from "./AnnouncementVerifier.ts";
 import { CrashDetector } from "./CrashDetector.ts";
 import { formatIncarnation } from "./incarnations.ts";
+import { ListFetcher } from "./ListFetcher.ts";
 import { ListedEnds } from "./ListedEnds.ts";
 import { OrderExecutor } from "./OrderExecutor.ts";
 import { Signal } from "./Signal.ts";
-import { describeRuns, hasChanged, isNewer } from "./workerChanges.ts";
-import { WorkerLists } from "./WorkerLists.ts";
+import { hasChanged, isNewer } from "./workerChanges.ts";
 import { createWorkerReport } from "./workerReport.ts";
 
 /** Wait time of a call for lists until a scheduler has specified one, in milliseconds. */
@@ -53,22 +48,14 @@
   private readonly _deps: PoolWorkerAgentDependencies;
   private _announced: WorkerAnnouncement | undefined;
   private _announcedAt = 0;
-  private readonly _lists = new WorkerLists();
   private _epoch = 0;
   private _isFenced = false;
-  /**
-   * Whether the worker has responded to the last call for its lists. After a call that failed, the
-   * next incarnation may be at its address, although it has not announced itself: it must get no
-   * lease, start or acknowledgement that was meant for the one before.
-   */
-  private _responds = false;
-  private _leaseUntilMs: number | undefined;
   private readonly _ends: ListedEnds;
+  private readonly _lists: ListFetcher;
   private readonly _crashDetector: CrashDetector;
   private readonly _orders: OrderExecutor;
   private readonly _verifier: AnnouncementVerifier;
   private _listWaitMs = DEFAULT_LIST_WAIT_MS;
-  private _callNumber = 0;
   private _version = 1;
   private _isStopped = false;
   /** Raised when the report has changed. */
@@ -86,11 +73,23 @@
     const versioned = { clock, log, getNextVersion: (): number => this._version + 1 };
     this._ends = new ListedEnds(versioned);
     this._crashDetector = new CrashDetector(versioned);
+    const handleFenced = (): void => {
+      this._isFenced = true;
+    };
+    this._lists = new ListFetcher({
+      ...{ worker: deps.worker, clock, log },
+      ends: this._ends,
+      crashDetector: this._crashDetector,
+      getWorker: () => this._announced,
+      getEpoch: () => this._epoch,
+      onChange: this._publishChange.bind(this),
+      onFenced: handleFenced,
+    });
     this._orders = new OrderExecutor({
       worker: deps.worker,
       crashDetector: this._crashDetector,
       getWorker: () => this._announced,
-      isResponding: () => this._responds,
+      isResponding: () => this._lists.responds,
     });
     this._verifier = new AnnouncementVerifier({
       ...{ worker: deps.worker, log },
@@ -99,9 +98,7 @@
       onConfirmed: (candidate) => {
         this._replaceWorker(candidate);
       },
-      onFenced: () => {
-        this._isFenced = true;
-      },
+      onFenced: handleFenced,
     });
     this._reportChanged = new Signal(deps.clock);
     this._listDue = new Signal(deps.clock);
@@ -115,6 +112,7 @@
   /** Stops polling the worker. */
   stop(): void {
     this._isStopped = true;
+    this._lists.stop();
     this._listDue.raise();
     this._publishChange();
   }
@@ -160,7 +158,7 @@
       return { kind: "deposed" };
     }
     if (call.worker === this.incarnation) {
-      this._extendLease(call.leaseUntilMs);
+      this._lists.extendLease(call.leaseUntilMs);
       this._acknowledge(call.ackedEnd);
     }
     this._listWaitMs = call.waitMs;
@@ -183,11 +181,11 @@
       return { kind: "deposed" };
     }
     if (call.worker === this.incarnation && call.leaseUntilMs > 0) {
-      this._extendLease(call.leaseUntilMs);
+      this._lists.extendLease(call.leaseUntilMs);
     }
     const results = await this._orders.execute(call);
     const { process } = this._deps;
-    const { _callNumber: callNumber } = this;
+    const { callNumber } = this._lists;
     if (call.stops.length > 0) {
       void this._reportStops(call.stops);
     }
@@ -200,7 +198,7 @@
    * run that is still listed will be one.
    */
   private async _reportStops(stops: readonly RunOrder[]): Promise<void> {
-    const hasListed = await this._fetchLists(0);
+    const hasListed = await this._lists.fetch(0);
     const running = new Set(
       this._lists.present?.running.map(({ task, run }) => formatRunKey(task, run)),
     );
@@ -217,11 +215,9 @@
     if (epoch > this._epoch) {
       this._epoch = epoch;
       this._isFenced = false;
-      // Earlier lists do not reflect orders of a former scheduler that are still in progress.
-      this._responds = false;
       this._lists.expire();
       this._deps.log.info("Agent follows a scheduler of a later epoch.", { epoch });
-      void this._fetchLists(0);
+      void this._lists.fetch(0);
       this._listDue.raise();
     }
     return true;
@@ -235,10 +231,8 @@
     this._announced = announcement;
     this._announcedAt = announcedAt;
     this._lists.reset();
-    this._responds = false;
-    this._leaseUntilMs = undefined;
     this._publishAnnouncement(announcement, former);
-    void this._fetchLists(0);
+    void this._lists.fetch(0);
     this._listDue.raise();
   }
 
@@ -252,12 +246,6 @@
     this._publishChange();
   }
 
-  private _extendLease(leaseUntilMs: number | undefined): void {
-    if (leaseUntilMs !== undefined) {
-      this._leaseUntilMs = Math.max(this._leaseUntilMs ?? 0, leaseUntilMs);
-    }
-  }
-
   private _acknowledge(ackedEnd: number): void {
     if (this._ends.acknowledge(ackedEnd)) {
       this._listDue.raise();
@@ -270,7 +258,7 @@
       if (this._announced === undefined || this._epoch === 0) {
         await verified;
         await this._listDue.wait(this._epoch > 0 ? RETRY_MS : undefined);
-      } else if (await this._fetchLists(this._listWaitMs)) {
+      } else if (await this._lists.fetch(this._listWaitMs)) {
         const hasUnackedEnds = this._lists.present?.ended.some(
           ({ number }) => number > this._ends.ackedEnd,
         );
@@ -281,82 +269,13 @@
     }
   }
 
-  /** Fetches the worker's lists. Returns whether the worker responded. */
-  private async _fetchLists(waitMs: number): Promise<boolean> {
-    const worker = this._announced;
-    if (worker === undefined) {
-      return false;
-    }
-    this._callNumber += 1;
-    const callNumber = this._callNumber;
-    const epoch = this._epoch;
-    const known = this._lists.present;
-    const result = await this._deps.worker.sync({
-      worker: worker.id,
-      fencingToken: epoch,
-      leaseUntilMs: this._responds ? this._leaseUntilMs : undefined,
-      ackedEnd: this._responds ? this._ends.ackedEnd : 0,
-      waitMs: this._responds ? waitMs : 0,
-    });
-    if (result.isOk() && this._ends.add(worker, result.value)) {
-      this._publishChange();
-    }
-    const isCurrent =
-      this._epoch === epoch &&
-      this.incarnation === formatIncarnation(worker.id, worker.startedAtMs);
-    if (!isCurrent || this._isStopped) {
-      return result.isOk();
-    }
-    if (result.isErr()) {
-      this._handleFailedList(result.error);
-      return false;
-    }
-    const lists = result.value;
-    if ((lists.startedAtMs ?? worker.startedAtMs) !== worker.startedAtMs) {
-      // The response is from another incarnation, which has not announced itself yet.
-      this._handleFailedList({ kind: "wrong-worker", detail: "another incarnation responded" });
-      return false;
-    }
-    if (this._lists.wasOvertaken(lists, known)) {
-      // The next call of the loop follows; a call that does not wait was sent for lists from now on.
-      return waitMs > 0 ? true : this._fetchLists(0);
-    }
-    this._applyLists(lists, callNumber);
-    return true;
-  }
-
-  private _applyLists(runs: WorkerRuns, callNumber: number): void {
-    const known = this._lists.present;
-    this._lists.replace(runs, callNumber, this._deps.clock.now());
-    this._crashDetector.recordLists(runs);
-    const isNew =
-      !this._responds || known === undefined || describeRuns(known) !== describeRuns(runs);
-    this._responds = true;
-    if (isNew) {
-      this._publishChange();
-    }
-  }
-
-  private _handleFailedList(failure: WorkerCallFailure): void {
-    if (failure.kind === "fenced") {
-      this._isFenced = true;
-    }
-    this._crashDetector.recordSilence();
-    if (this._responds) {
-      const { kind, detail } = failure;
-      this._deps.log.warn("Listing the worker's runs failed; it is retried.", { kind, detail });
-      this._responds = false;
-      this._publishChange();
-    }
-  }
-
   private _createReport({ knownProcess, knownVersion }: ObserveCall): AgentReport {
     const { process, clock } = this._deps;
     const announced = this._announced;
-    const { present, listedAt } = this._lists;
+    const { present, listedAt, responds } = this._lists;
     const known = {
       ...{ announcedAt: this._announcedAt, lists: present, listedAt },
-      ...{ responds: this._responds, ended: this._ends.ends },
+      ...{ responds, ended: this._ends.ends },
     };
     const reportedVersion = knownProcess === process ? knownVersion : 0;
     return {
