Let the fencing token rise for each incarnation of a worker

A start without a response was executed seconds later, by a later incarnation of its worker under the same id.

Cause: nothing that a worker checks told a start for one incarnation from one for the next. The fencing token was the scheduler's epoch, the same for all of them.

Change: the token is the agent's. It begins with the revision of the agent's registration, so that it is above its predecessor's, and rises before the first call to another incarnation, after calls for lists and orders without a response, and with each epoch. A refusal for a token that the agent has replaced itself deposes nobody; the call is sent again. Orders are sent only for the epoch that the agent follows.

--- a/src/coordination/pool/AnnouncementVerifier.ts
+++ b/src/coordination/pool/AnnouncementVerifier.ts
@@ -10,6 +10,7 @@
   WorkerCallFailure,
   WorkerRuns,
 } from "../../protocol/platform/PoolWorker.ts";
+import type { FencingToken } from "./FencingToken.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { isNewer } from "./workerChanges.ts";
 
@@ -30,6 +31,7 @@
 export interface AnnouncementVerifierDependencies {
   readonly worker: PoolWorker;
   readonly log: Log;
+  readonly fencingToken: FencingToken;
   /** Gets the epoch that the agent follows; 0 for none. */
   readonly getEpoch: () => number;
   /** Gets the announcement of the present incarnation; undefined for none. */
@@ -62,18 +64,20 @@
   /**
    * Adds an announcement of another incarnation than the present one.
    * @param candidate - The announcement.
+   * @returns Whether no announcement of the incarnation was known.
    */
-  add(candidate: Candidate): void {
+  add(candidate: Candidate): boolean {
     const { announcement } = candidate;
     const incarnation = formatIncarnation(announcement.id, announcement.startedAtMs);
     const known = this._candidates.get(incarnation)?.announcement;
     if (known !== undefined && !isNewer(announcement, known)) {
-      return;
+      return false;
     }
     this._candidates.set(incarnation, candidate);
     [...this._candidates.keys()]
       .slice(0, -MAX_CANDIDATES)
       .forEach((oldest) => this._candidates.delete(oldest));
+    return known === undefined;
   }
 
   /** Asks the worker for all candidates for which no call is in progress. */
@@ -89,13 +93,13 @@
 
   private async _ask(incarnation: string): Promise<void> {
     const announced = this._candidates.get(incarnation)?.announcement;
-    if (announced === undefined) {
+    const fencingToken = this._deps.fencingToken.value;
+    if (announced === undefined || fencingToken === undefined) {
       return;
     }
     this._asked.add(incarnation);
     this._callCount += 1;
     const call = this._callCount;
-    const fencingToken = this._deps.getEpoch();
     // It may be any worker: it is given no lease, and none of its ends is acknowledged.
     const answer = await this._deps.worker.sync({
       worker: announced.id,
@@ -147,7 +151,7 @@
   ): void {
     if (kind === "wrong-worker" || kind === "rejected") {
       this._reject(incarnation, "the worker at the address does not accept calls under its id");
-    } else if (kind === "fenced" && fencingToken === this._deps.getEpoch()) {
+    } else if (kind === "fenced" && fencingToken === this._deps.fencingToken.value) {
       this._deps.onFenced();
     }
   }
--- a/src/coordination/pool/ListFetcher.ts
+++ b/src/coordination/pool/ListFetcher.ts
@@ -11,6 +11,7 @@
   WorkerRuns,
 } from "../../protocol/platform/PoolWorker.ts";
 import type { CrashDetector } from "./CrashDetector.ts";
+import type { FencingToken } from "./FencingToken.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import type { ListedEnds } from "./ListedEnds.ts";
 import { describeRuns } from "./workerChanges.ts";
@@ -24,6 +25,7 @@
   readonly log: Log;
   readonly ends: ListedEnds;
   readonly crashDetector: CrashDetector;
+  readonly fencingToken: FencingToken;
   /** Gets the last announcement of the worker; undefined for none. */
   readonly getWorker: () => WorkerAnnouncement | undefined;
   /** Gets the epoch that the agent follows. */
@@ -113,7 +115,8 @@
   async fetch(waitMs: number): Promise<boolean> {
     const { worker: client, ends, getWorker, getEpoch, onChange } = this._deps;
     const worker = getWorker();
-    if (worker === undefined) {
+    const fencingToken = this._deps.fencingToken.value;
+    if (worker === undefined || fencingToken === undefined) {
       return false;
     }
     this._callNumber += 1;
@@ -122,7 +125,7 @@
     const known = this._lists.present;
     const result = await client.sync({
       worker: worker.id,
-      fencingToken: epoch,
+      fencingToken,
       leaseUntilMs: this._responds ? this._leaseUntilMs : undefined,
       ackedEnd: this._responds ? ends.ackedEnd : 0,
       waitMs: this._responds ? waitMs : 0,
@@ -133,6 +136,9 @@
     if (getEpoch() !== epoch || !this._isPresent(worker) || this._isStopped) {
       return result.isOk();
     }
+    if (result.isErr() && this._isOutdated(result.error, fencingToken)) {
+      return this.fetch(waitMs);
+    }
     if (result.isErr()) {
       this._handleFailure(result.error);
       return false;
@@ -151,6 +157,11 @@
     return true;
   }
 
+  /** Returns whether a call failed for a fencing token that a later call of this agent has replaced. */
+  private _isOutdated({ kind }: WorkerCallFailure, fencingToken: number): boolean {
+    return kind === "fenced" && fencingToken !== this._deps.fencingToken.value;
+  }
+
   private _isPresent({ id, startedAtMs }: WorkerAnnouncement): boolean {
     const present = this._deps.getWorker();
     return (
@@ -173,7 +184,7 @@
   }
 
   private _handleFailure({ kind, detail }: WorkerCallFailure): void {
-    const { crashDetector, log, onFenced, onChange } = this._deps;
+    const { crashDetector, fencingToken, log, onFenced, onChange } = this._deps;
     if (kind === "fenced") {
       onFenced();
     }
@@ -181,6 +192,8 @@
     if (this._responds) {
       log.warn("Listing the worker's runs failed; it is retried.", { kind, detail });
       this._responds = false;
+      // The next incarnation may respond before it announces itself.
+      fencingToken.expire(fencingToken.value);
       onChange();
     }
   }
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -12,6 +12,7 @@
 import { fits } from "../../protocol/Resources.ts";
 import type { OrderCall, OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
 import type { CrashDetector } from "./CrashDetector.ts";
+import type { FencingToken } from "./FencingToken.ts";
 import { formatIncarnation } from "./incarnations.ts";
 
 /** Maximum number of attempts at an order while its outcome is unknown. */
@@ -26,6 +27,9 @@
 export interface OrderExecutorDependencies {
   readonly worker: PoolWorker;
   readonly crashDetector: CrashDetector;
+  readonly fencingToken: FencingToken;
+  /** Gets the epoch that the agent follows. */
+  readonly getEpoch: () => number;
   /** Gets the last announcement of the worker; undefined for none. */
   readonly getWorker: () => WorkerAnnouncement | undefined;
   /** Returns whether the worker has responded to the last call for its lists. */
@@ -62,7 +66,6 @@
   }
 
   private async _start(call: OrderCall, order: StartOrder): Promise<RunResult> {
-    const { epoch: fencingToken, leaseUntilMs } = call;
     const { task, run } = order;
     const known = this._deps.getWorker();
     if (known?.draining === true) {
@@ -73,12 +76,12 @@
       return { task, run, failure: "no-room" };
     }
     const isRepeated = this._deps.crashDetector.hasStart(order);
-    const result = await this._execute(call, order, ({ worker }) => {
+    const result = await this._execute(call, order, (runCall) => {
       if (!this._deps.isResponding()) {
         return errAsync(NOT_RESPONDING);
       }
       this._deps.crashDetector.recordStart(order);
-      return this._deps.worker.start({ ...order, worker, fencingToken, leaseUntilMs });
+      return this._deps.worker.start({ ...order, ...runCall, leaseUntilMs: call.leaseUntilMs });
     });
     // A refusal of a repeated order says nothing of the first one, which the worker may have executed.
     if (!isRepeated && result.failure !== undefined && result.failure !== "unknown") {
@@ -103,8 +106,20 @@
     if (known === undefined || call.worker !== formatIncarnation(known.id, known.startedAtMs)) {
       return { task, run, failure: isRetry ? "unknown" : "wrong-worker" };
     }
-    const result = await send({ worker: known.id, fencingToken: call.epoch, task, run });
+    const { fencingToken, getEpoch } = this._deps;
+    const token = fencingToken.value;
+    if (call.epoch !== getEpoch() || token === undefined) {
+      return { task, run, failure: isRetry ? "unknown" : "fenced" };
+    }
+    const result = await send({ worker: known.id, fencingToken: token, task, run });
     const failure = result.isErr() ? result.error.kind : undefined;
+    if (failure === "fenced" && token !== fencingToken.value) {
+      return this._execute(call, { task, run }, send, attemptsLeft, isRetry);
+    }
+    if (failure === "unknown") {
+      // The first call that the worker answers from now on bars this one.
+      fencingToken.expire(token);
+    }
     if (failure === "unknown" && attemptsLeft > 1) {
       return this._execute(call, { task, run }, send, attemptsLeft - 1, true);
     }
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -17,6 +17,7 @@
 import { formatRunKey } from "./ActiveRunTable.ts";
 import { AnnouncementVerifier, type Candidate } from "./AnnouncementVerifier.ts";
 import { CrashDetector } from "./CrashDetector.ts";
+import { FencingToken } from "./FencingToken.ts";
 import { formatIncarnation } from "./incarnations.ts";
 import { ListFetcher } from "./ListFetcher.ts";
 import { ListedEnds } from "./ListedEnds.ts";
@@ -41,6 +42,8 @@
   readonly log: Log;
   /** Identity of the process; never reused. */
   readonly process: string;
+  /** Called when the process needs a later registration, as its fencing tokens are used up. */
+  readonly onRegistrationDue: () => void;
 }
 
 /** Agent of one pool worker. */
@@ -49,6 +52,7 @@
   private _announced: WorkerAnnouncement | undefined;
   private _announcedAt = 0;
   private _epoch = 0;
+  private readonly _fencingToken: FencingToken;
   private _isFenced = false;
   private readonly _ends: ListedEnds;
   private readonly _lists: ListFetcher;
@@ -73,6 +77,7 @@
     const versioned = { clock, log, getNextVersion: (): number => this._version + 1 };
     this._ends = new ListedEnds(versioned);
     this._crashDetector = new CrashDetector(versioned);
+    this._fencingToken = new FencingToken(deps.onRegistrationDue);
     const handleFenced = (): void => {
       this._isFenced = true;
     };
@@ -80,6 +85,7 @@
       ...{ worker: deps.worker, clock, log },
       ends: this._ends,
       crashDetector: this._crashDetector,
+      fencingToken: this._fencingToken,
       getWorker: () => this._announced,
       getEpoch: () => this._epoch,
       onChange: this._publishChange.bind(this),
@@ -88,11 +94,13 @@
     this._orders = new OrderExecutor({
       worker: deps.worker,
       crashDetector: this._crashDetector,
+      fencingToken: this._fencingToken,
+      getEpoch: () => this._epoch,
       getWorker: () => this._announced,
       isResponding: () => this._lists.responds,
     });
     this._verifier = new AnnouncementVerifier({
-      ...{ worker: deps.worker, log },
+      ...{ worker: deps.worker, log, fencingToken: this._fencingToken },
       getEpoch: () => this._epoch,
       getPresent: () => this._announced,
       onConfirmed: (candidate) => {
@@ -117,6 +125,15 @@
     this._publishChange();
   }
 
+  /**
+   * Handles that the process is registered in the store; before, it calls no worker.
+   * @param revision - Revision of its registration.
+   */
+  register(revision: number): void {
+    this._fencingToken.register(revision);
+    this._listDue.raise();
+  }
+
   /** Incarnation of the worker; undefined if none has announced itself. */
   get incarnation(): string | undefined {
     return this._announced && formatIncarnation(this._announced.id, this._announced.startedAtMs);
@@ -132,7 +149,10 @@
     const announcedAt = this._deps.clock.now();
     const isSame = known?.id === announcement.id && known.startedAtMs === announcement.startedAtMs;
     if (!isSame) {
-      this._verifier.add({ announcement, announcedAt });
+      if (this._verifier.add({ announcement, announcedAt })) {
+        // Whatever is under way was not meant for the incarnation that may be there now.
+        this._fencingToken.expire(this._fencingToken.value);
+      }
       void this._verifier.verify();
       this._listDue.raise();
       return;
@@ -214,6 +234,7 @@
     }
     if (epoch > this._epoch) {
       this._epoch = epoch;
+      this._fencingToken.advance(epoch);
       this._isFenced = false;
       this._lists.expire();
       this._deps.log.info("Agent follows a scheduler of a later epoch.", { epoch });
--- a/src/transport/pool/PoolAgentProcess.ts
+++ b/src/transport/pool/PoolAgentProcess.ts
@@ -46,6 +46,8 @@
   private readonly _service: PoolAgentService;
   private readonly _controlServer: ControlServer;
   private readonly _listener: AnnouncementListener;
+  /** Revision of the registration in the store; 0 before there is one. */
+  private _registration = 0;
   private _isStopped = false;
 
   /**
@@ -61,6 +63,9 @@
       clock,
       log: log.child("worker"),
       process: this._processId,
+      onRegistrationDue: () => {
+        void this._register(this._registration);
+      },
     });
     this._service = new PoolAgentService(this._workerAgent, log);
     this._controlServer = new ControlServer((router) => {
@@ -95,8 +100,12 @@
     this._deps.log.info("Agent ended.");
   }
 
-  /** Replaces the registration of an earlier process; retries until the store holds the new one. */
-  private async _register(): Promise<void> {
+  /**
+   * Replaces the registration of an earlier process, or of this one; retries until the store holds the
+   * new one.
+   * @param formerRevision - Revision of the registration to replace, if it is of this process.
+   */
+  private async _register(formerRevision = 0): Promise<void> {
     const { settings, store, log } = this._deps;
     const { name, zone, pool, control: address } = settings.agent;
     const record: AgentRecord = { address, zone, pool, process: this._processId };
@@ -105,9 +114,10 @@
       const read = await store.read(key);
       const expected = read.isOk() ? (read.value?.revision ?? 0) : undefined;
       const value = JSON.stringify(record);
-      const isRegistered = read.isOk() && read.value?.value === value;
-      if (isRegistered) {
-        log.info("The agent is registered in the store.", { key });
+      if (read.isOk() && read.value?.value === value && read.value.revision > formerRevision) {
+        this._registration = read.value.revision;
+        this._workerAgent.register(this._registration);
+        log.info("The agent is registered in the store.", { key, revision: this._registration });
         return;
       }
       const written =
--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -7,7 +7,6 @@
 import { err, ok, ResultAsync, type Result } from "neverthrow";
 import {
   PoolWorker,
-  type EndedRun,
   type SyncCall,
   type RunCall,
   type RunOutcome,
@@ -17,6 +16,7 @@
   type WorkerRuns,
 } from "../../src/protocol/platform/PoolWorker.ts";
 import { addResources, NO_RESOURCES, type Resources } from "../../src/protocol/Resources.ts";
+import { EndList } from "./EndList.ts";
 import { listRun, type ActiveRun } from "./ActiveRun.ts";
 import type { JournalRun } from "./poolJournal.ts";
 import type {
@@ -42,6 +42,7 @@
     failEveryRun: false,
     maxListedEnds: MAX_LISTED_ENDS,
     startsWithoutRoom: false,
+    stallsWithLateOrders: false,
   };
   /**
    * Next incarnation at its address; undefined for none. If it has the same id, it executes the late
@@ -53,9 +54,9 @@
   /** By task and run: several runs of one task may be there at a time. */
   private readonly _running = new Map<string, ActiveRun>();
   private readonly _lastRuns = new Map<string, number>();
-  private _unacknowledgedEnds: EndedRun[] = [];
-  private readonly _allEnds: { readonly number: number; readonly entry: JournalRun }[] = [];
-  private _endCount = 0;
+  private readonly _ends = new EndList();
+  /** End of the time in which it responds to nothing, as a late order has stalled it. */
+  private _stalledUntil = 0;
   private _fencingToken = 0;
   private _leaseUntilMs = 0;
   private _sequence = 0;
@@ -85,6 +86,11 @@
     return this._deps.id;
   }
 
+  /** Highest fencing token that it has seen. */
+  get fencingToken(): number {
+    return this._fencingToken;
+  }
+
   /** Capacity that the worker has now. */
   get capacity(): Resources {
     return this._capacity;
@@ -170,13 +176,10 @@
       return err(fenced.error);
     }
     this._extendLease(call.leaseUntilMs);
-    this._unacknowledgedEnds = this._unacknowledgedEnds.filter(
-      ({ number }) => number > call.ackedEnd,
-    );
-    this._markEnds((number) => number <= call.ackedEnd, true);
+    this._ends.acknowledge(call.ackedEnd);
     const until = this._deps.clock.now() + call.waitMs;
     while (
-      this._unacknowledgedEnds.length === 0 &&
+      this._ends.unacknowledged.length === 0 &&
       this._deps.clock.now() < until &&
       !this._isDead
     ) {
@@ -185,7 +188,7 @@
     if (await this._isUnresponsive()) {
       return err({ kind: "unknown", detail: "no response" });
     }
-    const ended = this._unacknowledgedEnds.slice(0, this.faults.maxListedEnds);
+    const ended = this._ends.unacknowledged.slice(0, this.faults.maxListedEnds);
     return ok({
       clockMs: this._clockMs,
       startedAtMs: this._deps.startedAtMs,
@@ -205,6 +208,9 @@
     }
     if (this.faults.lateOrders > 0) {
       this.faults.lateOrders -= 1;
+      if (this.faults.stallsWithLateOrders) {
+        this._stalledUntil = clock.now() + this.faults.lateMs;
+      }
       clock.after(this.faults.lateMs, () => {
         const worker = this._findLive();
         if (worker !== undefined) {
@@ -314,7 +320,8 @@
 
   private async _isUnresponsive(): Promise<boolean> {
     await this._deps.clock.sleep(1);
-    const isSilent = this._isDead || this.faults.isUnresponsive;
+    const isStalled = this._deps.clock.now() < this._stalledUntil;
+    const isSilent = this._isDead || this.faults.isUnresponsive || isStalled;
     if (isSilent) {
       await this._deps.clock.sleep(100);
     }
@@ -329,7 +336,7 @@
     const now = this._deps.clock.now();
     const hasExpired = this._clockMs >= this._leaseUntilMs;
     if (hasExpired) {
-      this._markEnds(() => true, false);
+      this._ends.lapse();
     }
     [...this._running.values()].forEach((active) => {
       if (active.endsAt <= now) {
@@ -345,22 +352,12 @@
     });
   }
 
-  private _markEnds(isSelected: (number: number) => boolean, isAcknowledged: boolean): void {
-    this._allEnds
-      .filter(({ number }) => isSelected(number))
-      .forEach(({ entry }) => {
-        entry.isAcknowledged ??= isAcknowledged;
-      });
-  }
-
   private _end({ entry }: ActiveRun, outcome: RunOutcome): void {
     entry.endedAt = this._deps.clock.now();
     entry.outcome = outcome;
     const { task, run } = entry;
     this._running.delete(`${task} ${run}`);
     this._lastRuns.set(task, Math.max(run, this._lastRuns.get(task) ?? 0));
-    this._endCount += 1;
-    this._allEnds.push({ number: this._endCount, entry });
-    this._unacknowledgedEnds.push({ number: this._endCount, task, run, outcome, checkpoint: "" });
+    this._ends.add(entry, outcome);
   }
 }
--- a/standins/pool/PoolWorkerModelDependencies.ts
+++ b/standins/pool/PoolWorkerModelDependencies.ts
@@ -19,6 +19,8 @@
   maxListedEnds: number;
   /** Runs are started although the worker lacks room for them. */
   startsWithoutRoom: boolean;
+  /** Whether a late order stalls it: it responds to nothing until the order is executed. */
+  stallsWithLateOrders: boolean;
 }
 
 /** Resources and duration of a task, as set by the test. */
--- a/tests/coordination/pool/DelayedPoolSimulation.ts
+++ b/tests/coordination/pool/DelayedPoolSimulation.ts
@@ -91,7 +91,7 @@
   async startAgent(agent: SimulatedAgent): Promise<void> {
     this._downAgents.delete(agent.name);
     agent.workerAgent = this.createWorkerAgent(this.createCaller(agent.name, agent.address));
-    await this.register(agent.name);
+    await this.register(agent);
   }
 
   override async restartAgent(agent: SimulatedAgent): Promise<void> {
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -139,7 +139,7 @@
       isDisconnected: false,
     };
     this.agents.push(agent);
-    await this.register(name);
+    await this.register(agent);
     this._sendHeartbeats(agent);
     return agent;
   }
@@ -151,7 +151,7 @@
   async restartAgent(agent: SimulatedAgent): Promise<void> {
     agent.workerAgent.stop();
     agent.workerAgent = this.createWorkerAgent(this.createCaller(agent.name, agent.address));
-    await this.register(agent.name);
+    await this.register(agent);
   }
 
   /**
@@ -377,19 +377,22 @@
     this._processCount += 1;
     const { clock, log } = this;
     const process = `agent-${this._processCount}`;
-    const workerAgent = new PoolWorkerAgent({ worker, clock, log: log.child("agent"), process });
+    const workerAgent = new PoolWorkerAgent({
+      ...{ worker, clock, log: log.child("agent"), process },
+      onRegistrationDue: () => undefined,
+    });
     workerAgent.start();
     return workerAgent;
   }
 
   /**
    * Registers the process of an agent in the store.
-   * @param name - Name of the agent.
+   * @param agent - The agent.
    */
-  protected async register(name: string): Promise<void> {
+  protected async register({ name, workerAgent }: SimulatedAgent): Promise<void> {
     this._processCount += 1;
     const store = new MemoryStore(this.clock, this.storeModel);
-    await registerAgent(store, name, `p-${this._processCount}`);
+    workerAgent.register(await registerAgent(store, name, `p-${this._processCount}`));
   }
 
   private _sendHeartbeats(agent: SimulatedAgent): void {
--- a/tests/coordination/pool/announcementOrderTests.ts
+++ b/tests/coordination/pool/announcementOrderTests.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import type { WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
 import { AnnouncementVerifier } from "../../../src/coordination/pool/AnnouncementVerifier.ts";
+import { createFencingToken } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
@@ -22,7 +23,7 @@
   worker.lists = { ...worker.lists, startedAtMs: 1 };
   const confirmed: string[] = [];
   const verifier = new AnnouncementVerifier({
-    ...{ worker, log: new MemoryLog() },
+    ...{ worker, log: new MemoryLog(), fencingToken: createFencingToken() },
     getEpoch: () => epoch,
     getPresent: () => undefined,
     onConfirmed: ({ announcement }) => confirmed.push(announcement.id),
--- a/tests/coordination/pool/announcementProofTests.ts
+++ b/tests/coordination/pool/announcementProofTests.ts
@@ -5,9 +5,8 @@
 import test from "ava";
 import type { WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
 import type { ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
-import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
+import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
-import { MemoryLog } from "../../support/MemoryLog.ts";
 import { createStep, POOL } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
@@ -132,7 +131,7 @@
   test(`PoolWorkerAgent follows what responds at its address after an announcement with ${title}`, async (t) => {
     const clock = new ManualClock();
     const worker = new SilentWorker(clock);
-    const agent = new PoolWorkerAgent({ worker, clock, log: new MemoryLog(), process: "p-1" });
+    const agent = createWorkerAgent(worker, clock);
     agent.start();
     const announce = (start: number): void => {
       agent.handleAnnouncement({ ...ANNOUNCEMENT, startedAtMs: start });
--- a/tests/coordination/pool/announcementVerifierTests.ts
+++ b/tests/coordination/pool/announcementVerifierTests.ts
@@ -11,9 +11,8 @@
   WorkerRuns,
 } from "../../../src/protocol/platform/PoolWorker.ts";
 import type { ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
-import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
+import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
-import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
@@ -33,6 +32,7 @@
 /** Worker that calls of an earlier epoch reach late, after those of the next one. */
 class FencingWorker extends SilentWorker {
   private readonly _lateClock: ManualClock;
+  private _firstToken: number | undefined;
 
   /**
    * Creates a worker.
@@ -44,7 +44,8 @@
   }
 
   override sync(call: SyncCall): ResultAsync<WorkerRuns, WorkerCallFailure> {
-    return call.fencingToken > 1
+    this._firstToken ??= call.fencingToken;
+    return call.fencingToken > this._firstToken
       ? super.sync(call)
       : okAsync(undefined)
           .map(() => this._lateClock.sleep(LATE_MS))
@@ -58,7 +59,7 @@
   const clock = new ManualClock();
   const worker = new FencingWorker(clock);
   worker.lists = { ...worker.lists, startedAtMs: 1 };
-  const agent = new PoolWorkerAgent({ worker, clock, log: new MemoryLog(), process: "p-1" });
+  const agent = createWorkerAgent(worker, clock);
   agent.start();
   await agent.observe(OBSERVE_CALL);
   agent.handleAnnouncement(ANNOUNCEMENT);
--- a/tests/coordination/pool/lateStartReplacementTests.ts
+++ b/tests/coordination/pool/lateStartReplacementTests.ts
@@ -17,6 +17,11 @@
 const DELAYS_MS = [1_000, 1_500, 2_500, 4_000, 6_000, 8_000];
 /** Those that end after a short run was done, and its worker replaced. */
 const LONG_DELAYS_MS = [4_000, 6_000, 8_000];
+/**
+ * Times after which orders are carried out from the first call of the next incarnation on, in
+ * milliseconds, where the run was done at the one before.
+ */
+const FIRST_CALL_DELAYS_MS = [10, 30, 50, 80, 110, 140].map((afterMs) => 2_860 + afterMs);
 const TIMINGS = { workerLeaseMs: 10_000, grantHorizonMs: 10_000 };
 /** Time in which the first order, and its repetition by the agent, have a result or none. */
 const FIRST_ORDER_MS = 250;
@@ -133,6 +138,16 @@
   });
 });
 
+// Guards against a task that starts again after it was done: the start, which had no response, reached
+// the next incarnation between its first call and a stop of the run.
+test("PoolWorkerAgent lets the next incarnation start nothing that was under way before its first call", async (t) => {
+  const faults = { lateAttempts: 1, crashAfterMs: ACKED_MS, workMs: SHORT_WORK_MS };
+  t.deepEqual(
+    await playDelays({ ...faults, replace: replaceWorker }, FIRST_CALL_DELAYS_MS),
+    FIRST_CALL_DELAYS_MS.map((delayMs) => [delayMs, "completed"]),
+  );
+});
+
 [
   { title: "its agent continues", replace: replaceWorker },
   { title: "its agent restarted", replace: replaceWithAgent },
--- a/tests/coordination/pool/orderExecutorTests.ts
+++ b/tests/coordination/pool/orderExecutorTests.ts
@@ -4,12 +4,14 @@
 import test from "ava";
 import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import { CrashDetector } from "../../../src/coordination/pool/CrashDetector.ts";
+import type { FencingToken } from "../../../src/coordination/pool/FencingToken.ts";
 import { OrderExecutor } from "../../../src/coordination/pool/OrderExecutor.ts";
 import type {
   WorkerAnnouncement,
   WorkerCallFailure,
 } from "../../../src/protocol/platform/PoolWorker.ts";
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
+import { createFencingToken } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
@@ -41,18 +43,26 @@
   readonly executor: OrderExecutor;
   readonly worker: ScriptedWorker;
   readonly detector: CrashDetector;
+  readonly fencingToken: FencingToken;
   isResponding: boolean;
+  /** Epoch that the agent follows. */
+  epoch: number;
 }
 
 function createFixture(): Fixture {
   const clock = new ManualClock();
   const worker = new ScriptedWorker(clock);
   const detector = new CrashDetector({ clock, log: new MemoryLog(), getNextVersion: () => 2 });
+  const fencingToken = createFencingToken();
   const executor = new OrderExecutor({
     ...{ worker, crashDetector: detector, getWorker: () => ANNOUNCEMENT },
     isResponding: () => fixture.isResponding,
+    ...{ fencingToken, getEpoch: () => fixture.epoch },
   });
-  const fixture: Fixture = { executor, worker, detector, isResponding: true };
+  const fixture: Fixture = {
+    ...{ executor, worker, detector, fencingToken },
+    ...{ isResponding: true, epoch: 1 },
+  };
   return fixture;
 }
 
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -7,6 +7,7 @@
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
 import type { EndedRun } from "../../../src/protocol/platform/PoolWorker.ts";
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
+import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { POOL } from "../../support/poolFixtures.ts";
@@ -32,7 +33,7 @@
   const clock = new ManualClock();
   const worker = new SilentWorker(clock);
   const log = new MemoryLog();
-  const agent = new PoolWorkerAgent({ worker, clock, log, process: "p-1" });
+  const agent = createWorkerAgent(worker, clock, log);
   agent.start();
   announce(agent, 1);
   const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, ackedEnd: 0 };
--- a/tests/coordination/pool/registerAgent.ts
+++ b/tests/coordination/pool/registerAgent.ts
@@ -10,12 +10,15 @@
  * @param store - The store.
  * @param name - Name of the agent.
  * @param process - Identity of the process.
+ * @returns The revision of the registration.
  */
-export async function registerAgent(store: Store, name: string, process: string): Promise<void> {
+export async function registerAgent(store: Store, name: string, process: string): Promise<number> {
   const key = getAgentKey(name);
   const record = { address: getAgentAddress(name), zone: "zone-a", pool: POOL, process };
   const expected = (await store.read(key)).unwrapOr(undefined)?.revision ?? 0;
-  await store.write({ key, value: JSON.stringify(record), expected });
+  const written = await store.write({ key, value: JSON.stringify(record), expected });
+  const result = written._unsafeUnwrap();
+  return result.kind === "written" ? result.revision : 0;
 }
 
 /** Returns the address at which an agent is registered. */
--- a/tests/coordination/pool/shrinkingWorkerTests.ts
+++ b/tests/coordination/pool/shrinkingWorkerTests.ts
@@ -166,6 +166,8 @@
       resize(pool, getCapacityMilli(wave));
       simulation.agents.slice(0, 2).forEach(({ worker: { faults } }) => {
         faults.lateOrders = Number.POSITIVE_INFINITY;
+        // A call that the worker answers meanwhile would bar the late orders.
+        faults.stallsWithLateOrders = true;
         faults.lateMs = MIN_LATE_MS + random.nextInt(2_500);
         simulation.clock.after(faults.lateMs + 200 + random.nextInt(1_000), () => {
           faults.lateOrders = 0;
--- a/tests/coordination/pool/stopRepetitionTests.ts
+++ b/tests/coordination/pool/stopRepetitionTests.ts
@@ -57,11 +57,11 @@
 // that listed the run until it had ended, and each report by another stop.
 test("PoolScheduler stops a run that is not active once while the worker ends it", async (t) => {
   const simulation = new PoolSimulation();
-  const { clock, log, storeModel } = simulation;
+  const { clock, log } = simulation;
   simulation.addEntry("entry-0");
   const { worker } = await simulation.addAgent("agent-0");
   await clock.advance(SUBMITTED_AFTER_MS[0] ?? 0);
-  const fencingToken = storeModel.list("scheduler/").entries[0]?.revision ?? 0;
+  const { fencingToken } = worker;
   const task = `${JOB}.0.0.0`;
   simulation.setRequirements(JOB, { payload: "", steps: [createStep()], schedule: undefined }, 5e3);
   const started = worker.start({
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -12,6 +12,7 @@
 } from "../../src/protocol/generated/fireflylb/v1/pool_pb.ts";
 import { writeObserveReply } from "../../src/transport/pool/agentMessages.ts";
 import { findFreeAddresses } from "../../standins/support/freePorts.ts";
+import { createWorkerAgent } from "../support/createWorkerAgent.ts";
 import { ManualClock } from "../support/ManualClock.ts";
 import { MemoryLog } from "../support/MemoryLog.ts";
 import { POOL } from "../support/poolFixtures.ts";
@@ -60,7 +61,7 @@
   const clock = new ManualClock();
   const log = new MemoryLog();
   const worker = new SilentWorker(clock);
-  const agent = new PoolWorkerAgent({ worker, clock, log, process: "p-1" });
+  const agent = createWorkerAgent(worker, clock, log);
   await agent.observe(OBSERVE_CALL);
   const deps = { address, workerAddress: WORKER_ADDRESS, pool: POOL, workerAgent: agent, log };
   const server = new HeartbeatServer(deps);
--- /dev/null
+++ b/tests/support/createWorkerAgent.ts
@@ -0,0 +1,35 @@
+/**
+ * Creates agents of a worker for tests that drive them directly.
+ */
+import { FencingToken } from "../../src/coordination/pool/FencingToken.ts";
+import { PoolWorkerAgent } from "../../src/coordination/pool/PoolWorkerAgent.ts";
+import type { Clock } from "../../src/protocol/platform/Clock.ts";
+import type { Log } from "../../src/protocol/platform/Log.ts";
+import type { PoolWorker } from "../../src/protocol/platform/PoolWorker.ts";
+import { MemoryLog } from "./MemoryLog.ts";
+
+/** Creates the fencing token of an agent whose process is registered. */
+export function createFencingToken(): FencingToken {
+  const fencingToken = new FencingToken(() => undefined);
+  fencingToken.register(1);
+  return fencingToken;
+}
+
+/**
+ * Creates an agent whose process is registered in the store.
+ * @param worker - Its worker.
+ * @param clock - Its clock.
+ * @param log - Its log.
+ */
+export function createWorkerAgent(
+  worker: PoolWorker,
+  clock: Clock,
+  log: Log = new MemoryLog(),
+): PoolWorkerAgent {
+  const agent = new PoolWorkerAgent({
+    ...{ worker, clock, log, process: "p-1" },
+    onRegistrationDue: () => undefined,
+  });
+  agent.register(1);
+  return agent;
+}
