Decide on a start when it is sent, under the lease that is extended then

Cause: a run counted as ordered when its start was put into a batch, while the lease was extended when the batch was sent, 1 ms later. A check in between held the run against the end of a lease that it was never under, gave it up and let its task wait again. The start of a run that was given up stayed in the batch and was sent with a new lease.

Change: batches have the names of runs. When a batch is sent, the lease is extended, and each run is asked for: whether it is active there, wanted, and has room. Only then it is ordered. A run that finds no lease is lost at once if it was never ordered. The planner leaves out workers that may get no lease.

--- a/src/coordination/pool/CyclePlanner.ts
+++ b/src/coordination/pool/CyclePlanner.ts
@@ -5,6 +5,7 @@
 import type { ActiveRun, TaskState } from "../../state/pool/TaskState.ts";
 import type { WorkerQuarantine } from "../placement/WorkerQuarantine.ts";
 import { NEW_RUN_MS } from "./CrashHandler.ts";
+import type { LeaseGrants } from "./LeaseGrants.ts";
 import type { PaceController } from "./PaceController.ts";
 import type { PlacedTask } from "./candidateWorker.ts";
 import { PlacementState } from "./PlacementState.ts";
@@ -31,22 +32,25 @@
   readonly isLimited: boolean;
 }
 
+/** Dependencies of CyclePlanner. */
+export interface CyclePlannerDependencies {
+  readonly state: PoolState;
+  readonly quarantine: WorkerQuarantine;
+  /** Source of tolerated shares and of runs that should move. */
+  readonly paceController: PaceController;
+  readonly grants: Pick<LeaseGrants, "mayGrant">;
+}
+
 /** Plans the scheduling cycles of one scheduler. */
 export class CyclePlanner {
-  private readonly _state: PoolState;
-  private readonly _quarantine: WorkerQuarantine;
-  private readonly _paceController: PaceController;
+  private readonly _deps: CyclePlannerDependencies;
 
   /**
    * Creates a planner.
-   * @param state - State of the scheduler.
-   * @param quarantine - Quarantine of workers.
-   * @param paceController - Source of tolerated shares and of runs that should move.
+   * @param deps - Dependencies.
    */
-  constructor(state: PoolState, quarantine: WorkerQuarantine, paceController: PaceController) {
-    this._state = state;
-    this._quarantine = quarantine;
-    this._paceController = paceController;
+  constructor(deps: CyclePlannerDependencies) {
+    this._deps = deps;
   }
 
   /**
@@ -55,12 +59,13 @@
    * @param timeOfDayMs - Time of day in Unix milliseconds.
    */
   plan(now: number, timeOfDayMs: number): CyclePlan {
-    const { jobs, workerTable } = this._state;
+    const { state, paceController } = this._deps;
+    const { jobs, workerTable } = state;
     const isSlow = (task: TaskState, active: ActiveRun): boolean =>
       shouldSpeculate({ task, active }, workerTable.getWorker(active.agent), now);
     const speculative = getSpeculativeSteps(jobs, isSlow, timeOfDayMs);
     const steps = [...getWaitingSteps(jobs, timeOfDayMs), ...speculative];
-    const runsToMove = this._paceController.getRunsToMove();
+    const runsToMove = paceController.getRunsToMove();
     if (steps.length === 0 && runsToMove.length === 0) {
       return { starts: [], moves: [], isLimited: false };
     }
@@ -69,7 +74,7 @@
       .reduce((sum, { tasks }) => sum + tasks.length, 0);
     const placement = this._createPlacementState(now, trialCount);
     const { runs } = placeSteps(steps, placement);
-    const starts = limitStarts(runs, this._state);
+    const starts = limitStarts(runs, state);
     const moves = runsToMove.filter(({ task, active }) =>
       placement.hasBetterWorker(toPlacementTask(task), active.agent),
     );
@@ -77,19 +82,22 @@
   }
 
   private _createPlacementState(now: number, trialCount: number): PlacementState {
-    const { workerTable, activeRuns } = this._state;
-    const schedulable = workerTable.getSchedulable(now);
+    const { state, quarantine, paceController, grants } = this._deps;
+    const { workerTable, activeRuns } = state;
+    // Nothing can be started on a worker that gets no lease.
+    const schedulable = workerTable
+      .getSchedulable(now)
+      .filter(({ agent }) => grants.mayGrant(agent));
     const agents = schedulable.map(({ agent }) => agent);
     const capacities = new Map(
       schedulable.map(({ report }) => [report.worker, report.capacity.processorsMilli]),
     );
     const placement = new PlacementState(schedulable, {
-      admissions: this._quarantine.getAdmissions(agents, now),
+      admissions: quarantine.getAdmissions(agents, now),
       trialCount,
       getCommitted: (worker) => workerTable.getCommitted(worker),
       getToleratedMilli: (worker, serving, image) =>
-        (capacities.get(worker) ?? 0) *
-        this._paceController.getToleratedShare(worker, serving, image),
+        (capacities.get(worker) ?? 0) * paceController.getToleratedShare(worker, serving, image),
     });
     activeRuns.agents.forEach((agent) => {
       const runs = activeRuns.getByAgent(agent);
@@ -107,7 +115,7 @@
     return {
       stepKey,
       definition,
-      isMeasured: !definition.usesIdleProcessors || this._paceController.isMeasured(taskRun),
+      isMeasured: !definition.usesIdleProcessors || this._deps.paceController.isMeasured(taskRun),
       suspicion: getSuspicion(task),
       isNew: isNew(active, now),
     };
--- a/src/coordination/pool/OrderSender.ts
+++ b/src/coordination/pool/OrderSender.ts
@@ -1,11 +1,13 @@
 /**
- * Sends orders to agents. Orders for the same worker that are created within a short delay are sent
+ * Sends orders to agents. Orders for the same worker that are requested within a short delay are sent
  * in one call. Each call carries the lease under which runs are started, and its response has the
- * result of every order.
+ * result of every order. Whether a run is still to be started is decided when the call is sent, after
+ * the lease was extended: a request that waits can be withdrawn until then.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import { NO_RESOURCES } from "../../protocol/Resources.ts";
+import { formatRunKey } from "./ActiveRunTable.ts";
 import type {
   AgentChannel,
   AgentOutcome,
@@ -29,6 +31,10 @@
   readonly workerTable: WorkerTable;
   readonly epoch: number;
   readonly grants: Pick<LeaseGrants, "mayGrant">;
+  /** Creates the order to start a run that is sent now; undefined if it is not to be started. */
+  readonly createStart: (worker: string, order: RunOrder) => StartOrder | undefined;
+  /** Called with a run whose start cannot be ordered, as its worker gets no lease now. */
+  readonly onLeaseMissing: (worker: string, order: RunOrder) => void;
   /** Called with pace orders that failed or may not have been executed. */
   readonly onPacesUnconfirmed: (orders: readonly RunOrder[]) => void;
   /** Called with the results that an agent returned. */
@@ -39,7 +45,8 @@
 
 interface OrderBatch {
   readonly worker: string;
-  readonly starts: readonly StartOrder[];
+  /** Runs to start, by name. */
+  readonly starts: ReadonlyMap<string, RunOrder>;
   readonly stops: readonly RunOrder[];
   readonly paces: readonly PaceOrder[];
 }
@@ -59,13 +66,16 @@
   }
 
   /**
-   * Sends an order to start a run.
+   * Requests the start of a run, which is ordered with the next call if it is still to be started.
    * @param agent - Agent of the worker.
    * @param worker - Incarnation of the worker.
-   * @param order - The order.
+   * @param order - The run.
    */
-  start(agent: string, worker: string, order: StartOrder): void {
-    this._enqueue(agent, worker, (batch) => ({ ...batch, starts: [...batch.starts, order] }));
+  start(agent: string, worker: string, order: RunOrder): void {
+    const key = formatRunKey(order.task, order.run);
+    this._enqueue(agent, worker, (batch) => {
+      return { ...batch, starts: new Map(batch.starts).set(key, order) };
+    });
   }
 
   /**
@@ -103,32 +113,48 @@
     if (known === undefined) {
       this._deps.clock.after(BATCH_DELAY_MS, () => void this._flush(agent, key));
     }
-    this._batches.set(key, addOrder(known ?? { worker, starts: [], stops: [], paces: [] }));
+    this._batches.set(key, addOrder(known ?? { worker, starts: new Map(), stops: [], paces: [] }));
   }
 
   private async _flush(agent: string, key: string): Promise<void> {
     const batch = this._batches.get(key);
     this._batches.delete(key);
+    if (batch === undefined || this._isClosed) {
+      return;
+    }
     const { workerTable, channel, epoch } = this._deps;
+    const { worker, stops, paces } = batch;
+    const leaseUntilMs = this._grantLease(agent, worker);
+    const starts = this._createStarts(batch, leaseUntilMs !== undefined);
     const address = workerTable.getAgent(agent)?.record.address;
-    if (batch === undefined || address === undefined || this._isClosed) {
+    if (address === undefined || starts.length + stops.length + paces.length === 0) {
       return;
     }
-    const report = workerTable.getWorker(agent)?.report;
-    const isCurrent = report?.worker === batch.worker;
-    const leaseUntilMs =
-      isCurrent && this._deps.grants.mayGrant(agent) ? workerTable.grantLease(agent) : undefined;
-    // A start without a lease would be refused; it is ordered again later.
-    const starts = leaseUntilMs === undefined ? [] : batch.starts;
-    const capacity = report?.capacity ?? NO_RESOURCES;
-    const call: OrderCall = { epoch, ...batch, leaseUntilMs: leaseUntilMs ?? 0, capacity, starts };
-    const outcome = await channel.order(address, call);
-    this._handleOutcome(agent, batch, outcome);
+    const capacity = workerTable.getWorker(agent)?.report.capacity ?? NO_RESOURCES;
+    const call = { epoch, worker, leaseUntilMs: leaseUntilMs ?? 0, capacity, starts, stops, paces };
+    this._handleOutcome(agent, call, await channel.order(address, call));
+  }
+
+  private _grantLease(agent: string, worker: string): number | undefined {
+    const { workerTable, grants } = this._deps;
+    const isCurrent = workerTable.getWorker(agent)?.report.worker === worker;
+    return isCurrent && grants.mayGrant(agent) ? workerTable.grantLease(agent) : undefined;
+  }
+
+  private _createStarts({ worker, starts }: OrderBatch, hasLease: boolean): readonly StartOrder[] {
+    const { createStart, onLeaseMissing } = this._deps;
+    return [...starts.values()].flatMap((order) => {
+      if (hasLease) {
+        return createStart(worker, order) ?? [];
+      }
+      onLeaseMissing(worker, order);
+      return [];
+    });
   }
 
   private _handleOutcome(
     agent: string,
-    batch: OrderBatch,
+    { worker, paces }: OrderCall,
     outcome: AgentOutcome<OrderReport>,
   ): void {
     if (this._isClosed) {
@@ -138,11 +164,11 @@
       this._deps.onPacesUnconfirmed(
         outcome.value.paces.filter(({ failure }) => failure !== undefined),
       );
-      this._deps.onReport(agent, batch.worker, outcome.value);
+      this._deps.onReport(agent, worker, outcome.value);
     } else if (outcome.kind === "deposed") {
       this._deps.onSuperseded();
     } else {
-      this._deps.onPacesUnconfirmed(batch.paces);
+      this._deps.onPacesUnconfirmed(paces);
       this._deps.log.warn(
         "Agent did not respond to orders; those that are still needed are sent again.",
         { agent, reason: outcome.detail },
--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -23,6 +23,7 @@
 import { AgentReportHandler } from "./AgentReportHandler.ts";
 import type { PlannedRun } from "./taskPlacement.ts";
 import { CyclePlanner } from "./CyclePlanner.ts";
+import { CycleTimer } from "./CycleTimer.ts";
 import { getRunKey, type ActiveTaskRun } from "./ActiveRunTable.ts";
 import { getSchedulerRequirements } from "./schedulerRequirements.ts";
 import { SchedulerWatch } from "./SchedulerWatch.ts";
@@ -59,9 +60,7 @@
   private readonly _quarantine = new WorkerQuarantine();
   private readonly _pacing: PaceController;
   private readonly _sessions: AgentSessionTable;
-  private _cycleTimer: Timer | undefined;
-  /** When the next cycle is due, on the monotonic clock, in milliseconds. */
-  private _cycleDueAt = Number.POSITIVE_INFINITY;
+  private readonly _cycleTimer: CycleTimer;
   private _tickTimer: Timer | undefined;
   private _isStopped = false;
   /** Whether the last cycle left runs that start once earlier orders have results. */
@@ -76,6 +75,7 @@
     this._deps = deps;
     const { pool, timings, clock, log } = deps;
     this._state = new PoolState(pool, timings);
+    this._cycleTimer = new CycleTimer(clock, this._runCycle.bind(this));
     this._commitQueue = this._createCommitQueue(jobs);
     this._grants = new LeaseGrants(deps, {
       state: this._state,
@@ -98,7 +98,10 @@
     const { _commitQueue: commits, _jobUpdater: updater } = this;
     this._crashHandler = new CrashHandler({ ...shared, commits, updater });
     this._runController = this._createRunController();
-    this._cyclePlanner = new CyclePlanner(this._state, this._quarantine, this._pacing);
+    this._cyclePlanner = new CyclePlanner({
+      ...{ state: this._state, quarantine: this._quarantine, paceController: this._pacing },
+      grants: this._grants,
+    });
     this._retention = this._createRetention();
     this._interferenceWriter = new InterferenceWriter({
       ...{ pool, store: deps.store, clock, log },
@@ -138,7 +141,7 @@
     this._commitQueue.close();
     this._orders.close();
     this._sessions.stop();
-    this._cycleTimer?.cancel();
+    this._cycleTimer.stop();
     this._tickTimer?.cancel();
   }
 
@@ -267,6 +270,10 @@
       workerTable: this._state.workerTable,
       epoch,
       grants: this._grants,
+      createStart: (worker, order) => this._runController.createStart(worker, order),
+      onLeaseMissing: (worker, order) => {
+        this._runController.handleMissingLease(worker, order);
+      },
       onPacesUnconfirmed: (orders) => {
         this._pacing.resetPaces(orders);
       },
@@ -280,18 +287,8 @@
     });
   }
 
-  /** Schedules a cycle, unless one is due by then. */
   private _scheduleCycle(delayMs = CYCLE_DELAY_MS): void {
-    const dueAt = this._deps.clock.now() + delayMs;
-    if (this._isStopped || this._cycleDueAt <= dueAt) {
-      return;
-    }
-    this._cycleDueAt = dueAt;
-    this._cycleTimer?.cancel();
-    this._cycleTimer = this._deps.clock.after(delayMs, () => {
-      this._cycleDueAt = Number.POSITIVE_INFINITY;
-      this._runCycle();
-    });
+    this._cycleTimer.schedule(delayMs);
   }
 
   private _runCycle(): void {
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -1,11 +1,11 @@
 /**
  * Orders agents to start and stop runs, and resends orders without a result. A start is ordered
- * only after it was recorded.
+ * only after it was recorded, and counts as ordered from when it is sent.
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
 import type { WorkerCallFailure } from "../../protocol/platform/PoolWorker.ts";
-import type { OrderReport, RunOrder, RunResult } from "./AgentChannel.ts";
+import type { OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
 import type { LeaseGrants } from "./LeaseGrants.ts";
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
@@ -18,6 +18,7 @@
 
 /** Why a run is not started on a worker that has become too small. */
 const NO_ROOM_REASON = "its worker has room for it no more";
+const NO_LEASE_REASON = "its worker gets no lease";
 
 /** Dependencies of a run controller. */
 export interface RunControllerDependencies {
@@ -48,25 +49,76 @@
   }
 
   /**
-   * Orders the start of a run that has been recorded, or drops the run if it is no longer needed.
+   * Requests the start of a run that has been recorded.
    * @param id - Id of the task.
    * @param run - Number of the run.
    */
   startRecorded(id: string, run: number): void {
     const taskRun = this._findActiveRun(id, run);
-    if (taskRun?.active.phase !== "recording") {
-      return;
+    if (taskRun?.active.phase === "recording") {
+      this._requestStart(taskRun);
     }
-    const stopReason = this._findStopReason(taskRun) ?? taskRun.active.stopReason;
-    if (stopReason !== "") {
-      this._deps.onRunLost(taskRun, stopReason);
-      return;
+  }
+
+  /**
+   * Creates the order to start a run that is sent now, under a lease that has just been extended. A
+   * run that is no longer needed or has no room is dropped, or stopped if it was ordered before.
+   * @param worker - Incarnation of the worker.
+   * @param order - The run.
+   * @returns The order; undefined if the run is not to be started.
+   */
+  createStart(worker: string, order: RunOrder): StartOrder | undefined {
+    const taskRun = this._findStartable(worker, order);
+    if (taskRun === undefined) {
+      return undefined;
     }
-    if (!this._hasRoom(taskRun)) {
-      this._deps.onRunLost(taskRun, NO_ROOM_REASON);
-      return;
+    const { task, active } = taskRun;
+    const stopReason = this._findStopReason(taskRun) ?? active.stopReason;
+    const reason = stopReason === "" && !this._hasRoom(taskRun) ? NO_ROOM_REASON : stopReason;
+    if (reason !== "") {
+      this._withdrawStart(taskRun, reason);
+      return undefined;
     }
-    this._sendStart(taskRun);
+    const now = this._deps.clock.now();
+    const { agent, run, tries } = active;
+    task.updateRun(run, { phase: "ordered", since: now, tries: tries + 1 });
+    this._recentStarts.add({ agent, worker, task: task.id, run, orderedAt: now });
+    const payload = this._deps.state.getJobOf(task)?.record.payload ?? "";
+    return { task: task.id, run, payload, checkpoint: task.checkpoint, ticket: "" };
+  }
+
+  /**
+   * Handles that the start of a run cannot be ordered, as its worker gets no lease. A run that was
+   * ordered before is ordered again as long as it may be there.
+   * @param worker - Incarnation of the worker.
+   * @param order - The run.
+   */
+  handleMissingLease(worker: string, order: RunOrder): void {
+    const taskRun = this._findStartable(worker, order);
+    if (taskRun?.active.phase === "recording") {
+      this._deps.onRunLost(taskRun, NO_LEASE_REASON);
+    }
+  }
+
+  /** Finds a run whose start was requested, unless it has been given up or stopped since. */
+  private _findStartable(worker: string, { task, run }: RunOrder): ActiveTaskRun | undefined {
+    const taskRun = this._findActiveRun(task, run);
+    const isStartable =
+      taskRun?.active.worker === worker && ["recording", "ordered"].includes(taskRun.active.phase);
+    return isStartable ? taskRun : undefined;
+  }
+
+  private _withdrawStart(taskRun: ActiveTaskRun, reason: string): void {
+    if (taskRun.active.phase === "recording") {
+      this._deps.onRunLost(taskRun, reason);
+    } else {
+      this._orderStop(taskRun, reason);
+    }
+  }
+
+  private _requestStart({ task, active }: ActiveTaskRun): void {
+    const { agent, worker, run } = active;
+    this._deps.orders.start(agent, worker, { task: task.id, run });
   }
 
   /**
@@ -116,11 +168,7 @@
       const action = getRunAction(taskRun, { worker, formerLeasesExpireBy, stopReason }, now);
       switch (action.kind) {
         case "start":
-          if (this._hasRoom(taskRun)) {
-            this._sendStart(taskRun);
-          } else {
-            this._orderStop(taskRun, NO_ROOM_REASON);
-          }
+          this._requestStart(taskRun);
           return;
         case "stop":
           if (action.reason === STALLED_REASON) {
@@ -269,22 +317,6 @@
     }
   }
 
-  private _sendStart({ task, active }: ActiveTaskRun): void {
-    const { state, orders, clock } = this._deps;
-    const { run, agent, worker, tries } = active;
-    const now = clock.now();
-    task.updateRun(run, { phase: "ordered", since: now, tries: tries + 1 });
-    this._recentStarts.add({ agent, worker, task: task.id, run, orderedAt: now });
-    const payload = state.getJobOf(task)?.record.payload ?? "";
-    orders.start(agent, worker, {
-      task: task.id,
-      run,
-      payload,
-      checkpoint: task.checkpoint,
-      ticket: "",
-    });
-  }
-
   private _sendStop({ task, active }: ActiveTaskRun, stopReason: string): void {
     const { state, orders, clock } = this._deps;
     const { run, agent } = active;
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -3,58 +3,22 @@
  * in virtual time, with scripted results.
  */
 import test from "ava";
+import type { RunResult } from "../../../src/coordination/pool/AgentChannel.ts";
+import type { ActiveRun } from "../../../src/state/pool/TaskState.ts";
 import {
-  AgentChannel,
-  type AgentOutcome,
-  type AgentReport,
-  type OrderCall,
-  type OrderReport,
-  type RunResult,
-} from "../../../src/coordination/pool/AgentChannel.ts";
-import { OrderSender } from "../../../src/coordination/pool/OrderSender.ts";
-import { PoolState } from "../../../src/coordination/pool/PoolState.ts";
-import { RunController } from "../../../src/coordination/pool/RunController.ts";
-import { JobState } from "../../../src/state/pool/JobState.ts";
-import type { ActiveRun, TaskState } from "../../../src/state/pool/TaskState.ts";
-import { ManualClock } from "../../support/ManualClock.ts";
-import { MemoryLog } from "../../support/MemoryLog.ts";
-import { createJobRecord, createWorkerReport, POOL } from "../../support/poolFixtures.ts";
-import { TIMINGS } from "./simulatedPool.ts";
+  AGENT,
+  createRunController,
+  PROCESS,
+  RUN,
+  SENT_MS,
+  type RunControllerFixture,
+} from "./createRunController.ts";
 
-const AGENT = "agent-a";
-const JOB = "0000000000000001";
-const RUN = 1;
 /** Time after which an order without a result is repeated, with some margin, in milliseconds. */
 const REPEATED_MS = 900;
-/** Time in which an order that was created has been sent, in milliseconds. */
-const SENT_MS = 10;
 const CALL_NUMBER = 50;
-/** Process of the agent that reported first. */
-const PROCESS = "p-1";
 
-/** Channel to an agent that records orders and answers none of them. */
-class RecordingChannel extends AgentChannel {
-  readonly calls: OrderCall[] = [];
-
-  override observe(): Promise<AgentOutcome<AgentReport>> {
-    return Promise.resolve({ kind: "unreachable", detail: "" });
-  }
-
-  override order(_: string, call: OrderCall): Promise<AgentOutcome<OrderReport>> {
-    this.calls.push(call);
-    return Promise.resolve({ kind: "unreachable", detail: "" });
-  }
-
-  override reset(): void {
-    // There is no connection.
-  }
-}
-
-interface Fixture {
-  readonly clock: ManualClock;
-  readonly channel: RecordingChannel;
-  readonly task: TaskState;
-  readonly lost: readonly string[];
+interface Fixture extends RunControllerFixture {
   /** Executes what is due after the time. */
   readonly advance: (durationMs: number) => Promise<void>;
   /** Hands in the result of a start order. */
@@ -67,42 +31,13 @@
 
 /** Creates a controller that has ordered the start of a run once. */
 async function createFixture(): Promise<Fixture> {
-  const clock = new ManualClock();
-  const log = new MemoryLog();
-  const channel = new RecordingChannel();
-  const state = new PoolState(POOL, TIMINGS);
-  const record = { address: AGENT, zone: "zone-a", pool: POOL, process: PROCESS };
-  state.workerTable.setAgent(AGENT, record);
-  const worker = createWorkerReport();
-  state.workerTable.applyReport(
-    AGENT,
-    { process: PROCESS, version: 1, worker, formerEnds: [], crashes: [] },
-    clock.now(),
-  );
-  const job = new JobState(JOB, createJobRecord(), undefined, clock.now());
-  state.addJob(job);
-  const ignore = (): void => undefined;
-  const orders = new OrderSender({
-    ...{ channel, clock, log, workerTable: state.workerTable, epoch: 1 },
-    grants: { mayGrant: () => true },
-    ...{ onPacesUnconfirmed: ignore, onReport: ignore, onSuperseded: ignore },
-  });
-  const lost: string[] = [];
-  const controller = new RunController({
-    ...{ state, orders, clock, log, grants: { getFormerLeaseEnd: () => 0 } },
-    onRunLost: (_, reason) => lost.push(reason),
-    ...{ onRunStalled: ignore, onSuperseded: ignore },
-  });
-  const [task] = [...job.tasks];
-  if (task === undefined) {
-    throw new Error("the job has no task");
-  }
-  const location = { agent: AGENT, worker: worker.worker };
-  state.activeRuns.add(task, task.addRun(location, clock.now(), RUN));
+  const created = createRunController();
+  const { clock, task, worker, controller, addRun, report } = created;
+  addRun();
   controller.startRecorded(task.id, RUN);
   await clock.advance(SENT_MS);
   return {
-    ...{ clock, channel, task, lost },
+    ...created,
     advance: async (durationMs) => {
       await clock.advance(durationMs);
       controller.tick();
@@ -110,21 +45,18 @@
     },
     handleStart: (failure) => {
       const starts = [{ task: task.id, run: RUN, failure }];
-      const report = { process: PROCESS, callNumber: CALL_NUMBER, starts, stops: [], paces: [] };
-      controller.handleOrderReport(AGENT, worker.worker, report);
+      const result = { process: PROCESS, callNumber: CALL_NUMBER, starts, stops: [], paces: [] };
+      controller.handleOrderReport(AGENT, worker, result);
     },
     handleStop: (callNumber, process = PROCESS) => {
       task.activeRuns.forEach((active) => {
         controller.stop({ task, active }, "");
       });
       const stops = [{ task: task.id, run: RUN, failure: undefined }];
-      const report = { process, callNumber, starts: [], stops, paces: [] };
-      controller.handleOrderReport(AGENT, worker.worker, report);
-    },
-    replaceProcess: (process) => {
-      const report = { process, version: 1, worker, formerEnds: [], crashes: [] };
-      state.workerTable.applyReport(AGENT, report, clock.now());
+      const result = { process, callNumber, starts: [], stops, paces: [] };
+      controller.handleOrderReport(AGENT, worker, result);
     },
+    replaceProcess: report,
   };
 }
 
