Remove the table of recent starts, which the fencing token makes needless

The scheduler kept each start for 20 s, looked at all of them at each check, and stopped those of runs that were not active any more at the next incarnation under the id of their worker. The agent's token bars these starts with its first call to that incarnation, before the scheduler hears of it. A start that comes earlier is listed as a run that is not active, and stopped as such.

While agents of the former version run beside entries of this one, a late start to an incarnation of the same id is stopped only once it is listed.

--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -13,8 +13,7 @@
 import { findStopReason } from "./desiredRuns.ts";
 import { hasSameId } from "./incarnations.ts";
 import { getCommittedResources } from "./stepResources.ts";
-import { RecentStartTable } from "./RecentStartTable.ts";
-import { getRunAction, RESEND_ORDER_MS, STALLED_REASON } from "./runMonitor.ts";
+import { getRunAction, STALLED_REASON } from "./runMonitor.ts";
 
 /** Why a run is not started on a worker that has become too small. */
 const NO_ROOM_REASON = "its worker has room for it no more";
@@ -38,7 +37,6 @@
 /** Starts and stops the runs of one scheduler. */
 export class RunController {
   private readonly _deps: RunControllerDependencies;
-  private readonly _recentStarts = new RecentStartTable();
 
   /**
    * Creates a controller.
@@ -80,9 +78,8 @@
       return undefined;
     }
     const now = this._deps.clock.now();
-    const { agent, run, tries } = active;
+    const { run, tries } = active;
     task.updateRun(run, { phase: "ordered", since: now, tries: tries + 1 });
-    this._recentStarts.add({ agent, worker, task: task.id, run, orderedAt: now });
     const payload = this._deps.state.getJobOf(task)?.record.payload ?? "";
     return { task: task.id, run, payload, checkpoint: task.checkpoint, ticket: "" };
   }
@@ -182,24 +179,6 @@
         case "none":
       }
     });
-    this._stopLateStarts(now);
-  }
-
-  /**
-   * Stops runs that are not active any more at the next incarnation under the id of their worker, so
-   * that it refuses starts of them that are executed late.
-   */
-  private _stopLateStarts(now: number): void {
-    const { state, orders } = this._deps;
-    this._recentStarts.getAll(now).forEach((start) => {
-      const { agent, task, run, stoppedAt = Number.NEGATIVE_INFINITY } = start;
-      const worker = state.workerTable.getWorker(agent)?.report.worker ?? start.worker;
-      const isDue = worker !== start.worker && now - stoppedAt >= RESEND_ORDER_MS;
-      if (isDue && hasSameId(worker, start.worker) && !this._findActiveRun(task, run)) {
-        this._recentStarts.update(start, { stoppedAt: now });
-        orders.stop(agent, worker, { task, run });
-      }
-    });
   }
 
   /**
@@ -214,9 +193,6 @@
       this._handleStartResult(agent, worker, result, lists);
     });
     report.stops.forEach((result) => {
-      if (result.failure === undefined) {
-        this._recentStarts.update(result, { worker });
-      }
       const taskRun = this._findActiveRun(result.task, result.run);
       if (taskRun?.active.phase !== "stopping" || taskRun.active.stopWorker !== worker) {
         return;
--- a/src/coordination/pool/runMonitor.ts
+++ b/src/coordination/pool/runMonitor.ts
@@ -10,7 +10,7 @@
 import type { WorkerState } from "./WorkerTable.ts";
 
 /** Time after which an order without a result is sent again, in milliseconds. */
-export const RESEND_ORDER_MS = 700;
+const RESEND_ORDER_MS = 700;
 /**
  * Time after which the order to stop a run is sent again if the worker still lists it, in
  * milliseconds.
