Ask a worker again at once whose confirmation was refused for a replaced token

Found in the review of the fencing token: if another call of the agent took a new token while an announcement was being verified, the worker refused the verification, which was repeated only after the call for lists in progress, up to a second later. Two test files share the announcement of a worker.

--- a/src/coordination/pool/AnnouncementVerifier.ts
+++ b/src/coordination/pool/AnnouncementVerifier.ts
@@ -153,6 +153,8 @@
       this._reject(incarnation, "the worker at the address does not accept calls under its id");
     } else if (kind === "fenced" && fencingToken === this._deps.fencingToken.value) {
       this._deps.onFenced();
+    } else if (kind === "fenced") {
+      void this.verify();
     }
   }
 
--- a/tests/coordination/pool/agentFencingTests.ts
+++ b/tests/coordination/pool/agentFencingTests.ts
@@ -12,10 +12,9 @@
   WorkerRuns,
 } from "../../../src/protocol/platform/PoolWorker.ts";
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
-import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
+import { announceWorker, createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { POOL } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
 const READING_MS = 1_500;
@@ -79,21 +78,13 @@
   return agent.observe({ ...call, epoch, knownVersion: 0, knownProcess: "" });
 }
 
-function announce(agent: PoolWorkerAgent, startedAtMs: number): void {
-  agent.handleAnnouncement({
-    ...{ id: "i-1", startedAtMs, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-    ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-    capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-  });
-}
-
 /** Creates an agent whose worker has announced itself and responds. */
 async function createFixture() {
   const clock = new ManualClock();
   const worker = new FencingWorker(clock);
   const agent = createWorkerAgent(worker, clock);
   agent.start();
-  announce(agent, 1);
+  announceWorker(agent, 1);
   await observe(agent);
   await clock.advance(READING_MS);
   return { clock, worker, agent };
@@ -109,7 +100,7 @@
   const deps = { worker, clock, log: new MemoryLog(), process: "p-1", onRegistrationDue };
   const agent = new PoolWorkerAgent(deps);
   agent.start();
-  announce(agent, 1);
+  announceWorker(agent, 1);
   await observe(agent);
   await clock.advance(READING_MS);
   t.is(worker.syncs.length, 0);
@@ -124,7 +115,7 @@
   const { clock, worker, agent } = await createFixture();
   const before = worker.syncs.at(-1)?.fencingToken ?? 0;
   const position = worker.syncs.length;
-  announce(agent, 2);
+  announceWorker(agent, 2);
   await clock.advance(READING_MS);
   const tokens = worker.syncs.slice(position).map(({ fencingToken }) => fencingToken);
   t.true(tokens.length > 0 && tokens.every((token) => token > before));
@@ -163,7 +154,7 @@
   worker.startDelayMs = 50;
   const ordered = agent.order(ORDERS);
   // An announcement that nobody confirms takes a new token all the same.
-  announce(agent, 9);
+  announceWorker(agent, 9);
   await clock.advance(READING_MS);
   const outcome = await ordered;
   t.deepEqual(outcome.kind === "answered" && outcome.value.starts[0]?.failure, undefined);
--- a/tests/coordination/pool/announcementOrderTests.ts
+++ b/tests/coordination/pool/announcementOrderTests.ts
@@ -2,7 +2,13 @@
  * Tests of when announcements are verified, and of responses that overtake each other.
  */
 import test from "ava";
-import type { WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import type {
+  SyncCall,
+  WorkerAnnouncement,
+  WorkerCallFailure,
+  WorkerRuns,
+} from "../../../src/protocol/platform/PoolWorker.ts";
 import { AnnouncementVerifier } from "../../../src/coordination/pool/AnnouncementVerifier.ts";
 import { createFencingToken } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
@@ -17,13 +23,29 @@
   capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
 };
 
+/** Worker that refuses tokens lower than one that it has seen in another call. */
+class RefusingWorker extends SilentWorker {
+  seenToken = 0;
+
+  override sync(call: SyncCall): ResultAsync<WorkerRuns, WorkerCallFailure> {
+    return super
+      .sync(call)
+      .andThen((lists) =>
+        call.fencingToken < this.seenToken
+          ? errAsync({ kind: "fenced", detail: "" } as const)
+          : okAsync(lists),
+      );
+  }
+}
+
 function createFixture(epoch: number) {
   const clock = new ManualClock();
-  const worker = new SilentWorker(clock);
+  const worker = new RefusingWorker(clock);
+  const fencingToken = createFencingToken();
   worker.lists = { ...worker.lists, startedAtMs: 1 };
   const confirmed: string[] = [];
   const verifier = new AnnouncementVerifier({
-    ...{ worker, log: new MemoryLog(), fencingToken: createFencingToken() },
+    ...{ worker, log: new MemoryLog(), fencingToken },
     getEpoch: () => epoch,
     getPresent: () => undefined,
     onConfirmed: ({ announcement }) => confirmed.push(announcement.id),
@@ -33,7 +55,7 @@
     verifier.add({ announcement: { ...ANNOUNCEMENT, ...change }, announcedAt: 0 });
     void verifier.verify();
   };
-  return { clock, worker, confirmed, verifier, announce };
+  return { clock, worker, confirmed, verifier, announce, fencingToken };
 }
 
 // Guards against a call that the worker refuses as one of a former scheduler.
@@ -66,3 +88,14 @@
   t.is(worker.syncs.length, 1);
   t.deepEqual(confirmed, []);
 });
+
+// Guards against a worker that is not followed while a call for lists waits: its confirmation was
+// refused, as another call of the agent had a later token.
+test("AnnouncementVerifier asks again at once if the worker refuses a token that was replaced", async (t) => {
+  const { clock, worker, confirmed, announce, fencingToken } = createFixture(1);
+  announce({});
+  fencingToken.expire(fencingToken.value);
+  worker.seenToken = fencingToken.value ?? 0;
+  await clock.advance(2 * worker.callMs);
+  t.deepEqual(confirmed, ["i-1"]);
+});
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -7,10 +7,9 @@
 import { PoolWorkerAgent } from "../../../src/coordination/pool/PoolWorkerAgent.ts";
 import type { EndedRun } from "../../../src/protocol/platform/PoolWorker.ts";
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
-import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
+import { announceWorker, createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { POOL } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
 /** Longer than the time between two readings, in milliseconds. */
@@ -20,14 +19,6 @@
 
 const LEASE_UNTIL_MS = 6_000;
 
-function announce(agent: PoolWorkerAgent, startedAtMs: number): void {
-  agent.handleAnnouncement({
-    ...{ id: "i-1", startedAtMs, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-    ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-    capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-  });
-}
-
 /** Creates an agent of a worker without a response, whose scheduler has granted a lease. */
 async function createSilentWorker() {
   const clock = new ManualClock();
@@ -35,7 +26,7 @@
   const log = new MemoryLog();
   const agent = createWorkerAgent(worker, clock, log);
   agent.start();
-  announce(agent, 1);
+  announceWorker(agent, 1);
   const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, ackedEnd: 0 };
   await agent.observe({ ...call, ...NOTHING_KNOWN, waitMs: 0 });
   // The scheduler's second call finds the worker, which has confirmed its announcement.
@@ -87,7 +78,7 @@
   numbers: readonly number[] = [],
 ): Promise<void> {
   worker.lists = createLists(numbers, startedAtMs);
-  announce(agent, startedAtMs);
+  announceWorker(agent, startedAtMs);
   await clock.advance(worker.callMs);
 }
 
@@ -263,7 +254,7 @@
   const position = worker.syncs.length;
   worker.isSilent = false;
   await clock.advance(READING_MS);
-  announce(agent, 2);
+  announceWorker(agent, 2);
   await clock.advance(READING_MS);
   t.deepEqual(
     worker.syncs.slice(position).filter(({ ackedEnd }) => ackedEnd > 0),
