--- a/tests/platform/platformPathTests.ts
+++ b/tests/platform/platformPathTests.ts
@@ -73,6 +73,21 @@
   t.is((await fixture.call("GET", "/a/")).status, 404);
 });
 
+// Guards against an accepted job that its client can neither find nor submit again after a new document.
+test("Platform path: a job is found after its queue has got another name", async (t) => {
+  const fixture = await createPlatformFixture(t);
+  t.is((await fixture.call("POST", JOB, BODY)).status, 200);
+  const [route] = MANIFEST.routes;
+  const renamed = { ...route, name: "route-c" };
+  const added = { ...route, prefix: "/b/" };
+  fixture.store.put("op/config", { ...MANIFEST, version: 9, routes: [renamed, added] });
+  await fixture.waitForStatus("/b/", 200);
+  t.is((await fixture.call("POST", JOB, BODY)).status, 200);
+  t.is((await fixture.call("GET", JOB.replace("/a/", "/b/"))).status, 410);
+  await fixture.waitForState(JOB, "completed");
+  t.is((await fixture.call("DELETE", JOB)).status, 200);
+});
+
 test("Platform path: a job is refused at once with a retry-after header while the store is unavailable", async (t) => {
   const fixture = await createPlatformFixture(t);
   fixture.store.faults.refuseStatus = 503;
