--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -59,8 +59,9 @@
   }
 
   /**
-   * Creates the order to start a run that is sent now, under a lease that has just been extended. A
-   * run that is no longer needed or has no room is dropped, or stopped if it was ordered before.
+   * Creates the order to start a run that is sent now, under a lease that has just been extended; the
+   * run counts as ordered from now on. One that is no longer needed or has no room is dropped, or
+   * stopped if it was ordered before.
    * @param worker - Incarnation of the worker.
    * @param order - The run.
    * @returns The order; undefined if the run is not to be started.
