Remove a field that nothing reads, and say in one place when a token is outdated

FencingToken had a field LAST_NUMBER beside the constant, left by an edit. Three callers compared a token with the present one to tell a refusal of their own making from that of another caller; isOutdated says it now, and expire() takes the present token by default. Tests share the fixtures that stood beside them twice. Behaviour, checks and bounds are unchanged.

--- a/src/coordination/pool/AnnouncementVerifier.ts
+++ b/src/coordination/pool/AnnouncementVerifier.ts
@@ -151,10 +151,10 @@
   ): void {
     if (kind === "wrong-worker" || kind === "rejected") {
       this._reject(incarnation, "the worker at the address does not accept calls under its id");
-    } else if (kind === "fenced" && fencingToken === this._deps.fencingToken.value) {
-      this._deps.onFenced();
-    } else if (kind === "fenced") {
+    } else if (kind === "fenced" && this._deps.fencingToken.isOutdated(fencingToken)) {
       void this.verify();
+    } else if (kind === "fenced") {
+      this._deps.onFenced();
     }
   }
 
--- a/src/coordination/pool/FencingToken.ts
+++ b/src/coordination/pool/FencingToken.ts
@@ -19,7 +19,6 @@
 export class FencingToken {
   private readonly _onExhausted: () => void;
   private _isRegistered = false;
-  LAST_NUMBER = TOKENS_PER_REVISION - 1;
   /** Highest revision of the process's registrations and of the epochs that it follows. */
   private _revision = 0;
   private _number = 0;
@@ -57,17 +56,26 @@
       this._revision = bounded;
       this._number = 0;
     } else {
-      this.expire(this.value);
+      this.expire();
     }
   }
 
+  /**
+   * Returns whether a later token has taken the place of one under which a call was sent. A worker that
+   * refuses the call then has seen that one; it shows no other caller.
+   * @param token - The token.
+   */
+  isOutdated(token: number): boolean {
+    return token !== this.value;
+  }
+
   /**
    * Takes a new token in place of one under which calls may be under way; does nothing if that is not
    * the present one. The last token of a revision stays until there is a later revision.
-   * @param token - The token.
+   * @param token - The token; the present one by default.
    */
-  expire(token: number | undefined): void {
-    if (token === undefined || token !== this.value || this._number === LAST_NUMBER) {
+  expire(token = this.value): void {
+    if (token === undefined || this.isOutdated(token) || this._number === LAST_NUMBER) {
       return;
     }
     this._number += 1;
--- a/src/coordination/pool/ListFetcher.ts
+++ b/src/coordination/pool/ListFetcher.ts
@@ -136,10 +136,10 @@
     if (getEpoch() !== epoch || !this._isPresent(worker) || this._isStopped) {
       return result.isOk();
     }
-    if (result.isErr() && this._isOutdated(result.error, fencingToken)) {
-      return this.fetch(waitMs);
-    }
     if (result.isErr()) {
+      if (result.error.kind === "fenced" && this._deps.fencingToken.isOutdated(fencingToken)) {
+        return this.fetch(waitMs);
+      }
       this._handleFailure(result.error);
       return false;
     }
@@ -157,11 +157,6 @@
     return true;
   }
 
-  /** Returns whether a call failed for a fencing token that a later call of this agent has replaced. */
-  private _isOutdated({ kind }: WorkerCallFailure, fencingToken: number): boolean {
-    return kind === "fenced" && fencingToken !== this._deps.fencingToken.value;
-  }
-
   private _isPresent({ id, startedAtMs }: WorkerAnnouncement): boolean {
     const present = this._deps.getWorker();
     return (
@@ -193,7 +188,7 @@
       log.warn("Listing the worker's runs failed; it is retried.", { kind, detail });
       this._responds = false;
       // The next incarnation may respond before it announces itself.
-      fencingToken.expire(fencingToken.value);
+      fencingToken.expire();
       onChange();
     }
   }
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -113,7 +113,7 @@
     }
     const result = await send({ worker: known.id, fencingToken: token, task, run });
     const failure = result.isErr() ? result.error.kind : undefined;
-    if (failure === "fenced" && token !== fencingToken.value) {
+    if (failure === "fenced" && fencingToken.isOutdated(token)) {
       return this._execute(call, { task, run }, send, attemptsLeft, isRetry);
     }
     if (failure === "unknown") {
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -151,7 +151,7 @@
     if (!isSame) {
       if (this._verifier.add({ announcement, announcedAt })) {
         // Whatever is under way was not meant for the incarnation that may be there now.
-        this._fencingToken.expire(this._fencingToken.value);
+        this._fencingToken.expire();
       }
       void this._verifier.verify();
       this._listDue.raise();
--- a/tests/coordination/pool/createRunController.ts
+++ b/tests/coordination/pool/createRunController.ts
@@ -24,6 +24,8 @@
 export const PROCESS = "p-1";
 /** Number of the run that `addRun` adds. */
 export const RUN = 1;
+/** Time after which an order without a result is repeated, with some margin, in milliseconds. */
+export const REPEATED_MS = 900;
 /** Time in which an order that was created has been sent, in milliseconds. */
 export const SENT_MS = 10;
 const JOB = "0000000000000001";
--- a/tests/coordination/pool/fencingTokenTests.ts
+++ b/tests/coordination/pool/fencingTokenTests.ts
@@ -3,18 +3,13 @@
  */
 import test from "ava";
 import { FencingToken } from "../../../src/coordination/pool/FencingToken.ts";
+import { createFencingToken } from "../../support/createWorkerAgent.ts";
 
 /** Revision of the first process's registration, and of the store's last change before it. */
 const REVISION = 7;
 /** More tokens than a revision has. */
 const MANY = 10_000;
 
-function createToken(revision: number): FencingToken {
-  const token = new FencingToken(() => undefined);
-  token.register(revision);
-  return token;
-}
-
 function expireOften(token: FencingToken): void {
   Array.from({ length: MANY }).forEach(() => {
     token.expire(token.value);
@@ -30,7 +25,7 @@
 });
 
 test("FencingToken rises with each expiry, and with each epoch whether its revision is later or not", (t) => {
-  const token = createToken(REVISION);
+  const token = createFencingToken(REVISION);
   const values = [REVISION, REVISION - 1, REVISION + 1, REVISION].map((epoch) => {
     const before = token.value ?? 0;
     token.advance(epoch);
@@ -44,7 +39,7 @@
 
 // Guards against tokens that are used up by the calls that time out together.
 test("FencingToken takes one new token for all calls under the same one", (t) => {
-  const token = createToken(REVISION);
+  const token = createFencingToken(REVISION);
   const before = token.value;
   token.expire(before);
   const after = token.value;
@@ -54,10 +49,10 @@
 
 // Guards against an agent that restarts and begins lower than its predecessor.
 test("FencingToken of the next process is higher than all of the one before", (t) => {
-  const former = createToken(REVISION);
+  const former = createFencingToken(REVISION);
   former.advance(REVISION + 5);
   expireOften(former);
-  const next = createToken(REVISION + 6);
+  const next = createFencingToken(REVISION + 6);
   t.true((next.value ?? 0) > (former.value ?? 0));
 });
 
@@ -71,7 +66,7 @@
   expireOften(token);
   t.is(askedCount, 1);
   const last = token.value ?? 0;
-  t.true(last < (createToken(REVISION + 1).value ?? 0));
+  t.true(last < (createFencingToken(REVISION + 1).value ?? 0));
   token.register(REVISION + 1);
   t.true((token.value ?? 0) > last);
   expireOften(token);
@@ -80,7 +75,7 @@
 
 // Guards against tokens that a message cannot represent, so that two of them are the same.
 test("FencingToken is represented exactly whatever the revision is", (t) => {
-  const token = createToken(Number.MAX_SAFE_INTEGER);
+  const token = createFencingToken(Number.MAX_SAFE_INTEGER);
   expireOften(token);
   t.true(Number.isSafeInteger(token.value));
 });
--- a/tests/coordination/pool/renamedQueueTests.ts
+++ b/tests/coordination/pool/renamedQueueTests.ts
@@ -81,9 +81,8 @@
 
 /** Creates an entry of two pools that has received nothing from its store. */
 function createEmptyEntry(clock: ManualClock, store: MemoryStore) {
-  const ignore = (): void => undefined;
   const log = new MemoryLog();
-  const catalog = new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore });
+  const catalog = createCatalog();
   return new SubmissionService({
     ...{ store, clock, log, catalog, getTimeOfDay: (): number => clock.now() },
     silenceMonitor: new StoreSilenceMonitor({ store, clock, log }),
--- a/tests/coordination/pool/runControllerTests.ts
+++ b/tests/coordination/pool/runControllerTests.ts
@@ -9,13 +9,12 @@
   AGENT,
   createRunController,
   PROCESS,
+  REPEATED_MS,
   RUN,
   SENT_MS,
   type RunControllerFixture,
 } from "./createRunController.ts";
 
-/** Time after which an order without a result is repeated, with some margin, in milliseconds. */
-const REPEATED_MS = 900;
 const CALL_NUMBER = 50;
 
 interface Fixture extends RunControllerFixture {
--- a/tests/coordination/pool/startRequestTests.ts
+++ b/tests/coordination/pool/startRequestTests.ts
@@ -6,14 +6,13 @@
 import {
   createRunController,
   PROCESS,
+  REPEATED_MS,
   RUN,
   SENT_MS,
   type RunControllerFixture,
 } from "./createRunController.ts";
 import { TIMINGS } from "./simulatedPool.ts";
 
-/** Time after which an order without a result is repeated, with some margin, in milliseconds. */
-const REPEATED_MS = 900;
 /** Time after which all leases of a worker that does not respond have ended, in milliseconds. */
 const LEASE_ENDED_MS = getLeaseExpiryWaitMs(TIMINGS.workerLeaseMs) + 1;
 const NEXT_WORKER = "i-1@900";
--- a/tests/support/createWorkerAgent.ts
+++ b/tests/support/createWorkerAgent.ts
@@ -22,10 +22,13 @@
   });
 }
 
-/** Creates the fencing token of an agent whose process is registered. */
-export function createFencingToken(): FencingToken {
+/**
+ * Creates the fencing token of an agent whose process is registered.
+ * @param revision - Revision of the registration.
+ */
+export function createFencingToken(revision = 1): FencingToken {
   const fencingToken = new FencingToken(() => undefined);
-  fencingToken.register(1);
+  fencingToken.register(revision);
   return fencingToken;
 }
 
