Let a refusal for the fencing token show another process of the agent, not another scheduler

Two processes of one agent that follow the same scheduler: the one with the lower token is refused by the worker, says `deposed`, and the scheduler gives up the whole pool, all of its agents included.

Cause: until the token was the scheduler's epoch, and a refusal showed a later one. Since then the token is the agent's, and a refusal shows a later registration of the same agent, or that a process which was replaced heard of a later epoch first. Four readers of `fenced` had kept the former meaning. Besides, a process that was replaced called its worker under the refused token for as long as it lived, and wrote its registration over its successor's once its tokens were used up.

Change: one mechanism for all readers. The worker's refusal of the present token withdraws it (`FencingToken.handleRefusal`), and a later registration is due, as when the tokens are used up. `deposed`, and the new result `superseded` of an order, say one thing: the agent follows a scheduler of a later epoch; `fenced` cannot be the result of an order any more (by type). Taken away: `_isFenced` and the three callbacks behind it, `isOutdated`, and what ran after `fenced` in `RunController` for refusals of the worker. The simulation of pools registers a process again when that is due.

--- a/src/coordination/pool/AgentChannel.ts
+++ b/src/coordination/pool/AgentChannel.ts
@@ -108,7 +108,7 @@
   | { readonly kind: "answered"; readonly value: T }
   /** The agent has seen a scheduler of a later epoch. */
   | { readonly kind: "deposed" }
-  /** No response; the call may have been executed. */
+  /** No response of the agent's present process; the call may have been executed. */
   | { readonly kind: "unreachable"; readonly detail: string };
 
 /** Order to start a run. */
@@ -145,9 +145,15 @@
   readonly paces: readonly PaceOrder[];
 }
 
+/** Why an order failed. */
+export type OrderFailure =
+  | Exclude<WorkerCallFailure["kind"], "fenced">
+  /** The agent follows a scheduler of a later epoch; the worker was not called. */
+  | "superseded";
+
 /** Result of an order; without a failure, the order was executed. */
 export interface RunResult extends RunOrder {
-  readonly failure: WorkerCallFailure["kind"] | undefined;
+  readonly failure: OrderFailure | undefined;
 }
 
 /** Results of orders. */
--- a/src/coordination/pool/AnnouncementVerifier.ts
+++ b/src/coordination/pool/AnnouncementVerifier.ts
@@ -38,8 +38,6 @@
   readonly getPresent: () => WorkerAnnouncement | undefined;
   /** Called when the worker has confirmed that it is the incarnation. */
   readonly onConfirmed: (candidate: Candidate) => void;
-  /** Called when the worker has seen a scheduler of a later epoch. */
-  readonly onFenced: () => void;
 }
 
 /** Verifies the announcements that reach one agent. */
@@ -151,10 +149,8 @@
   ): void {
     if (kind === "wrong-worker" || kind === "rejected") {
       this._reject(incarnation, "the worker at the address does not accept calls under its id");
-    } else if (kind === "fenced" && this._deps.fencingToken.isOutdated(fencingToken)) {
+    } else if (kind === "fenced" && this._deps.fencingToken.handleRefusal(fencingToken)) {
       void this.verify();
-    } else if (kind === "fenced") {
-      this._deps.onFenced();
     }
   }
 
--- a/src/coordination/pool/FencingToken.ts
+++ b/src/coordination/pool/FencingToken.ts
@@ -17,7 +17,7 @@
 
 /** Fencing token of one process of an agent. */
 export class FencingToken {
-  private readonly _onExhausted: () => void;
+  private readonly _onRegistrationDue: () => void;
   private _isRegistered = false;
   /** Highest revision of the process's registrations and of the epochs that it follows. */
   private _revision = 0;
@@ -25,14 +25,17 @@
 
   /**
    * Creates a token without a value.
-   * @param onExhausted - Called when the last token of a revision is taken; a new registration
-   * provides the next ones.
+   * @param onRegistrationDue - Called when the last token of a revision is taken, or the worker has
+   * refused the present one; a later registration provides the next ones.
    */
-  constructor(onExhausted: () => void) {
-    this._onExhausted = onExhausted;
+  constructor(onRegistrationDue: () => void) {
+    this._onRegistrationDue = onRegistrationDue;
   }
 
-  /** The present token; undefined before the process is registered, as it might be too low. */
+  /**
+   * The present token; undefined while there is none that the worker may accept: before the process is
+   * registered, and once the worker has refused the present one.
+   */
   get value(): number | undefined {
     return this._isRegistered ? this._revision * TOKENS_PER_REVISION + this._number : undefined;
   }
@@ -61,12 +64,23 @@
   }
 
   /**
-   * Returns whether a later token has taken the place of one under which a call was sent. A worker that
-   * refuses the call then has seen that one; it shows no other caller.
-   * @param token - The token.
+   * Handles that the worker has refused a call for its token, so that it has not executed it. If a later
+   * one of this process has taken its place, the worker has seen that one. Otherwise another process of
+   * the agent has called it, and this one has no token until it is registered later than that one.
+   * @param token - Token of the call.
+   * @returns Whether there is another token, under which the call can be sent again.
    */
-  isOutdated(token: number): boolean {
-    return token !== this.value;
+  handleRefusal(token: number): boolean {
+    if (token === this.value) {
+      this.withdraw();
+      this._onRegistrationDue();
+    }
+    return this.value !== undefined;
+  }
+
+  /** Leaves the process without a token until it is registered again. */
+  withdraw(): void {
+    this._isRegistered = false;
   }
 
   /**
@@ -75,12 +89,12 @@
    * @param token - The token; the present one by default.
    */
   expire(token = this.value): void {
-    if (token === undefined || this.isOutdated(token) || this._number === LAST_NUMBER) {
+    if (token === undefined || token !== this.value || this._number === LAST_NUMBER) {
       return;
     }
     this._number += 1;
     if (this._number === LAST_NUMBER) {
-      this._onExhausted();
+      this._onRegistrationDue();
     }
   }
 }
--- a/src/coordination/pool/ListFetcher.ts
+++ b/src/coordination/pool/ListFetcher.ts
@@ -32,8 +32,6 @@
   readonly getEpoch: () => number;
   /** Called when the agent's report has changed. */
   readonly onChange: () => void;
-  /** Called when the worker has seen a scheduler of a later epoch. */
-  readonly onFenced: () => void;
 }
 
 /** Fetches the lists of one agent's worker. */
@@ -137,7 +135,8 @@
       return result.isOk();
     }
     if (result.isErr()) {
-      if (result.error.kind === "fenced" && this._deps.fencingToken.isOutdated(fencingToken)) {
+      const { kind } = result.error;
+      if (kind === "fenced" && this._deps.fencingToken.handleRefusal(fencingToken)) {
         return this.fetch(waitMs);
       }
       this._handleFailure(result.error);
@@ -179,10 +178,7 @@
   }
 
   private _handleFailure({ kind, detail }: WorkerCallFailure): void {
-    const { crashDetector, fencingToken, log, onFenced, onChange } = this._deps;
-    if (kind === "fenced") {
-      onFenced();
-    }
+    const { crashDetector, fencingToken, log, onChange } = this._deps;
     crashDetector.recordSilence();
     if (this._responds) {
       log.warn("Listing the worker's runs failed; it is retried.", { kind, detail });
--- a/src/coordination/pool/OrderExecutor.ts
+++ b/src/coordination/pool/OrderExecutor.ts
@@ -107,13 +107,17 @@
       return { task, run, failure: isRetry ? "unknown" : "wrong-worker" };
     }
     const { fencingToken, getEpoch } = this._deps;
+    if (call.epoch !== getEpoch()) {
+      return { task, run, failure: isRetry ? "unknown" : "superseded" };
+    }
     const token = fencingToken.value;
-    if (call.epoch !== getEpoch() || token === undefined) {
-      return { task, run, failure: isRetry ? "unknown" : "fenced" };
+    if (token === undefined) {
+      return { task, run, failure: isRetry ? "unknown" : "unhealthy" };
     }
     const result = await send({ worker: known.id, fencingToken: token, task, run });
     const failure = result.isErr() ? result.error.kind : undefined;
-    if (failure === "fenced" && fencingToken.isOutdated(token)) {
+    if (failure === "fenced") {
+      fencingToken.handleRefusal(token);
       return this._execute(call, { task, run }, send, attemptsLeft, isRetry);
     }
     if (failure === "unknown") {
--- a/src/coordination/pool/OrderSender.ts
+++ b/src/coordination/pool/OrderSender.ts
@@ -39,7 +39,7 @@
   readonly onPacesUnconfirmed: (orders: readonly RunOrder[]) => void;
   /** Called with the results that an agent returned. */
   readonly onReport: (agent: string, worker: string, report: OrderReport) => void;
-  /** Called when an agent has seen a scheduler of a later epoch. */
+  /** Called when an agent follows a scheduler of a later epoch. */
   readonly onSuperseded: () => void;
 }
 
--- a/src/coordination/pool/PoolWorkerAgent.ts
+++ b/src/coordination/pool/PoolWorkerAgent.ts
@@ -35,6 +35,12 @@
 const ACK_POLL_INTERVAL_MS = 60;
 /** Delay after a failed call for lists, or while no worker is known, in milliseconds. */
 const RETRY_MS = 150;
+/** Outcome of calls to a process that another one has replaced. */
+const REPLACED: AgentOutcome<never> = {
+  kind: "unreachable",
+  detail: "another process of the agent has replaced this one",
+};
+
 /** Dependencies of PoolWorkerAgent. */
 export interface PoolWorkerAgentDependencies {
   readonly worker: PoolWorker;
@@ -42,7 +48,7 @@
   readonly log: Log;
   /** Identity of the process; never reused. */
   readonly process: string;
-  /** Called when the process needs a later registration, as its fencing tokens are used up. */
+  /** Called when the process needs a later registration for its fencing tokens. */
   readonly onRegistrationDue: () => void;
 }
 
@@ -53,7 +59,7 @@
   private _announcedAt = 0;
   private _epoch = 0;
   private readonly _fencingToken: FencingToken;
-  private _isFenced = false;
+  private _isReplaced = false;
   private readonly _ends: ListedEnds;
   private readonly _lists: ListFetcher;
   private readonly _crashDetector: CrashDetector;
@@ -78,9 +84,6 @@
     this._ends = new ListedEnds(versioned);
     this._crashDetector = new CrashDetector(versioned);
     this._fencingToken = new FencingToken(deps.onRegistrationDue);
-    const handleFenced = (): void => {
-      this._isFenced = true;
-    };
     this._lists = new ListFetcher({
       ...{ worker: deps.worker, clock, log },
       ends: this._ends,
@@ -89,7 +92,6 @@
       getWorker: () => this._announced,
       getEpoch: () => this._epoch,
       onChange: this._publishChange.bind(this),
-      onFenced: handleFenced,
     });
     this._orders = new OrderExecutor({
       worker: deps.worker,
@@ -106,7 +108,6 @@
       onConfirmed: (candidate) => {
         this._replaceWorker(candidate);
       },
-      onFenced: handleFenced,
     });
     this._reportChanged = new Signal(deps.clock);
     this._listDue = new Signal(deps.clock);
@@ -134,6 +135,18 @@
     this._listDue.raise();
   }
 
+  /** Handles that another process of the agent has taken the place of this one, which calls no worker. */
+  handleReplacement(): void {
+    this._isReplaced = true;
+    this._fencingToken.withdraw();
+    this.stop();
+  }
+
+  /** Whether another process of the agent has taken the place of this one. */
+  get isReplaced(): boolean {
+    return this._isReplaced;
+  }
+
   /** Incarnation of the worker; undefined if none has announced itself. */
   get incarnation(): string | undefined {
     return this._announced && formatIncarnation(this._announced.id, this._announced.startedAtMs);
@@ -174,9 +187,11 @@
    * @param call - The request.
    */
   async observe(call: ObserveCall): Promise<AgentOutcome<AgentReport>> {
-    if (!this._acceptEpoch(call.epoch)) {
-      return { kind: "deposed" };
+    const rejection = this._findRejection(call.epoch);
+    if (rejection !== undefined) {
+      return rejection;
     }
+    this._followEpoch(call.epoch);
     if (call.worker === this.incarnation) {
       this._lists.extendLease(call.leaseUntilMs);
       this._acknowledge(call.ackedEnd);
@@ -187,9 +202,7 @@
     if (isKnownProcess && call.knownVersion === this._version) {
       await this._reportChanged.wait(call.waitMs);
     }
-    return this._epoch > call.epoch || this._isFenced
-      ? { kind: "deposed" }
-      : { kind: "answered", value: this._createReport(call) };
+    return this._findRejection(call.epoch) ?? { kind: "answered", value: this._createReport(call) };
   }
 
   /**
@@ -197,9 +210,11 @@
    * @param call - The orders.
    */
   async order(call: OrderCall): Promise<AgentOutcome<OrderReport>> {
-    if (!this._acceptEpoch(call.epoch)) {
-      return { kind: "deposed" };
+    const rejection = this._findRejection(call.epoch);
+    if (rejection !== undefined) {
+      return rejection;
     }
+    this._followEpoch(call.epoch);
     if (call.worker === this.incarnation && call.leaseUntilMs > 0) {
       this._lists.extendLease(call.leaseUntilMs);
     }
@@ -227,21 +242,25 @@
     }
   }
 
-  /** Follows the highest epoch. Returns whether the given epoch is the highest. */
-  private _acceptEpoch(epoch: number): boolean {
-    if (epoch < this._epoch) {
-      return false;
+  /** Finds why a call of a scheduler is rejected; undefined if it is not. */
+  private _findRejection(epoch: number): AgentOutcome<never> | undefined {
+    if (this._isReplaced) {
+      return REPLACED;
     }
-    if (epoch > this._epoch) {
-      this._epoch = epoch;
-      this._fencingToken.advance(epoch);
-      this._isFenced = false;
-      this._lists.expire();
-      this._deps.log.info("Agent follows a scheduler of a later epoch.", { epoch });
-      void this._lists.fetch(0);
-      this._listDue.raise();
+    return epoch < this._epoch ? { kind: "deposed" } : undefined;
+  }
+
+  /** Follows a scheduler of an epoch that is not earlier than the present one. */
+  private _followEpoch(epoch: number): void {
+    if (epoch === this._epoch) {
+      return;
     }
-    return true;
+    this._epoch = epoch;
+    this._fencingToken.advance(epoch);
+    this._lists.expire();
+    this._deps.log.info("Agent follows a scheduler of a later epoch.", { epoch });
+    void this._lists.fetch(0);
+    this._listDue.raise();
   }
 
   /** Follows an incarnation that has confirmed its announcement. */
--- a/src/coordination/pool/RunController.ts
+++ b/src/coordination/pool/RunController.ts
@@ -4,8 +4,7 @@
  */
 import type { Clock } from "../../protocol/platform/Clock.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
-import type { WorkerCallFailure } from "../../protocol/platform/PoolWorker.ts";
-import type { OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
+import type { OrderFailure, OrderReport, RunOrder, RunResult, StartOrder } from "./AgentChannel.ts";
 import type { LeaseGrants } from "./LeaseGrants.ts";
 import type { OrderSender } from "./OrderSender.ts";
 import type { PoolState } from "./PoolState.ts";
@@ -30,7 +29,7 @@
   readonly onRunLost: (taskRun: ActiveTaskRun, reason: string) => void;
   /** Called when a run is stopped because it makes no progress. */
   readonly onRunStalled: (taskRun: ActiveTaskRun) => void;
-  /** Called when an agent or worker has seen a later scheduler. */
+  /** Called when an agent follows a scheduler of a later epoch. */
   readonly onSuperseded: () => void;
 }
 
@@ -222,7 +221,7 @@
     if (failure !== undefined) {
       this._recordFailedStart(agent, taskRun, failure);
     }
-    if (failure === "fenced") {
+    if (failure === "superseded") {
       this._deps.onSuperseded();
     } else if (!decidesAllOrders(failure)) {
       this._handleUndecidedStart(taskRun, failure, lists);
@@ -259,7 +258,7 @@
    */
   private _handleUndecidedStart(
     taskRun: ActiveTaskRun,
-    failure: WorkerCallFailure["kind"],
+    failure: OrderFailure,
     lists: ListCall,
   ): void {
     const { active } = taskRun;
@@ -278,7 +277,7 @@
   private _recordFailedStart(
     agent: string,
     { task, active }: ActiveTaskRun,
-    failure: WorkerCallFailure["kind"],
+    failure: OrderFailure,
   ): void {
     const { state, clock, log } = this._deps;
     log.warn("Start order of a run failed.", {
@@ -328,13 +327,11 @@
  * the worker has it or has had it, and starts it no second time. Lists made by later calls of the
  * agent then contain it.
  */
-function decidesAllOrders(
-  failure: WorkerCallFailure["kind"] | undefined,
-): failure is "old-run" | undefined {
+function decidesAllOrders(failure: OrderFailure | undefined): failure is "old-run" | undefined {
   return failure === undefined || failure === "old-run";
 }
 
 /** Returns whether a worker that reports this failure certainly did not execute the order. */
-function isRefusal(failure: WorkerCallFailure["kind"]): boolean {
+function isRefusal(failure: OrderFailure): boolean {
   return ["no-room", "unhealthy", "late", "no-ticket", "rejected", "draining"].includes(failure);
 }
--- a/src/transport/pool/ConnectAgentChannel.ts
+++ b/src/transport/pool/ConnectAgentChannel.ts
@@ -15,6 +15,7 @@
 } from "../../coordination/pool/AgentChannel.ts";
 import { PoolAgent } from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
 import {
+  failUnexpected,
   readObserveReply,
   readOrderReply,
   writeObserveRequest,
@@ -138,11 +139,3 @@
     ? { case: "observe", value: await client.observe(call.value, { timeoutMs }) }
     : { case: "order", value: await client.order(call.value, { timeoutMs }) };
 }
-
-/** Returns nothing: a reply of another kind, or an error that the agent replied, is thrown. */
-function failUnexpected({ case: kind, value }: AgentReply): never {
-  throw new ConnectError(
-    kind === "error" ? value : `unexpected reply ${String(kind)}`,
-    Code.Internal,
-  );
-}
--- a/src/transport/pool/PoolAgentProcess.ts
+++ b/src/transport/pool/PoolAgentProcess.ts
@@ -64,6 +64,9 @@
     this._registration = new AgentRegistration({
       ...{ store, clock, log, name },
       record: { address, zone, pool, process: this._processId },
+      onReplaced: () => {
+        this._workerAgent.handleReplacement();
+      },
     });
     this._service = new PoolAgentService(this._workerAgent, log);
     this._controlServer = new ControlServer((router) => {
--- a/src/transport/pool/PoolAgentService.ts
+++ b/src/transport/pool/PoolAgentService.ts
@@ -10,12 +10,11 @@
   OrderReplySchema,
   PoolAgent,
   type ExchangeRequest,
-  type ObserveReply,
   type ObserveRequest,
-  type OrderReply,
   type OrderRequest,
 } from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
 import {
+  failUnexpected,
   readObserveRequest,
   readOrderRequest,
   writeObserveReply,
@@ -49,8 +48,14 @@
    */
   register(router: ConnectRouter): void {
     router.service(PoolAgent, {
-      observe: (req) => this._observe(req),
-      order: (req) => this._order(req),
+      observe: async (req) => {
+        const reply = await this._observe(req);
+        return reply.case === "observe" ? reply.value : failUnexpected(reply);
+      },
+      order: async (req) => {
+        const reply = await this._order(req);
+        return reply.case === "order" ? reply.value : failUnexpected(reply);
+      },
       exchange: (requests) => this._streams.serve(requests),
     });
   }
@@ -63,25 +68,35 @@
   private async _handle(call: ExchangeRequest["call"]): Promise<AgentReply> {
     switch (call.case) {
       case "observe":
-        return { case: "observe", value: await this._observe(call.value) };
+        return await this._observe(call.value);
       case "order":
-        return { case: "order", value: await this._order(call.value) };
+        return await this._order(call.value);
       default:
         return { case: "error", value: "the request has no call that this agent knows" };
     }
   }
 
-  private async _observe(req: ObserveRequest): Promise<ObserveReply> {
+  private async _observe(req: ObserveRequest): Promise<AgentReply> {
     const outcome = await this._workerAgent.observe(readObserveRequest(req));
-    return outcome.kind === "answered"
-      ? writeObserveReply(outcome.value)
-      : create(ObserveReplySchema, { deposed: true });
+    switch (outcome.kind) {
+      case "answered":
+        return { case: "observe", value: writeObserveReply(outcome.value) };
+      case "deposed":
+        return { case: "observe", value: create(ObserveReplySchema, { deposed: true }) };
+      case "unreachable":
+        return { case: "error", value: outcome.detail };
+    }
   }
 
-  private async _order(req: OrderRequest): Promise<OrderReply> {
+  private async _order(req: OrderRequest): Promise<AgentReply> {
     const outcome = await this._workerAgent.order(readOrderRequest(req));
-    return outcome.kind === "answered"
-      ? writeOrderReply(outcome.value)
-      : create(OrderReplySchema, { deposed: true });
+    switch (outcome.kind) {
+      case "answered":
+        return { case: "order", value: writeOrderReply(outcome.value) };
+      case "deposed":
+        return { case: "order", value: create(OrderReplySchema, { deposed: true }) };
+      case "unreachable":
+        return { case: "error", value: outcome.detail };
+    }
   }
 }
--- a/src/transport/pool/agentMessages.ts
+++ b/src/transport/pool/agentMessages.ts
@@ -8,6 +8,7 @@
   FormerEnds,
   ObserveCall,
   OrderCall,
+  OrderFailure,
   OrderReport,
   RunResult,
   WorkerReport,
@@ -28,11 +29,8 @@
   type PoolWorkerState,
   type PoolWorkerStateSchema,
 } from "../../protocol/generated/fireflylb/v1/pool_pb.ts";
-import type {
-  EndedRun,
-  RunOutcome,
-  WorkerCallFailure,
-} from "../../protocol/platform/PoolWorker.ts";
+import type { EndedRun, RunOutcome } from "../../protocol/platform/PoolWorker.ts";
+import type { AgentReply } from "./AgentStream.ts";
 
 /** Longest wait that a call may request, in milliseconds; workers accept no longer one. */
 const MAX_WAIT_MS = 2_000;
@@ -154,6 +152,14 @@
   };
 }
 
+/** Returns nothing: a reply of another kind, or an error that the agent replied, is thrown. */
+export function failUnexpected({ case: kind, value }: AgentReply): never {
+  throw new ConnectError(
+    kind === "error" ? value : `unexpected reply ${String(kind)}`,
+    Code.Internal,
+  );
+}
+
 interface RunResultInit {
   readonly task: string;
   readonly run: number;
@@ -161,8 +167,15 @@
 }
 
 function readResult({ task, run, failure }: PoolRunResult): RunResult {
-  const kind = failure === "" ? undefined : (failure as WorkerCallFailure["kind"]);
-  return { task, run, failure: kind };
+  return { task, run, failure: readFailure(failure) };
+}
+
+/** Reads why an order failed; agents of a former version say "fenced" for a scheduler of a later epoch. */
+function readFailure(failure: string): OrderFailure | undefined {
+  if (failure === "") {
+    return undefined;
+  }
+  return failure === "fenced" ? "superseded" : (failure as OrderFailure);
 }
 
 function writeWorker(report: WorkerReport): MessageInitShape<typeof PoolWorkerStateSchema> {
--- a/standins/pool/PoolWorkerModel.ts
+++ b/standins/pool/PoolWorkerModel.ts
@@ -58,6 +58,7 @@
   /** End of the time in which it responds to nothing, as a late order has stalled it. */
   private _stalledUntil = 0;
   private _fencingToken = 0;
+  private _refusedCalls = 0;
   private _leaseUntilMs = 0;
   private _sequence = 0;
   private _isDraining = false;
@@ -91,6 +92,11 @@
     return this._fencingToken;
   }
 
+  /** Number of calls that it has refused for their fencing tokens. */
+  get refusedCalls(): number {
+    return this._refusedCalls;
+  }
+
   /** Capacity that the worker has now. */
   get capacity(): Resources {
     return this._capacity;
@@ -306,6 +312,7 @@
 
   private _fence(fencingToken: number): Result<void, WorkerCallFailure> {
     if (fencingToken < this._fencingToken) {
+      this._refusedCalls += 1;
       return err({ kind: "fenced", detail: "" });
     }
     this._fencingToken = fencingToken;
--- a/tests/coordination/pool/DelayedPoolSimulation.ts
+++ b/tests/coordination/pool/DelayedPoolSimulation.ts
@@ -90,7 +90,8 @@
    */
   async startAgent(agent: SimulatedAgent): Promise<void> {
     this._downAgents.delete(agent.name);
-    agent.workerAgent = this.createWorkerAgent(this.createCaller(agent.name, agent.address));
+    const { name, address } = agent;
+    agent.workerAgent = this.createWorkerAgent(name, this.createCaller(name, address));
     await this.register(agent);
   }
 
--- a/tests/coordination/pool/PoolSimulation.ts
+++ b/tests/coordination/pool/PoolSimulation.ts
@@ -135,7 +135,7 @@
     const address = new PoolWorkerAddress(worker);
     const agent = {
       ...{ name, worker, address },
-      workerAgent: this.createWorkerAgent(this.createCaller(name, address)),
+      workerAgent: this.createWorkerAgent(name, this.createCaller(name, address)),
       isDisconnected: false,
     };
     this.agents.push(agent);
@@ -150,7 +150,8 @@
    */
   async restartAgent(agent: SimulatedAgent): Promise<void> {
     agent.workerAgent.stop();
-    agent.workerAgent = this.createWorkerAgent(this.createCaller(agent.name, agent.address));
+    const { name, address } = agent;
+    agent.workerAgent = this.createWorkerAgent(name, this.createCaller(name, address));
     await this.register(agent);
   }
 
@@ -370,16 +371,22 @@
   }
 
   /**
-   * Starts a process of an agent.
+   * Starts a process of an agent. It is registered again when that is due, unless it has been replaced.
+   * @param name - Name of the agent.
    * @param worker - Its worker.
    */
-  protected createWorkerAgent(worker: PoolWorker): PoolWorkerAgent {
+  protected createWorkerAgent(name: string, worker: PoolWorker): PoolWorkerAgent {
     this._processCount += 1;
     const { clock, log } = this;
     const process = `agent-${this._processCount}`;
     const workerAgent = new PoolWorkerAgent({
       ...{ worker, clock, log: log.child("agent"), process },
-      onRegistrationDue: () => undefined,
+      onRegistrationDue: () => {
+        const agent = this.agents.find((known) => known.name === name);
+        if (agent?.workerAgent === workerAgent) {
+          void this.register(agent);
+        }
+      },
     });
     workerAgent.start();
     return workerAgent;
--- a/tests/coordination/pool/agentFencingTests.ts
+++ b/tests/coordination/pool/agentFencingTests.ts
@@ -12,12 +12,18 @@
   WorkerRuns,
 } from "../../../src/protocol/platform/PoolWorker.ts";
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
-import { announceWorker, createWorkerAgent } from "../../support/createWorkerAgent.ts";
+import {
+  announceWorker,
+  createFencingToken,
+  createWorkerAgent,
+} from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
 const READING_MS = 1_500;
+/** Revision of the registration of a second process. */
+const LATER_REVISION = 100;
 const LEASE_UNTIL_MS = 600_000;
 const ORDERS = {
   ...{ epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, capacity: NO_RESOURCES },
@@ -78,16 +84,23 @@
   return agent.observe({ ...call, epoch, knownVersion: 0, knownProcess: "" });
 }
 
+/** Returns whether a call was sent under a token of the first process. */
+function isLow({ fencingToken }: SyncCall): boolean {
+  return fencingToken < (createFencingToken(LATER_REVISION).value ?? 0);
+}
+
 /** Creates an agent whose worker has announced itself and responds. */
 async function createFixture() {
   const clock = new ManualClock();
   const worker = new FencingWorker(clock);
-  const agent = createWorkerAgent(worker, clock);
+  /** A mark for each registration that is due. */
+  const due: string[] = [];
+  const agent = createWorkerAgent(worker, clock, new MemoryLog(), 1, () => due.push("due"));
   agent.start();
   announceWorker(agent, 1);
   await observe(agent);
   await clock.advance(READING_MS);
-  return { clock, worker, agent };
+  return { clock, worker, agent, due };
 }
 
 // Guards against a process that begins lower than its predecessor, so that the next incarnation
@@ -178,3 +191,95 @@
   t.is((await agent.order(ORDERS)).kind, "deposed");
   agent.stop();
 });
+
+/** Creates a second agent process beside the first one, registered later, whose call the worker has seen. */
+async function createSuccessor({ clock, worker }: Awaited<ReturnType<typeof createFixture>>) {
+  const successor = createWorkerAgent(worker, clock, new MemoryLog(), LATER_REVISION);
+  successor.start();
+  announceWorker(successor, 1);
+  await observe(successor);
+  await clock.advance(READING_MS);
+  return successor;
+}
+
+// Guards against a scheduler that gives its pool up, as a process of an agent is refused for the token
+// of another process of the agent, which shows no other scheduler.
+test("PoolWorkerAgent whose token is too low tells no scheduler that it was superseded", async (t) => {
+  const fixture = await createFixture();
+  const { clock, agent } = fixture;
+  const successor = await createSuccessor(fixture);
+  await clock.advance(READING_MS);
+  const observed = await observe(agent);
+  t.is(observed.kind, "answered");
+  t.is(observed.kind === "answered" && observed.value.worker?.answers, false);
+  const ordered = await agent.order(ORDERS);
+  t.is(ordered.kind === "answered" && ordered.value.starts[0]?.failure, "unhealthy");
+  t.is((await observe(successor)).kind, "answered");
+  agent.stop();
+  successor.stop();
+});
+
+// Guards against a process that calls its worker under a refused token for as long as it lives.
+test("PoolWorkerAgent calls its worker no more under a token that is too low", async (t) => {
+  const fixture = await createFixture();
+  const { clock, worker, agent, due } = fixture;
+  const successor = await createSuccessor(fixture);
+  await clock.advance(READING_MS);
+  t.is(due.length, 1, "one registration is due");
+  const lowCalls = worker.syncs.filter(isLow).length;
+  await clock.advance(10 * READING_MS);
+  t.is(worker.syncs.filter(isLow).length, lowCalls);
+  agent.stop();
+  successor.stop();
+});
+
+// Guards against an order that is reported as executed or as unknown, although the worker has refused it.
+test("PoolWorkerAgent reports an order that the worker refuses for its token as not executed", async (t) => {
+  const fixture = await createFixture();
+  const { clock, agent, worker } = fixture;
+  worker.startDelayMs = 2 * READING_MS;
+  const ordered = agent.order(ORDERS);
+  const successor = await createSuccessor(fixture);
+  await clock.advance(2 * READING_MS);
+  const outcome = await ordered;
+  t.is(outcome.kind === "answered" && outcome.value.starts[0]?.failure, "unhealthy");
+  t.is(worker.starts.length, 1);
+  agent.stop();
+  successor.stop();
+});
+
+// Guards against the agent's present process that gives its worker up, as one that it has replaced was
+// told of a later epoch before it.
+test("PoolWorkerAgent calls its worker again once it is registered later", async (t) => {
+  const fixture = await createFixture();
+  const { clock, agent } = fixture;
+  const successor = await createSuccessor(fixture);
+  agent.register(LATER_REVISION + 1);
+  await clock.advance(READING_MS);
+  const observed = await observe(agent);
+  t.is(observed.kind === "answered" && observed.value.worker?.answers, true);
+  agent.stop();
+  successor.stop();
+});
+
+// Guards against a process that serves a scheduler although another one has taken its place.
+test("PoolWorkerAgent that has been replaced leaves the calls of schedulers to its successor", async (t) => {
+  const fixture = await createFixture();
+  const { clock, worker, agent } = fixture;
+  const observed = await observe(agent);
+  const waiting = agent.observe({
+    ...{ epoch: 1, worker: "i-1@1", leaseUntilMs: undefined, ackedEnd: 0, waitMs: READING_MS },
+    ...{ knownVersion: observed.kind === "answered" ? observed.value.version : 0 },
+    knownProcess: "",
+  });
+  agent.handleReplacement();
+  const calls = worker.syncs.length;
+  t.is((await waiting).kind, "unreachable");
+  t.is((await observe(agent)).kind, "unreachable");
+  t.is((await observe(agent, 2)).kind, "unreachable");
+  t.is((await agent.order({ ...ORDERS, epoch: 2 })).kind, "unreachable");
+  announceWorker(agent, 2);
+  await clock.advance(READING_MS);
+  t.is(worker.syncs.length, calls);
+  t.is(worker.starts.length, 0);
+});
--- a/tests/coordination/pool/agentRegistrationTests.ts
+++ b/tests/coordination/pool/agentRegistrationTests.ts
@@ -16,11 +16,16 @@
 function createFixture() {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
+  /** Processes that another one has replaced. */
+  const replaced: string[] = [];
   const create = (process: string): AgentRegistration => {
     const record = { address: "10.0.0.1:7000", zone: "zone-a", pool: POOL, process };
-    return new AgentRegistration({ store, clock, log: new MemoryLog(), name: NAME, record });
+    return new AgentRegistration({
+      ...{ store, clock, log: new MemoryLog(), name: NAME, record },
+      onReplaced: () => replaced.push(process),
+    });
   };
-  return { clock, store, create };
+  return { clock, store, replaced, create };
 }
 
 // Guards against fencing tokens of a process that begin no later than those of the one before.
@@ -34,10 +39,39 @@
 
 // Guards against a process whose fencing tokens are used up and that gets no others.
 test("AgentRegistration has a later revision when it is renewed", async (t) => {
-  const { create } = createFixture();
+  const { clock, replaced, create } = createFixture();
   const registration = create("p-1");
   const first = (await registration.renew()) ?? 0;
-  t.true(((await registration.renew()) ?? 0) > first);
+  const renewing = registration.renew();
+  await clock.advance(RETRIED_MS);
+  t.true(((await renewing) ?? 0) > first);
+  t.deepEqual(replaced, []);
+});
+
+// Guards against two processes of an agent that register in turn, so that neither keeps its worker.
+test("AgentRegistration is not renewed once another process has registered", async (t) => {
+  const { clock, store, replaced, create } = createFixture();
+  const first = create("p-1");
+  await first.renew();
+  const second = await create("p-2").renew();
+  const renewals = [first.renew(), first.renew()];
+  await clock.advance(RETRIED_MS);
+  t.deepEqual(await Promise.all(renewals), [undefined, undefined]);
+  t.deepEqual(replaced, ["p-1"]);
+  t.is((await store.read(getAgentKey(NAME)))._unsafeUnwrap()?.revision, second);
+});
+
+// Guards against a process that says at its ordinary end that another one has replaced it.
+test("AgentRegistration reports no replacement once it is stopped", async (t) => {
+  const { clock, replaced, create } = createFixture();
+  const first = create("p-1");
+  await first.renew();
+  await create("p-2").renew();
+  const renewing = first.renew();
+  first.stop();
+  await clock.advance(RETRIED_MS);
+  t.is(await renewing, undefined);
+  t.deepEqual(replaced, []);
 });
 
 test("AgentRegistration retries until the store holds it", async (t) => {
--- a/tests/coordination/pool/announcementOrderTests.ts
+++ b/tests/coordination/pool/announcementOrderTests.ts
@@ -49,7 +49,6 @@
     getEpoch: () => epoch,
     getPresent: () => undefined,
     onConfirmed: ({ announcement }) => confirmed.push(announcement.id),
-    onFenced: () => undefined,
   });
   const announce = (change: Partial<WorkerAnnouncement>): void => {
     verifier.add({ announcement: { ...ANNOUNCEMENT, ...change }, announcedAt: 0 });
--- a/tests/coordination/pool/fencingTokenTests.ts
+++ b/tests/coordination/pool/fencingTokenTests.ts
@@ -56,6 +56,28 @@
   t.true((next.value ?? 0) > (former.value ?? 0));
 });
 
+// Guards against a process that is refused for a token of its own, and asks for another registration.
+test("FencingToken that the worker has refused is replaced by one of a later registration", (t) => {
+  let dueCount = 0;
+  const token = new FencingToken(() => {
+    dueCount += 1;
+  });
+  token.register(REVISION);
+  const first = token.value ?? 0;
+  token.expire(first);
+  t.true(token.handleRefusal(first), "there is a later one");
+  t.is(dueCount, 0);
+  const second = token.value ?? 0;
+  t.false(token.handleRefusal(second));
+  t.false(token.handleRefusal(second), "a call beside the other one");
+  t.is(token.value, undefined);
+  t.is(dueCount, 1);
+  token.advance(REVISION + 1);
+  t.is(token.value, undefined, "an epoch is no registration");
+  token.register(REVISION + 2);
+  t.true((token.value ?? 0) > second);
+});
+
 // Guards against tokens of one revision that reach those of the next, or stay the same for good.
 test("FencingToken asks for a registration once it has used up its revision", (t) => {
   let askedCount = 0;
--- a/tests/coordination/pool/registerAgent.ts
+++ b/tests/coordination/pool/registerAgent.ts
@@ -22,7 +22,10 @@
   process: string,
 ): Promise<number> {
   const record = { address: getAgentAddress(name), zone: "zone-a", pool: POOL, process };
-  const registration = new AgentRegistration({ store, clock, log: new MemoryLog(), name, record });
+  const registration = new AgentRegistration({
+    ...{ store, clock, log: new MemoryLog(), name, record },
+    onReplaced: () => undefined,
+  });
   return (await registration.renew()) ?? 0;
 }
 
--- a/tests/platform/PlatformFixture.ts
+++ b/tests/platform/PlatformFixture.ts
@@ -41,7 +41,12 @@
 export interface PlatformFixture {
   readonly store: KvServer;
   readonly journal: readonly JournalRun[];
+  readonly log: MemoryLog;
   readonly entry: PoolEntryProcess;
+  /** The worker. */
+  readonly model: PoolWorkerModel;
+  /** Starts another process of the agent, at other addresses. */
+  readonly startSecondAgent: () => Promise<void>;
   readonly announcements: string;
   readonly call: (method: string, path: string, body?: string) => Promise<ClientAnswer>;
   readonly getReadiness: () => Promise<number>;
@@ -49,6 +54,14 @@
   readonly waitForState: (path: string, state: string) => Promise<void>;
 }
 
+/** A process of the agent, with its clients. */
+interface Agent {
+  readonly process: PoolAgentProcess;
+  readonly announcements: string;
+  readonly store: PlatformStore;
+  readonly worker: PlatformWorker;
+}
+
 /** Operator's configuration document in the tests. */
 export const MANIFEST = {
   version: 3,
@@ -81,24 +94,26 @@
   const journal: JournalRun[] = [];
   const model = createModel(journal);
   const workerServer = new WorkerServer(worker, model);
-  const clients = {
-    entryStore: new PlatformStore(kv, STORE_TIMEOUT_MS),
-    agentStore: new PlatformStore(kv, STORE_TIMEOUT_MS),
-    worker: new PlatformWorker(worker, STORE_TIMEOUT_MS),
-  };
+  const entryStore = new PlatformStore(kv, STORE_TIMEOUT_MS);
   await store.start();
   await workerServer.start();
   store.put("op/config", MANIFEST);
   const log = new MemoryLog();
-  const entry = createEntry({ kv, submissions, readiness }, clients.entryStore, log);
-  const agent = createAgent({ kv, control, announcements, worker }, clients, log);
+  const entry = createEntry({ kv, submissions, readiness }, entryStore, log);
+  const agents: Agent[] = [];
+  const startAgent = async (control: string, announcements: string): Promise<void> => {
+    const agent = createAgent({ kv, control, announcements, worker }, log);
+    agents.push(agent);
+    t.true((await agent.process.start()).isOk());
+  };
   t.true((await entry.start()).isOk());
-  t.true((await agent.start()).isOk());
+  await startAgent(control, announcements);
   const clock = new SystemClock();
   let timer: Timer | undefined;
   let hasEnded = false;
   const sendHeartbeats = async (): Promise<void> => {
-    await workerServer.sendHeartbeat(announcements).catch(() => 0);
+    const sent = agents.map((agent) => workerServer.sendHeartbeat(agent.announcements));
+    await Promise.allSettled(sent);
     timer = hasEnded ? undefined : clock.after(HEARTBEAT_MS, () => void sendHeartbeats());
   };
   await sendHeartbeats();
@@ -108,8 +123,9 @@
     }
     hasEnded = true;
     timer?.cancel();
-    await Promise.all([entry.stop(), agent.stop()]);
-    await Promise.all(Object.values(clients).map((client) => client.close()));
+    await Promise.all([entry, ...agents.map(({ process }) => process)].map((role) => role.stop()));
+    const clients = [entryStore, ...agents.flatMap(({ store, worker }) => [store, worker])];
+    await Promise.all(clients.map((client) => client.close()));
     model.crash();
     await workerServer.stop();
     await store.stop();
@@ -119,7 +135,13 @@
   const fixture: PlatformFixture = {
     store,
     journal,
+    log,
     entry,
+    model,
+    startSecondAgent: async () => {
+      const [control = "", announcements = ""] = await findFreeAddresses(2);
+      await startAgent(control, announcements);
+    },
     announcements,
     call,
     getReadiness: () => getReadiness(readiness),
@@ -184,18 +206,20 @@
     readonly announcements: string;
     readonly worker: string;
   },
-  clients: { readonly agentStore: PlatformStore; readonly worker: PlatformWorker },
   log: MemoryLog,
-): PoolAgentProcess {
+): Agent {
   const { kv, control, announcements, worker } = addresses;
+  const clients = {
+    store: new PlatformStore(kv, STORE_TIMEOUT_MS),
+    worker: new PlatformWorker(worker, STORE_TIMEOUT_MS),
+  };
   const text = `[agent]\nname = agent-1\nzone = zone-a\npool = ${POOL}\ncontrol = ${control}
 announcements = ${announcements}\n[worker]\naddress = ${worker}\n[store]\naddress = ${kv}\n`;
   const settings = readPoolAgentSettings("agent.ini", text)._unsafeUnwrap();
-  return new PoolAgentProcess({
+  const process = new PoolAgentProcess({
     settings,
     log,
-    store: clients.agentStore,
-    worker: clients.worker,
+    ...clients,
     createListener: (workerAgent, log) =>
       new HeartbeatServer({
         address: announcements,
@@ -205,6 +229,7 @@
         log,
       }),
   });
+  return { process, announcements, ...clients };
 }
 
 /**
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -104,6 +104,13 @@
   t.is((await readReport(fixture)).worker?.worker, "i-1@1000");
 });
 
+// Guards against a worker whose process of the agent acknowledges its heartbeats and calls it no more.
+test("HeartbeatServer of a process that has been replaced accepts no heartbeat", async (t) => {
+  const { agent, put } = await createFixture(t);
+  agent.handleReplacement();
+  t.is(await put("i-1", createHeartbeat()), 503);
+});
+
 const DEEP = `${"[".repeat(20_000)}${"]".repeat(20_000)}`;
 const TOO_LARGE = [1e308, 2 ** 53, -1, 0.5];
 const CAPACITY = { cpu: 16_000, mem_mb: 1_024, gpu: 0 };
--- a/tests/support/createWorkerAgent.ts
+++ b/tests/support/createWorkerAgent.ts
@@ -37,16 +37,20 @@
  * @param worker - Its worker.
  * @param clock - Its clock.
  * @param log - Its log.
+ * @param revision - Revision of its registration.
+ * @param onRegistrationDue - Called when it needs a later one.
  */
 export function createWorkerAgent(
   worker: PoolWorker,
   clock: Clock,
   log: Log = new MemoryLog(),
+  revision = 1,
+  onRegistrationDue = (): void => undefined,
 ): PoolWorkerAgent {
   const agent = new PoolWorkerAgent({
-    ...{ worker, clock, log, process: "p-1" },
-    onRegistrationDue: () => undefined,
+    ...{ worker, clock, log, process: `p-${revision}` },
+    onRegistrationDue,
   });
-  agent.register(1);
+  agent.register(revision);
   return agent;
 }
--- a/tests/transport/pool/agentMessagesTests.ts
+++ b/tests/transport/pool/agentMessagesTests.ts
@@ -7,6 +7,7 @@
 import {
   ObserveReplySchema,
   ObserveRequestSchema,
+  OrderReplySchema,
   OrderRequestSchema,
 } from "../../../src/protocol/generated/fireflylb/v1/pool_pb.ts";
 import {
@@ -59,6 +60,20 @@
   t.deepEqual(readOrderReply(writeOrderReply(report)), report);
 });
 
+// Guards against an agent of a former version, which says "fenced" where it follows a scheduler of a
+// later epoch, and whose scheduler goes on.
+test("readOrderReply reads that an agent of a former version follows a later scheduler", (t) => {
+  const read = (failure: string): string | undefined =>
+    readOrderReply(create(OrderReplySchema, { starts: [{ task: "t", run: 1, failure }] })).starts[0]
+      ?.failure;
+  t.deepEqual(["fenced", "superseded", "no-room", ""].map(read), [
+    "superseded",
+    "superseded",
+    "no-room",
+    undefined,
+  ]);
+});
+
 /** Numbers that a message can carry and that cannot be a time. */
 const ODD_TIMES = [NaN, Infinity, -Infinity, 1e308];
 
--- a/tests/transport/pool/connectAgentChannelTests.ts
+++ b/tests/transport/pool/connectAgentChannelTests.ts
@@ -1,6 +1,8 @@
 /**
  * Tests of the calls to agents in streams, over loopback.
  */
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import test, { type ExecutionContext } from "ava";
 import type {
   AgentOutcome,
@@ -121,6 +123,30 @@
   t.deepEqual(await channel.order(address, createOrder("w")), { kind: "deposed" });
 });
 
+// Guards against a process that another one has replaced, and that a scheduler takes for a sign of a
+// scheduler of a later epoch.
+test("ConnectAgentChannel reports an agent's process that has been replaced as unreachable", async (t) => {
+  const { agent, channel, address, log } = await createFixture(t);
+  const replaced = { kind: "unreachable", detail: "replaced" } as const;
+  agent.answerObserve = () => Promise.resolve(replaced);
+  agent.answerOrder = () => Promise.resolve(replaced);
+  const expected = { kind: "unreachable", detail: "Internal: replaced" };
+  t.like(await channel.observe(address, OBSERVE), expected);
+  t.like(await channel.order(address, createOrder("w")), expected);
+  const baseUrl = `http://${address}`;
+  const sessionManager = new Http2SessionManager(baseUrl);
+  t.teardown(() => {
+    sessionManager.abort();
+  });
+  const client = createClient(
+    PoolAgent,
+    createConnectTransport({ baseUrl, httpVersion: "2", sessionManager }),
+  );
+  await t.throwsAsync(client.observe({ epoch: 1n }), { message: /replaced/ });
+  await t.throwsAsync(client.order({ epoch: 1n }), { message: /replaced/ });
+  t.deepEqual(log.lines, []);
+});
+
 test("ConnectAgentChannel fails the calls in progress at a reset, and opens a new stream after it", async (t) => {
   const { agent, channel, address } = await createFixture(t);
   agent.answerOrder = () => agent.ended.promise;
