--- a/src/coordination/pool/AnnouncementVerifier.ts
+++ b/src/coordination/pool/AnnouncementVerifier.ts
@@ -80,7 +80,7 @@
 
   /** Asks the worker for all candidates for which no call is in progress. */
   async verify(): Promise<void> {
-    // Without an epoch, the worker would take the call for one of a former scheduler.
+    // Until a scheduler has called, nobody asks who the worker is.
     const incarnations = this._deps.getEpoch() === 0 ? [] : [...this._candidates.keys()];
     await Promise.all(
       incarnations
