Create announcements and calls for reports in one place for the tests, and share two set-ups

Announcements of the worker i-1 stood in six test files, the call of a scheduler without a report in seven; two checks and a set-up stood two to three times.

--- a/tests/coordination/pool/agentFencingTests.ts
+++ b/tests/coordination/pool/agentFencingTests.ts
@@ -19,6 +19,7 @@
 } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
+import { createObserveCall } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
 const READING_MS = 1_500;
@@ -80,8 +81,7 @@
 }
 
 function observe(agent: PoolWorkerAgent, epoch = 1) {
-  const call = { worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, ackedEnd: 0, waitMs: 0 };
-  return agent.observe({ ...call, epoch, knownVersion: 0, knownProcess: "" });
+  return agent.observe(createObserveCall({ epoch, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS }));
 }
 
 /** Returns whether a call was sent under a token of the first process. */
@@ -267,11 +267,9 @@
   const fixture = await createFixture();
   const { clock, worker, agent } = fixture;
   const observed = await observe(agent);
-  const waiting = agent.observe({
-    ...{ epoch: 1, worker: "i-1@1", leaseUntilMs: undefined, ackedEnd: 0, waitMs: READING_MS },
-    ...{ knownVersion: observed.kind === "answered" ? observed.value.version : 0 },
-    knownProcess: "",
-  });
+  const knownVersion = observed.kind === "answered" ? observed.value.version : 0;
+  const call = createObserveCall({ worker: "i-1@1", knownVersion, waitMs: READING_MS });
+  const waiting = agent.observe(call);
   agent.handleReplacement();
   const calls = worker.syncs.length;
   t.is((await waiting).kind, "unreachable");
--- a/tests/coordination/pool/agentReportHandlerTests.ts
+++ b/tests/coordination/pool/agentReportHandlerTests.ts
@@ -2,10 +2,17 @@
  * Tests of how the scheduler handles the reports of an agent whose process is replaced, in virtual
  * time, with scripted reports.
  */
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
+import type { WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
 import { getLeaseExpiryWaitMs } from "../../../src/coordination/pool/PoolTimings.ts";
 import { createEndedRun, createWorkerReport } from "../../support/poolFixtures.ts";
-import { addJob, AGENT, createScriptedScheduler, HANDLED_MS } from "./createScriptedScheduler.ts";
+import {
+  addJob,
+  AGENT,
+  createScriptedScheduler,
+  HANDLED_MS,
+  type ScriptedScheduler,
+} from "./createScriptedScheduler.ts";
 import { TIMINGS } from "./simulatedPool.ts";
 
 /** Number of the call of the first process after which its worker was given the run. */
@@ -15,6 +22,22 @@
 const UNKNOWN_WORKER = undefined;
 const SILENT_WORKER = createWorkerReport({ callNumber: 0, answers: false });
 
+/** Checks that a report of process "b" shows no run lost, and its lists of a later call one. */
+async function expectLostFrom(
+  t: ExecutionContext,
+  { clock, channel, scheduler, getLostReasons }: ScriptedScheduler,
+  first: WorkerReport | undefined,
+  callNumber: number,
+): Promise<void> {
+  channel.setReport("b", first);
+  await clock.advance(HANDLED_MS);
+  t.deepEqual(getLostReasons(), []);
+  channel.setReport("b", createWorkerReport({ callNumber }));
+  await clock.advance(HANDLED_MS);
+  t.deepEqual(getLostReasons(), [REASON]);
+  scheduler.stop();
+}
+
 [
   { title: "does not know its worker yet", first: UNKNOWN_WORKER },
   { title: "has no answer of its worker yet", first: SILENT_WORKER },
@@ -23,17 +46,11 @@
   // former process of the agent, is found lost only after as many calls of the new process.
   test(`AgentReportHandler finds a run lost after a new process that ${title}`, async (t) => {
     const fixture = await createScriptedScheduler();
-    const { clock, channel, scheduler, getLostReasons } = fixture;
+    const { channel } = fixture;
     channel.orderCallNumber = FORMER_CALL;
     await addJob(fixture, { longRunning: true });
     t.is(channel.starts.length, 1);
-    channel.setReport("b", first);
-    await clock.advance(HANDLED_MS);
-    t.deepEqual(getLostReasons(), []);
-    channel.setReport("b", createWorkerReport({ callNumber: 3 }));
-    await clock.advance(HANDLED_MS);
-    t.deepEqual(getLostReasons(), [REASON]);
-    scheduler.stop();
+    await expectLostFrom(t, fixture, first, 3);
   });
 });
 
@@ -41,37 +58,25 @@
 // call that was in progress then do not show it.
 test("AgentReportHandler retains a run that a new process started before its first lists", async (t) => {
   const fixture = await createScriptedScheduler();
-  const { clock, channel, scheduler, getLostReasons } = fixture;
+  const { clock, channel } = fixture;
   channel.setReport("b", UNKNOWN_WORKER);
   await clock.advance(HANDLED_MS);
   channel.orderCallNumber = 1;
   await addJob(fixture, { longRunning: true });
   t.is(channel.starts.length, 1);
-  channel.setReport("b", createWorkerReport({ callNumber: 1 }));
-  await clock.advance(HANDLED_MS);
-  t.deepEqual(getLostReasons(), []);
-  channel.setReport("b", createWorkerReport({ callNumber: 2 }));
-  await clock.advance(HANDLED_MS);
-  t.deepEqual(getLostReasons(), [REASON]);
-  scheduler.stop();
+  await expectLostFrom(t, fixture, createWorkerReport({ callNumber: 1 }), 2);
 });
 
 // Guards against a second run of a task whose first one goes on: the first report of the new process
 // reset the call number that the process itself had named for the run.
 test("AgentReportHandler retains a run that a new process started before its first report", async (t) => {
   const fixture = await createScriptedScheduler();
-  const { clock, channel, scheduler, getLostReasons } = fixture;
+  const { channel } = fixture;
   channel.orderCallNumber = 2;
   channel.orderProcess = "b";
   await addJob(fixture, { longRunning: true });
   t.is(channel.starts.length, 1);
-  channel.setReport("b", createWorkerReport({ callNumber: 2 }));
-  await clock.advance(HANDLED_MS);
-  t.deepEqual(getLostReasons(), []);
-  channel.setReport("b", createWorkerReport({ callNumber: 3 }));
-  await clock.advance(HANDLED_MS);
-  t.deepEqual(getLostReasons(), [REASON]);
-  scheduler.stop();
+  await expectLostFrom(t, fixture, createWorkerReport({ callNumber: 2 }), 3);
 });
 
 // Guards against the end of a run that is acknowledged without a trace because nothing waits for it.
--- a/tests/coordination/pool/announcementOrderTests.ts
+++ b/tests/coordination/pool/announcementOrderTests.ts
@@ -13,15 +13,11 @@
 import { createFencingToken } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { POOL } from "../../support/poolFixtures.ts";
+import { createAnnouncement } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
 const ANSWERED_MS = 1_000;
-const ANNOUNCEMENT: WorkerAnnouncement = {
-  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-  ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-  capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-};
+const ANNOUNCEMENT = createAnnouncement();
 
 /** Worker that refuses tokens lower than one that it has seen in another call. */
 class RefusingWorker extends SilentWorker {
@@ -57,7 +53,7 @@
   return { clock, worker, confirmed, verifier, announce, fencingToken };
 }
 
-// Guards against a call that the worker refuses as one of a former scheduler.
+// Guards against calls to the worker that nobody needs, as no scheduler follows the agent yet.
 test("AnnouncementVerifier asks nothing before the agent follows a scheduler", async (t) => {
   const { clock, worker, announce } = createFixture(0);
   announce({});
--- a/tests/coordination/pool/announcementProofTests.ts
+++ b/tests/coordination/pool/announcementProofTests.ts
@@ -4,10 +4,9 @@
  */
 import test from "ava";
 import type { WorkerAnnouncement } from "../../../src/protocol/platform/PoolWorker.ts";
-import type { ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
 import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
-import { createStep, POOL } from "../../support/poolFixtures.ts";
+import { createAnnouncement, createObserveCall, createStep } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 
@@ -17,15 +16,8 @@
 /** Time that each task takes, in milliseconds; longer than a test watches. */
 const WORK_MS = 60_000;
 const WATCH_MS = 10_000;
-const ANNOUNCEMENT: WorkerAnnouncement = {
-  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-  ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-  capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-};
-const OBSERVE_CALL: ObserveCall = {
-  ...{ epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 },
-  ...{ knownVersion: 0, knownProcess: "" },
-};
+const ANNOUNCEMENT = createAnnouncement();
+const OBSERVE_CALL = createObserveCall();
 
 type Announce = (sound: WorkerAnnouncement) => WorkerAnnouncement;
 
--- a/tests/coordination/pool/announcementVerifierTests.ts
+++ b/tests/coordination/pool/announcementVerifierTests.ts
@@ -6,27 +6,18 @@
 import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import type {
   SyncCall,
-  WorkerAnnouncement,
   WorkerCallFailure,
   WorkerRuns,
 } from "../../../src/protocol/platform/PoolWorker.ts";
-import type { ObserveCall } from "../../../src/coordination/pool/AgentChannel.ts";
 import { createWorkerAgent } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
-import { POOL } from "../../support/poolFixtures.ts";
+import { createAnnouncement, createObserveCall } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
 const LATE_MS = 300;
 const HANDLED_MS = 1_000;
-const ANNOUNCEMENT: WorkerAnnouncement = {
-  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-  ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-  capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-};
-const OBSERVE_CALL: ObserveCall = {
-  ...{ epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 },
-  ...{ knownVersion: 0, knownProcess: "" },
-};
+const ANNOUNCEMENT = createAnnouncement();
+const OBSERVE_CALL = createObserveCall();
 const FENCED: WorkerCallFailure = { kind: "fenced", detail: "" };
 
 /** Worker that calls of an earlier epoch reach late, after those of the next one. */
--- a/tests/coordination/pool/crashDetectorTests.ts
+++ b/tests/coordination/pool/crashDetectorTests.ts
@@ -3,19 +3,15 @@
  */
 import test from "ava";
 import { CrashDetector } from "../../../src/coordination/pool/CrashDetector.ts";
-import type { WorkerAnnouncement, WorkerRuns } from "../../../src/protocol/platform/PoolWorker.ts";
+import type { WorkerRuns } from "../../../src/protocol/platform/PoolWorker.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { createEndedRun, POOL } from "../../support/poolFixtures.ts";
+import { createAnnouncement, createEndedRun } from "../../support/poolFixtures.ts";
 
 const NO_RUNS: WorkerRuns = {
   ...{ clockMs: 0, startedAtMs: 1, running: [], ended: [], mayLackEnds: false },
 };
-const ANNOUNCEMENT: WorkerAnnouncement = {
-  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-  ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-  capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-};
+const ANNOUNCEMENT = createAnnouncement();
 
 function createDetector(): { readonly detector: CrashDetector; readonly clock: ManualClock } {
   const clock = new ManualClock();
--- a/tests/coordination/pool/orderExecutorTests.ts
+++ b/tests/coordination/pool/orderExecutorTests.ts
@@ -6,21 +6,15 @@
 import { CrashDetector } from "../../../src/coordination/pool/CrashDetector.ts";
 import type { FencingToken } from "../../../src/coordination/pool/FencingToken.ts";
 import { OrderExecutor } from "../../../src/coordination/pool/OrderExecutor.ts";
-import type {
-  WorkerAnnouncement,
-  WorkerCallFailure,
-} from "../../../src/protocol/platform/PoolWorker.ts";
+import type { WorkerCallFailure } from "../../../src/protocol/platform/PoolWorker.ts";
 import { NO_RESOURCES } from "../../../src/protocol/Resources.ts";
 import { createFencingToken } from "../../support/createWorkerAgent.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
-import { POOL } from "../../support/poolFixtures.ts";
+import { createAnnouncement } from "../../support/poolFixtures.ts";
 import { SilentWorker } from "../../support/SilentWorker.ts";
 
-const ANNOUNCEMENT: WorkerAnnouncement = {
-  ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-  ...{ draining: false, drainRemainingMs: undefined, labels: [], capacity: NO_RESOURCES },
-};
+const ANNOUNCEMENT = createAnnouncement({ capacity: NO_RESOURCES });
 const RUN = { task: "a", run: 1 };
 const CALL = {
   ...{ epoch: 1, worker: "i-1@1", leaseUntilMs: 6_000, capacity: NO_RESOURCES },
--- a/tests/coordination/pool/shrinkingWorkerTests.ts
+++ b/tests/coordination/pool/shrinkingWorkerTests.ts
@@ -4,7 +4,7 @@
  */
 import test, { type ExecutionContext } from "ava";
 import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
-import { createJobId, createStep } from "../../support/poolFixtures.ts";
+import { createJobId, createObserveCall, createStep } from "../../support/poolFixtures.ts";
 import { SeededRandom } from "../../support/SeededRandom.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 import {
@@ -294,15 +294,14 @@
 test("PoolWorkerAgent reports a changed capacity as soon as it is announced", async (t) => {
   const simulation = new PoolSimulation();
   const agent = await simulation.addAgent("agent-0", FULL_MILLI);
-  const call = { epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0 };
-  const nothingKnown = { knownVersion: 0, knownProcess: "" };
-  await agent.workerAgent.observe({ ...call, ...nothingKnown, waitMs: 0 });
+  const call = createObserveCall();
+  await agent.workerAgent.observe(call);
   await simulation.clock.advance(2 * HEARTBEAT_MS);
-  const first = await agent.workerAgent.observe({ ...call, ...nothingKnown, waitMs: 0 });
+  const first = await agent.workerAgent.observe(call);
   const known =
     first.kind === "answered"
       ? { knownVersion: first.value.version, knownProcess: first.value.process }
-      : nothingKnown;
+      : {};
   const answers: number[] = [];
   void agent.workerAgent.observe({ ...call, ...known, waitMs: 10_000 }).then((outcome) => {
     if (outcome.kind === "answered") {
--- a/tests/coordination/pool/workerClockJumpTests.ts
+++ b/tests/coordination/pool/workerClockJumpTests.ts
@@ -2,7 +2,7 @@
  * Workers that start again with an earlier start time than their predecessor, since a clock jumped,
  * over a network with delays in virtual time.
  */
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { DelayedPoolSimulation } from "./DelayedPoolSimulation.ts";
 import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
@@ -19,10 +19,15 @@
 const WATCH_MS = 12_000;
 const MAX_LEASE_MS = 6_000;
 
-function createSimulation(): DelayedPoolSimulation {
+/** Creates a pool with one agent, whose worker has announced itself. */
+async function createFixture(t: ExecutionContext) {
+  t.log(`seed ${SEED}`);
   const simulation = new DelayedPoolSimulation(SEED);
   simulation.maxLeaseMs = MAX_LEASE_MS;
-  return simulation;
+  const entry = simulation.addEntry("entry-0");
+  const agent = await simulation.addAgent("agent-0");
+  await simulation.clock.advance(STEADY_MS);
+  return { simulation, clock: simulation.clock, entry, agent };
 }
 
 function submit(simulation: DelayedPoolSimulation, entry: SimulatedEntry, id: string): void {
@@ -36,12 +41,7 @@
 // agent never accepts as its start time is earlier, and the run counts as ended with the lease of the
 // one before, although the next one runs it for longer.
 test("PoolScheduler starts no run twice on a worker that started again with an earlier start time", async (t) => {
-  t.log(`seed ${SEED}`);
-  const simulation = createSimulation();
-  const { clock } = simulation;
-  const entry = simulation.addEntry("entry-0");
-  const agent = await simulation.addAgent("agent-0");
-  await clock.advance(STEADY_MS);
+  const { simulation, clock, entry, agent } = await createFixture(t);
   submit(simulation, entry, createJobId(1));
   await clock.advance(UNDER_WAY_MS);
   simulation.replaceWorkerBy(agent, { id: agent.name, bornShiftMs: JUMP_MS });
@@ -54,12 +54,7 @@
 // Guards against: a late heartbeat of a worker that has crashed, whose start time is later than that
 // of its successor, replaces the successor, and all runs there count as lost at once.
 test("PoolScheduler starts no run twice after a late heartbeat of a predecessor with a later start time", async (t) => {
-  t.log(`seed ${SEED}`);
-  const simulation = createSimulation();
-  const { clock } = simulation;
-  const entry = simulation.addEntry("entry-0");
-  const agent = await simulation.addAgent("agent-0");
-  await clock.advance(STEADY_MS);
+  const { simulation, clock, entry, agent } = await createFixture(t);
   const late = agent.worker.announce();
   // The agent's next process accepts the successor, as it does not know the predecessor.
   simulation.replaceWorkerBy(agent, { id: "agent-0-next", bornShiftMs: JUMP_MS });
--- a/tests/coordination/pool/workerReportTests.ts
+++ b/tests/coordination/pool/workerReportTests.ts
@@ -5,16 +5,14 @@
 import type { WorkerReport } from "../../../src/coordination/pool/AgentChannel.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 import type { SimulatedAgent } from "./simulatedPool.ts";
+import { createObserveCall } from "../../support/poolFixtures.ts";
 
 const SILENCE_MS = 4_000;
 /** Longer than the time between two readings, in milliseconds. */
 const READING_MS = 1_500;
-/** What a scheduler says that has received no report. */
-const NOTHING_KNOWN = { knownVersion: 0, knownProcess: "" };
 
 async function observe(agent: SimulatedAgent, epoch: number): Promise<WorkerReport | undefined> {
-  const call = { epoch, worker: "", leaseUntilMs: undefined, ackedEnd: 0, ...NOTHING_KNOWN };
-  const outcome = await agent.workerAgent.observe({ ...call, waitMs: 0 });
+  const outcome = await agent.workerAgent.observe(createObserveCall({ epoch }));
   return outcome.kind === "answered" ? outcome.value.worker : undefined;
 }
 
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -15,15 +15,12 @@
 import { createWorkerAgent } from "../support/createWorkerAgent.ts";
 import { ManualClock } from "../support/ManualClock.ts";
 import { MemoryLog } from "../support/MemoryLog.ts";
-import { POOL } from "../support/poolFixtures.ts";
+import { POOL, createObserveCall } from "../support/poolFixtures.ts";
 import { SilentWorker } from "../support/SilentWorker.ts";
 
 const WORKER_ADDRESS = "10.0.0.9:8080";
 const TIMEOUT_MS = 2_000;
-const OBSERVE_CALL = {
-  ...{ epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 },
-  ...{ knownVersion: 0, knownProcess: "" },
-};
+const OBSERVE_CALL = createObserveCall();
 
 interface Fixture {
   readonly agent: PoolWorkerAgent;
--- a/tests/support/createWorkerAgent.ts
+++ b/tests/support/createWorkerAgent.ts
@@ -7,7 +7,7 @@
 import type { Log } from "../../src/protocol/platform/Log.ts";
 import type { PoolWorker } from "../../src/protocol/platform/PoolWorker.ts";
 import { MemoryLog } from "./MemoryLog.ts";
-import { POOL } from "./poolFixtures.ts";
+import { createAnnouncement } from "./poolFixtures.ts";
 
 /**
  * Announces an incarnation of the worker "i-1" to its agent.
@@ -15,11 +15,7 @@
  * @param startedAtMs - Start of the incarnation, in Unix milliseconds.
  */
 export function announceWorker(agent: PoolWorkerAgent, startedAtMs: number): void {
-  agent.handleAnnouncement({
-    ...{ id: "i-1", startedAtMs, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
-    ...{ draining: false, drainRemainingMs: undefined, labels: [] },
-    capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
-  });
+  agent.handleAnnouncement(createAnnouncement({ startedAtMs }));
 }
 
 /**
--- a/tests/support/poolFixtures.ts
+++ b/tests/support/poolFixtures.ts
@@ -1,9 +1,9 @@
 /**
  * Steps, jobs and worker reports for tests of pool scheduling.
  */
-import type { WorkerReport } from "../../src/coordination/pool/AgentChannel.ts";
+import type { ObserveCall, WorkerReport } from "../../src/coordination/pool/AgentChannel.ts";
 import type { StepDefinition } from "../../src/protocol/pool/JobDefinition.ts";
-import type { EndedRun } from "../../src/protocol/platform/PoolWorker.ts";
+import type { EndedRun, WorkerAnnouncement } from "../../src/protocol/platform/PoolWorker.ts";
 import type { JobRecord } from "../../src/state/pool/records.ts";
 
 /** Name of the pool of all fixtures. */
@@ -66,6 +66,33 @@
   };
 }
 
+/**
+ * Creates the announcement of the first incarnation of the worker "i-1".
+ * @param overrides - Properties to override.
+ */
+export function createAnnouncement(
+  overrides: Partial<WorkerAnnouncement> = {},
+): WorkerAnnouncement {
+  return {
+    ...{ id: "i-1", startedAtMs: 1, pool: POOL, zone: "zone-a", rack: "rack-1", sequence: 1 },
+    ...{ draining: false, drainRemainingMs: undefined, labels: [] },
+    capacity: { processorsMilli: 1_000, memoryBytes: 1_000, accelerators: 0 },
+    ...overrides,
+  };
+}
+
+/**
+ * Creates the call of a scheduler that has received no report of the agent.
+ * @param overrides - Properties to override.
+ */
+export function createObserveCall(overrides: Partial<ObserveCall> = {}): ObserveCall {
+  return {
+    ...{ epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0, waitMs: 0 },
+    ...{ knownVersion: 0, knownProcess: "" },
+    ...overrides,
+  };
+}
+
 /**
  * Creates the report of a worker.
  * @param overrides - Properties to override.
--- a/tests/transport/pool/connectAgentChannelTests.ts
+++ b/tests/transport/pool/connectAgentChannelTests.ts
@@ -19,14 +19,12 @@
 import { waitUntil } from "../../../standins/cluster/waitUntil.ts";
 import { findFreeAddress } from "../../../standins/support/freePorts.ts";
 import { MemoryLog } from "../../support/MemoryLog.ts";
+import { createObserveCall } from "../../support/poolFixtures.ts";
 
 const TIMEOUT_MS = 1_000;
 const WAIT_LIMIT_MS = 5_000;
 
-const OBSERVE: ObserveCall = {
-  ...{ epoch: 1, worker: "", leaseUntilMs: undefined, ackedEnd: 0 },
-  ...{ knownVersion: 0, knownProcess: "", waitMs: 0 },
-};
+const OBSERVE = createObserveCall();
 
 /** Agent that answers when the test says so. */
 class ScriptedAgent {
