--- a/tests/coordination/pool/agentFencingTests.ts
+++ b/tests/coordination/pool/agentFencingTests.ts
@@ -95,7 +95,7 @@
   const worker = new FencingWorker(clock);
   /** A mark for each registration that is due. */
   const due: string[] = [];
-  const agent = createWorkerAgent(worker, clock, new MemoryLog(), 1, () => due.push("due"));
+  const agent = createWorkerAgent(worker, clock, { onRegistrationDue: () => due.push("due") });
   agent.start();
   announceWorker(agent, 1);
   await observe(agent);
@@ -194,7 +194,7 @@
 
 /** Creates a second agent process beside the first one, registered later, whose call the worker has seen. */
 async function createSuccessor({ clock, worker }: Awaited<ReturnType<typeof createFixture>>) {
-  const successor = createWorkerAgent(worker, clock, new MemoryLog(), LATER_REVISION);
+  const successor = createWorkerAgent(worker, clock, { revision: LATER_REVISION });
   successor.start();
   announceWorker(successor, 1);
   await observe(successor);
--- a/tests/coordination/pool/poolWorkerAgentTests.ts
+++ b/tests/coordination/pool/poolWorkerAgentTests.ts
@@ -24,7 +24,7 @@
   const clock = new ManualClock();
   const worker = new SilentWorker(clock);
   const log = new MemoryLog();
-  const agent = createWorkerAgent(worker, clock, log);
+  const agent = createWorkerAgent(worker, clock, { log });
   agent.start();
   announceWorker(agent, 1);
   const call = { epoch: 1, worker: "i-1@1", leaseUntilMs: LEASE_UNTIL_MS, ackedEnd: 0 };
--- a/tests/platform/heartbeatServerTests.ts
+++ b/tests/platform/heartbeatServerTests.ts
@@ -58,7 +58,7 @@
   const clock = new ManualClock();
   const log = new MemoryLog();
   const worker = new SilentWorker(clock);
-  const agent = createWorkerAgent(worker, clock, log);
+  const agent = createWorkerAgent(worker, clock, { log });
   await agent.observe(OBSERVE_CALL);
   const deps = { address, workerAddress: WORKER_ADDRESS, pool: POOL, workerAgent: agent, log };
   const server = new HeartbeatServer(deps);
--- a/tests/support/createWorkerAgent.ts
+++ b/tests/support/createWorkerAgent.ts
@@ -28,24 +28,28 @@
   return fencingToken;
 }
 
+/** What tests may choose of an agent. */
+interface WorkerAgentOptions {
+  readonly log?: Log;
+  /** Revision of its registration. */
+  readonly revision?: number;
+  readonly onRegistrationDue?: () => void;
+}
+
 /**
  * Creates an agent whose process is registered in the store.
  * @param worker - Its worker.
  * @param clock - Its clock.
- * @param log - Its log.
- * @param revision - Revision of its registration.
- * @param onRegistrationDue - Called when it needs a later one.
+ * @param options - Its other properties.
  */
 export function createWorkerAgent(
   worker: PoolWorker,
   clock: Clock,
-  log: Log = new MemoryLog(),
-  revision = 1,
-  onRegistrationDue = (): void => undefined,
+  { log = new MemoryLog(), revision = 1, onRegistrationDue }: WorkerAgentOptions = {},
 ): PoolWorkerAgent {
   const agent = new PoolWorkerAgent({
     ...{ worker, clock, log, process: `p-${revision}` },
-    onRegistrationDue,
+    onRegistrationDue: onRegistrationDue ?? (() => undefined),
   });
   agent.register(revision);
   return agent;
