--- a/tests/integration/jobPathTests.ts
+++ b/tests/integration/jobPathTests.ts
@@ -1,9 +1,10 @@
 /**
  * End-to-end tests of batch jobs with the built binary in separate processes.
  */
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { z } from "zod";
 import { Cluster } from "../../standins/cluster/Cluster.ts";
+import type { ClusterOptions } from "../../standins/cluster/ClusterOptions.ts";
 import { callJson } from "../../standins/cluster/httpJson.ts";
 import { waitUntil } from "../../standins/cluster/waitUntil.ts";
 import { findTaskViolations } from "../../standins/history/taskHistory.ts";
@@ -26,6 +27,22 @@
   command: "run 1000",
 };
 
+/** Starts a cluster; a test that fails shows the starts of its tasks and the logs of its processes. */
+async function startCluster(
+  t: ExecutionContext,
+  options: Partial<ClusterOptions>,
+): Promise<Cluster> {
+  const cluster = await Cluster.start(options);
+  t.teardown(async () => {
+    if (!t.passed) {
+      t.log(JSON.stringify(cluster.readWorkerEvents().filter(({ event }) => event !== "step")));
+      t.log(cluster.collectLogs());
+    }
+    await cluster.stop();
+  });
+  return cluster;
+}
+
 /** Submits a job, and again with the same key after a refusal with status 503. */
 async function submit(cluster: Cluster, spec: object): Promise<string> {
   const url = `http://${cluster.getEntry().api}/v1/jobs`;
@@ -73,8 +90,7 @@
 }
 
 test.serial("a batch job runs every task once and is reported as completed", async (t) => {
-  const cluster = await Cluster.start({ entries: 1 });
-  t.teardown(() => cluster.stop());
+  const cluster = await startCluster(t, { entries: 1 });
   const id = await submit(cluster, SPEC);
   t.is(
     await submit(cluster, SPEC),
@@ -91,11 +107,10 @@
 });
 
 test.serial("a batch job survives the failure of a VM and of two of three entries", async (t) => {
-  const cluster = await Cluster.start({
+  const cluster = await startCluster(t, {
     entries: 3,
     entrySettings: SHORT_LEASES,
   });
-  t.teardown(() => cluster.stop());
   const id = await submit(cluster, { ...SPEC, command: "run 4000" });
   await waitUntil("tasks run on both VMs", JOB_TIMEOUT_MS, () =>
     Promise.resolve(getBusyVms(cluster).size === 2),
@@ -116,8 +131,7 @@
 test.serial(
   "a batch job is neither lost nor duplicated while responses of the store are lost",
   async (t) => {
-    const cluster = await Cluster.start({ entries: 2, entrySettings: SHORT_LEASES });
-    t.teardown(() => cluster.stop());
+    const cluster = await startCluster(t, { entries: 2, entrySettings: SHORT_LEASES });
     await cluster.setStoreFaults({ lostAnswerShare: 0.1, seed: 20_261_203 });
     const ids = await Promise.all(
       [1, 2, 3, 4].map(async (index) =>
@@ -135,8 +149,7 @@
 test.serial(
   "new jobs are refused promptly and running tasks continue during a store outage",
   async (t) => {
-    const cluster = await Cluster.start({ entries: 1 });
-    t.teardown(() => cluster.stop());
+    const cluster = await startCluster(t, { entries: 1 });
     const id = await submit(cluster, { ...SPEC, command: "run 6000" });
     await waitUntil("all tasks run", JOB_TIMEOUT_MS, () =>
       Promise.resolve(countStarts(cluster) === SPEC.tasks),
@@ -162,8 +175,7 @@
 test.serial(
   "an owner and a worker that were paused past their leases double no task",
   async (t) => {
-    const cluster = await Cluster.start({ entries: 2, entrySettings: SHORT_LEASES });
-    t.teardown(() => cluster.stop());
+    const cluster = await startCluster(t, { entries: 2, entrySettings: SHORT_LEASES });
     const id = await submit(cluster, { ...SPEC, command: "run 5000" });
     await waitUntil("tasks run on both VMs", JOB_TIMEOUT_MS, () =>
       Promise.resolve(getBusyVms(cluster).size === 2),
