Log what waits in each queue, how busy an entry is, and for how long the store was silent before a configuration

Nothing in the log told waiting for room from waiting for decisions, an entry that is overloaded from one whose link is full, or a configuration that the store handed out late from one that was applied late.

--- a/src/coordination/pool/PoolScheduler.ts
+++ b/src/coordination/pool/PoolScheduler.ts
@@ -16,6 +16,7 @@
 import { JobUpdater } from "./JobUpdater.ts";
 import { OrderSender } from "./OrderSender.ts";
 import { PaceController } from "./PaceController.ts";
+import { PoolLoadLog } from "./PoolLoadLog.ts";
 import { PoolState } from "./PoolState.ts";
 import type { PoolSchedulerDependencies } from "./PoolSchedulerDependencies.ts";
 import { InterferenceWriter } from "./InterferenceWriter.ts";
@@ -61,6 +62,7 @@
   private readonly _pacing: PaceController;
   private readonly _sessions: AgentSessionTable;
   private readonly _cycleTimer: CycleTimer;
+  private readonly _loadLog: PoolLoadLog;
   private _tickTimer: Timer | undefined;
   private _isStopped = false;
   /** Whether the last cycle left runs that start once earlier orders have results. */
@@ -119,6 +121,7 @@
     });
     this._sessions = this._createSessionTable();
     this._watch = this._createWatch();
+    this._loadLog = new PoolLoadLog({ pool, ...shared });
   }
 
   /** State of the pool. */
@@ -343,6 +346,7 @@
     this._grants.tick();
     this._interferenceWriter.tick();
     this._jobUpdater.openDueOccurrences(timeOfDayMs);
+    this._loadLog.tick(timeOfDayMs);
     this._scheduleCycle();
   }
 
--- a/src/coordination/pool/QueueRegistry.ts
+++ b/src/coordination/pool/QueueRegistry.ts
@@ -46,21 +46,23 @@
   /**
    * Applies changed keys of the store.
    * @param changes - Changed keys with their values.
+   * @param silentBeforeMs - Time between the response of the store that has them and the one before,
+   *   in milliseconds: at most so long had they been there.
    */
-  apply(changes: readonly StoreChange[]): void {
+  apply(changes: readonly StoreChange[], silentBeforeMs?: number): void {
     changes
       .filter(({ key }) => key === this._decoder.key)
       .forEach(({ value, revision }) => {
         if (value !== undefined) {
-          this._applyText(value, revision);
+          this._applyText(value, revision, silentBeforeMs);
         }
       });
   }
 
-  private _applyText(text: string, revision: number): void {
+  private _applyText(text: string, revision: number, silentBeforeMs?: number): void {
     this._decoder.decode(text).match(
       (document) => {
-        this._set(document);
+        this._set(document, silentBeforeMs);
       },
       (reason) => {
         this._log.error("The configuration of queues cannot be decoded; it is ignored.", {
@@ -71,7 +73,7 @@
     );
   }
 
-  private _set(document: QueueDocument): void {
+  private _set(document: QueueDocument, silentBeforeMs?: number): void {
     const { version } = document;
     const known = this._current?.document.version;
     if (known !== undefined && version <= known) {
@@ -82,6 +84,7 @@
     this._log.info("A new configuration of queues is in effect.", {
       version,
       queues: document.queues.length,
+      ...(silentBeforeMs === undefined ? {} : { silentBeforeMs: Math.round(silentBeforeMs) }),
     });
     this._onChange(document);
   }
--- a/src/coordination/pool/StoreFollower.ts
+++ b/src/coordination/pool/StoreFollower.ts
@@ -65,6 +65,7 @@
   private _relistCount = 0;
   private _isReachable = true;
   private _answeredAt = Number.NEGATIVE_INFINITY;
+  private _silentBeforeMs: number | undefined;
   private _behindSince: number | undefined;
 
   /**
@@ -86,6 +87,14 @@
     return this._answeredAt;
   }
 
+  /**
+   * Time between the last two responses of the store, in milliseconds; undefined before the second
+   * one. A change that the last one has had been there for so long at most.
+   */
+  get silentBeforeMs(): number | undefined {
+    return this._silentBeforeMs;
+  }
+
   /**
    * Revision up to which all changes have been received; undefined while the keys are not known
    * completely.
@@ -188,7 +197,7 @@
       return listing.error;
     }
     const { entries, revision } = listing.value;
-    this._answeredAt = this._deps.clock.now();
+    this._noteResponse();
     this._revision = revision;
     this._deliver(() => {
       this._deps.onListing(entries, revision);
@@ -204,12 +213,19 @@
       return changes.error;
     }
     if (this._isCurrent(relistCount)) {
-      this._answeredAt = this._deps.clock.now();
+      this._noteResponse();
       this._applyChanges(after, changes.value);
     }
     return undefined;
   }
 
+  private _noteResponse(): void {
+    const now = this._deps.clock.now();
+    const silentMs = now - this._answeredAt;
+    this._silentBeforeMs = Number.isFinite(silentMs) ? silentMs : undefined;
+    this._answeredAt = now;
+  }
+
   /** Applies the changes that another call has not received before. */
   private _applyChanges(after: number, { changes, revision }: StoreChanges): void {
     const known = this._revision;
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -14,9 +14,10 @@
 import { SubmissionService } from "../../coordination/pool/SubmissionService.ts";
 import type { ListenError } from "../../protocol/errors/errors.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
-import type { Store } from "../../protocol/platform/Store.ts";
+import type { Store, StoreChange } from "../../protocol/platform/Store.ts";
 import type { QueueDecoder } from "../../protocol/pool/QueueDecoder.ts";
 import type { PoolEntrySettings } from "../../protocol/settings/PoolEntrySettings.ts";
+import { getProcessUsage, ProcessLoadLog } from "../platform/ProcessLoadLog.ts";
 import { SystemClock } from "../platform/SystemClock.ts";
 import { SystemRandom } from "../platform/SystemRandom.ts";
 import { ConnectAgentChannel } from "./ConnectAgentChannel.ts";
@@ -88,6 +89,7 @@
   private readonly _configFollower: StoreFollower;
   private readonly _silenceMonitor: StoreSilenceMonitor;
   private readonly _frontend: SubmissionFrontend;
+  private readonly _loadLog: ProcessLoadLog;
   private _isDraining = false;
 
   /**
@@ -118,7 +120,9 @@
       this._coordinator.catalog.setQueues(queues);
       this._coordinator.setPools(pools.map((pool) => pool.name));
     });
-    const apply = this._queues.apply.bind(this._queues);
+    const apply = (changes: readonly StoreChange[]): void => {
+      this._queues.apply(changes, this._configFollower.silentBeforeMs);
+    };
     this._configFollower = new StoreFollower({
       ...shared,
       log: log.child("queues"),
@@ -127,6 +131,8 @@
       onListing: apply,
       onChanges: apply,
     });
+    const getUsage = getProcessUsage;
+    this._loadLog = new ProcessLoadLog({ clock: this._clock, log, getUsage });
     this._frontend = deps.createFrontend({
       submissions: this._createSubmissions(store),
       queues: this._queues,
@@ -143,6 +149,7 @@
     if (listening.isErr()) {
       return err(listening.error);
     }
+    this._loadLog.start();
     this._configFollower.start();
     this._coordinator.start();
     const { name, zone } = settings.entry;
@@ -161,6 +168,7 @@
     this._coordinator.stop();
     this._configFollower.stop();
     this._silenceMonitor.stop();
+    this._loadLog.stop();
     this._channel.close();
     this._deps.log.info("Entry ended.");
   }
--- a/tests/coordination/pool/storeFollowerTests.ts
+++ b/tests/coordination/pool/storeFollowerTests.ts
@@ -217,3 +217,22 @@
   t.is(store.watchWaits.at(-1), undefined);
   follower.stop();
 });
+
+// Guards against a change that was in force late without a line that says how long it had been there.
+test("StoreFollower says how long the store was silent before its last response", async (t) => {
+  const clock = new ManualClock();
+  const store = new UnreliableStore(clock);
+  const silences: (number | undefined)[] = [];
+  const follower = new StoreFollower({
+    ...{ store, clock, random: new SeededRandom(1), log: new MemoryLog() },
+    ...{ prefix: PREFIX, minIntervalMs: 0 },
+    onListing: () => silences.push(follower.silentBeforeMs),
+    onChanges: () => silences.push(follower.silentBeforeMs),
+  });
+  follower.start();
+  await clock.advance(100);
+  store.put(1, "a");
+  await clock.advance(50);
+  follower.stop();
+  t.deepEqual(silences, [undefined, 100]);
+});
