--- a/src/state/pool/progressValue.ts
+++ b/src/state/pool/progressValue.ts
@@ -102,27 +102,28 @@
  * @param progress - The progress.
  */
 export function formatProgress({ phase, tasks }: ProgressRecord): string {
-  const done = new Map<string, DoneRange[]>();
+  const done: Record<string, DoneRange[]> = {};
   const runs = new Map<string, RunGroup>();
   const checkpoints: Record<string, string> = {};
   const others: Record<string, OtherProgress> = {};
-  Object.entries(tasks).forEach(([position, { active = [], checkpoint, ...other }]) => {
+  Object.entries(tasks).forEach(([position, task]) => {
+    const { run, active, checkpoint } = task;
     const { step, index } = splitPosition(position);
-    active.forEach((run) => {
-      addRun(runs, step, index, run);
+    active?.forEach((activeRun) => {
+      addRun(runs, step, index, activeRun);
     });
     if (checkpoint !== undefined) {
       checkpoints[position] = checkpoint;
     }
-    if (active.length === 0 && isOnlyDone(other)) {
-      addDone(done, step, [other.run ?? 0, index, index]);
-    } else if (!(active.length === 1 && isOnlyRun(other, active[0]?.run))) {
-      others[position] = other;
+    if (hasMore(task) || !isStoredInShort(task)) {
+      others[position] = getOtherProgress(task);
+    } else if (task.done === true) {
+      addDone((done[step] ??= []), [run ?? 0, index, index]);
     }
   });
   const stored: StoredProgress = {
     phase,
-    done: Object.fromEntries(done),
+    done,
     runs: [...runs.values()].map(({ agent, worker, run, step, indices }) => {
       return [agent, worker, run, step, indices];
     }),
@@ -155,24 +156,32 @@
   return expand(JSON.parse(value) as StoredProgress);
 }
 
-/** Whether there is nothing else to store of a task than that a run of it is done. */
-function isOnlyDone({ run, done, ...others }: OtherProgress): boolean {
-  return done === true && run !== undefined && Object.values(others).every(isAbsent);
+function getOtherProgress(task: TaskRecord): OtherProgress {
+  const { run, done, failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp } =
+    task;
+  return { run, done, failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp };
 }
 
-/** Whether there is nothing else to store of a task than its last run. */
-function isOnlyRun({ run, ...others }: OtherProgress, lastRun: number | undefined): boolean {
-  return run === lastRun && Object.values(others).every(isAbsent);
+/** Returns whether there is more to store of a task than its runs, its end and its checkpoint. */
+function hasMore(task: TaskRecord): boolean {
+  const { failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp } = task;
+  return [failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp].some(
+    (value) => value !== undefined,
+  );
 }
 
-function isAbsent(value: unknown): boolean {
-  return value === undefined;
+/** Returns whether a task is done, or its only active run is its last one. */
+function isStoredInShort({ run, done, active }: TaskRecord): boolean {
+  if (run === undefined) {
+    return false;
+  }
+  return active === undefined
+    ? done === true
+    : active.length === 1 && active[0]?.run === run && done !== true;
 }
 
 /** Adds a task that is done; tasks come in the order of their indices. */
-function addDone(done: Map<string, DoneRange[]>, step: string, range: DoneRange): void {
-  const ranges = done.get(step) ?? [];
-  done.set(step, ranges);
+function addDone(ranges: DoneRange[], range: DoneRange): void {
   const [run, first, last] = range;
   const before = ranges.at(-1);
   if (before?.[0] === run && before[2] === first - 1) {
