--- a/src/state/pool/JobCatalog.ts
+++ b/src/state/pool/JobCatalog.ts
@@ -6,7 +6,7 @@
 import type { StoreChange } from "../../protocol/platform/Store.ts";
 import { getEndpoint, type QueueConfig } from "../../protocol/pool/QueueConfig.ts";
 import { applyEach } from "./applyEach.ts";
-import { getQueueDigests, parseJobKey, type JobKey } from "./PoolKeys.ts";
+import { getQueueDigests, parseJobKey, PROGRESS_PREFIX, type JobKey } from "./PoolKeys.ts";
 import { parseProgress } from "./progressValue.ts";
 import {
   parseJobRecord,
@@ -112,7 +112,8 @@
    * @param changes - Keys with their values; a deleted key has none.
    */
   apply(changes: readonly StoreChange[]): void {
-    applyEach(changes, this._applyChange.bind(this), this._listener.onUnreadable);
+    const latest = dropOutdatedProgress(changes);
+    applyEach(latest, this._applyChange.bind(this), this._listener.onUnreadable);
   }
 
   /**
@@ -255,6 +256,17 @@
   }
 }
 
+/**
+ * Drops progress that later changes in the same response replace: that of a job is written with each
+ * change of a task, and reading it is most of what an entry does that schedules nothing.
+ */
+function dropOutdatedProgress(changes: readonly StoreChange[]): readonly StoreChange[] {
+  const lastRevisions = new Map(changes.map(({ key, revision }) => [key, revision]));
+  return changes.filter(
+    ({ key, revision }) => !key.startsWith(PROGRESS_PREFIX) || lastRevisions.get(key) === revision,
+  );
+}
+
 /**
  * Returns whether a job belongs to a queue. The endpoint decides, by which submitters name the queue;
  * the name does where it is all that is known.
--- a/tests/state/pool/jobCatalogTests.ts
+++ b/tests/state/pool/jobCatalogTests.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { formatJobKey } from "../../../src/state/pool/PoolKeys.ts";
 import { JobCatalog } from "../../../src/state/pool/JobCatalog.ts";
+import { formatProgress } from "../../../src/state/pool/progressValue.ts";
 import type { JobRecord } from "../../../src/state/pool/records.ts";
 import { createStep, POOL } from "../../support/poolFixtures.ts";
 
@@ -51,6 +52,26 @@
   );
 });
 
+// Guards against entries that spend their processors on progress that is replaced a moment later.
+test("JobCatalog reads only the last of the changes of a job's progress that arrive together", (t) => {
+  const unreadable: string[] = [];
+  const catalog = new JobCatalog({
+    onAccepted: () => undefined,
+    onCancelled: () => undefined,
+    onUnreadable: (key) => unreadable.push(key),
+  });
+  const key = formatJobKey({ kind: "progress", pool: POOL, job: "a" });
+  const last = formatProgress({ phase: "completed", tasks: {} });
+  catalog.apply([
+    createJobEntry("a", 5),
+    { key, value: "not read", revision: 6 },
+    { key, value: last, revision: 7 },
+  ]);
+  t.deepEqual(unreadable, []);
+  t.is(catalog.getJob("a")?.phase, "completed");
+  t.is(catalog.getJob("a")?.progressRevision, 7);
+});
+
 test("JobCatalog retains the latest progress of a job, whichever order it arrives in", (t) => {
   const catalog = createCatalog();
   catalog.apply([createJobEntry("a", 5)]);
