--- a/tests/coordination/pool/submissionRepeatTests.ts
+++ b/tests/coordination/pool/submissionRepeatTests.ts
@@ -4,19 +4,15 @@
  */
 import test from "ava";
 import { ResultAsync } from "neverthrow";
-import { MonitoredStore } from "../../../src/coordination/pool/MonitoredStore.ts";
-import { StoreSilenceMonitor } from "../../../src/coordination/pool/StoreSilenceMonitor.ts";
-import { SubmissionService } from "../../../src/coordination/pool/SubmissionService.ts";
 import type {
   StoreFailure,
   StoreWrite,
   WriteResult,
 } from "../../../src/protocol/platform/Store.ts";
-import { JobCatalog } from "../../../src/state/pool/JobCatalog.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
-import { MemoryLog } from "../../support/MemoryLog.ts";
-import { createStep, POOL } from "../../support/poolFixtures.ts";
+import { createStep } from "../../support/poolFixtures.ts";
+import { createSubmissionService } from "./createSubmissionService.ts";
 import { QUEUE } from "./simulatedPool.ts";
 
 const ID = "0000000000000001";
@@ -46,19 +42,7 @@
 function createSetup() {
   const clock = new ManualClock();
   const store = new SlowResponseStore(clock);
-  const ignore = (): void => undefined;
-  const catalog = new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore });
-  const log = new MemoryLog();
-  const silenceMonitor = new StoreSilenceMonitor({ store, clock, log });
-  const submissions = new SubmissionService({
-    store: new MonitoredStore(store, silenceMonitor),
-    silenceMonitor,
-    clock,
-    log,
-    catalog,
-    getPools: () => [POOL],
-    getTimeOfDay: () => clock.now(),
-  });
+  const { submissions } = createSubmissionService(clock, store);
   const getDeadline = (): number => clock.now() + SUBMITTER_TIMEOUT_MS;
   return { clock, store, submissions, getDeadline };
 }
--- a/tests/coordination/pool/submissionServiceTests.ts
+++ b/tests/coordination/pool/submissionServiceTests.ts
@@ -4,8 +4,6 @@
  */
 import test from "ava";
 import { errAsync, ResultAsync } from "neverthrow";
-import { MonitoredStore } from "../../../src/coordination/pool/MonitoredStore.ts";
-import { StoreSilenceMonitor } from "../../../src/coordination/pool/StoreSilenceMonitor.ts";
 import {
   SubmissionService,
   type SubmissionOutcome,
@@ -16,11 +14,10 @@
   StoreWrite,
   WriteResult,
 } from "../../../src/protocol/platform/Store.ts";
-import { JobCatalog } from "../../../src/state/pool/JobCatalog.ts";
 import { MemoryStore } from "../../../standins/store/MemoryStore.ts";
 import { ManualClock } from "../../support/ManualClock.ts";
-import { MemoryLog } from "../../support/MemoryLog.ts";
-import { createStep, POOL } from "../../support/poolFixtures.ts";
+import { createStep } from "../../support/poolFixtures.ts";
+import { createSubmissionService } from "./createSubmissionService.ts";
 import { QUEUE } from "./simulatedPool.ts";
 
 /** Timeout of the store adapter's calls, in milliseconds. */
@@ -72,19 +69,7 @@
 function createSetup(storeTimeoutMs = STORE_TIMEOUT_MS) {
   const clock = new ManualClock();
   const store = new SilentStore(clock, storeTimeoutMs);
-  const ignore = (): void => undefined;
-  const catalog = new JobCatalog({ onAccepted: ignore, onCancelled: ignore, onUnreadable: ignore });
-  const log = new MemoryLog();
-  const silenceMonitor = new StoreSilenceMonitor({ store, clock, log });
-  const submissions = new SubmissionService({
-    store: new MonitoredStore(store, silenceMonitor),
-    silenceMonitor,
-    clock,
-    log,
-    catalog,
-    getPools: () => [POOL],
-    getTimeOfDay: () => clock.now(),
-  });
+  const { log, silenceMonitor, submissions } = createSubmissionService(clock, store);
   const respond = async <T>(
     call: (service: SubmissionService, deadline: number) => Promise<T>,
   ): Promise<Response<T>> => {
