--- a/src/state/pool/progressValue.ts
+++ b/src/state/pool/progressValue.ts
@@ -198,7 +198,8 @@
   active: ActiveRunRecord,
 ): void {
   const { agent, worker, run } = active;
-  const key = [step, run, agent, worker].join(" ");
+  // With the length of a name, no two names together read like two others.
+  const key = [step, run, agent.length, agent, worker].join(" ");
   const group = groups.get(key) ?? { agent, worker, run, step, indices: [] };
   group.indices.push(index);
   groups.set(key, group);
--- a/tests/state/pool/progressValueTests.ts
+++ b/tests/state/pool/progressValueTests.ts
@@ -15,8 +15,12 @@
 const TASKS = 39;
 
 const run = fc.integer({ min: 1, max: 5 });
-const worker = fc.constantFrom("i-1@100", "i-2@100", "i-2@200");
-const activeRun = fc.record({ run, agent: fc.constantFrom("agent-a", "agent-b"), worker });
+const worker = fc.constantFrom("i-1@100", "i-2@100", "i-2@200", "a i-1@100");
+const activeRun = fc.record({
+  run,
+  agent: fc.constantFrom("agent-a", "agent-b", "agent-a a"),
+  worker,
+});
 const task: fc.Arbitrary<TaskRecord> = fc.record(
   {
     run,
