Leave no field of a task out of its progress in short that is added later

Two lists named the fields of a task besides the schema: one that was added to tasks and forgotten in the first of them would have been dropped for tasks that are done. The fields are counted now, and one place names those that are stored apart.

--- a/src/state/pool/progressValue.ts
+++ b/src/state/pool/progressValue.ts
@@ -5,7 +5,7 @@
  * all tasks of a step that it runs. Values of a former version, which have an object for each task,
  * are read as well; an entry of that version takes values of this one for unreadable.
  */
-import { err, ok, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { z } from "zod";
 import { counter32, milliseconds, wholeNumber } from "../../protocol/boundedFields.ts";
 import { MAX_JOB_TASKS } from "../../protocol/pool/JobDefinition.ts";
@@ -50,6 +50,9 @@
   readonly others: Readonly<Record<string, OtherProgress>>;
 }
 
+/** Fields that are not stored with the others. */
+const STORED_APART: ReadonlySet<string> = new Set(["active", "checkpoint"]);
+
 /** What is neither a done range, nor an active run, nor a checkpoint. */
 type OtherProgress = Omit<TaskRecord, "active" | "checkpoint">;
 
@@ -107,18 +110,18 @@
   const checkpoints: Record<string, string> = {};
   const others: Record<string, OtherProgress> = {};
   Object.entries(tasks).forEach(([position, task]) => {
-    const { run, active, checkpoint } = task;
+    const { active = [], checkpoint, run } = task;
     const { step, index } = splitPosition(position);
-    active?.forEach((activeRun) => {
+    active.forEach((activeRun) => {
       addRun(runs, step, index, activeRun);
     });
     if (checkpoint !== undefined) {
       checkpoints[position] = checkpoint;
     }
-    if (hasMore(task) || !isStoredInShort(task)) {
-      others[position] = getOtherProgress(task);
-    } else if (task.done === true) {
+    if (isOnlyDone(task)) {
       addDone((done[step] ??= []), [run ?? 0, index, index]);
+    } else if (!isOnlyRunning(task)) {
+      others[position] = getOtherProgress(task);
     }
   });
   const stored: StoredProgress = {
@@ -140,12 +143,7 @@
 export function parseProgress(value: string): Result<ProgressRecord, RecordError> {
   return parseRecord(value, StoredProgressSchema)
     .map(expand)
-    .orElse((error) =>
-      parseRecord(value, FormerProgressSchema).match(
-        (former) => ok(former),
-        () => err(error),
-      ),
-    );
+    .orElse((error) => parseRecord(value, FormerProgressSchema).mapErr(() => error));
 }
 
 /**
@@ -156,28 +154,30 @@
   return expand(JSON.parse(value) as StoredProgress);
 }
 
-function getOtherProgress(task: TaskRecord): OtherProgress {
-  const { run, done, failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp } =
-    task;
-  return { run, done, failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp };
+/** Returns whether there is nothing to store of a task but that its last run is done. */
+function isOnlyDone(task: TaskRecord): boolean {
+  const { run, done, active } = task;
+  return run !== undefined && done === true && active === undefined && countOthers(task) === 2;
 }
 
-/** Returns whether there is more to store of a task than its runs, its end and its checkpoint. */
-function hasMore(task: TaskRecord): boolean {
-  const { failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp } = task;
-  return [failures, crashes, crashedAfterMs, earlierAfterMs, crashedRun, givenUp].some(
-    (value) => value !== undefined,
-  );
+/** Returns whether there is nothing to store of a task but its only active run, which is its last. */
+function isOnlyRunning(task: TaskRecord): boolean {
+  const { run, active } = task;
+  return active?.length === 1 && active[0]?.run === run && countOthers(task) === 1;
 }
 
-/** Returns whether a task is done, or its only active run is its last one. */
-function isStoredInShort({ run, done, active }: TaskRecord): boolean {
-  if (run === undefined) {
-    return false;
-  }
-  return active === undefined
-    ? done === true
-    : active.length === 1 && active[0]?.run === run && done !== true;
+/**
+ * Counts the fields of a task that are not stored apart. They are not listed here, so that one which
+ * is added to tasks later is not left out.
+ */
+function countOthers(task: TaskRecord): number {
+  const { active, checkpoint } = task;
+  return Object.keys(task).length - Number(active !== undefined) - Number(checkpoint !== undefined);
+}
+
+function getOtherProgress(task: TaskRecord): OtherProgress {
+  const fields = Object.entries(task);
+  return Object.fromEntries(fields.filter(([field]) => !STORED_APART.has(field)));
 }
 
 /** Adds a task that is done; tasks come in the order of their indices. */
