Take the usage of a process from one place, and ask for the silence of the store where it is logged

The pool benchmark measured the entry's processor time and memory by code of its own. The time for which the store was silent went through three methods of the registry for the sake of one field of a log line.

--- a/bench/pool/entryMain.ts
+++ b/bench/pool/entryMain.ts
@@ -7,8 +7,8 @@
 import { PlatformStore } from "../../platform/PlatformStore.ts";
 import { readPoolEntrySettings } from "../../src/protocol/settings/PoolEntrySettings.ts";
 import { PinoLog } from "../../src/transport/log/PinoLog.ts";
+import { getProcessUsage } from "../../src/transport/platform/ProcessLoadLog.ts";
 import { PoolEntryProcess } from "../../src/transport/pool/PoolEntryProcess.ts";
-import type { EntryUsage } from "./messages.ts";
 
 const STORE_TIMEOUT_MS = 1_000;
 
@@ -25,9 +25,7 @@
 });
 process.on("disconnect", () => process.exit(0));
 process.on("message", () => {
-  const { user, system } = process.cpuUsage();
-  const residentBytes = process.memoryUsage.rss();
-  process.send?.({ processorUs: user + system, residentBytes } satisfies EntryUsage);
+  process.send?.(getProcessUsage());
 });
 (await entry.start())._unsafeUnwrap();
 process.send?.("ready");
--- a/bench/pool/messages.ts
+++ b/bench/pool/messages.ts
@@ -8,9 +8,3 @@
   /** Time of day in Unix milliseconds. */
   readonly startedAtMs: number;
 }
-
-/** What the entry has used since its start. */
-export interface EntryUsage {
-  readonly processorUs: number;
-  readonly residentBytes: number;
-}
--- a/bench/poolBench.ts
+++ b/bench/poolBench.ts
@@ -10,10 +10,11 @@
 import { waitUntil } from "../standins/cluster/waitUntil.ts";
 import { KvServer } from "../standins/platform/KvServer.ts";
 import { findFreeAddresses } from "../standins/support/freePorts.ts";
+import type { ProcessUsage } from "../src/transport/platform/ProcessLoadLog.ts";
 import { SeededRandom } from "../tests/support/SeededRandom.ts";
 import { Bench, type BenchContext } from "./Bench.ts";
 import { createBody, createId, JOB_KINDS, type JobKind } from "./pool/jobKinds.ts";
-import type { EntryUsage, FirstStart } from "./pool/messages.ts";
+import type { FirstStart } from "./pool/messages.ts";
 
 const WORKERS: readonly number[] = [11, 40, 160];
 const WORKERS_PER_PROCESS = 40;
@@ -175,9 +176,9 @@
   }
 }
 
-async function getUsage(entry: ChildProcess): Promise<EntryUsage> {
+async function getUsage(entry: ChildProcess): Promise<ProcessUsage> {
   const replied = once(entry, "message");
   entry.send("usage");
-  const [usage] = (await replied) as [EntryUsage];
+  const [usage] = (await replied) as [ProcessUsage];
   return usage;
 }
--- a/src/coordination/pool/QueueRegistry.ts
+++ b/src/coordination/pool/QueueRegistry.ts
@@ -25,6 +25,7 @@
   private readonly _decoder: QueueDecoder;
   private readonly _log: Log;
   private readonly _onChange: (document: QueueDocument) => void;
+  private readonly _getSilentBeforeMs: () => number | undefined;
   private _current: CurrentQueues | undefined;
   private readonly _pools = new Set<string>();
 
@@ -33,11 +34,19 @@
    * @param decoder - Decodes documents.
    * @param log - Log for applied and rejected documents.
    * @param onChange - Called with each new document.
+   * @param getSilentBeforeMs - Returns for how long the store had been silent before the response that
+   *   is being applied, in milliseconds, for the log; undefined if that is not known.
    */
-  constructor(decoder: QueueDecoder, log: Log, onChange: (document: QueueDocument) => void) {
+  constructor(
+    decoder: QueueDecoder,
+    log: Log,
+    onChange: (document: QueueDocument) => void,
+    getSilentBeforeMs: () => number | undefined = () => undefined,
+  ) {
     this._decoder = decoder;
     this._log = log;
     this._onChange = onChange;
+    this._getSilentBeforeMs = getSilentBeforeMs;
   }
 
   /** Current queues; undefined before the first document. */
@@ -53,23 +62,21 @@
   /**
    * Applies changed keys of the store.
    * @param changes - Changed keys with their values.
-   * @param silentBeforeMs - Time between the response of the store that has them and the one before,
-   *   in milliseconds: at most so long had they been there.
    */
-  apply(changes: readonly StoreChange[], silentBeforeMs?: number): void {
+  apply(changes: readonly StoreChange[]): void {
     changes
       .filter(({ key }) => key === this._decoder.key)
       .forEach(({ value, revision }) => {
         if (value !== undefined) {
-          this._applyText(value, revision, silentBeforeMs);
+          this._applyText(value, revision);
         }
       });
   }
 
-  private _applyText(text: string, revision: number, silentBeforeMs?: number): void {
+  private _applyText(text: string, revision: number): void {
     this._decoder.decode(text).match(
       (document) => {
-        this._set(document, silentBeforeMs);
+        this._set(document);
       },
       (reason) => {
         this._log.error("The configuration of queues cannot be decoded; it is ignored.", {
@@ -80,12 +87,13 @@
     );
   }
 
-  private _set(document: QueueDocument, silentBeforeMs?: number): void {
+  private _set(document: QueueDocument): void {
     const { version } = document;
     const known = this._current?.document.version;
     if (known !== undefined && version <= known) {
       return;
     }
+    const silentBeforeMs = this._getSilentBeforeMs();
     this._current = { document, table: new QueueTable(document.queues) };
     document.queues.forEach(({ pool }) => this._pools.add(pool));
     this._log.info("A new configuration of queues is in effect.", {
--- a/src/transport/pool/PoolEntryProcess.ts
+++ b/src/transport/pool/PoolEntryProcess.ts
@@ -14,7 +14,7 @@
 import { SubmissionService } from "../../coordination/pool/SubmissionService.ts";
 import type { ListenError } from "../../protocol/errors/errors.ts";
 import type { Log } from "../../protocol/platform/Log.ts";
-import type { Store, StoreChange } from "../../protocol/platform/Store.ts";
+import type { Store } from "../../protocol/platform/Store.ts";
 import type { QueueDecoder } from "../../protocol/pool/QueueDecoder.ts";
 import type { PoolEntrySettings } from "../../protocol/settings/PoolEntrySettings.ts";
 import { getProcessUsage, ProcessLoadLog } from "../platform/ProcessLoadLog.ts";
@@ -116,13 +116,16 @@
       channel: this._channel,
       getTimeOfDay: Date.now,
     });
-    this._queues = new QueueRegistry(decoder, log.child("queues"), ({ queues, pools }) => {
-      this._coordinator.catalog.setQueues(queues);
-      this._coordinator.setPools(pools.map((pool) => pool.name));
-    });
-    const apply = (changes: readonly StoreChange[]): void => {
-      this._queues.apply(changes, this._configFollower.silentBeforeMs);
-    };
+    this._queues = new QueueRegistry(
+      decoder,
+      log.child("queues"),
+      ({ queues, pools }) => {
+        this._coordinator.catalog.setQueues(queues);
+        this._coordinator.setPools(pools.map((pool) => pool.name));
+      },
+      () => this._configFollower.silentBeforeMs,
+    );
+    const apply = this._queues.apply.bind(this._queues);
     this._configFollower = new StoreFollower({
       ...shared,
       log: log.child("queues"),
@@ -132,8 +135,7 @@
       onListing: apply,
       onChanges: apply,
     });
-    const getUsage = getProcessUsage;
-    this._loadLog = new ProcessLoadLog({ clock: this._clock, log, getUsage });
+    this._loadLog = new ProcessLoadLog({ clock: this._clock, log, getUsage: getProcessUsage });
     this._frontend = deps.createFrontend({
       submissions: this._createSubmissions(store),
       queues: this._queues,
