--- a/src/coordination/pool/poolLoad.ts
+++ b/src/coordination/pool/poolLoad.ts
@@ -78,7 +78,7 @@
 }
 
 function countWaiting({ tasks }: StepState): number {
-  return tasks.filter((task) => !task.isDone && task.activeRuns.length === 0).length;
+  return tasks.filter(({ isWithoutRun }) => isWithoutRun).length;
 }
 
 function countRuns({ tasks }: StepState): number {
--- a/src/coordination/pool/taskPlacement.ts
+++ b/src/coordination/pool/taskPlacement.ts
@@ -156,7 +156,7 @@
 
 /** A gang waits until none of its tasks runs; its tasks start together. */
 function getWaitingTasks(step: StepState): readonly TaskState[] {
-  const waiting = step.tasks.filter((task) => !task.isDone && task.activeRuns.length === 0);
+  const waiting = step.tasks.filter(({ isWithoutRun }) => isWithoutRun);
   const isWhole = waiting.length === step.tasks.length;
   return step.definition.gang && !isWhole ? [] : waiting;
 }
--- a/src/state/pool/TaskState.ts
+++ b/src/state/pool/TaskState.ts
@@ -114,6 +114,11 @@
     return this._doneGangRun;
   }
 
+  /** Whether the task is not done and has no active run. */
+  get isWithoutRun(): boolean {
+    return !this._isDone && this._activeRuns.length === 0;
+  }
+
   /** Whether the task may crash the workers that start it. */
   get isSuspected(): boolean {
     return this.crashHistory.crashes > 0 && !this._isDone;
