Say what narrowLinkStartTests plays: the small twin in a burst, not a twelfth of all load

Its intervals are those of the small twin during the burst of wide jobs, which has several times the load of the large fleet for each worker. The tests use constants and types that exist; no assertion changes.

--- a/tests/coordination/pool/narrowLinkStartTests.ts
+++ b/tests/coordination/pool/narrowLinkStartTests.ts
@@ -10,8 +10,8 @@
 import { QUEUE, type SimulatedEntry } from "./simulatedPool.ts";
 
 /**
- * A twelfth of the operators' large fleet: of its 160 workers, of its wide and urgent jobs, and about
- * of the narrowest link of an entry, 14 Mbit/s.
+ * The small twin of the operators' large fleet during a burst of wide jobs: a twelfth of its 160
+ * workers, a link of 2 Mbit/s, and 2.2 wide and 2.5 urgent jobs a second.
  */
 const WORKERS = 14;
 const LINK = { bytesPerMs: 250, timeoutMs: 1_000 };
@@ -28,9 +28,10 @@
   steps: [WIDE_STEP, { ...WIDE_STEP, after: [0] }],
   schedule: undefined,
 };
+const URGENT_TASKS = 9;
 const URGENT: JobDefinition = {
   payload: "x".repeat(150),
-  steps: [createStep({ taskCount: 9 })],
+  steps: [createStep({ taskCount: URGENT_TASKS })],
   schedule: undefined,
 };
 const WIDE_WORK_MS = 1_240;
@@ -83,7 +84,8 @@
     .filter(([, at]) => at < clock.now() - 2 * URGENT_WORK_MS)
     .map(([id, at]) => {
       const starts = simulation.journal.filter(({ task }) => task.startsWith(id));
-      return starts.length === 9 ? Math.max(...starts.map(({ startedAt }) => startedAt)) - at : NaN;
+      const lastStart = Math.max(...starts.map(({ startedAt }) => startedAt));
+      return starts.length === URGENT_TASKS ? lastStart - at : NaN;
     })
     .sort((a, b) => a - b);
   const late = waits.filter((waitMs) => !(waitMs <= MAX_WAIT_MS));
--- a/tests/coordination/pool/poolLoadLogTests.ts
+++ b/tests/coordination/pool/poolLoadLogTests.ts
@@ -2,6 +2,7 @@
  * Tests of the log lines on the load of a pool.
  */
 import test from "ava";
+import type { JobDefinition } from "../../../src/protocol/pool/JobDefinition.ts";
 import { createJobId, createStep } from "../../support/poolFixtures.ts";
 import { PoolSimulation } from "./PoolSimulation.ts";
 
@@ -27,10 +28,6 @@
   t.true(Number(queuedForMs) >= 1_000);
 });
 
-function toJob(steps: readonly ReturnType<typeof createStep>[]): {
-  readonly payload: string;
-  readonly steps: typeof steps;
-  readonly schedule: undefined;
-} {
+function toJob(steps: JobDefinition["steps"]): JobDefinition {
   return { payload: "", steps, schedule: undefined };
 }
--- a/tests/state/pool/progressValueTests.ts
+++ b/tests/state/pool/progressValueTests.ts
@@ -11,7 +11,6 @@
 import type { ProgressRecord, TaskRecord } from "../../../src/state/pool/records.ts";
 
 const SEED = Number(process.env.FIREFLYLB_SEED ?? 20_261_207);
-const WORKERS = 39;
 const TASKS = 39;
 
 const run = fc.integer({ min: 1, max: 5 });
@@ -62,8 +61,8 @@
     { run: 1, done: true },
   ]);
   const running = Array.from({ length: TASKS }, (_, index): [string, TaskRecord] => {
-    const agent = `side-gj-west-a-${index % WORKERS}`;
-    const incarnation = `i-02${index % WORKERS}9e21dc@1769523623800`;
+    const agent = `side-gj-west-a-${index}`;
+    const incarnation = `i-02${index}9e21dc@1769523623800`;
     return [`0.1.${index}`, { run: 1, active: [{ run: 1, agent, worker: incarnation }] }];
   });
   return { phase: "running", tasks: Object.fromEntries([...done, ...running]) };
