--- a/review/parts-3/Deployment.ts
+++ b/review/parts-3/Deployment.ts
@@ -27,6 +27,8 @@
   readonly entries: number;
   /** Number of workers in each zone, each with an agent. */
   readonly workers: readonly number[];
+  /** Services of the workers of each zone; one service if undefined. */
+  readonly services?: readonly string[];
 }
 
 /** A process of the project. */
@@ -126,7 +128,7 @@
       deployment._endPrograms();
     });
     await deployment.store.start();
-    deployment.store.put("op/config", createManifest(1));
+    deployment.store.put("op/config", createManifest(1, SERVICE, size.services));
     for (let number = 0; number < size.entries; number += 1) {
       await deployment._addEntry(number);
     }
@@ -134,7 +136,7 @@
       Array.from({ length: count }, (_, number) => ({ zone, number })),
     );
     for (const { zone, number } of places) {
-      await deployment._addWorker(zone, number);
+      await deployment._addWorker(zone, number, size.services?.[zone] ?? SERVICE);
     }
     await deployment._waitUntilReady();
     return deployment;
@@ -194,7 +196,7 @@
     program.start();
   }
 
-  private async _addWorker(zoneNumber: number, number: number): Promise<void> {
+  private async _addWorker(zoneNumber: number, number: number, service: string): Promise<void> {
     const zone = ZONES[zoneNumber] ?? "";
     const [control = "", announcements = "", app = ""] = await findFreeAddresses(3);
     const [ip = "", port = ""] = control.split(":");
@@ -202,7 +204,7 @@
     const program = this._createProgram("agent", name, {
       node: name,
       zone,
-      service: SERVICE,
+      service,
       ip,
       "internal_ports.0": port,
       "listen_addrs.control": announcements,
@@ -211,7 +213,7 @@
     });
     const rack = `r${zoneNumber + 1}-${Math.floor(number / WORKERS_PER_RACK) + 1}`;
     const worker = new WorkerStandIn({
-      ...{ name: `i-${zone}-${number + 1}`, service: SERVICE, address: app, announcements },
+      ...{ name: `i-${zone}-${number + 1}`, service, address: app, announcements },
       ...{ zone, rack, record: this._record, gangs: this._gangs },
     });
     this.agents.push(program);
@@ -255,17 +257,23 @@
 /**
  * Creates a manifest with one queue.
  * @param version - Its version.
+ * @param service - Service that runs the queue's tasks.
+ * @param services - Names of all services.
  */
-export function createManifest(version: number): unknown {
+export function createManifest(
+  version: number,
+  service = SERVICE,
+  services: readonly string[] = [SERVICE],
+): unknown {
   return {
     version,
     routes: [
       {
-        ...{ name: "swap", host: HOST, prefix: PREFIX, service: SERVICE, priority: 0 },
+        ...{ name: "swap", host: HOST, prefix: PREFIX, service, priority: 0 },
         ...{ max_attempts: 3, stretch: 2, target_latency_ms: 250 },
       },
     ],
-    services: [{ name: SERVICE, admission_control: true }],
+    services: [...new Set(services)].map((name) => ({ name, admission_control: true })),
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144 },
   };
 }
--- a/review/parts-3/StoreStandIn.ts
+++ b/review/parts-3/StoreStandIn.ts
@@ -2,10 +2,12 @@
  * Stand-in for the platform's metadata store: items with revisions, transactions, leases and watches,
  * in memory and without faults.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { JsonServer, type JsonReply, type JsonRequest } from "./jsonHttp.ts";
 
 const HISTORY_EVENTS = 100_000;
 const PAGE_ITEMS = 500;
+const PAGE_BYTES = 1_000_000;
 
 interface Item {
   readonly key: string;
@@ -33,6 +35,8 @@
 
 /** Store of one deployment. */
 export class StoreStandIn {
+  /** Time that each answer takes beyond its handling, in milliseconds. */
+  delayMs = 0;
   private readonly _server: JsonServer;
   private readonly _items = new Map<string, Item>();
   private _events: StoreEvent[] = [];
@@ -47,7 +51,11 @@
    * @param address - Address as "host:port".
    */
   constructor(address: string) {
-    this._server = new JsonServer(address, (req) => this._serve(req));
+    this._server = new JsonServer(address, async (req) => {
+      const answer = await this._serve(req);
+      await (this.delayMs > 0 ? sleep(this.delayMs) : undefined);
+      return answer;
+    });
     this._timer = setInterval(() => {
       this._endLeases();
     }, 20);
@@ -74,6 +82,15 @@
     this._commit([{ key, value: text, lease: 0 }], []);
   }
 
+  /**
+   * Reads a value as the platform can.
+   * @param key - The key.
+   */
+  read(key: string): string | undefined {
+    const item = this._items.get(key);
+    return item && Buffer.from(item.value, "base64").toString("utf8");
+  }
+
   private _serve(req: JsonRequest): Promise<JsonReply> | JsonReply {
     const { method, path, query, body } = req;
     const [, , name = "", id = ""] = path.split("/");
@@ -105,7 +122,7 @@
     const found = [...this._items.values()]
       .filter(({ key }) => key.startsWith(prefix) && key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
-    const items = found.slice(0, PAGE_ITEMS);
+    const items = found.slice(0, PAGE_ITEMS).filter(createPageLimit());
     return reply(200, { items, has_more: found.length > items.length, as_of: this._revision });
   }
 
@@ -215,6 +232,15 @@
   }
 }
 
+/** Returns whether an item still fits on a page with those before it; the first one always does. */
+function createPageLimit(): (item: Item, position: number) => boolean {
+  let bytes = 0;
+  return ({ value }, position) => {
+    bytes += value.length;
+    return position === 0 || bytes <= PAGE_BYTES;
+  };
+}
+
 function reply(status: number, body: unknown = {}): JsonReply {
   return { status, body };
 }
