Show that both tasks of a step are moved at once where one may be away

As the load of a task that serves rises, both tasks that fill beside it, of a step that lasts with may_miss 1, are told to stop in the same moment. The stand-ins get a load of serving tasks.

--- a/review/parts-3/WorkerLife.ts
+++ b/review/parts-3/WorkerLife.ts
@@ -10,6 +10,7 @@
   readWork,
   type RunOutcome,
   type WorkerEnd,
+  type WorkerOrder,
   type WorkerRun,
 } from "./runs.ts";
 
@@ -23,6 +24,8 @@
 const FAILS_AFTER_MS = 100;
 const MAX_LISTED_ENDS = 500;
 const FULL_PERCENT = 100;
+/** By how much tasks that fill a whole worker raise the tail latency of those that serve. */
+const DISTURBANCE = 4;
 
 interface StartBody {
   readonly task: string;
@@ -49,6 +52,8 @@
   readonly gangs: GangTable;
   /** Returns whether the worker fails all that it starts now. */
   readonly isFailing: () => boolean;
+  /** Gets the load of the tasks that serve, as a multiple of their usual one. */
+  readonly getLoad: () => number;
 }
 
 /** One life of a worker. */
@@ -57,6 +62,9 @@
   readonly born = Date.now();
   /** All ends of this life, acknowledged or not. */
   readonly ends: WorkerEnd[] = [];
+  /** All runs that it has begun, and all stops of runs that were at work, by the monotonic clock. */
+  readonly starts: WorkerOrder[] = [];
+  readonly stops: WorkerOrder[] = [];
   private readonly _options: WorkerLifeOptions;
   private readonly _startedAt = performance.now();
   private readonly _runs = new Map<string, WorkerRun>();
@@ -127,6 +135,9 @@
         const { task, run, percent } = body as StartBody & { readonly percent: number };
         const active = this._runs.get(`${task} ${run}`);
         if (active !== undefined) {
+          this._options.record.add(
+            `run ${task} ${run} on worker ${this.id} is paced at ${percent}`,
+          );
           active.pacePercent = percent;
         }
         return this._answer();
@@ -158,6 +169,7 @@
       ...{ workedMs: getSavedMs(checkpoint), hasBegun: false, stopsAt: undefined },
       ...{ pacePercent: FULL_PERCENT, isFailing: this._options.isFailing() },
     });
+    this.starts.push({ task, run, at: startedAt });
     if (work.gangSize !== undefined) {
       this._options.gangs.add(task, run, checkpoint);
     }
@@ -181,6 +193,9 @@
     } else if (active.stopsAt === undefined) {
       this._options.record.add(`run ${task} ${run} on worker ${this.id} is told to stop`);
       active.stopsAt = performance.now() + STOP_MS;
+      if (active.hasBegun) {
+        this.stops.push({ task, run, at: performance.now() });
+      }
     }
     return this._answer();
   }
@@ -195,7 +210,7 @@
       });
     }
     const running = this.runs.map((run) => [
-      ...[run.task, run.run, run.saved, getPercent(run), getFigure(run)],
+      ...[run.task, run.run, run.saved, getPercent(run), this._getFigure(run)],
     ]);
     const ended = this._listedEnds.map(({ number, task, run, how, saved }) => {
       return [number, task, run, how, saved];
@@ -279,6 +294,24 @@
     this._options.record.add(`run ${task} ${run} ends on worker ${this.id}: ${how}`);
   }
 
+  /** Returns the rough figure for the last half second: tail latency, or processors in use. */
+  private _getFigure({ work, pacePercent, hasBegun }: WorkerRun): number {
+    const { tailMs, cpu } = work;
+    if (tailMs !== undefined) {
+      const disturbance = 1 + DISTURBANCE * this._fillingShare;
+      return Math.round(tailMs * this._options.getLoad() * disturbance);
+    }
+    return hasBegun ? Math.round((cpu * pacePercent) / FULL_PERCENT) : 0;
+  }
+
+  /** Share of the worker's processors that tasks which fill use. */
+  private get _fillingShare(): number {
+    const used = this.runs
+      .filter(({ work, hasBegun }) => work.isFilling === true && hasBegun)
+      .reduce((sum, { work, pacePercent }) => sum + (work.cpu * pacePercent) / FULL_PERCENT, 0);
+    return used / this._options.cpu;
+  }
+
   private _answer(body: object = {}): JsonReply {
     return { status: 200, body: { clock_ms: this.clockMs, born: this.born, ...body } };
   }
@@ -294,11 +327,3 @@
   }
   return Math.min(FULL_PERCENT, Math.floor((FULL_PERCENT * workedMs) / work.workMs));
 }
-
-/** Returns the rough figure for the last half second: tail latency, or processors in use. */
-function getFigure({ work, pacePercent, hasBegun }: WorkerRun): number {
-  if (work.tailMs !== undefined) {
-    return work.tailMs;
-  }
-  return hasBegun ? Math.round((work.cpu * pacePercent) / FULL_PERCENT) : 0;
-}
--- a/review/parts-3/WorkerStandIn.ts
+++ b/review/parts-3/WorkerStandIn.ts
@@ -32,6 +32,8 @@
   isUnhealthy = false;
   /** Whether it fails all that it starts. */
   isFailing = false;
+  /** Load of the tasks that serve, as a multiple of their usual one. */
+  load = 1;
   private readonly _options: WorkerOptions;
   private readonly _server: JsonServer;
   private _life: WorkerLife | undefined;
@@ -66,6 +68,7 @@
     this._life = new WorkerLife({
       ...{ id, cpu: CPU, memMb: MEM_MB, record, gangs },
       isFailing: () => this.isFailing,
+      getLoad: () => this.load,
     });
     record.add(`worker ${id} starts`);
     await this._server.listen();
--- a/review/parts-3/runs.ts
+++ b/review/parts-3/runs.ts
@@ -17,7 +17,7 @@
   readonly isCheckpointing?: boolean;
   /** Whether its processors are not counted against the worker's capacity. */
   readonly isFilling?: boolean;
-  /** Tail latency of a task that serves, in milliseconds. */
+  /** Tail latency of a task that serves, undisturbed and at its usual load, in milliseconds. */
   readonly tailMs?: number;
 }
 
@@ -40,6 +40,14 @@
   pacePercent: number;
 }
 
+/** An order that a worker has carried out. */
+export interface WorkerOrder {
+  readonly task: string;
+  readonly run: number;
+  /** When, on the monotonic clock, in milliseconds. */
+  readonly at: number;
+}
+
 /** An end as the worker lists it. */
 export interface WorkerEnd {
   readonly number: number;
